Lay the ground: blackboard, controllers, decisions, settings

Cause: nothing exists, and every later part needs the same frame. Before: no code. Conclusion: the parts can be built side by side on these types.

--- /dev/null
+++ b/src/baseline.rs
@@ -0,0 +1,1 @@
+//! Plain policies that the decisions are measured against.
--- /dev/null
+++ b/src/bin/mimosavane.rs
@@ -0,0 +1,3 @@
+//! The operators' command line.
+
+fn main() {}
--- /dev/null
+++ b/src/burn.rs
@@ -0,0 +1,1 @@
+//! How fast each service-level objective is being used up.
--- /dev/null
+++ b/src/call.rs
@@ -0,0 +1,1 @@
+//! The way of a caller's request to a plain service and back.
--- /dev/null
+++ b/src/claim.rs
@@ -0,0 +1,1 @@
+//! Claims of keyed calls, so that each runs at most once.
--- /dev/null
+++ b/src/concurrency.rs
@@ -0,0 +1,1 @@
+//! Adaptive bounds on concurrent work and bounded queues before them.
--- /dev/null
+++ b/src/datagram.rs
@@ -0,0 +1,1 @@
+//! Authenticated datagrams between hosts.
--- /dev/null
+++ b/src/dispatch.rs
@@ -0,0 +1,1 @@
+//! The dispatcher of one engine: who runs next, and when.
--- /dev/null
+++ b/src/drain.rs
@@ -0,0 +1,1 @@
+//! Planned stops that cut off no request.
--- /dev/null
+++ b/src/edit.rs
@@ -0,0 +1,1 @@
+//! Edits of the table as one transaction each.
--- /dev/null
+++ b/src/ejection.rs
@@ -0,0 +1,1 @@
+//! Upstreams that fail too often rest until a probe succeeds.
--- /dev/null
+++ b/src/evidence.rs
@@ -0,0 +1,1 @@
+//! What proves which weights made which tokens of a sample.
--- /dev/null
+++ b/src/explain.rs
@@ -0,0 +1,1 @@
+//! Collection of decision records from all hosts.
--- /dev/null
+++ b/src/fairness.rs
@@ -0,0 +1,1 @@
+//! A weighted fair queue by token cost.
--- /dev/null
+++ b/src/lease.rs
@@ -0,0 +1,1 @@
+//! Leases with fencing numbers, kept by the table service.
--- /dev/null
+++ b/src/ledger.rs
@@ -0,0 +1,1 @@
+//! Served tokens of each row over the whole fleet.
--- /dev/null
+++ b/src/length.rs
@@ -0,0 +1,1 @@
+//! Prediction of how long a sample will become, from what its row did before.
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,50 @@
+//! A rollout service for reinforcement learning, steered by a table of shares.
+//!
+//! The crate holds everything that the binaries share: the decisions, which are
+//! controllers without I/O, and the servers and clients around them. The map of
+//! the files is in `docs/ARCHITECTURE.md`.
+
+pub mod attempt;
+pub mod baseline;
+pub mod blackboard;
+pub mod burn;
+pub mod cache_index;
+pub mod call;
+pub mod claim;
+pub mod clock;
+pub mod concurrency;
+pub mod controller;
+pub mod datagram;
+pub mod decision;
+pub mod dispatch;
+pub mod drain;
+pub mod edit;
+pub mod ejection;
+pub mod evidence;
+pub mod explain;
+pub mod fairness;
+pub mod follower;
+pub mod ids;
+pub mod lease;
+pub mod ledger;
+pub mod length;
+pub mod membership;
+pub mod order;
+pub mod progress;
+pub mod proto;
+pub mod quota;
+pub mod retry;
+pub mod routing;
+pub mod row;
+pub mod settings;
+pub mod settings_check;
+pub mod staleness;
+pub mod step;
+pub mod store;
+pub mod straggler;
+pub mod table_server;
+pub mod wave;
+
+pub use blackboard::Blackboard;
+pub use controller::Controller;
+pub use row::Row;
--- /dev/null
+++ b/src/order.rs
@@ -0,0 +1,1 @@
+//! Orders to engines, and how reports are reconciled with them.
--- /dev/null
+++ b/src/progress.rs
@@ -0,0 +1,1 @@
+//! Connections that stay silent are retired.
--- /dev/null
+++ b/src/retry.rs
@@ -0,0 +1,1 @@
+//! Retry budgets and backoff.
--- /dev/null
+++ b/src/routing.rs
@@ -0,0 +1,1 @@
+//! The choice of an engine for one request.
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,292 @@
+//! The settings of every binary, read from one YAML file.
+//!
+//! Each field carries its unit as a suffix and has a documented default; see
+//! docs/SETTINGS.md. Unknown fields are refused.
+
+use std::{collections::BTreeMap, net::SocketAddr, path::Path};
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::{FailureDomain, HostId, Region, RowId};
+
+/// All settings of one host.
+///
+/// # Examples
+///
+/// ```
+/// use mimosavane::settings::Settings;
+///
+/// let text = "
+/// host:
+///   id: entry-1
+///   region: mx-centro
+///   failure_domain: mx-a
+///   http_address: 127.0.0.1:8080
+///   peer_address: 127.0.0.1:9080
+/// platform:
+///   table_service_url: http://127.0.0.1:7000
+/// ";
+/// let settings = Settings::parse(text)?;
+/// assert_eq!(&*settings.host.id, "entry-1");
+/// # Ok::<(), mimosavane::settings::SettingsError>(())
+/// ```
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// This host.
+    pub host: HostSettings,
+    /// Where the platform answers.
+    pub platform: PlatformSettings,
+    /// Addresses of some peers, over which a fresh host finds the others.
+    #[serde(default)]
+    pub seed_peers: Vec<SocketAddr>,
+    /// Who may ask for what.
+    #[serde(default)]
+    pub keys: KeySettings,
+    /// Bounds on what callers may ask.
+    #[serde(default)]
+    pub limits: LimitSettings,
+    /// How hosts watch each other.
+    #[serde(default)]
+    pub membership: MembershipSettings,
+    /// Where logs and metrics go.
+    #[serde(default)]
+    pub telemetry: TelemetrySettings,
+    /// Service-level objectives that the burn report holds figures against.
+    #[serde(default)]
+    pub objectives: ObjectiveSettings,
+}
+
+/// This host's own name and place.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct HostSettings {
+    /// The name, unique in the fleet.
+    pub id: HostId,
+    /// The region that it stands in.
+    pub region: Region,
+    /// The failure domain that it stands in.
+    pub failure_domain: FailureDomain,
+    /// Where callers and trainers reach it.
+    pub http_address: SocketAddr,
+    /// Where peers reach it, over TCP and UDP.
+    pub peer_address: SocketAddr,
+}
+
+/// Where the platform answers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PlatformSettings {
+    /// The transactional table service.
+    pub table_service_url: String,
+    /// The list of live and leaving hosts; empty where there is none.
+    #[serde(default)]
+    pub host_list_url: String,
+    /// The weight store; empty where there is none.
+    #[serde(default)]
+    pub weight_store_url: String,
+    /// How long one request to the platform may take.
+    #[serde(default = "defaults::platform_timeout_ms")]
+    pub timeout_ms: u64,
+    /// Engines that refuse an order with an old fencing number.
+    #[serde(default)]
+    pub fence_checking_engines: Vec<String>,
+}
+
+/// The keys by role; an empty list refuses the role to everybody.
+#[derive(Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct KeySettings {
+    /// The secret that hosts of the fleet share.
+    #[serde(default)]
+    pub fleet: String,
+    /// Bearer tokens of operators, by the name that history shows.
+    #[serde(default)]
+    pub operators: BTreeMap<String, String>,
+    /// Bearer tokens of trainers and members, by row.
+    #[serde(default)]
+    pub rows: BTreeMap<RowId, String>,
+}
+
+impl std::fmt::Debug for KeySettings {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("KeySettings")
+            .field("operators", &self.operators.keys())
+            .field("rows", &self.rows.keys())
+            .finish_non_exhaustive()
+    }
+}
+
+/// Bounds on what callers may ask.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct LimitSettings {
+    /// The largest request body.
+    pub max_body_bytes: usize,
+    /// How long a caller may take to send a request.
+    pub request_read_timeout_ms: u64,
+    /// The deadline of a call that names none.
+    pub default_deadline_ms: u64,
+    /// The most calls that wait for one pool.
+    pub max_queued_calls: usize,
+    /// How long a connection may make no progress before it is retired.
+    pub silence_timeout_ms: u64,
+    /// The part of calls that may be retries.
+    pub retry_budget_ratio: f64,
+}
+
+/// How hosts watch each other.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct MembershipSettings {
+    /// The time between two probes that a host sends.
+    pub probe_interval_ms: u64,
+    /// How long a probe may stay unanswered.
+    pub probe_timeout_ms: u64,
+    /// How long a suspect may refute before it is held for dead.
+    pub suspicion_timeout_ms: u64,
+}
+
+/// Where logs and metrics go.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct TelemetrySettings {
+    /// `text` or `json`.
+    pub log_format: LogFormat,
+    /// The filter of log lines, as `tracing` reads it.
+    pub log_filter: String,
+    /// Where StatsD datagrams go; empty sends none.
+    pub statsd_address: String,
+}
+
+/// The shapes of a log line.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    Serialize,
+    Deserialize,
+    strum::Display,
+    strum::EnumString,
+)]
+#[serde(rename_all = "kebab-case")]
+#[strum(serialize_all = "kebab-case")]
+pub enum LogFormat {
+    /// For people.
+    #[default]
+    Text,
+    /// One JSON object a line.
+    Json,
+}
+
+/// Service-level objectives.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct ObjectiveSettings {
+    /// The part of time that a trainer may wait on promised samples.
+    pub max_idle_ratio: f64,
+    /// The part of samples that may come near the staleness bound.
+    pub max_stale_ratio: f64,
+    /// The part by which a row's served tokens may miss its share.
+    pub max_share_error_ratio: f64,
+    /// The part of calls that must get a whole answer.
+    pub min_call_success_ratio: f64,
+    /// How soon an accepted change must be in force on all hosts.
+    pub change_in_force_ms: u64,
+}
+
+impl Default for LimitSettings {
+    fn default() -> Self {
+        Self {
+            max_body_bytes: 8 * 1024 * 1024,
+            request_read_timeout_ms: 10_000,
+            default_deadline_ms: 30_000,
+            max_queued_calls: 1024,
+            silence_timeout_ms: 5_000,
+            retry_budget_ratio: 0.1,
+        }
+    }
+}
+
+impl Default for MembershipSettings {
+    fn default() -> Self {
+        Self {
+            probe_interval_ms: 500,
+            probe_timeout_ms: 200,
+            suspicion_timeout_ms: 2_000,
+        }
+    }
+}
+
+impl Default for TelemetrySettings {
+    fn default() -> Self {
+        Self {
+            log_format: LogFormat::Text,
+            log_filter: "info".to_owned(),
+            statsd_address: String::new(),
+        }
+    }
+}
+
+impl Default for ObjectiveSettings {
+    fn default() -> Self {
+        Self {
+            max_idle_ratio: 0.05,
+            max_stale_ratio: 0.05,
+            max_share_error_ratio: 0.05,
+            min_call_success_ratio: 0.999,
+            change_in_force_ms: 2_000,
+        }
+    }
+}
+
+/// Defaults of single fields, which serde takes as functions.
+mod defaults {
+    pub(super) const fn platform_timeout_ms() -> u64 {
+        1_000
+    }
+}
+
+/// Why settings could not be read.
+#[derive(Debug, thiserror::Error)]
+pub enum SettingsError {
+    /// The file could not be read.
+    #[error("{path}: {source}")]
+    Read {
+        /// The file.
+        path: String,
+        /// What the system said.
+        source: std::io::Error,
+    },
+    /// The text is not a settings file.
+    #[error("{0}")]
+    Parse(#[from] serde_norway::Error),
+}
+
+impl Settings {
+    /// Reads settings from YAML text.
+    ///
+    /// # Errors
+    ///
+    /// Fails on text that is not YAML, on unknown or missing fields, and on
+    /// values of the wrong type.
+    pub fn parse(text: &str) -> Result<Self, SettingsError> {
+        Ok(serde_norway::from_str(text)?)
+    }
+
+    /// Reads settings from the file at `path`.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`Settings::parse`] does, and where the file cannot be read.
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        let text = std::fs::read_to_string(path).map_err(|source| SettingsError::Read {
+            path: path.display().to_string(),
+            source,
+        })?;
+        Self::parse(&text)
+    }
+}
--- /dev/null
+++ b/src/settings_check.rs
@@ -0,0 +1,1 @@
+//! Checks a settings file and reports all mistakes at once.
--- /dev/null
+++ b/src/staleness.rs
@@ -0,0 +1,1 @@
+//! The gates that keep samples within the agreed staleness bound.
--- /dev/null
+++ b/src/step.rs
@@ -0,0 +1,1 @@
+//! Steps of trainers: slots, attempts, and delivery to the trainer exactly once.
--- /dev/null
+++ b/src/store.rs
@@ -0,0 +1,1 @@
+//! The platform's table service: its client, its budget and its condition.
--- /dev/null
+++ b/src/table_server.rs
@@ -0,0 +1,1 @@
+//! The operators' table over HTTP.
--- /dev/null
+++ b/src/wave.rs
@@ -0,0 +1,1 @@
+//! Waves of weight updates under a capacity floor and the weight store's rate.
