Talk to the table service and prove callers

Cause: edits, claims and leases need transactions at the platform's table service, and the servers need to know who asks. Change: the TableService trait with its HTTP client (budget, condition, backoff, no silent retry), a stand-in with faults, and bearer-token roles. Before/After: nothing measured yet. Conclusion: the interfaces are there to wire against; tests follow.

--- /dev/null
+++ b/src/column.rs
@@ -0,0 +1,1 @@
+//! The columns of the table.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 //! the files is in `docs/ARCHITECTURE.md`.
 
 pub mod attempt;
+pub mod auth;
 pub mod baseline;
 pub mod blackboard;
 pub mod burn;
@@ -12,6 +13,7 @@
 pub mod call;
 pub mod claim;
 pub mod clock;
+pub mod column;
 pub mod concurrency;
 pub mod controller;
 pub mod datagram;
@@ -39,9 +41,13 @@
 pub mod settings;
 pub mod settings_check;
 pub mod staleness;
+pub mod standin;
 pub mod step;
 pub mod store;
+pub mod store_client;
+pub mod store_condition;
 pub mod straggler;
+pub mod table_client;
 pub mod table_server;
 pub mod wave;
 
--- /dev/null
+++ b/src/standin/table_service.rs
@@ -0,0 +1,381 @@
+//! A stand-in for the platform's transactional table service.
+//!
+//! [`MemoryTable`] answers in the process, for tests in virtual time;
+//! [`TableServiceStandin`] answers over HTTP on loopback. Both share their
+//! faults, which are switched while they run.
+
+use std::{
+    collections::BTreeMap,
+    net::{Ipv4Addr, SocketAddr},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt as _, Full};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::TokioIo;
+use serde::Serialize;
+use tokio::{net::TcpListener, task::JoinHandle};
+
+use crate::{
+    ids::Revision,
+    store::{Committed, Condition, Record, RecordKey, Scan, StoreError, TableService, Transaction},
+    store_client::{
+        COMMIT_PATH, GET_PATH, LATEST_PATH, LatestRequest, Refusal, SCAN_PATH, ScanRequest,
+    },
+};
+
+/// How many answers to commits are lost.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum LoseAnswers {
+    /// None.
+    #[default]
+    Never,
+    /// That many, after the commit was applied.
+    Next(u32),
+    /// All, after the commit was applied.
+    Always,
+}
+
+/// What the service has done.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Reads that arrived, answered or not.
+    pub reads_count: u64,
+    /// Transactions that arrived, applied or not.
+    pub writes_count: u64,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Tables {
+    revision: Revision,
+    records: BTreeMap<RecordKey, Record>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    tables: Tables,
+    down: bool,
+    delay: Duration,
+    lose_answers: LoseAnswers,
+    old_tables: Option<Tables>,
+    counts: Counts,
+}
+
+/// The service in memory, with switches for its faults.
+///
+/// # Examples
+///
+/// ```
+/// use mimosavane::{standin::table_service::MemoryTable, store::{RecordKey, TableService, Transaction}};
+///
+/// # tokio::runtime::Builder::new_current_thread().build()?.block_on(async {
+/// let table = MemoryTable::default();
+/// let name = RecordKey::new("claims", "order-7");
+/// let claim = Transaction::default().absent(name.clone()).put(name, 1.into());
+/// assert!(table.commit(claim.clone()).await.is_ok());
+/// assert!(table.commit(claim).await.is_err());
+/// # });
+/// # Ok::<(), std::io::Error>(())
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct MemoryTable {
+    state: Arc<Mutex<State>>,
+}
+
+impl MemoryTable {
+    /// Answers nothing while `down`, and applies nothing.
+    pub fn set_down(&self, down: bool) {
+        self.lock().down = down;
+    }
+
+    /// Takes `delay` before it does what it is asked.
+    pub fn set_delay(&self, delay: Duration) {
+        self.lock().delay = delay;
+    }
+
+    /// Loses answers to commits that it did apply.
+    pub fn lose_answers(&self, lose_answers: LoseAnswers) {
+        self.lock().lose_answers = lose_answers;
+    }
+
+    /// Answers reads from the state of this moment while `old`, whatever is
+    /// written.
+    pub fn set_old_reads(&self, old: bool) {
+        let mut state = self.lock();
+        state.old_tables = old.then(|| state.tables.clone());
+    }
+
+    /// Returns how much was asked so far.
+    pub fn counts(&self) -> Counts {
+        self.lock().counts
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn arrive(&self) -> Result<(), StoreError> {
+        let delay = self.lock().delay;
+        if !delay.is_zero() {
+            tokio::time::sleep(delay).await;
+        }
+        if self.lock().down {
+            return Err(StoreError::Unknown);
+        }
+        Ok(())
+    }
+
+    fn apply(&self, transaction: Transaction) -> Result<Committed, StoreError> {
+        let mut state = self.lock();
+        let committed = state.tables.apply(transaction)?;
+        let lost = match state.lose_answers {
+            LoseAnswers::Never | LoseAnswers::Next(0) => false,
+            LoseAnswers::Next(left) => {
+                state.lose_answers = LoseAnswers::Next(left - 1);
+                true
+            }
+            LoseAnswers::Always => true,
+        };
+        if lost {
+            Err(StoreError::Unknown)
+        } else {
+            Ok(committed)
+        }
+    }
+
+    async fn read<T>(&self, read: impl FnOnce(&Tables) -> T) -> Result<T, StoreError> {
+        self.lock().counts.reads_count += 1;
+        self.arrive().await?;
+        let state = self.lock();
+        Ok(read(state.old_tables.as_ref().unwrap_or(&state.tables)))
+    }
+}
+
+impl Tables {
+    fn apply(&mut self, transaction: Transaction) -> Result<Committed, StoreError> {
+        for condition in transaction.conditions {
+            self.check(condition)?;
+        }
+        self.revision += 1;
+        for put in transaction.puts {
+            let version = self.version_of(&put.name) + 1;
+            let record = Record {
+                name: put.name.clone(),
+                version,
+                revision: self.revision,
+                value: put.value,
+            };
+            self.records.insert(put.name, record);
+        }
+        for name in transaction.deletes {
+            self.records.remove(&name);
+        }
+        Ok(Committed {
+            revision: self.revision,
+        })
+    }
+
+    fn check(&self, condition: Condition) -> Result<(), StoreError> {
+        if self.version_of(&condition.name) == condition.version {
+            return Ok(());
+        }
+        let present = self.records.get(&condition.name).cloned().map(Box::new);
+        Err(StoreError::Refused { condition, present })
+    }
+
+    fn version_of(&self, name: &RecordKey) -> u64 {
+        self.records.get(name).map_or(0, |record| record.version)
+    }
+
+    fn of_table<'a>(&'a self, table: &'a str) -> impl DoubleEndedIterator<Item = &'a Record> {
+        self.records
+            .values()
+            .filter(move |record| &*record.name.table == table)
+    }
+
+    fn scan(&self, table: &str, above_revision: Revision) -> Scan {
+        let records = self.of_table(table);
+        Scan {
+            revision: self.revision,
+            records: records
+                .filter(|record| record.revision > above_revision)
+                .cloned()
+                .collect(),
+        }
+    }
+
+    fn latest(&self, table: &str, max_records: usize) -> Scan {
+        Scan {
+            revision: self.revision,
+            records: self
+                .of_table(table)
+                .rev()
+                .take(max_records)
+                .cloned()
+                .collect(),
+        }
+    }
+}
+
+impl TableService for MemoryTable {
+    async fn commit(&self, transaction: Transaction) -> Result<Committed, StoreError> {
+        self.lock().counts.writes_count += 1;
+        self.arrive().await?;
+        self.apply(transaction)
+    }
+
+    async fn get(&self, name: RecordKey) -> Result<Option<Record>, StoreError> {
+        self.read(|tables| tables.records.get(&name).cloned()).await
+    }
+
+    async fn scan(&self, table: &str, above_revision: Revision) -> Result<Scan, StoreError> {
+        self.read(|tables| tables.scan(table, above_revision)).await
+    }
+
+    async fn latest(&self, table: &str, max_records: usize) -> Result<Scan, StoreError> {
+        self.read(|tables| tables.latest(table, max_records)).await
+    }
+}
+
+/// The service over HTTP on an ephemeral port of loopback.
+///
+/// It stops when it is dropped.
+#[derive(Debug)]
+pub struct TableServiceStandin {
+    address: SocketAddr,
+    table: MemoryTable,
+    accepting: JoinHandle<()>,
+}
+
+/// The connection is closed without an answer.
+#[derive(Clone, Copy, Debug, thiserror::Error)]
+#[error("the answer is lost")]
+struct AnswerLost;
+
+impl TableServiceStandin {
+    /// Starts the service, with `table` behind it.
+    ///
+    /// # Errors
+    ///
+    /// Fails where no port can be had.
+    pub async fn start(table: MemoryTable) -> std::io::Result<Self> {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+        let address = listener.local_addr()?;
+        let accepting = tokio::spawn(accept(listener, table.clone()));
+        Ok(Self {
+            address,
+            table,
+            accepting,
+        })
+    }
+
+    /// Returns where it answers.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the URL for the settings.
+    pub fn url(&self) -> String {
+        format!("http://{}", self.address)
+    }
+
+    /// Returns the tables with the switches for faults.
+    pub fn table(&self) -> &MemoryTable {
+        &self.table
+    }
+}
+
+impl Drop for TableServiceStandin {
+    fn drop(&mut self) {
+        self.accepting.abort();
+    }
+}
+
+async fn accept(listener: TcpListener, table: MemoryTable) {
+    while let Ok((stream, _)) = listener.accept().await {
+        if table.lock().down {
+            continue;
+        }
+        let table = table.clone();
+        tokio::spawn(async move {
+            let service = service_fn(|request| handle(table.clone(), request));
+            let served = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            if let Err(error) = served.await {
+                tracing::debug!(%error, "table service connection ended");
+            }
+        });
+    }
+}
+
+/// Answers in a task of its own, so that a commit is applied even when the
+/// caller is gone by then.
+async fn handle(
+    table: MemoryTable,
+    request: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, AnswerLost> {
+    let path = request.uri().path().to_owned();
+    let body = request.into_body().collect().await;
+    let body = body.map_err(|_| AnswerLost)?.to_bytes();
+    let answer = tokio::spawn(async move { answer(&table, &path, &body).await });
+    answer.await.map_err(|_| AnswerLost)?
+}
+
+async fn answer(
+    table: &MemoryTable,
+    path: &str,
+    body: &[u8],
+) -> Result<Response<Full<Bytes>>, AnswerLost> {
+    match path {
+        COMMIT_PATH => match serde_json::from_slice::<Transaction>(body) {
+            Ok(transaction) => respond(table.commit(transaction).await),
+            Err(_) => malformed(),
+        },
+        GET_PATH => match serde_json::from_slice::<RecordKey>(body) {
+            Ok(name) => match table.get(name).await {
+                Ok(None) => json(StatusCode::NOT_FOUND, &()),
+                found => respond(found),
+            },
+            Err(_) => malformed(),
+        },
+        SCAN_PATH => match serde_json::from_slice::<ScanRequest>(body) {
+            Ok(scan) => respond(table.scan(&scan.table, scan.above_revision).await),
+            Err(_) => malformed(),
+        },
+        LATEST_PATH => match serde_json::from_slice::<LatestRequest>(body) {
+            Ok(latest) => respond(table.latest(&latest.table, latest.max_records).await),
+            Err(_) => malformed(),
+        },
+        _ => json(StatusCode::NOT_FOUND, &()),
+    }
+}
+
+fn respond(
+    outcome: Result<impl Serialize, StoreError>,
+) -> Result<Response<Full<Bytes>>, AnswerLost> {
+    match outcome {
+        Ok(value) => json(StatusCode::OK, &value),
+        Err(StoreError::Refused { condition, present }) => {
+            let refusal = Refusal {
+                condition,
+                present: present.map(|record| *record),
+            };
+            json(StatusCode::PRECONDITION_FAILED, &refusal)
+        }
+        Err(StoreError::Unavailable { .. }) => json(StatusCode::SERVICE_UNAVAILABLE, &()),
+        Err(_) => Err(AnswerLost),
+    }
+}
+
+fn malformed() -> Result<Response<Full<Bytes>>, AnswerLost> {
+    json(StatusCode::BAD_REQUEST, &())
+}
+
+fn json(status: StatusCode, body: &impl Serialize) -> Result<Response<Full<Bytes>>, AnswerLost> {
+    let body = serde_json::to_vec(body).map_err(|_| AnswerLost)?;
+    let mut response = Response::new(Full::new(Bytes::from(body)));
+    *response.status_mut() = status;
+    Ok(response)
+}
--- /dev/null
+++ b/src/table_client.rs
@@ -0,0 +1,1 @@
+//! What the command line does with the table.
