Accept changes in one transaction and follow the table

Cause: an accepted change must be in force everywhere and never revert. Change: typed columns, changes planned without I/O and applied in one transaction with read-back by id; a follower that only moves up and learns from the store or a peer. Before/After: nothing measured yet. Conclusion: doc examples pass; failure tests follow.

--- a/src/blackboard.rs
+++ b/src/blackboard.rs
@@ -176,9 +176,37 @@
     pub members: BTreeMap<UpstreamId, Upstream>,
 }
 
+/// How far this host may rely on its copy of the table.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    Serialize,
+    Deserialize,
+    strum::Display,
+    strum::EnumString,
+)]
+#[serde(rename_all = "kebab-case")]
+#[strum(serialize_all = "kebab-case")]
+pub enum TableStanding {
+    /// The host has learned no table yet, and admits nothing.
+    #[default]
+    Empty,
+    /// The store or a peer was heard of late.
+    Current,
+    /// Neither the store nor any peer was heard for long, so that changes may
+    /// have been missed; the host admits nothing new.
+    Isolated,
+}
+
 /// The table in force.
 #[derive(Clone, Debug, Default)]
 pub struct Rows {
+    /// Whether the rows may be relied on.
+    pub standing: TableStanding,
     /// The revision that the rows are of.
     pub revision: Revision,
     /// The rows by name.
--- /dev/null
+++ b/src/change.rs
@@ -0,0 +1,354 @@
+//! What a change would do to the table, decided without any I/O.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+use crate::{
+    column::{self, CellError, CellFault, Cells},
+    ids::{ChangeId, Revision, RowId, RowVersion},
+    row::Row,
+    store::Transaction,
+    table::{
+        CellChange, ChangeRecord, RevisionRecord, Table, change_key, history_key, revision_key,
+        row_key,
+    },
+};
+
+/// What shall become of one row.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RowEdit {
+    /// The row.
+    pub row: RowId,
+    /// The version that the operator saw; 0 for a row that is to be added.
+    pub base_version: RowVersion,
+    /// What shall be done.
+    pub action: RowAction,
+}
+
+/// What an edit does to its row.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum RowAction {
+    /// Set these cells; of a new row the others get their defaults.
+    Set(Cells),
+    /// Remove the row.
+    Remove,
+}
+
+/// Edits that are accepted together, or not at all.
+///
+/// # Examples
+///
+/// ```
+/// use mimosavane::{controller::Rng, change::{Change, RowEdit}, edit, standin::table_service::MemoryTable};
+/// use rand::SeedableRng as _;
+///
+/// # tokio::runtime::Builder::new_current_thread().build()?.block_on(async {
+/// let store = MemoryTable::default();
+/// let cells = serde_json::json!({"weight_ratio": 2.0});
+/// let cells = cells.as_object().cloned().unwrap_or_default();
+/// let change = Change::new("c-1", "ana", 0).edit(RowEdit::set("guides", 0, cells));
+/// let accepted = edit::apply(&store, &change, &mut Rng::seed_from_u64(7)).await;
+/// assert_eq!(accepted.map(|accepted| accepted.revision).ok(), Some(1));
+/// # });
+/// # Ok::<(), std::io::Error>(())
+/// ```
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Change {
+    /// Its name, under which a lost answer is read back.
+    pub id: ChangeId,
+    /// The operator.
+    pub who: String,
+    /// When it was asked for, in milliseconds since 1970.
+    pub at_unix_ms: u64,
+    /// The edits, at most one a row.
+    pub edits: Vec<RowEdit>,
+}
+
+impl Change {
+    /// Starts a change without edits.
+    pub fn new(id: impl Into<ChangeId>, who: impl Into<String>, at_unix_ms: u64) -> Self {
+        Self {
+            id: id.into(),
+            who: who.into(),
+            at_unix_ms,
+            edits: Vec::new(),
+        }
+    }
+
+    /// Adds an edit.
+    #[must_use]
+    pub fn edit(mut self, edit: RowEdit) -> Self {
+        self.edits.push(edit);
+        self
+    }
+}
+
+impl RowEdit {
+    /// Sets `cells` of a row that the operator saw at `base_version`.
+    pub fn set(row: impl Into<RowId>, base_version: RowVersion, cells: Cells) -> Self {
+        Self {
+            row: row.into(),
+            base_version,
+            action: RowAction::Set(cells),
+        }
+    }
+
+    /// Removes a row that the operator saw at `base_version`.
+    pub fn remove(row: impl Into<RowId>, base_version: RowVersion) -> Self {
+        Self {
+            row: row.into(),
+            base_version,
+            action: RowAction::Remove,
+        }
+    }
+}
+
+/// That a change was accepted.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Accepted {
+    /// Its name.
+    pub change: ChangeId,
+    /// The revision that holds it.
+    pub revision: Revision,
+    /// The cells that it changed; none where all had their values already.
+    pub cells: Vec<CellChange>,
+}
+
+/// A cell that another operator changed first.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Conflict {
+    /// The row.
+    pub row: RowId,
+    /// The column.
+    pub column: String,
+    /// The value of this change; none where it removes the row.
+    pub yours: Option<Value>,
+    /// The value that was accepted before; none where the row is gone.
+    pub theirs: Option<Value>,
+    /// The version of the row now; 0 where it is gone.
+    pub present_version: RowVersion,
+}
+
+/// Why a change cannot be planned on the table as it was read.
+#[derive(Clone, Debug, PartialEq, thiserror::Error)]
+pub enum PlanError {
+    /// Cells were refused.
+    #[error("{} cells are refused", .0.len())]
+    Invalid(Vec<CellError>),
+    /// Others changed the rows first.
+    #[error("{} cells were changed by another operator", .0.len())]
+    Conflict(Vec<Conflict>),
+}
+
+/// Asks that the change is new and the table is as it was read. An earlier
+/// attempt of the change that is still on its way fails from then on, because
+/// each attempt asks for the revision that it was planned on.
+pub(crate) fn guard(table: &Table, change: &Change) -> Transaction {
+    Transaction::default()
+        .absent(change_key(&change.id))
+        .at_version(revision_key(), table.record_version(&revision_key()))
+}
+
+/// What a change does to the table as it was read.
+#[derive(Debug)]
+pub(crate) struct Plan {
+    pub(crate) revision: Revision,
+    rows: BTreeMap<RowId, Option<Row>>,
+    pub(crate) cells: Vec<CellChange>,
+}
+
+impl Plan {
+    pub(crate) fn accepted(&self, change: &Change) -> Accepted {
+        Accepted {
+            change: change.id.clone(),
+            revision: self.revision,
+            cells: self.cells.clone(),
+        }
+    }
+
+    pub(crate) fn transaction(
+        &self,
+        table: &Table,
+        change: &Change,
+        expired: Option<ChangeRecord>,
+    ) -> Transaction {
+        let record = ChangeRecord {
+            change: change.id.clone(),
+            revision: self.revision,
+            who: change.who.clone(),
+            at_unix_ms: change.at_unix_ms,
+            cells: self.cells.clone(),
+        };
+        let record = serde_json::json!(record);
+        let revision = RevisionRecord {
+            revision: self.revision,
+        };
+        let mut transaction = guard(table, change)
+            .put(revision_key(), serde_json::json!(revision))
+            .put(change_key(&change.id), record.clone())
+            .put(history_key(self.revision), record);
+        for (id, row) in &self.rows {
+            let name = row_key(id);
+            let version = table.record_version(&name);
+            transaction = transaction.at_version(name.clone(), version);
+            transaction = match row {
+                Some(row) => transaction.put(name, serde_json::json!(row)),
+                None => transaction.delete(name),
+            };
+        }
+        if let Some(expired) = expired {
+            transaction = transaction
+                .delete(history_key(expired.revision))
+                .delete(change_key(&expired.change));
+        }
+        transaction
+    }
+}
+
+/// Checks what needs no look at the table.
+pub(crate) fn check(change: &Change) -> Result<(), PlanError> {
+    let mut seen = BTreeSet::new();
+    let mut errors = Vec::new();
+    for edit in &change.edits {
+        errors.extend(column::check_row_id(&edit.row).err());
+        if !seen.insert(&edit.row) {
+            errors.push(CellError::new(&edit.row, "id", CellFault::RowTwice));
+        }
+        if let RowAction::Set(cells) = &edit.action {
+            errors.extend(column::check_cells(&edit.row, cells));
+        }
+    }
+    if errors.is_empty() {
+        Ok(())
+    } else {
+        Err(PlanError::Invalid(errors))
+    }
+}
+
+pub(crate) fn plan(table: &Table, change: &Change) -> Result<Plan, PlanError> {
+    let conflicts: Vec<_> = change
+        .edits
+        .iter()
+        .flat_map(|edit| conflicts(table.rows.get(&edit.row), edit))
+        .collect();
+    if !conflicts.is_empty() {
+        return Err(PlanError::Conflict(conflicts));
+    }
+    let mut plan = Plan {
+        revision: table.revision + 1,
+        rows: BTreeMap::new(),
+        cells: Vec::new(),
+    };
+    for edit in &change.edits {
+        plan.add(table.rows.get(&edit.row), edit)
+            .map_err(PlanError::Invalid)?;
+    }
+    check_shares(table, &plan)?;
+    if plan.cells.is_empty() {
+        plan.revision = table.revision;
+    }
+    Ok(plan)
+}
+
+/// Returns the cells in which another operator's accepted change differs.
+fn conflicts(present: Option<&Row>, edit: &RowEdit) -> Vec<Conflict> {
+    let present_version = present.map_or(0, |row| row.version);
+    if present_version == edit.base_version {
+        return Vec::new();
+    }
+    let theirs = present.map(column::cells_of);
+    let conflict = |column: &str, yours: Option<Value>, theirs: Option<Value>| Conflict {
+        row: edit.row.clone(),
+        column: column.to_owned(),
+        yours,
+        theirs,
+        present_version,
+    };
+    match (&edit.action, theirs) {
+        (RowAction::Remove, None) => Vec::new(),
+        (RowAction::Remove, Some(theirs)) => theirs
+            .into_iter()
+            .map(|(column, value)| conflict(&column, None, Some(value)))
+            .collect(),
+        (RowAction::Set(yours), theirs) => yours
+            .iter()
+            .filter_map(|(column, yours)| {
+                let theirs = theirs.as_ref().and_then(|cells| cells.get(column));
+                let is_same = theirs == checked(column, yours).as_ref();
+                (!is_same).then(|| conflict(column, Some(yours.clone()), theirs.cloned()))
+            })
+            .collect(),
+    }
+}
+
+fn checked(column: &str, value: &Value) -> Option<Value> {
+    let column = column::Column::find(column)?;
+    column.check(value.clone()).ok()
+}
+
+impl Plan {
+    fn add(&mut self, present: Option<&Row>, edit: &RowEdit) -> Result<(), Vec<CellError>> {
+        let old = present.map(column::cells_of);
+        let row = match &edit.action {
+            RowAction::Remove => None,
+            RowAction::Set(cells) => {
+                let base = present.cloned();
+                let base = base.unwrap_or_else(|| Row::new(edit.row.clone()));
+                let mut row = column::with_cells(&base, cells)?;
+                row.version = self.revision;
+                Some(row)
+            }
+        };
+        let new = row.as_ref().map(column::cells_of);
+        let before = self.cells.len();
+        self.cells
+            .extend(column::COLUMNS.iter().filter_map(|column| {
+                let of = |cells: &Option<Cells>| cells.as_ref()?.get(column.name).cloned();
+                let (old, new) = (of(&old), of(&new));
+                (old != new).then(|| CellChange {
+                    row: edit.row.clone(),
+                    column: column.name.to_owned(),
+                    old,
+                    new,
+                })
+            }));
+        if self.cells.len() > before {
+            self.rows.insert(edit.row.clone(), row);
+        }
+        Ok(())
+    }
+}
+
+/// Enabled rows together may hold at most all of the engines.
+fn check_shares(table: &Table, plan: &Plan) -> Result<(), PlanError> {
+    const TOLERANCE_RATIO: f64 = 1e-9;
+    let mut rows = table.rows.clone();
+    for (id, row) in &plan.rows {
+        match row {
+            Some(row) => rows.insert(id.clone(), row.clone()),
+            None => rows.remove(id),
+        };
+    }
+    let shares = rows.values().filter(|row| row.enabled);
+    let sum_ratio: f64 = shares.map(|row| row.engine_share_ratio).sum();
+    let is_about_shares = |cell: &&CellChange| {
+        cell.new.is_some() && matches!(&*cell.column, "engine_share_ratio" | "enabled")
+    };
+    if sum_ratio <= 1.0 + TOLERANCE_RATIO {
+        return Ok(());
+    }
+    let fault = CellFault::SharesExceedOne { sum_ratio };
+    let changed = plan.cells.iter().filter(is_about_shares);
+    let errors: Vec<_> = changed
+        .map(|cell| CellError::new(&cell.row, &cell.column, fault.clone()))
+        .collect();
+    if errors.is_empty() {
+        Ok(())
+    } else {
+        Err(PlanError::Invalid(errors))
+    }
+}
