--- a/src/change.rs
+++ b/src/change.rs
@@ -323,7 +323,8 @@
     }
 }
 
-/// Enabled rows together may hold at most all of the engines.
+/// Enabled rows together may hold at most all of the engines; a table that is
+/// beyond that already may only come down.
 fn check_shares(table: &Table, plan: &Plan) -> Result<(), PlanError> {
     const TOLERANCE_RATIO: f64 = 1e-9;
     let mut rows = table.rows.clone();
@@ -333,22 +334,34 @@
             None => rows.remove(id),
         };
     }
-    let shares = rows.values().filter(|row| row.enabled);
-    let sum_ratio: f64 = shares.map(|row| row.engine_share_ratio).sum();
-    let is_about_shares = |cell: &&CellChange| {
-        cell.new.is_some() && matches!(&*cell.column, "engine_share_ratio" | "enabled")
-    };
-    if sum_ratio <= 1.0 + TOLERANCE_RATIO {
+    let sum_ratio = sum_shares(&rows);
+    let allowed_ratio = sum_shares(&table.rows).max(1.0);
+    if sum_ratio <= allowed_ratio + TOLERANCE_RATIO {
         return Ok(());
     }
     let fault = CellFault::SharesExceedOne { sum_ratio };
-    let changed = plan.cells.iter().filter(is_about_shares);
-    let errors: Vec<_> = changed
-        .map(|cell| CellError::new(&cell.row, &cell.column, fault.clone()))
+    let errors: Vec<_> = plan
+        .rows
+        .keys()
+        .filter_map(|row| Some(CellError::new(row, plan.share_column(row)?, fault.clone())))
         .collect();
-    if errors.is_empty() {
-        Ok(())
-    } else {
-        Err(PlanError::Invalid(errors))
+    Err(PlanError::Invalid(errors))
+}
+
+fn sum_shares(rows: &BTreeMap<RowId, Row>) -> f64 {
+    let enabled = rows.values().filter(|row| row.enabled);
+    enabled.map(|row| row.engine_share_ratio).sum()
+}
+
+impl Plan {
+    /// Returns the column by which a change of `row` raises the sum of shares.
+    fn share_column(&self, row: &RowId) -> Option<&'static str> {
+        let is_changed = |column: &str| {
+            let mut cells = self.cells.iter();
+            cells.any(|cell| cell.row == *row && cell.column == column)
+        };
+        ["engine_share_ratio", "enabled"]
+            .into_iter()
+            .find(|column| is_changed(column))
     }
 }
--- a/src/follower.rs
+++ b/src/follower.rs
@@ -41,6 +41,13 @@
 /// itself for isolated.
 pub const ISOLATION_TIMEOUT: Duration = Duration::from_secs(15);
 
+/// The peers that a host without a table hears before it fetches, so that it
+/// does not start from one that lags.
+const GATHERED_PEERS_COUNT: usize = 3;
+
+/// How long a host without a table waits for that many peers.
+const GATHER_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// What the follower is told.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
@@ -140,6 +147,8 @@
 pub struct Controller {
     host: HostId,
     announced: BTreeMap<HostId, Revision>,
+    highest_announced: Revision,
+    first_announced_at: Option<Timestamp>,
     refused: BTreeSet<HostId>,
     fetch: Option<Fetch>,
     poll_given_up_at: Option<Timestamp>,
@@ -154,6 +163,8 @@
         Self {
             host: host.into(),
             announced: BTreeMap::new(),
+            highest_announced: 0,
+            first_announced_at: None,
             refused: BTreeSet::new(),
             fetch: None,
             poll_given_up_at: None,
@@ -182,6 +193,7 @@
                 self.heard_at = round.now;
                 // The answer says what the peer has, whatever was announced.
                 self.announced.insert(host.clone(), revision);
+                self.highest_announced = self.announced.values().copied().max().unwrap_or(0);
                 apply(round, revision, rows, &Source::Peer(host));
             }
             Event::PeerFailed { host } => {
@@ -213,7 +225,9 @@
         // A host without a table announces 0, which shows nothing.
         if revision > 0 {
             self.heard_at = round.now;
+            self.first_announced_at.get_or_insert(round.now);
         }
+        self.highest_announced = self.highest_announced.max(revision);
         self.refused.remove(&host);
         let known = self.announced.entry(host).or_default();
         *known = revision.max(*known);
@@ -257,20 +271,31 @@
     }
 
     fn fetch(&mut self, round: &mut Round<'_>) -> Option<Action> {
-        if self.fetch.is_some() {
+        let in_force = round.board.rows.revision;
+        if self.fetch.is_some() || self.highest_announced <= in_force || self.is_gathering(round) {
             return None;
         }
-        let host = self.source(round.board.rows.revision, round.rng)?;
+        let host = self.source(in_force, round.rng)?;
         self.fetch = Some(Fetch {
             host: host.clone(),
             give_up_at: round.now + ANSWER_TIMEOUT,
         });
         Some(Action::FetchFromPeer {
             host,
-            above_revision: round.board.rows.revision,
+            above_revision: in_force,
         })
     }
 
+    /// Says whether a host without a table still waits to hear further peers.
+    fn is_gathering(&self, round: &Round<'_>) -> bool {
+        let standing = round.board.rows.standing;
+        let announcers = self.announced.values().filter(|revision| **revision > 0);
+        let is_late = |at| round.now >= at + GATHER_TIMEOUT;
+        standing == TableStanding::Empty
+            && announcers.count() < GATHERED_PEERS_COUNT
+            && !self.first_announced_at.is_some_and(is_late)
+    }
+
     /// Draws one of the peers that announced the highest revision, so that a
     /// new revision is not fetched from one host by all.
     fn source(&self, in_force: Revision, rng: &mut Rng) -> Option<HostId> {
@@ -373,7 +398,8 @@
 
 /// Carries out [`Action::PollStore`].
 ///
-/// A poll reads one record, and the rows only where the revision is higher.
+/// A poll reads one record, and the rows only where the revision is higher; a
+/// host without a table reads the rows at once.
 pub async fn poll(store: &impl TableService, above_revision: Revision) -> Event {
     match read_above(store, above_revision).await {
         Ok(event) => event,
@@ -388,12 +414,14 @@
     store: &impl TableService,
     above_revision: Revision,
 ) -> Result<Event, table::ReadError> {
-    let revision = table::read_revision(store).await?;
-    if revision <= above_revision && above_revision > 0 {
-        return Ok(Event::StoreAnswered {
-            revision,
-            rows: None,
-        });
+    if above_revision > 0 {
+        let revision = table::read_revision(store).await?;
+        if revision <= above_revision {
+            return Ok(Event::StoreAnswered {
+                revision,
+                rows: None,
+            });
+        }
     }
     let present = table::read_table(store).await?;
     Ok(Event::StoreAnswered {
--- a/src/standin/table_service.rs
+++ b/src/standin/table_service.rs
@@ -101,11 +101,12 @@
         self.lock().lose_answers = lose_answers;
     }
 
-    /// Answers reads from the state of this moment while `old`, whatever is
-    /// written.
+    /// Answers reads from the state of the moment in which `old` became true,
+    /// whatever is written since.
     pub fn set_old_reads(&self, old: bool) {
         let mut state = self.lock();
-        state.old_tables = old.then(|| state.tables.clone());
+        let kept = state.old_tables.take();
+        state.old_tables = old.then(|| kept.unwrap_or_else(|| state.tables.clone()));
     }
 
     /// Returns how much was asked so far.
