--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 //! the files is in `docs/ARCHITECTURE.md`.
 
 pub mod attempt;
+pub mod auth;
 pub mod baseline;
 pub mod blackboard;
 pub mod burn;
@@ -12,6 +13,7 @@
 pub mod call;
 pub mod claim;
 pub mod clock;
+pub mod column;
 pub mod concurrency;
 pub mod controller;
 pub mod datagram;
@@ -44,7 +46,10 @@
 pub mod standin;
 pub mod step;
 pub mod store;
+pub mod store_client;
+pub mod store_condition;
 pub mod straggler;
+pub mod table_client;
 pub mod table_server;
 pub mod trainer_api;
 pub mod wave;
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -8,4 +8,5 @@
 pub mod host_list;
 pub mod listener;
 pub mod service;
+pub mod table_service;
 pub mod trainer;
