Add the fair queue, the dispatcher and rendezvous hashing

Cause: requests of several rows share the engines' slots. Change: weighted fair queue by token cost, a dispatcher of the engines' queues with early refusal and preemption, shares from the table, owners by rendezvous hashing.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -1,1 +1,724 @@
-//! The dispatcher of one engine: who runs next, and when.
+//! Starts queued requests on the engines that this host dispatches for.
+//!
+//! Each engine has one dispatcher, which rendezvous hashing names; it holds a
+//! weighted fair queue for the engine and starts as many requests as the engine
+//! batches (see docs/design/shares.md). What cannot be started in time is
+//! refused at once with the time after which asking again makes sense.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use crate::{
+    blackboard::{Blackboard, EngineReport, UpstreamState},
+    clock::Timestamp,
+    controller::{self, Round},
+    decision::{Decision, Kind},
+    fairness::{Class, Cost, Entry, Queue, Ticket},
+    ids::{RowId, UpstreamId},
+    quota::Allowances,
+    share::{Shares, shares},
+};
+
+/// The most requests of one row that wait for one engine.
+pub const MAX_WAITING_PER_ROW: usize = 512;
+
+/// How long one token takes on an engine that has not reported yet.
+const DEFAULT_TOKEN_TIME: Duration = Duration::from_millis(30);
+
+/// Batch size of an engine that has not reported yet.
+const DEFAULT_SLOTS: u32 = 4;
+
+/// The shortest and longest time after which a refused caller asks again.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(30);
+
+/// How long a report may still count requests that ended here.
+const REPORT_LAG: Duration = Duration::from_secs(2);
+
+/// How long a row waits below its share before running work is preempted.
+const PREEMPT_AFTER: Duration = Duration::from_secs(2);
+
+/// The least time between two preemptions on one engine.
+const PREEMPT_INTERVAL: Duration = Duration::from_millis(500);
+
+/// The most running requests that one round preempts on one engine.
+const MAX_PREEMPTS_PER_ROUND: usize = 4;
+
+/// A request for one engine.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Request {
+    /// The name that later events use.
+    pub ticket: Ticket,
+    /// The engine that shall run it.
+    pub engine: UpstreamId,
+    /// The row that is charged.
+    pub row: RowId,
+    /// Whether somebody waits.
+    pub class: Class,
+    /// Higher goes first within the row.
+    pub priority: u32,
+    /// The length of the prompt.
+    pub prompt_tokens: u32,
+    /// The predicted length of the answer.
+    pub predicted_tokens: u32,
+    /// When the answer is worth nothing any more.
+    pub deadline: Timestamp,
+}
+
+/// What happened since the last round.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// A request arrived.
+    Enqueue(Request),
+    /// A running request has generated this much so far.
+    Progress {
+        /// The request.
+        ticket: Ticket,
+        /// Tokens generated so far.
+        tokens: u32,
+    },
+    /// A running request ended, whole or not.
+    Finished {
+        /// The request.
+        ticket: Ticket,
+        /// Tokens generated.
+        tokens: u32,
+    },
+    /// The caller gave the request up.
+    Cancelled {
+        /// The request.
+        ticket: Ticket,
+        /// Tokens generated until then; 0 if it waited.
+        tokens: u32,
+    },
+}
+
+/// Why a request was not started.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    Hash,
+    PartialOrd,
+    Ord,
+    strum::Display,
+    strum::EnumString,
+    strum::IntoStaticStr,
+    thiserror::Error,
+)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Refusal {
+    /// The row has as many requests waiting for the engine as it may.
+    QueueFull,
+    /// The request would not be whole by its deadline.
+    DeadlineUnreachable,
+    /// The engine finishes what it has and gets nothing new.
+    EngineLeaving,
+    /// The engine is not known, ejected or gone.
+    EngineGone,
+    /// The table does not name the row, or the row is disabled.
+    RowDisabled,
+    /// This host is stopping.
+    Draining,
+}
+
+/// What the traffic side shall do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Send the request to its engine.
+    Start {
+        /// The request.
+        ticket: Ticket,
+    },
+    /// Answer that the request was not run.
+    Refuse {
+        /// The request.
+        ticket: Ticket,
+        /// Why.
+        reason: Refusal,
+        /// When asking again makes sense.
+        retry_after: Duration,
+    },
+    /// Stop the running request; its tokens so far stay good for resuming.
+    ///
+    /// The traffic side reports it as [`Event::Finished`] when it has stopped.
+    Preempt {
+        /// The request.
+        ticket: Ticket,
+    },
+}
+
+/// What the dispatcher keeps of a request besides the queue's own fields.
+#[derive(Clone, Copy, Debug)]
+struct Pending {
+    deadline: Timestamp,
+}
+
+#[derive(Clone, Debug)]
+struct Running {
+    row: RowId,
+    generated_tokens: u32,
+    preempted: bool,
+}
+
+/// One engine with its queue.
+#[derive(Debug, Default)]
+struct Lane {
+    queue: Queue<Pending>,
+    running: BTreeMap<Ticket, Running>,
+    deadlines: BTreeSet<(Timestamp, Ticket)>,
+    slots: u32,
+    token_time: Duration,
+    /// Requests in the engine that other hosts started.
+    foreign_count: u32,
+    report_at: Timestamp,
+    /// The most that ran here since the last but one report.
+    recent_running_count: u32,
+    last_preempt_at: Timestamp,
+    /// Since when a row has waited below its share.
+    starved_since: BTreeMap<RowId, Timestamp>,
+}
+
+impl Lane {
+    fn observe(&mut self, report: Option<&EngineReport>, now: Timestamp) {
+        self.slots = report.map_or(DEFAULT_SLOTS, |report| report.slots.max(1));
+        self.token_time = report
+            .map(|report| report.token_time)
+            .filter(|time| !time.is_zero())
+            .unwrap_or(DEFAULT_TOKEN_TIME);
+        let own = u32::try_from(self.running.len()).unwrap_or(u32::MAX);
+        self.recent_running_count = self.recent_running_count.max(own);
+        let Some(report) = report else {
+            return;
+        };
+        if report.at != self.report_at {
+            self.report_at = report.at;
+            self.foreign_count =
+                (report.running + report.waiting).saturating_sub(self.recent_running_count);
+            self.recent_running_count = own;
+        }
+        if now.saturating_sub(report.at) > REPORT_LAG * 5 {
+            self.foreign_count = 0;
+        }
+    }
+
+    fn free_slots(&self) -> usize {
+        (self.slots as usize)
+            .saturating_sub(self.foreign_count as usize)
+            .saturating_sub(self.running.len())
+    }
+
+    /// Returns how many tokens the engine generates a second when full.
+    fn rate_tokens_per_s(&self) -> f64 {
+        f64::from(self.slots) / self.token_time.as_secs_f64()
+    }
+
+    /// Estimates how long `tokens` of `row` wait for their turn.
+    fn wait(&self, row: &RowId, tokens: f64, shares: &Shares) -> Duration {
+        let active: f64 = shares
+            .iter()
+            .filter(|(name, _)| *name == row || self.queue.waiting_of(name) > 0)
+            .map(|(_, share)| share)
+            .sum();
+        let part = shares.get(row).copied().unwrap_or(0.0) / active.max(f64::MIN_POSITIVE);
+        let seconds = tokens / (self.rate_tokens_per_s() * part.max(1e-6));
+        Duration::from_secs_f64(seconds.clamp(0.0, 86_400.0))
+    }
+
+    fn take_out(&mut self, ticket: Ticket) -> Option<Entry<Pending>> {
+        let entry = self.queue.cancel(ticket)?;
+        self.deadlines.remove(&(entry.item.deadline, ticket));
+        Some(entry)
+    }
+}
+
+/// The dispatcher of one host.
+///
+/// # Examples
+///
+/// ```
+/// use mimosavane::{
+///     blackboard::{Blackboard, Rows, Upstream, UpstreamKind, UpstreamState, Upstreams},
+///     controller::{Controller as _, Rng, Round},
+///     dispatch::{Action, Controller, Event, Request},
+///     fairness::Class,
+///     Row,
+/// };
+/// use rand::SeedableRng;
+/// use std::time::Duration;
+///
+/// let mut rows = Rows::default();
+/// rows.rows.insert("guides".into(), Row::new("guides").into());
+/// let mut upstreams = Upstreams::default();
+/// upstreams.members.insert(
+///     "engine-1".into(),
+///     Upstream {
+///         id: "engine-1".into(),
+///         kind: UpstreamKind::Engine,
+///         pool: "base".into(),
+///         address: ([127, 0, 0, 1], 8000).into(),
+///         failure_domain: "mx-a".into(),
+///         state: UpstreamState::Live,
+///         checks_fences: true,
+///     },
+/// );
+/// let mut board = Blackboard {
+///     rows: rows.into(),
+///     upstreams: upstreams.into(),
+///     ..Blackboard::default()
+/// };
+/// let actions = Controller::default().run(
+///     [Event::Enqueue(Request {
+///         ticket: 1,
+///         engine: "engine-1".into(),
+///         row: "guides".into(),
+///         class: Class::Rollout,
+///         priority: 0,
+///         prompt_tokens: 100,
+///         predicted_tokens: 400,
+///         deadline: Duration::from_secs(60),
+///     })],
+///     Round {
+///         board: &mut board,
+///         now: Duration::from_secs(1),
+///         rng: &mut Rng::seed_from_u64(1),
+///         decisions: &mut Vec::new(),
+///     },
+/// );
+/// assert_eq!(actions, [Action::Start { ticket: 1 }]);
+/// ```
+#[derive(Debug, Default)]
+pub struct Controller {
+    lanes: BTreeMap<UpstreamId, Lane>,
+    /// The engine of each request that waits or runs.
+    engines: BTreeMap<Ticket, UpstreamId>,
+    shares: Shares,
+    corrections: BTreeMap<RowId, f64>,
+    allowances: Allowances,
+    /// What lanes charged that are gone by now.
+    retired_tokens: BTreeMap<RowId, f64>,
+}
+
+/// What one host has served and still holds for one row.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct RowLoad {
+    /// Tokens charged since the start; it never falls by more than refunds.
+    pub charged_tokens: f64,
+    /// The predicted cost of what waits.
+    pub backlog_tokens: f64,
+    /// Requests that run.
+    pub running_count: u32,
+}
+
+impl Controller {
+    /// Takes the factors by which the fleet's ledger corrects local shares.
+    pub fn set_corrections(&mut self, corrections: BTreeMap<RowId, f64>) {
+        self.corrections = corrections;
+    }
+
+    /// Takes this host's part of the rows' limits.
+    pub fn set_allowances(&mut self, allowances: Allowances) {
+        self.allowances = allowances;
+    }
+
+    /// Returns what this host served and holds, by row.
+    pub fn loads(&self) -> BTreeMap<RowId, RowLoad> {
+        let mut loads: BTreeMap<RowId, RowLoad> = BTreeMap::new();
+        for (row, &tokens) in &self.retired_tokens {
+            loads.entry(row.clone()).or_default().charged_tokens += tokens;
+        }
+        for lane in self.lanes.values() {
+            for row in lane.queue.row_ids() {
+                let load = loads.entry(row.clone()).or_default();
+                load.charged_tokens += lane.queue.charged_tokens_of(row);
+                load.backlog_tokens += lane.queue.backlog_tokens_of(row);
+                load.running_count += lane.queue.running_of(row);
+            }
+        }
+        loads
+    }
+
+    /// Returns how many requests wait for `engine`.
+    pub fn waiting_count(&self, engine: &UpstreamId) -> usize {
+        self.lanes.get(engine).map_or(0, |lane| lane.queue.len())
+    }
+
+    fn enqueue(&mut self, request: Request, board: &Blackboard, now: Timestamp) -> Option<Action> {
+        let ticket = request.ticket;
+        if let Some(reason) = refusal(&request, &self.shares, board) {
+            return Some(refuse(ticket, reason, MIN_RETRY_AFTER));
+        }
+        let lane = self.lanes.entry(request.engine.clone()).or_default();
+        lane.observe(board.engines.reports.get(&request.engine), now);
+        let cost = Cost {
+            prompt_tokens: request.prompt_tokens,
+            generated_tokens: request.predicted_tokens,
+        };
+        let waiting_tokens = lane.queue.backlog_tokens_of(&request.row);
+        if lane.queue.waiting_of(&request.row) >= MAX_WAITING_PER_ROW {
+            let wait = lane.wait(&request.row, waiting_tokens / 2.0, &self.shares);
+            return Some(refuse(ticket, Refusal::QueueFull, wait));
+        }
+        let ahead_tokens = if lane.free_slots() > lane.queue.len() {
+            0.0
+        } else {
+            waiting_tokens
+        };
+        let wait = lane.wait(&request.row, ahead_tokens, &self.shares);
+        let run = lane.token_time * request.predicted_tokens;
+        if now + wait + run > request.deadline {
+            return Some(refuse(ticket, Refusal::DeadlineUnreachable, wait));
+        }
+        lane.deadlines.insert((request.deadline, ticket));
+        lane.queue.push(Entry {
+            ticket,
+            row: request.row,
+            class: request.class,
+            priority: request.priority,
+            cost,
+            item: Pending {
+                deadline: request.deadline,
+            },
+        });
+        self.engines.insert(ticket, request.engine);
+        None
+    }
+
+    fn progress(&mut self, ticket: Ticket, tokens: u32) {
+        let Some(lane) = lane_of(&mut self.lanes, &self.engines, ticket) else {
+            return;
+        };
+        lane.queue.progress(ticket, tokens);
+        if let Some(running) = lane.running.get_mut(&ticket) {
+            running.generated_tokens = running.generated_tokens.max(tokens);
+        }
+    }
+
+    fn end(&mut self, ticket: Ticket, tokens: u32) {
+        if let Some(lane) = lane_of(&mut self.lanes, &self.engines, ticket) {
+            if let Some(running) = lane.running.remove(&ticket) {
+                lane.queue
+                    .settle(ticket, tokens.max(running.generated_tokens));
+            } else {
+                lane.take_out(ticket);
+            }
+        }
+        self.engines.remove(&ticket);
+    }
+
+    fn apply_shares(&mut self, board: &Blackboard) {
+        self.shares = shares(&board.rows);
+        let corrected: Shares = self
+            .shares
+            .iter()
+            .map(|(row, share)| {
+                let correction = self.corrections.get(row).copied().unwrap_or(1.0);
+                (row.clone(), share * correction)
+            })
+            .collect();
+        for lane in self.lanes.values_mut() {
+            lane.queue.set_shares(&corrected);
+        }
+    }
+
+    /// Refuses what waits for engines that take nothing new, and what is too late.
+    fn shed(&mut self, board: &Blackboard, now: Timestamp) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for (engine, lane) in &mut self.lanes {
+            lane.observe(board.engines.reports.get(engine), now);
+            let closed = closed(engine, board);
+            let waiting: Vec<Ticket> = match closed {
+                Some(_) => lane.queue.waiting().map(|entry| entry.ticket).collect(),
+                None => late_or_disabled(lane, &self.shares, now),
+            };
+            for ticket in waiting {
+                let Some(entry) = lane.take_out(ticket) else {
+                    continue;
+                };
+                self.engines.remove(&ticket);
+                let reason = match closed {
+                    Some(reason) => reason,
+                    None if self.shares.contains_key(&entry.row) => Refusal::DeadlineUnreachable,
+                    None => Refusal::RowDisabled,
+                };
+                let wait = lane.wait(
+                    &entry.row,
+                    lane.queue.backlog_tokens_of(&entry.row),
+                    &self.shares,
+                );
+                let retry_after = if closed.is_some() {
+                    MIN_RETRY_AFTER
+                } else {
+                    wait
+                };
+                actions.push(refuse(ticket, reason, retry_after));
+            }
+        }
+        actions
+    }
+
+    fn start(&mut self) -> Vec<Action> {
+        let mut running: BTreeMap<RowId, u32> = BTreeMap::new();
+        for lane in self.lanes.values() {
+            for row in lane.queue.row_ids() {
+                *running.entry(row.clone()).or_default() += lane.queue.running_of(row);
+            }
+        }
+        let mut actions = Vec::new();
+        for lane in self.lanes.values_mut() {
+            for _ in 0..lane.free_slots() {
+                for (row, allowance) in &self.allowances {
+                    let count = running.get(row).copied().unwrap_or(0);
+                    let blocked = !allowance.admits(count, lane.token_time);
+                    lane.queue.set_blocked(row, blocked);
+                }
+                let Some(entry) = lane.queue.pop() else {
+                    break;
+                };
+                *running.entry(entry.row.clone()).or_default() += 1;
+                lane.deadlines.remove(&(entry.item.deadline, entry.ticket));
+                lane.running.insert(
+                    entry.ticket,
+                    Running {
+                        row: entry.row,
+                        generated_tokens: 0,
+                        preempted: false,
+                    },
+                );
+                actions.push(Action::Start {
+                    ticket: entry.ticket,
+                });
+            }
+        }
+        actions
+    }
+
+    fn preempt(&mut self, now: Timestamp) -> Vec<Action> {
+        let shares = &self.shares;
+        self.lanes
+            .values_mut()
+            .flat_map(|lane| preempt_lane(lane, shares, now))
+            .collect()
+    }
+
+    /// Drops lanes without work whose engines are not listed any more.
+    fn retire(&mut self, board: &Blackboard) {
+        let gone: Vec<UpstreamId> = self
+            .lanes
+            .iter()
+            .filter(|(engine, lane)| {
+                lane.running.is_empty()
+                    && lane.queue.is_empty()
+                    && !board.upstreams.members.contains_key(*engine)
+            })
+            .map(|(engine, _)| engine.clone())
+            .collect();
+        for engine in gone {
+            let Some(lane) = self.lanes.remove(&engine) else {
+                continue;
+            };
+            for row in lane.queue.row_ids() {
+                *self.retired_tokens.entry(row.clone()).or_default() +=
+                    lane.queue.charged_tokens_of(row);
+            }
+        }
+    }
+}
+
+impl controller::Controller for Controller {
+    type Event = Event;
+    type Action = Action;
+
+    const NAME: &'static str = "dispatch";
+
+    fn run(&mut self, events: impl IntoIterator<Item = Event>, round: Round<'_>) -> Vec<Action> {
+        let Round {
+            board,
+            now,
+            decisions,
+            ..
+        } = round;
+        self.apply_shares(board);
+        let mut actions = Vec::new();
+        for event in events {
+            match event {
+                Event::Enqueue(request) => actions.extend(self.enqueue(request, board, now)),
+                Event::Progress { ticket, tokens } => self.progress(ticket, tokens),
+                Event::Finished { ticket, tokens } | Event::Cancelled { ticket, tokens } => {
+                    self.end(ticket, tokens);
+                }
+            }
+        }
+        actions.extend(self.shed(board, now));
+        actions.extend(self.start());
+        actions.extend(self.preempt(now));
+        self.retire(board);
+        record(&actions, now, decisions);
+        actions
+    }
+}
+
+fn lane_of<'a>(
+    lanes: &'a mut BTreeMap<UpstreamId, Lane>,
+    engines: &BTreeMap<Ticket, UpstreamId>,
+    ticket: Ticket,
+) -> Option<&'a mut Lane> {
+    lanes.get_mut(engines.get(&ticket)?)
+}
+
+/// Returns why `engine` takes nothing new, if so.
+fn closed(engine: &UpstreamId, board: &Blackboard) -> Option<Refusal> {
+    let state = board
+        .upstreams
+        .members
+        .get(engine)
+        .map(|upstream| upstream.state);
+    match state {
+        Some(UpstreamState::Live) => None,
+        Some(UpstreamState::Leaving) => Some(Refusal::EngineLeaving),
+        Some(UpstreamState::Ejected | UpstreamState::Gone) | None => Some(Refusal::EngineGone),
+    }
+}
+
+fn refusal(request: &Request, shares: &Shares, board: &Blackboard) -> Option<Refusal> {
+    if board.draining {
+        return Some(Refusal::Draining);
+    }
+    if !shares.contains_key(&request.row) {
+        return Some(Refusal::RowDisabled);
+    }
+    closed(&request.engine, board)
+}
+
+/// Returns what cannot be started any more, or not in time.
+fn late_or_disabled(lane: &Lane, shares: &Shares, now: Timestamp) -> Vec<Ticket> {
+    let late = lane
+        .deadlines
+        .iter()
+        .take_while(|(deadline, _)| *deadline <= now)
+        .map(|(_, ticket)| *ticket);
+    let disabled = lane
+        .queue
+        .waiting()
+        .filter(|entry| !shares.contains_key(&entry.row))
+        .map(|entry| entry.ticket);
+    late.chain(disabled).collect()
+}
+
+/// Stops the newest work of rows above their share for rows that wait below it.
+fn preempt_lane(lane: &mut Lane, shares: &Shares, now: Timestamp) -> Vec<Action> {
+    let held = held_slots(lane);
+    let active: f64 = shares
+        .iter()
+        .filter(|(row, _)| held.contains_key(*row) || lane.queue.waiting_of(row) > 0)
+        .map(|(_, share)| share)
+        .sum();
+    let fair = |row: &RowId| {
+        shares.get(row).copied().unwrap_or(0.0) / active.max(f64::MIN_POSITIVE)
+            * f64::from(lane.slots)
+    };
+    let mut missing = 0;
+    let mut starved = BTreeMap::new();
+    for row in shares.keys() {
+        let gap = fair(row).floor() as usize;
+        let gap = gap.saturating_sub(held.get(row).copied().unwrap_or(0));
+        let gap = gap.min(lane.queue.waiting_of(row));
+        if gap == 0 {
+            continue;
+        }
+        let since = lane.starved_since.get(row).copied().unwrap_or(now);
+        starved.insert(row.clone(), since);
+        if now.saturating_sub(since) >= PREEMPT_AFTER {
+            missing += gap;
+        }
+    }
+    let mut excess: BTreeMap<RowId, usize> = held
+        .iter()
+        .map(|(row, count)| (row.clone(), count.saturating_sub(fair(row).ceil() as usize)))
+        .collect();
+    lane.starved_since = starved;
+    if missing == 0 || now.saturating_sub(lane.last_preempt_at) < PREEMPT_INTERVAL {
+        return Vec::new();
+    }
+    let mut youngest: Vec<(u32, Ticket)> = lane
+        .running
+        .iter()
+        .filter(|(_, running)| !running.preempted)
+        .map(|(ticket, running)| (running.generated_tokens, *ticket))
+        .collect();
+    youngest.sort_unstable();
+    let mut actions = Vec::new();
+    for (_, ticket) in youngest {
+        if actions.len() >= missing.min(MAX_PREEMPTS_PER_ROUND) {
+            break;
+        }
+        let Some(running) = lane.running.get_mut(&ticket) else {
+            continue;
+        };
+        let Some(left) = excess.get_mut(&running.row).filter(|left| **left > 0) else {
+            continue;
+        };
+        *left -= 1;
+        running.preempted = true;
+        actions.push(Action::Preempt { ticket });
+    }
+    if !actions.is_empty() {
+        lane.last_preempt_at = now;
+    }
+    actions
+}
+
+fn held_slots(lane: &Lane) -> BTreeMap<RowId, usize> {
+    let mut held = BTreeMap::new();
+    for running in lane.running.values().filter(|running| !running.preempted) {
+        *held.entry(running.row.clone()).or_default() += 1;
+    }
+    held
+}
+
+fn refuse(ticket: Ticket, reason: Refusal, wait: Duration) -> Action {
+    Action::Refuse {
+        ticket,
+        reason,
+        retry_after: wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER),
+    }
+}
+
+/// Records refusals and preemptions, one a reason; starts are the usual case.
+fn record(actions: &[Action], now: Timestamp, decisions: &mut Vec<Decision>) {
+    let mut refused: BTreeMap<Refusal, (usize, Duration)> = BTreeMap::new();
+    let mut preempted = 0;
+    for action in actions {
+        match action {
+            Action::Refuse {
+                reason,
+                retry_after,
+                ..
+            } => {
+                let (count, longest) = refused.entry(*reason).or_default();
+                *count += 1;
+                *longest = (*longest).max(*retry_after);
+            }
+            Action::Preempt { .. } => preempted += 1,
+            Action::Start { .. } => {}
+        }
+    }
+    for (reason, (count, retry_after)) in refused {
+        decisions.push(
+            Decision::new(Kind::Overload, now, "refused")
+                .about(<&str>::from(reason))
+                .figure("refused_count", count as f64)
+                .figure("retry_after_ms", retry_after.as_secs_f64() * 1e3),
+        );
+    }
+    if preempted > 0 {
+        decisions.push(
+            Decision::new(Kind::Overload, now, "preempted")
+                .figure("preempted_count", f64::from(preempted)),
+        );
+    }
+}
--- /dev/null
+++ b/src/rendezvous.rs
@@ -0,0 +1,69 @@
+//! Rendezvous hashing: which host owns a key, without any agreement.
+//!
+//! Each host computes the owner from its own view of the live hosts. When a
+//! host joins or leaves, only the keys that it wins or held move; hosts with
+//! different views disagree about those keys only (see docs/design/routing.md).
+
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+use crate::ids::{HostId, RowId, StepNumber, UpstreamId};
+
+/// Keeps engines and steps of the same name apart.
+const ENGINE_DOMAIN: &[u8] = b"engine";
+const STEP_DOMAIN: &[u8] = b"step";
+
+/// Folds `parts` into one key, so that `["ab", "c"]` and `["a", "bc"]` differ.
+///
+/// # Examples
+///
+/// ```
+/// use mimosavane::rendezvous::key;
+///
+/// assert_ne!(key([b"ab".as_slice(), b"c"]), key([b"a".as_slice(), b"bc"]));
+/// ```
+pub fn key<'a>(parts: impl IntoIterator<Item = &'a [u8]>) -> u64 {
+    parts.into_iter().fold(0, |folded, part| {
+        xxh3_64_with_seed(part, folded ^ xxh3_64(part))
+    })
+}
+
+/// Returns how strongly `name` claims `key`; the highest score owns it.
+pub fn score(key: u64, name: &str) -> u64 {
+    xxh3_64_with_seed(name.as_bytes(), key)
+}
+
+/// Returns the one of `hosts` that owns `key`, in any order of `hosts`.
+///
+/// # Examples
+///
+/// ```
+/// use mimosavane::{ids::HostId, rendezvous::owner};
+///
+/// let hosts: Vec<HostId> = vec!["a".into(), "b".into(), "c".into()];
+/// assert_eq!(owner(7, &hosts), owner(7, hosts.iter().rev()));
+/// ```
+pub fn owner<'a>(key: u64, hosts: impl IntoIterator<Item = &'a HostId>) -> Option<&'a HostId> {
+    hosts
+        .into_iter()
+        .max_by_key(|host| (score(key, host), *host))
+}
+
+/// Returns the host that holds the queue of `engine`.
+pub fn engine_dispatcher<'a>(
+    engine: &UpstreamId,
+    hosts: impl IntoIterator<Item = &'a HostId>,
+) -> Option<&'a HostId> {
+    owner(key([ENGINE_DOMAIN, engine.as_bytes()]), hosts)
+}
+
+/// Returns the host that holds the slots of a trainer's step.
+pub fn step_owner<'a>(
+    trainer: &RowId,
+    step: StepNumber,
+    hosts: impl IntoIterator<Item = &'a HostId>,
+) -> Option<&'a HostId> {
+    owner(
+        key([STEP_DOMAIN, trainer.as_bytes(), &step.to_le_bytes()]),
+        hosts,
+    )
+}
--- /dev/null
+++ b/src/share.rs
@@ -0,0 +1,56 @@
+//! The part of the engines that the table gives each row.
+//!
+//! See docs/design/shares.md for how weights and fixed parts combine.
+
+use std::collections::BTreeMap;
+
+use crate::{blackboard::Rows, ids::RowId};
+
+/// The most that fixed parts take together while other rows go by weight.
+const MAX_FIXED_RATIO: f64 = 0.95;
+
+/// The smallest part of an enabled row, so that a weight of 0 means last.
+const MIN_SHARE_RATIO: f64 = 1e-4;
+
+/// Parts of the engines by row, which add up to about 1.
+pub type Shares = BTreeMap<RowId, f64>;
+
+/// Returns the share of each enabled row.
+///
+/// Rows with an `engine_share_ratio` get that part; the others divide what is
+/// left by weight.
+///
+/// # Examples
+///
+/// ```
+/// use mimosavane::{blackboard::Rows, row::Row, share::shares};
+///
+/// let mut rows = Rows::default();
+/// let mut fixed = Row::new("guides");
+/// fixed.engine_share_ratio = 0.5;
+/// rows.rows.insert("guides".into(), fixed.into());
+/// rows.rows.insert("menus".into(), Row::new("menus").into());
+/// rows.rows.insert("notices".into(), Row::new("notices").into());
+/// assert_eq!(shares(&rows)["menus"], 0.25);
+/// ```
+pub fn shares(rows: &Rows) -> Shares {
+    let enabled = || rows.rows.values().filter(|row| row.enabled);
+    let by_weight = || enabled().filter(|row| row.engine_share_ratio <= 0.0);
+    let weights: f64 = by_weight().map(|row| row.weight_ratio.max(0.0)).sum();
+    let fixed: f64 = enabled().map(|row| row.engine_share_ratio.max(0.0)).sum();
+    let most = if weights > 0.0 { MAX_FIXED_RATIO } else { 1.0 };
+    let scale = if fixed > most { most / fixed } else { 1.0 };
+    let rest = (1.0 - fixed * scale).max(0.0);
+    enabled()
+        .map(|row| {
+            let share = if row.engine_share_ratio > 0.0 {
+                row.engine_share_ratio * scale
+            } else if weights > 0.0 {
+                rest * row.weight_ratio.max(0.0) / weights
+            } else {
+                0.0
+            };
+            (row.id.clone(), share.max(MIN_SHARE_RATIO))
+        })
+        .collect()
+}
