Draft the entry host's servers and the command line

Cause: the HTTP and peer interfaces can be written before the decisions land. The new files of src/entry are not in the build yet. Before/after: no behaviour changes.

--- /dev/null
+++ b/src/entry/generate.rs
@@ -0,0 +1,247 @@
+//! Runs one sample on an engine that this host dispatches for.
+//!
+//! The sample waits for its turn in the engine's queue, is streamed with its
+//! evidence, and goes back to the step's owner (docs/design/steps.md).
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use tokio::sync::{mpsc, oneshot};
+
+use super::{
+    Host,
+    control::{Input, Turn},
+    engine_client::EngineError,
+    messages,
+};
+use crate::{
+    dispatch,
+    engine_api::CompletionRequest,
+    evidence::{Evidence, EvidenceError},
+    fairness::{Class, Ticket},
+    proto::peer::{self, generate_event::Event},
+};
+
+/// The time between two reports of progress to the step's owner.
+const PROGRESS_INTERVAL: Duration = Duration::from_millis(250);
+
+/// When to ask again where the engine failed and said nothing of it.
+const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(100);
+
+/// Where the events of a generation go.
+pub type Events = mpsc::Sender<peer::GenerateEvent>;
+
+/// Why a generation gave no sample.
+#[derive(Debug, thiserror::Error)]
+enum GenerateError {
+    /// The control thread is gone.
+    #[error("the control thread is gone")]
+    Control,
+    /// The engine's queue refused it.
+    #[error("refused: {reason}")]
+    Refused {
+        reason: dispatch::Refusal,
+        retry_after: Duration,
+    },
+    /// The engine is not known here.
+    #[error("the engine is not known")]
+    UnknownEngine,
+    /// The engine gave no whole answer.
+    #[error(transparent)]
+    Engine(#[from] EngineError),
+    /// The answer does not show which weights made it.
+    #[error(transparent)]
+    Evidence(#[from] EvidenceError),
+    /// The dispatcher stopped it for a row below its share.
+    #[error("preempted for a row below its share")]
+    Preempted,
+    /// The owner of the step gave it up.
+    #[error("given up by the step's owner")]
+    Abandoned,
+}
+
+impl GenerateError {
+    const fn is_not_run(&self) -> bool {
+        match self {
+            Self::Control | Self::Refused { .. } | Self::UnknownEngine => true,
+            Self::Engine(error) => error.is_not_run(),
+            Self::Evidence(_) | Self::Preempted | Self::Abandoned => false,
+        }
+    }
+
+    const fn retry_after(&self) -> Duration {
+        match self {
+            Self::Refused { retry_after, .. } => *retry_after,
+            Self::Preempted => Duration::ZERO,
+            _ => DEFAULT_RETRY_AFTER,
+        }
+    }
+}
+
+/// Runs `request`, and sends its progress and its end to `events`.
+pub async fn run(host: &Host, request: peer::GenerateRequest, events: Events) {
+    let ticket = host.next_ticket();
+    let mut evidence = start_evidence(&request);
+    let result = queue_and_stream(host, &request, ticket, &mut evidence, &events).await;
+    let tokens = evidence.token_count();
+    host.control
+        .offer(Input::Dispatch(dispatch::Event::Finished { ticket, tokens }));
+    let event = match result.and_then(|reason| finish(&request, evidence, reason)) {
+        Ok(sample) => Event::Sample(sample),
+        Err(error) => {
+            tracing::debug!(ticket, %error, "a generation gave no sample");
+            Event::Failure(peer::GenerateFailure {
+                not_run: error.is_not_run() && request.resume_tokens.is_empty(),
+                retry_after_ms: messages::millis(error.retry_after()),
+                reason: error.to_string(),
+            })
+        }
+    };
+    let _ = events.send(wrap(event)).await;
+}
+
+const fn wrap(event: Event) -> peer::GenerateEvent {
+    peer::GenerateEvent { event: Some(event) }
+}
+
+fn start_evidence(request: &peer::GenerateRequest) -> Evidence {
+    if request.resume_tokens.is_empty() {
+        return Evidence::new(request.mixed_versions);
+    }
+    Evidence::resume(messages::proved(request), request.mixed_versions)
+}
+
+async fn queue_and_stream(
+    host: &Host,
+    request: &peer::GenerateRequest,
+    ticket: Ticket,
+    evidence: &mut Evidence,
+    events: &Events,
+) -> Result<String, GenerateError> {
+    let mut preempted = wait_for_turn(host, request, ticket, events).await?;
+    let engine = engine_address(host, &request.engine)?;
+    let completion = completion(request, ticket);
+    let mut stream = host.engines.complete(engine, &completion).await?;
+    let mut reported_at = Instant::now();
+    loop {
+        let chunk = tokio::select! {
+            chunk = stream.next() => chunk?,
+            () = events.closed() => return Err(GenerateError::Abandoned),
+            _ = &mut preempted => {
+                send_progress(evidence, events).await;
+                return Err(GenerateError::Preempted);
+            }
+        };
+        let Some(chunk) = chunk else {
+            return Err(EngineError::Truncated.into());
+        };
+        let finish_reason = chunk.finish_reason.clone();
+        evidence.push(&messages::chunk(chunk))?;
+        if let Some(reason) = finish_reason {
+            return Ok(reason);
+        }
+        if reported_at.elapsed() >= PROGRESS_INTERVAL {
+            reported_at = Instant::now();
+            report_progress(host, ticket, evidence, events).await;
+        }
+    }
+}
+
+async fn wait_for_turn(
+    host: &Host,
+    request: &peer::GenerateRequest,
+    ticket: Ticket,
+    events: &Events,
+) -> Result<oneshot::Receiver<()>, GenerateError> {
+    let (start, started) = oneshot::channel();
+    let (preempt, preempted) = oneshot::channel();
+    let queued = Input::Enqueue {
+        request: queue_entry(host, request, ticket),
+        turn: Turn { start, preempt },
+    };
+    host.control
+        .send(queued)
+        .await
+        .map_err(|_| GenerateError::Control)?;
+    tokio::select! {
+        verdict = started => match verdict {
+            Ok(Ok(())) => Ok(preempted),
+            Ok(Err((reason, retry_after))) => Err(GenerateError::Refused { reason, retry_after }),
+            Err(_) => Err(GenerateError::Control),
+        },
+        () = events.closed() => {
+            host.control
+                .offer(Input::Dispatch(dispatch::Event::Cancelled { ticket, tokens: 0 }));
+            Err(GenerateError::Abandoned)
+        }
+    }
+}
+
+fn queue_entry(host: &Host, request: &peer::GenerateRequest, ticket: Ticket) -> dispatch::Request {
+    let resumed_tokens = messages::count(&request.resume_tokens);
+    dispatch::Request {
+        ticket,
+        engine: request.engine.as_str().into(),
+        row: request.row.as_str().into(),
+        class: Class::Rollout,
+        priority: request.priority,
+        prompt_tokens: messages::count(&request.prompt_tokens) + resumed_tokens,
+        predicted_tokens: request.predicted_tokens.saturating_sub(resumed_tokens).max(1),
+        deadline: host.clock.now() + Duration::from_millis(request.deadline_ms),
+    }
+}
+
+fn engine_address(host: &Host, engine: &str) -> Result<SocketAddr, GenerateError> {
+    let board = host.snapshot.load();
+    board
+        .upstreams
+        .members
+        .get(engine)
+        .map(|upstream| upstream.address)
+        .ok_or(GenerateError::UnknownEngine)
+}
+
+fn completion(request: &peer::GenerateRequest, ticket: Ticket) -> CompletionRequest {
+    CompletionRequest {
+        request_id: format!("{ticket:x}"),
+        model: String::new(),
+        prompt_token_ids: request.prompt_tokens.clone(),
+        resume_token_ids: request.resume_tokens.clone(),
+        max_tokens: request.max_tokens,
+        seed: request.seed,
+        priority: -i32::try_from(request.priority).unwrap_or(i32::MAX),
+        stream: true,
+    }
+}
+
+async fn report_progress(host: &Host, ticket: Ticket, evidence: &Evidence, events: &Events) {
+    let tokens = evidence.token_count();
+    host.control
+        .offer(Input::Dispatch(dispatch::Event::Progress { ticket, tokens }));
+    send_progress(evidence, events).await;
+}
+
+async fn send_progress(evidence: &Evidence, events: &Events) {
+    let progress = messages::progress(evidence.proved());
+    let _ = events.send(wrap(Event::Progress(progress))).await;
+}
+
+fn finish(
+    request: &peer::GenerateRequest,
+    evidence: Evidence,
+    finish_reason: String,
+) -> Result<peer::Sample, GenerateError> {
+    let boot = evidence.boot().unwrap_or_default();
+    let proved = evidence.finish()?;
+    Ok(peer::Sample {
+        slot: request.slot.clone(),
+        sample_id: String::new(),
+        segments: proved.segments.iter().map(messages::segment).collect(),
+        tokens: proved.tokens,
+        engine: request.engine.clone(),
+        boot,
+        finish_reason,
+    })
+}
--- /dev/null
+++ b/src/entry/peer_server.rs
@@ -0,0 +1,157 @@
+//! What this host answers to other hosts over gRPC.
+
+use std::pin::Pin;
+
+use subtle::ConstantTimeEq as _;
+use tokio::sync::{mpsc, oneshot};
+use tokio_stream::{Stream, wrappers::ReceiverStream};
+use tonic::{Request, Response, Status, service::Interceptor};
+
+use super::{Shared, control::Input, generate, owners, peer_client};
+use crate::proto::peer;
+
+/// Events of one generation that may wait for a slow peer.
+const EVENT_BUFFER_COUNT: usize = 8;
+
+/// Lets only hosts of the fleet pass.
+#[derive(Clone, Debug)]
+pub struct Check {
+    token: String,
+}
+
+impl Check {
+    /// Makes a check against the fleet's secret.
+    pub fn new(fleet_key: &str) -> Self {
+        Self {
+            token: peer_client::fleet_token(fleet_key),
+        }
+    }
+}
+
+impl Interceptor for Check {
+    fn call(&mut self, request: Request<()>) -> Result<Request<()>, Status> {
+        let shown = request
+            .metadata()
+            .get(peer_client::FLEET_HEADER)
+            .map(|value| value.as_bytes())
+            .unwrap_or_default();
+        if bool::from(shown.ct_eq(self.token.as_bytes())) {
+            return Ok(request);
+        }
+        tracing::warn!("a peer call without the fleet's proof was refused");
+        Err(Status::unauthenticated("not a host of this fleet"))
+    }
+}
+
+/// The answers to other hosts.
+#[derive(Clone)]
+pub struct PeerService {
+    shared: Shared,
+}
+
+impl PeerService {
+    /// Makes the answers of `shared`.
+    pub const fn new(shared: Shared) -> Self {
+        Self { shared }
+    }
+
+    async fn ask<T>(&self, input: Input, answer: oneshot::Receiver<T>) -> Result<T, Status> {
+        self.shared
+            .control
+            .send(input)
+            .await
+            .map_err(|error| Status::unavailable(error.to_string()))?;
+        answer
+            .await
+            .map_err(|_| Status::unavailable("the control thread is gone"))
+    }
+}
+
+#[tonic::async_trait]
+impl peer::peer_server::Peer for PeerService {
+    type GenerateStream =
+        Pin<Box<dyn Stream<Item = Result<peer::GenerateEvent, Status>> + Send + 'static>>;
+
+    async fn generate(
+        &self,
+        request: Request<peer::GenerateRequest>,
+    ) -> Result<Response<Self::GenerateStream>, Status> {
+        let (events, receiver) = mpsc::channel(EVENT_BUFFER_COUNT);
+        let shared = self.shared.clone();
+        let request = request.into_inner();
+        self.shared.open_work.spawn(async move {
+            generate::run(&shared, request, generate::Remote(events)).await;
+        });
+        Ok(Response::new(Box::pin(ReceiverStream::new(receiver))))
+    }
+
+    async fn submit(
+        &self,
+        request: Request<peer::SubmitRequest>,
+    ) -> Result<Response<peer::SubmitReply>, Status> {
+        owners::submit_here(&self.shared, request.into_inner())
+            .await
+            .map(Response::new)
+            .map_err(|error| Status::unavailable(error.to_string()))
+    }
+
+    async fn pull(
+        &self,
+        request: Request<peer::PullRequest>,
+    ) -> Result<Response<peer::PullReply>, Status> {
+        owners::pull_here(&self.shared, request.into_inner())
+            .await
+            .map(Response::new)
+            .map_err(|error| Status::unavailable(error.to_string()))
+    }
+
+    async fn fetch_rows(
+        &self,
+        request: Request<peer::FetchRowsRequest>,
+    ) -> Result<Response<peer::FetchRowsReply>, Status> {
+        let above = request.into_inner().above_revision;
+        let board = self.shared.snapshot.load();
+        let rows = if board.rows.revision > above {
+            board
+                .rows
+                .rows
+                .values()
+                .filter_map(|row| serde_json::to_string(&**row).ok())
+                .collect()
+        } else {
+            Vec::new()
+        };
+        Ok(Response::new(peer::FetchRowsReply {
+            revision: board.rows.revision,
+            rows,
+        }))
+    }
+
+    async fn explain(
+        &self,
+        request: Request<peer::ExplainRequest>,
+    ) -> Result<Response<peer::ExplainReply>, Status> {
+        let (reply, answer) = oneshot::channel();
+        let id = request.into_inner().id;
+        let records = self.ask(Input::Explain { id, reply }, answer).await?;
+        Ok(Response::new(peer::ExplainReply {
+            host: self.shared.settings.host.id.to_string(),
+            records: records
+                .iter()
+                .filter_map(|record| serde_json::to_string(record).ok())
+                .collect(),
+        }))
+    }
+
+    async fn fetch_burn(
+        &self,
+        _request: Request<peer::FetchBurnRequest>,
+    ) -> Result<Response<peer::FetchBurnReply>, Status> {
+        let (reply, answer) = oneshot::channel();
+        let windows = self.ask(Input::Burn { reply }, answer).await?;
+        Ok(Response::new(peer::FetchBurnReply {
+            host: self.shared.settings.host.id.to_string(),
+            windows,
+        }))
+    }
+}
--- /dev/null
+++ b/src/entry/trainers.rs
@@ -0,0 +1,102 @@
+//! The handlers that trainers call.
+
+use std::time::Duration;
+
+use xitca_web::http::WebResponse;
+
+use super::{
+    api::{self, Answer, Context, NOT_READY_DELAY},
+    owners,
+    problem::Problem,
+};
+use crate::{
+    ids::{RowId, StepNumber},
+    proto::peer,
+    trainer_api::{Pull, Pulled, Sample, Submission, Submitted},
+};
+
+/// When to ask again after a refusal that another host may not give.
+const RETRY_DELAY: Duration = Duration::from_millis(200);
+
+/// The longest wait that a pull may ask for.
+const MAX_PULL_WAIT_MS: u64 = 30_000;
+
+/// Takes a step.
+pub async fn submit(ctx: &Context<'_>) -> WebResponse {
+    api::settle(try_submit(ctx).await)
+}
+
+/// Hands samples to the trainer.
+pub async fn pull(ctx: &Context<'_>) -> WebResponse {
+    api::settle(try_pull(ctx).await)
+}
+
+async fn try_submit(ctx: &Context<'_>) -> Answer {
+    let (trainer, step) = admit_step(ctx)?;
+    let submission = api::read_json::<Submission>(ctx).await?;
+    let request = peer::SubmitRequest {
+        spec: Some(submission.into_spec(&trainer, step)),
+        forwarded: false,
+    };
+    let reply = owners::submit(ctx.state(), request).await;
+    let reply = reply.map_err(|error| {
+        Problem::NoUpstream.respond(error.to_string(), Some(RETRY_DELAY))
+    })?;
+    if !reply.accepted {
+        return Err(Problem::StepConflict.respond(reply.refusal, None));
+    }
+    Ok(api::json(&Submitted { owner: reply.owner }))
+}
+
+async fn try_pull(ctx: &Context<'_>) -> Answer {
+    let (trainer, step) = admit_step(ctx)?;
+    let mut pull = api::read_json::<Pull>(ctx).await?;
+    pull.wait_ms = pull.wait_ms.min(MAX_PULL_WAIT_MS);
+    let request = pull.into_message(&trainer, step);
+    let reply = owners::pull(ctx.state(), request).await;
+    let reply = reply.map_err(|error| {
+        Problem::NoUpstream.respond(error.to_string(), Some(RETRY_DELAY))
+    })?;
+    match reply.status() {
+        peer::PullStatus::Ok => Ok(api::json(&Pulled {
+            samples: reply.samples.into_iter().map(Sample::from).collect(),
+            open_slots: reply.open_slots,
+        })),
+        peer::PullStatus::Superseded => {
+            Err(Problem::Superseded.respond("a pull with a higher attach number took over", None))
+        }
+        peer::PullStatus::Draining => {
+            Err(Problem::Draining.respond("the step's host is stopping", Some(RETRY_DELAY)))
+        }
+        peer::PullStatus::StepUnknown | peer::PullStatus::Unspecified => {
+            Err(Problem::StepUnknown.respond("submit the step again", None))
+        }
+    }
+}
+
+/// Checks the key, the row and the step of a path.
+fn admit_step(ctx: &Context<'_>) -> Result<(RowId, StepNumber), WebResponse> {
+    let trainer = admit_trainer(ctx)?;
+    let step = api::parts(ctx)
+        .get(4)
+        .and_then(|part| part.parse().ok())
+        .ok_or_else(|| Problem::Malformed.respond("the step is not a number", None))?;
+    Ok((trainer, step))
+}
+
+fn admit_trainer(ctx: &Context<'_>) -> Result<RowId, WebResponse> {
+    let parts = api::parts(ctx);
+    let trainer = parts.get(2).copied().unwrap_or_default();
+    api::admit_row(ctx, trainer)?;
+    let board = ctx.state().snapshot.load();
+    if board.draining {
+        return Err(Problem::Draining.respond("this host is stopping", Some(RETRY_DELAY)));
+    }
+    if board.rows.revision == 0 {
+        return Err(Problem::NotReady.respond("the table is not known here yet", Some(NOT_READY_DELAY)));
+    }
+    match board.rows.rows.get(trainer) {
+        Some(row) if row.enabled => Ok(row.id.clone()),
+        _ => Err(Problem::RowUnknown.respond("the table has no such row, or it is off", None)),
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod cache_index;
 pub mod call;
 pub mod claim;
+pub mod cli;
 pub mod clock;
 pub mod column;
 pub mod concurrency;
--- a/src/trainer_api.rs
+++ b/src/trainer_api.rs
@@ -115,14 +115,6 @@
     pub finish_reason: String,
 }
 
-/// The weight version that a trainer has now.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct TrainerVersion {
-    /// The version.
-    pub weight_version: WeightVersion,
-}
-
 impl Submission {
     /// Turns the submission into the message between hosts.
     pub fn into_spec(self, trainer: &RowId, step: StepNumber) -> peer::StepSpec {
