Fill, buffer and deliver the samples of a step

Cause: The entry server needs the decisions about steps before it can be wired. Before/After: No figures yet; only the doc examples ran.

--- a/src/ids.rs
+++ b/src/ids.rs
@@ -53,6 +53,18 @@
 /// Names one attempt to claim or write, so that it can be read back.
 pub type AttemptId = u128;
 
+/// Numbers one attempt to fill a sample slot; unique over owners.
+pub type AttemptNumber = u64;
+
+/// Numbers an open call of a trainer at one host.
+pub type CallNumber = u64;
+
+/// Names an adapter on the base weights; empty where none is used.
+pub type AdapterId = Arc<str>;
+
+/// Numbers a token of the model's vocabulary.
+pub type TokenId = u32;
+
 /// Names a client's request.
 pub type RequestId = Arc<str>;
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! controllers without I/O, and the servers and clients around them. The map of
 //! the files is in `docs/ARCHITECTURE.md`.
 
+pub mod attach;
 pub mod attempt;
 pub mod baseline;
 pub mod blackboard;
@@ -24,6 +25,7 @@
 pub mod explain;
 pub mod fairness;
 pub mod follower;
+pub mod handover;
 pub mod ids;
 pub mod lease;
 pub mod ledger;
@@ -36,10 +38,16 @@
 pub mod retry;
 pub mod routing;
 pub mod row;
+pub mod sample;
 pub mod settings;
 pub mod settings_check;
+pub mod slot;
+pub mod spec;
 pub mod staleness;
 pub mod step;
+mod step_delivery;
+mod step_dispatch;
+pub mod step_state;
 pub mod store;
 pub mod straggler;
 pub mod table_server;
--- a/src/staleness.rs
+++ b/src/staleness.rs
@@ -1,1 +1,243 @@
-//! The gates that keep samples within the agreed staleness bound.
+//! The two gates that keep samples within a row's staleness bound.
+//!
+//! The gate at dispatch predicts and may err, which costs work. The gate at
+//! delivery is exact. See docs/design/staleness.md.
+
+use std::time::Duration;
+
+use crate::{
+    clock::Timestamp,
+    ids::{StepNumber, WeightVersion},
+    row::Row,
+};
+
+/// The part that a new observation has in the mean interval.
+const INTERVAL_SMOOTHING_RATIO: f64 = 0.25;
+
+/// The part that a new observation has in the mean deviation.
+const DEVIATION_SMOOTHING_RATIO: f64 = 0.25;
+
+/// How many versions a step is assumed to add before any was seen.
+const DEFAULT_VERSIONS_PER_STEP: f64 = 1.0;
+
+/// Deviations by which a row that weighs only staleness hedges its forecast.
+const CAUTION_DEVIATIONS: f64 = 2.0;
+
+/// Returns by how many versions a sample is older than the trainer.
+pub fn age_versions(stated: WeightVersion, oldest: WeightVersion) -> WeightVersion {
+    stated.saturating_sub(oldest)
+}
+
+/// Says whether a sample may be delivered to a trainer that states its version.
+///
+/// # Examples
+///
+/// ```
+/// use mimosavane::staleness::is_deliverable;
+///
+/// assert!(is_deliverable(7, 5, 2));
+/// assert!(!is_deliverable(8, 5, 2));
+/// ```
+pub fn is_deliverable(
+    stated: WeightVersion,
+    oldest: WeightVersion,
+    bound_versions: WeightVersion,
+) -> bool {
+    age_versions(stated, oldest) <= bound_versions
+}
+
+/// When a trainer changes its version, learned from what its pulls state.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Cadence {
+    version: WeightVersion,
+    step: StepNumber,
+    step_version: WeightVersion,
+    changed_at: Timestamp,
+    interval: Option<Duration>,
+    deviation: Duration,
+    versions_per_step: Option<f64>,
+    moves_within_step: bool,
+    is_known: bool,
+}
+
+impl Cadence {
+    /// Takes in that the trainer stated `version` when it pulled `step`.
+    pub fn observe(&mut self, step: StepNumber, version: WeightVersion, now: Timestamp) {
+        if !self.is_known {
+            self.restart(step, version, now);
+            return;
+        }
+        if version < self.version {
+            // The trainer fell back to an older checkpoint.
+            self.restart(step, version, now);
+            return;
+        }
+        if step == self.step && version > self.version {
+            self.moves_within_step = true;
+        }
+        if step > self.step {
+            self.observe_step(step, version);
+        }
+        if version > self.version {
+            self.observe_change(version, now);
+        }
+    }
+
+    /// Returns the version that the trainer last stated.
+    pub fn version(&self) -> WeightVersion {
+        self.version
+    }
+
+    /// Returns how many versions the trainer is expected to gain by `at`.
+    ///
+    /// A trainer that is overdue waits for samples, so that its next change is
+    /// not counted on before they are there.
+    pub fn gain_by(&self, at: Timestamp, now: Timestamp, margin: Margin) -> WeightVersion {
+        let Some(interval) = self.interval.filter(|interval| !interval.is_zero()) else {
+            return 0;
+        };
+        if !self.moves_within_step {
+            return 0;
+        }
+        let due = self.due(interval);
+        if now >= due.saturating_add(self.deviation) {
+            return whole_intervals(at.saturating_sub(now), interval);
+        }
+        let at = margin.apply(at, self.deviation);
+        if at < due {
+            return 0;
+        }
+        1 + whole_intervals(at - due, interval)
+    }
+
+    /// Returns how many versions one step adds.
+    pub fn versions_per_step(&self) -> WeightVersion {
+        let versions = self.versions_per_step.unwrap_or(DEFAULT_VERSIONS_PER_STEP);
+        versions.round().max(1.0) as WeightVersion
+    }
+
+    /// Returns when an expected change counts as overdue.
+    pub fn overdue_at(&self) -> Timestamp {
+        let interval = self.interval.unwrap_or_default();
+        self.due(interval).saturating_add(self.deviation)
+    }
+
+    fn due(&self, interval: Duration) -> Timestamp {
+        self.changed_at.saturating_add(interval)
+    }
+
+    fn restart(&mut self, step: StepNumber, version: WeightVersion, now: Timestamp) {
+        self.version = version;
+        self.step = step;
+        self.step_version = version;
+        self.changed_at = now;
+        self.is_known = true;
+    }
+
+    fn observe_step(&mut self, step: StepNumber, version: WeightVersion) {
+        let steps = (step - self.step) as f64;
+        let found = version.saturating_sub(self.step_version) as f64 / steps;
+        let mean = self.versions_per_step.unwrap_or(found);
+        self.versions_per_step = Some(mean + INTERVAL_SMOOTHING_RATIO * (found - mean));
+        self.step = step;
+        self.step_version = version;
+    }
+
+    fn observe_change(&mut self, version: WeightVersion, now: Timestamp) {
+        let versions = (version - self.version) as f64;
+        let found = now.saturating_sub(self.changed_at).div_f64(versions);
+        let mean = self.interval.unwrap_or(found);
+        let error = found.abs_diff(mean);
+        self.deviation = blend(self.deviation, error, DEVIATION_SMOOTHING_RATIO);
+        self.interval = Some(blend(mean, found, INTERVAL_SMOOTHING_RATIO));
+        self.version = version;
+        self.changed_at = now;
+    }
+}
+
+/// How far a forecast leans towards idle time or towards staleness.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Margin {
+    deviations: f64,
+}
+
+impl Margin {
+    /// Takes the margin from the row's preference: with 0 a completion counts
+    /// as late early on, with 1 only when that is nearly certain.
+    pub fn of(row: &Row) -> Self {
+        let preference = row.idle_preference_ratio.clamp(0.0, 1.0);
+        Self {
+            deviations: CAUTION_DEVIATIONS * (1.0 - 2.0 * preference),
+        }
+    }
+
+    fn apply(self, at: Timestamp, deviation: Duration) -> Timestamp {
+        let shift = deviation.mul_f64(self.deviations.abs());
+        if self.deviations >= 0.0 {
+            at.saturating_add(shift)
+        } else {
+            at.saturating_sub(shift)
+        }
+    }
+}
+
+/// What the gate at dispatch judges by.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Forecast {
+    /// The version that the trainer has now.
+    pub stated: WeightVersion,
+    /// The version that it is expected to have when the sample is whole.
+    pub expected: WeightVersion,
+    /// The newest version that an engine runs; `None` where none reported.
+    pub newest: Option<WeightVersion>,
+    /// The bound of the row.
+    pub bound_versions: WeightVersion,
+}
+
+/// What the gate at dispatch decides.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Verdict {
+    /// An engine of at least this version may start.
+    Dispatch {
+        /// The oldest version whose sample is expected to be taken.
+        min_version: WeightVersion,
+    },
+    /// No engine has weights that the trainer could take a sample of, now or
+    /// later.
+    AwaitWeights,
+    /// The sample is expected to be too old when it is whole, unless the trainer
+    /// turns out to be overdue.
+    AwaitChange,
+}
+
+/// Decides whether a sample is worth starting.
+///
+/// # Examples
+///
+/// ```
+/// use mimosavane::staleness::{Forecast, Verdict, judge};
+///
+/// let forecast = Forecast { stated: 7, expected: 8, newest: Some(7), bound_versions: 1 };
+/// assert_eq!(judge(forecast), Verdict::Dispatch { min_version: 7 });
+/// ```
+pub fn judge(forecast: Forecast) -> Verdict {
+    let least = forecast.stated.saturating_sub(forecast.bound_versions);
+    let min_version = forecast
+        .expected
+        .max(forecast.stated)
+        .saturating_sub(forecast.bound_versions);
+    match forecast.newest {
+        Some(newest) if newest < least => Verdict::AwaitWeights,
+        Some(newest) if newest < min_version => Verdict::AwaitChange,
+        _ => Verdict::Dispatch { min_version },
+    }
+}
+
+fn whole_intervals(span: Duration, interval: Duration) -> WeightVersion {
+    (span.as_secs_f64() / interval.as_secs_f64()) as WeightVersion
+}
+
+fn blend(mean: Duration, found: Duration, ratio: f64) -> Duration {
+    mean.mul_f64(1.0 - ratio) + found.mul_f64(ratio)
+}
