--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! controllers without I/O, and the servers and clients around them. The map of
 //! the files is in `docs/ARCHITECTURE.md`.
 
+pub mod attach;
 pub mod attempt;
 pub mod auth;
 pub mod baseline;
@@ -29,6 +30,7 @@
 pub mod explain;
 pub mod fairness;
 pub mod follower;
+pub mod handover;
 pub mod ids;
 pub mod lease;
 pub mod ledger;
@@ -42,12 +44,16 @@
 pub mod retry;
 pub mod routing;
 pub mod row;
+pub mod sample;
 pub mod settings;
 pub mod settings_check;
 pub mod share;
+pub mod slot;
+pub mod spec;
 pub mod staleness;
 pub mod standin;
 pub mod step;
+pub mod step_state;
 pub mod store;
 pub mod store_client;
 pub mod store_condition;
@@ -56,6 +62,8 @@
 pub mod table_server;
 pub mod trainer_api;
 pub mod wave;
+mod step_delivery;
+mod step_dispatch;
 
 pub use blackboard::Blackboard;
 pub use controller::Controller;
