Serve calls to plain services with three typed outcomes

Cause: callers need a truthful outcome for each call, and a keyed call must run at most once over all hosts. Conclusion: the interfaces are ready to be wired; tests follow.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! controllers without I/O, and the servers and clients around them. The map of
 //! the files is in `docs/ARCHITECTURE.md`.
 
+pub mod admission;
 pub mod attempt;
 pub mod baseline;
 pub mod blackboard;
@@ -13,6 +14,7 @@
 pub mod claim;
 pub mod clock;
 pub mod concurrency;
+pub mod connection;
 pub mod controller;
 pub mod datagram;
 pub mod decision;
@@ -21,18 +23,22 @@
 pub mod edit;
 pub mod ejection;
 pub mod evidence;
+pub mod exchange;
 pub mod explain;
 pub mod fairness;
 pub mod follower;
+pub mod gate;
 pub mod ids;
 pub mod lease;
 pub mod ledger;
 pub mod length;
 pub mod membership;
 pub mod order;
+pub mod problem;
 pub mod progress;
 pub mod proto;
 pub mod quota;
+pub mod relay;
 pub mod retry;
 pub mod routing;
 pub mod row;
@@ -43,6 +49,7 @@
 pub mod store;
 pub mod straggler;
 pub mod table_server;
+pub mod terms;
 pub mod wave;
 
 pub use blackboard::Blackboard;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -7,7 +7,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{FailureDomain, HostId, Region, RowId};
+use crate::{
+    connection::Protocol,
+    ids::{FailureDomain, HostId, Region, RowId},
+};
 
 /// All settings of one host.
 ///
@@ -46,6 +49,9 @@
     /// Bounds on what callers may ask.
     #[serde(default)]
     pub limits: LimitSettings,
+    /// What is known of the plain services, by pool.
+    #[serde(default)]
+    pub pools: BTreeMap<String, PoolSettings>,
     /// How hosts watch each other.
     #[serde(default)]
     pub membership: MembershipSettings,
@@ -135,6 +141,21 @@
     pub retry_budget_ratio: f64,
 }
 
+/// What is known of the plain services of one pool.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct PoolSettings {
+    /// The version of HTTP that its upstreams speak.
+    pub protocol: Protocol,
+    /// Methods that may be repeated besides GET, HEAD, OPTIONS, PUT and DELETE.
+    pub idempotent_methods: Vec<String>,
+    /// Methods that may not be repeated although HTTP says that they may.
+    pub unrepeatable_methods: Vec<String>,
+    /// Whether its upstreams run a request with a known key only once over all
+    /// of them, so that no claim is needed.
+    pub deduplicates_keys: bool,
+}
+
 /// How hosts watch each other.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
