--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! controllers without I/O, and the servers and clients around them. The map of
 //! the files is in `docs/ARCHITECTURE.md`.
 
+pub mod admission;
 pub mod attach;
 pub mod attempt;
 pub mod auth;
@@ -17,6 +18,7 @@
 pub mod clock;
 pub mod column;
 pub mod concurrency;
+pub mod connection;
 pub mod controller;
 pub mod datagram;
 pub mod decision;
@@ -27,9 +29,11 @@
 pub mod engine_api;
 pub mod entry;
 pub mod evidence;
+pub mod exchange;
 pub mod explain;
 pub mod fairness;
 pub mod follower;
+pub mod gate;
 pub mod handover;
 pub mod ids;
 pub mod lease;
@@ -37,9 +41,11 @@
 pub mod length;
 pub mod membership;
 pub mod order;
+pub mod problem;
 pub mod progress;
 pub mod proto;
 pub mod quota;
+pub mod relay;
 pub mod rendezvous;
 pub mod retry;
 pub mod routing;
@@ -60,6 +66,7 @@
 pub mod straggler;
 pub mod table_client;
 pub mod table_server;
+pub mod terms;
 pub mod trainer_api;
 pub mod wave;
 mod step_delivery;
