--- a/src/lib.rs
+++ b/src/lib.rs
@@ -45,6 +45,7 @@
 pub mod store;
 pub mod straggler;
 pub mod table_server;
+pub mod targets;
 pub mod wave;
 
 pub use blackboard::Blackboard;
