--- a/src/lib.rs
+++ b/src/lib.rs
@@ -68,6 +68,7 @@
 pub mod table;
 pub mod table_client;
 pub mod table_server;
+pub mod targets;
 pub mod terms;
 pub mod trainer_api;
 pub mod wave;
