--- a/src/baseline.rs
+++ b/src/baseline.rs
@@ -6,127 +6,112 @@
     blackboard::Blackboard,
     clock::Timestamp,
     controller::Rng,
+    fairness::Ranking,
     ids::UpstreamId,
     routing::{Policy, Request},
     targets::{Target, Targets},
 };
 
-/// Returns the engines that may take `request`.
-fn admitted<'a>(pool: &'a [Target], request: &Request<'_>) -> Vec<&'a Target> {
-    pool.iter()
-        .filter(|target| target.runs(request.min_version) && !request.exclude.contains(&target.id))
-        .collect()
+/// Serves requests in the order of their arrival, whatever their row.
+#[derive(Debug)]
+pub struct FirstCome;
+
+impl Ranking for FirstCome {
+    const KEEPS_SHARES: bool = false;
+
+    fn rank(_virtual_time: f64, next_sequence: u64) -> f64 {
+        next_sequence as f64
+    }
+}
+
+/// How a baseline picks one of the engines that may take a request.
+pub trait Pick {
+    /// Names the baseline in comparisons.
+    const NAME: &'static str;
+
+    /// Returns one of `admitted`, which holds at least one engine.
+    fn pick<'a>(&mut self, admitted: &[&'a Target], rng: &mut Rng) -> &'a Target;
 }
 
 /// Draws an engine at random.
 #[derive(Debug, Default)]
-pub struct Random {
-    targets: Targets,
-}
+pub struct Random;
 
-impl Policy for Random {
+impl Pick for Random {
     const NAME: &'static str = "random";
 
-    fn choose(
-        &mut self,
-        board: &Blackboard,
-        request: &Request<'_>,
-        _now: Timestamp,
-        rng: &mut Rng,
-    ) -> Option<UpstreamId> {
-        self.targets.refresh(board);
-        let admitted = admitted(self.targets.pool(request.pool), request);
-        if admitted.is_empty() {
-            return None;
-        }
-        Some(admitted[rng.random_range(0..admitted.len())].id.clone())
-    }
-
-    fn on_sent(&mut self, engine: &UpstreamId) {
-        self.targets.on_sent(engine);
-    }
-
-    fn on_done(&mut self, engine: &UpstreamId) {
-        self.targets.on_done(engine);
+    fn pick<'a>(&mut self, admitted: &[&'a Target], rng: &mut Rng) -> &'a Target {
+        admitted[rng.random_range(0..admitted.len())]
     }
 }
 
 /// Takes the engines in turn.
 #[derive(Debug, Default)]
 pub struct RoundRobin {
-    targets: Targets,
     next: usize,
 }
 
-impl Policy for RoundRobin {
+impl Pick for RoundRobin {
     const NAME: &'static str = "round-robin";
 
-    fn choose(
-        &mut self,
-        board: &Blackboard,
-        request: &Request<'_>,
-        _now: Timestamp,
-        _rng: &mut Rng,
-    ) -> Option<UpstreamId> {
-        self.targets.refresh(board);
-        let admitted = admitted(self.targets.pool(request.pool), request);
-        if admitted.is_empty() {
-            return None;
-        }
+    fn pick<'a>(&mut self, admitted: &[&'a Target], _rng: &mut Rng) -> &'a Target {
         self.next = self.next.wrapping_add(1);
-        Some(admitted[self.next % admitted.len()].id.clone())
-    }
-
-    fn on_sent(&mut self, engine: &UpstreamId) {
-        self.targets.on_sent(engine);
-    }
-
-    fn on_done(&mut self, engine: &UpstreamId) {
-        self.targets.on_done(engine);
+        admitted[self.next % admitted.len()]
     }
 }
 
-/// Takes the engine with the fewest requests by its lagging report and the
+/// Takes the engine with the fewest requests by the lagging report and the
 /// host's own count.
 #[derive(Debug, Default)]
-pub struct LeastRequests {
-    targets: Targets,
-}
+pub struct LeastRequests;
 
-impl Policy for LeastRequests {
+impl Pick for LeastRequests {
     const NAME: &'static str = "least-requests";
 
-    fn choose(
-        &mut self,
-        board: &Blackboard,
-        request: &Request<'_>,
-        _now: Timestamp,
-        _rng: &mut Rng,
-    ) -> Option<UpstreamId> {
-        self.targets.refresh(board);
-        admitted(self.targets.pool(request.pool), request)
-            .into_iter()
-            .min_by_key(|target| target.request_count())
-            .map(|target| target.id.clone())
+    fn pick<'a>(&mut self, admitted: &[&'a Target], _rng: &mut Rng) -> &'a Target {
+        admitted.iter().skip(1).fold(admitted[0], fewer)
     }
+}
 
-    fn on_sent(&mut self, engine: &UpstreamId) {
-        self.targets.on_sent(engine);
+/// Draws two engines and takes the one with fewer requests.
+#[derive(Debug, Default)]
+pub struct PowerOfTwo;
+
+impl Pick for PowerOfTwo {
+    const NAME: &'static str = "power-of-two";
+
+    fn pick<'a>(&mut self, admitted: &[&'a Target], rng: &mut Rng) -> &'a Target {
+        let first = admitted[rng.random_range(0..admitted.len())];
+        let second = admitted[rng.random_range(0..admitted.len())];
+        fewer(first, &second)
     }
+}
 
-    fn on_done(&mut self, engine: &UpstreamId) {
-        self.targets.on_done(engine);
+fn fewer<'a>(first: &'a Target, second: &&'a Target) -> &'a Target {
+    if second.request_count() < first.request_count() {
+        second
+    } else {
+        first
     }
 }
 
-/// Draws two engines and takes the one with fewer requests.
+/// A baseline of engine choice.
+///
+/// # Examples
+///
+/// ```
+/// use mimosavane::{baseline::{Baseline, Random}, routing::Policy};
+///
+/// assert_eq!(Baseline::<Random>::NAME, "random");
+/// ```
 #[derive(Debug, Default)]
-pub struct PowerOfTwo {
+pub struct Baseline<P> {
     targets: Targets,
+    pick: P,
 }
 
-impl Policy for PowerOfTwo {
-    const NAME: &'static str = "power-of-two";
+impl<P: Pick> Policy for Baseline<P> {
+    const NAME: &'static str = P::NAME;
 
     fn choose(
         &mut self,
@@ -136,18 +121,16 @@
         rng: &mut Rng,
     ) -> Option<UpstreamId> {
         self.targets.refresh(board);
-        let admitted = admitted(self.targets.pool(request.pool), request);
+        let admitted: Vec<&Target> = self
+            .targets
+            .pool(request.pool)
+            .iter()
+            .filter(|target| request.admits(target))
+            .collect();
         if admitted.is_empty() {
             return None;
         }
-        let mut draw = || admitted[rng.random_range(0..admitted.len())];
-        let (first, second) = (draw(), draw());
-        let chosen = if second.request_count() < first.request_count() {
-            second
-        } else {
-            first
-        };
-        Some(chosen.id.clone())
+        Some(self.pick.pick(&admitted, rng).id.clone())
     }
 
     fn on_sent(&mut self, engine: &UpstreamId) {
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -15,7 +15,7 @@
     clock::Timestamp,
     controller::{self, Round},
     decision::{Decision, Kind},
-    fairness::{Class, Cost, Entry, Queue, Ticket},
+    fairness::{Class, Cost, Entry, Queue, Ranking, Ticket, Weighted},
     ids::{RowId, UpstreamId},
     quota::Allowances,
     share::{Shares, shares},
@@ -34,6 +34,9 @@
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(30);
 
+/// How long after the decision a start may still be sent.
+pub const START_VALIDITY: Duration = Duration::from_millis(500);
+
 /// How long a report may still count requests that ended here.
 const REPORT_LAG: Duration = Duration::from_secs(2);
 
@@ -130,9 +133,14 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
     /// Send the request to its engine.
+    ///
+    /// A process that was paused in between must not send it after `not_after`;
+    /// it reports [`Event::Cancelled`] and refuses it as not run instead.
     Start {
         /// The request.
         ticket: Ticket,
+        /// The last moment for sending it.
+        not_after: Timestamp,
     },
     /// Answer that the request was not run.
     Refuse {
@@ -166,9 +174,9 @@
 }
 
 /// One engine with its queue.
-#[derive(Debug, Default)]
-struct Lane {
-    queue: Queue<Pending>,
+#[derive(Debug)]
+struct Lane<R> {
+    queue: Queue<Pending, R>,
     running: BTreeMap<Ticket, Running>,
     deadlines: BTreeSet<(Timestamp, Ticket)>,
     slots: u32,
@@ -183,7 +191,24 @@
     starved_since: BTreeMap<RowId, Timestamp>,
 }
 
-impl Lane {
+impl<R> Default for Lane<R> {
+    fn default() -> Self {
+        Self {
+            queue: Queue::default(),
+            running: BTreeMap::new(),
+            deadlines: BTreeSet::new(),
+            slots: DEFAULT_SLOTS,
+            token_time: DEFAULT_TOKEN_TIME,
+            foreign_count: 0,
+            report_at: Timestamp::ZERO,
+            recent_running_count: 0,
+            last_preempt_at: Timestamp::ZERO,
+            starved_since: BTreeMap::new(),
+        }
+    }
+}
+
+impl<R: Ranking> Lane<R> {
     fn observe(&mut self, report: Option<&EngineReport>, now: Timestamp) {
         self.slots = report.map_or(DEFAULT_SLOTS, |report| report.slots.max(1));
         self.token_time = report
@@ -236,7 +261,7 @@
     }
 }
 
-/// The dispatcher of one host.
+/// The dispatcher of one host, with rows ranked by `R`.
 ///
 /// # Examples
 ///
@@ -289,11 +314,11 @@
 ///         decisions: &mut Vec::new(),
 ///     },
 /// );
-/// assert_eq!(actions, [Action::Start { ticket: 1 }]);
+/// assert!(matches!(actions[..], [Action::Start { ticket: 1, .. }]));
 /// ```
-#[derive(Debug, Default)]
-pub struct Controller {
-    lanes: BTreeMap<UpstreamId, Lane>,
+#[derive(Debug)]
+pub struct Dispatcher<R> {
+    lanes: BTreeMap<UpstreamId, Lane<R>>,
     /// The engine of each request that waits or runs.
     engines: BTreeMap<Ticket, UpstreamId>,
     shares: Shares,
@@ -314,7 +339,23 @@
     pub running_count: u32,
 }
 
-impl Controller {
+/// The dispatcher that gives each row its share.
+pub type Controller = Dispatcher<Weighted>;
+
+impl<R> Default for Dispatcher<R> {
+    fn default() -> Self {
+        Self {
+            lanes: BTreeMap::new(),
+            engines: BTreeMap::new(),
+            shares: Shares::new(),
+            corrections: BTreeMap::new(),
+            allowances: Allowances::new(),
+            retired_tokens: BTreeMap::new(),
+        }
+    }
+}
+
+impl<R: Ranking> Dispatcher<R> {
     /// Takes the factors by which the fleet's ledger corrects local shares.
     pub fn set_corrections(&mut self, corrections: BTreeMap<RowId, f64>) {
         self.corrections = corrections;
@@ -461,7 +502,7 @@
         actions
     }
 
-    fn start(&mut self) -> Vec<Action> {
+    fn start(&mut self, now: Timestamp) -> Vec<Action> {
         let mut running: BTreeMap<RowId, u32> = BTreeMap::new();
         for lane in self.lanes.values() {
             for row in lane.queue.row_ids() {
@@ -491,6 +532,7 @@
                 );
                 actions.push(Action::Start {
                     ticket: entry.ticket,
+                    not_after: now + START_VALIDITY,
                 });
             }
         }
@@ -498,6 +540,9 @@
     }
 
     fn preempt(&mut self, now: Timestamp) -> Vec<Action> {
+        if !R::KEEPS_SHARES {
+            return Vec::new();
+        }
         let shares = &self.shares;
         self.lanes
             .values_mut()
@@ -529,7 +574,7 @@
     }
 }
 
-impl controller::Controller for Controller {
+impl<R: Ranking> controller::Controller for Dispatcher<R> {
     type Event = Event;
     type Action = Action;
 
@@ -554,7 +599,7 @@
             }
         }
         actions.extend(self.shed(board, now));
-        actions.extend(self.start());
+        actions.extend(self.start(now));
         actions.extend(self.preempt(now));
         self.retire(board);
         record(&actions, now, decisions);
@@ -562,11 +607,11 @@
     }
 }
 
-fn lane_of<'a>(
-    lanes: &'a mut BTreeMap<UpstreamId, Lane>,
+fn lane_of<'a, R>(
+    lanes: &'a mut BTreeMap<UpstreamId, Lane<R>>,
     engines: &BTreeMap<Ticket, UpstreamId>,
     ticket: Ticket,
-) -> Option<&'a mut Lane> {
+) -> Option<&'a mut Lane<R>> {
     lanes.get_mut(engines.get(&ticket)?)
 }
 
@@ -595,7 +640,7 @@
 }
 
 /// Returns what cannot be started any more, or not in time.
-fn late_or_disabled(lane: &Lane, shares: &Shares, now: Timestamp) -> Vec<Ticket> {
+fn late_or_disabled<R: Ranking>(lane: &Lane<R>, shares: &Shares, now: Timestamp) -> Vec<Ticket> {
     let late = lane
         .deadlines
         .iter()
@@ -610,7 +655,7 @@
 }
 
 /// Stops the newest work of rows above their share for rows that wait below it.
-fn preempt_lane(lane: &mut Lane, shares: &Shares, now: Timestamp) -> Vec<Action> {
+fn preempt_lane<R: Ranking>(lane: &mut Lane<R>, shares: &Shares, now: Timestamp) -> Vec<Action> {
     let held = held_slots(lane);
     let active: f64 = shares
         .iter()
@@ -672,7 +717,7 @@
     actions
 }
 
-fn held_slots(lane: &Lane) -> BTreeMap<RowId, usize> {
+fn held_slots<R>(lane: &Lane<R>) -> BTreeMap<RowId, usize> {
     let mut held = BTreeMap::new();
     for running in lane.running.values().filter(|running| !running.preempted) {
         *held.entry(running.row.clone()).or_default() += 1;
--- a/src/fairness.rs
+++ b/src/fairness.rs
@@ -8,6 +8,7 @@
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, BTreeSet, HashMap},
+    marker::PhantomData,
 };
 
 use xxhash_rust::xxh3::Xxh3Builder;
@@ -113,6 +114,28 @@
     }
 }
 
+/// How the queue ranks rows against each other; the lowest rank goes first.
+pub trait Ranking: std::fmt::Debug {
+    /// Ranks a row from its virtual time and the number of its next entry.
+    fn rank(virtual_time: f64, next_sequence: u64) -> f64;
+
+    /// Whether interactive work goes first, and running work is preempted for
+    /// rows below their share.
+    const KEEPS_SHARES: bool;
+}
+
+/// Ranks rows by virtual time, so that each gets its share.
+#[derive(Debug)]
+pub struct Weighted;
+
+impl Ranking for Weighted {
+    const KEEPS_SHARES: bool = true;
+
+    fn rank(virtual_time: f64, _next_sequence: u64) -> f64 {
+        virtual_time
+    }
+}
+
 /// The order within one row and class.
 type Position = (Reverse<u32>, u64);
 
@@ -168,6 +191,11 @@
         }
     }
 
+    fn rank<R: Ranking>(&self, class: Class) -> Option<Tag> {
+        let ((_, sequence), _) = self.line(class).first_key_value()?;
+        Some(Tag(R::rank(self.virtual_time(), *sequence)))
+    }
+
     fn is_backlogged(&self) -> bool {
         let is_empty = self.interactive.is_empty() && self.rollouts.is_empty();
         !self.blocked && !is_empty
@@ -195,7 +223,7 @@
 /// ```
 /// use mimosavane::fairness::{Class, Cost, Entry, Queue};
 ///
-/// let mut queue = Queue::default();
+/// let mut queue = Queue::new();
 /// queue.set_shares(&[("guides".into(), 0.75), ("menus".into(), 0.25)].into());
 /// for ticket in 0..8 {
 ///     let row = if ticket < 4 { "guides" } else { "menus" };
@@ -212,7 +240,7 @@
 /// assert_eq!(first.iter().filter(|entry| &*entry.row == "guides").count(), 3);
 /// ```
 #[derive(Debug)]
-pub struct Queue<T> {
+pub struct Queue<T, R = Weighted> {
     names: BTreeMap<RowId, usize>,
     rows: Vec<RowState<T>>,
     /// Rows with waiting interactive entries by virtual time.
@@ -226,9 +254,17 @@
     places: HashMap<Ticket, Place, Xxh3Builder>,
     running: HashMap<Ticket, Running, Xxh3Builder>,
     next_sequence: u64,
+    ranking: PhantomData<R>,
 }
 
-impl<T> Default for Queue<T> {
+impl<T> Queue<T> {
+    /// Makes an empty queue that gives each row its share.
+    pub fn new() -> Self {
+        Self::default()
+    }
+}
+
+impl<T, R> Default for Queue<T, R> {
     fn default() -> Self {
         Self {
             names: BTreeMap::new(),
@@ -241,11 +277,12 @@
             places: HashMap::default(),
             running: HashMap::default(),
             next_sequence: 0,
+            ranking: PhantomData,
         }
     }
 }
 
-impl<T> Queue<T> {
+impl<T, R: Ranking> Queue<T, R> {
     /// Puts `shares` in force; only their ratios matter.
     pub fn set_shares(&mut self, shares: &Shares) {
         for (name, share) in shares {
@@ -459,9 +496,10 @@
             (None, Some(&(_, row))) => Some((Class::Rollout, row)),
             (Some(&(Tag(ahead), row)), Some(&(Tag(behind), other))) => {
                 let lead_tokens = (ahead - behind) * self.rows[row].share;
-                let preferred = lead_tokens <= INTERACTIVE_LEAD_TOKENS
+                let preferred = R::KEEPS_SHARES
+                    && lead_tokens <= INTERACTIVE_LEAD_TOKENS
                     && self.interactive_lead_tokens <= INTERACTIVE_LEAD_TOKENS;
-                if preferred {
+                if preferred || ahead < behind {
                     Some((Class::Interactive, row))
                 } else {
                     Some((Class::Rollout, other))
@@ -499,9 +537,15 @@
 
     fn unlist(&mut self, row: usize) {
         let state = &self.rows[row];
-        let tag = (Tag(state.virtual_time()), row);
-        self.interactive.remove(&tag);
-        self.rollouts.remove(&tag);
+        if !state.is_backlogged() {
+            return;
+        }
+        if let Some(tag) = state.rank::<R>(Class::Interactive) {
+            self.interactive.remove(&(tag, row));
+        }
+        if let Some(tag) = state.rank::<R>(Class::Rollout) {
+            self.rollouts.remove(&(tag, row));
+        }
         self.settled.remove(&(Tag(state.settled), row));
     }
 
@@ -510,12 +554,11 @@
         if !state.is_backlogged() {
             return;
         }
-        let tag = (Tag(state.virtual_time()), row);
-        if !state.line(Class::Interactive).is_empty() {
-            self.interactive.insert(tag);
+        if let Some(tag) = state.rank::<R>(Class::Interactive) {
+            self.interactive.insert((tag, row));
         }
-        if !state.line(Class::Rollout).is_empty() {
-            self.rollouts.insert(tag);
+        if let Some(tag) = state.rank::<R>(Class::Rollout) {
+            self.rollouts.insert((tag, row));
         }
         self.settled.insert((Tag(state.settled), row));
     }
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -68,7 +68,8 @@
 }
 
 impl Request<'_> {
-    fn admits(&self, target: &Target) -> bool {
+    /// Says whether `target` may take the request at all.
+    pub fn admits(&self, target: &Target) -> bool {
         target.runs(self.min_version) && !self.exclude.contains(&target.id)
     }
 }
@@ -197,6 +198,7 @@
             .map(|upstream| &upstream.pool)
             .collect();
         let regions = regions(&board.hosts);
+        let key = rendezvous::key([self.host.as_bytes()]);
         for pool in pools {
             let mut ranked: Vec<(bool, u64, u32)> = self
                 .targets
@@ -210,7 +212,6 @@
                         .get(&target.id)
                         .and_then(|upstream| regions.get(&*upstream.failure_domain));
                     let is_far = region.copied() != own;
-                    let key = rendezvous::key([self.host.as_bytes()]);
                     (is_far, rendezvous::score(key, &target.id), place)
                 })
                 .collect();
