--- a/src/entry/generate.rs
+++ b/src/entry/generate.rs
@@ -19,7 +19,7 @@
 use crate::{
     dispatch,
     engine_api::CompletionRequest,
-    evidence::{Evidence, EvidenceError},
+    evidence::{Evidence, EvidenceError, Proved},
     fairness::{Class, Ticket},
     proto::peer::{self, generate_event::Event},
 };
@@ -87,10 +87,13 @@
     let result = queue_and_stream(host, &request, ticket, &mut evidence, &events).await;
     let tokens = evidence.token_count();
     host.control
-        .offer(Input::Dispatch(dispatch::Event::Finished { ticket, tokens }));
+        .tell(Input::Dispatch(dispatch::Event::Finished { ticket, tokens }))
+        .await;
+    let proved = evidence.proved();
     let event = match result.and_then(|reason| finish(&request, evidence, reason)) {
         Ok(sample) => Event::Sample(sample),
         Err(error) => {
+            send_proved(&proved, &error, &events).await;
             tracing::debug!(ticket, %error, "a generation gave no sample");
             Event::Failure(peer::GenerateFailure {
                 not_run: error.is_not_run() && request.resume_tokens.is_empty(),
@@ -102,6 +105,15 @@
     let _ = events.send(wrap(event)).await;
 }
 
+/// Gives the owner what stays proved, so that the next attempt resumes there.
+async fn send_proved(proved: &Proved, error: &GenerateError, events: &Events) {
+    if proved.tokens.is_empty() || matches!(error, GenerateError::Abandoned) {
+        return;
+    }
+    let progress = messages::progress(proved.clone());
+    let _ = events.send(wrap(Event::Progress(progress))).await;
+}
+
 const fn wrap(event: Event) -> peer::GenerateEvent {
     peer::GenerateEvent { event: Some(event) }
 }
@@ -129,10 +141,7 @@
         let chunk = tokio::select! {
             chunk = stream.next() => chunk?,
             () = events.closed() => return Err(GenerateError::Abandoned),
-            _ = &mut preempted => {
-                send_progress(evidence, events).await;
-                return Err(GenerateError::Preempted);
-            }
+            Ok(()) = &mut preempted => return Err(GenerateError::Preempted),
         };
         let Some(chunk) = chunk else {
             return Err(EngineError::Truncated.into());
@@ -159,7 +168,10 @@
     let (preempt, preempted) = oneshot::channel();
     let queued = Input::Enqueue {
         request: queue_entry(host, request, ticket),
-        turn: Turn { start, preempt },
+        turn: Turn {
+            start: Some(start),
+            preempt: Some(preempt),
+        },
     };
     host.control
         .send(queued)
@@ -173,7 +185,8 @@
         },
         () = events.closed() => {
             host.control
-                .offer(Input::Dispatch(dispatch::Event::Cancelled { ticket, tokens: 0 }));
+                .tell(Input::Dispatch(dispatch::Event::Cancelled { ticket, tokens: 0 }))
+                .await;
             Err(GenerateError::Abandoned)
         }
     }
@@ -219,11 +232,8 @@
 async fn report_progress(host: &Host, ticket: Ticket, evidence: &Evidence, events: &Events) {
     let tokens = evidence.token_count();
     host.control
-        .offer(Input::Dispatch(dispatch::Event::Progress { ticket, tokens }));
-    send_progress(evidence, events).await;
-}
-
-async fn send_progress(evidence: &Evidence, events: &Events) {
+        .tell(Input::Dispatch(dispatch::Event::Progress { ticket, tokens }))
+        .await;
     let progress = messages::progress(evidence.proved());
     let _ = events.send(wrap(Event::Progress(progress))).await;
 }
--- /dev/null
+++ b/src/entry/messages.rs
@@ -0,0 +1,214 @@
+//! Conversions between the messages of the wire and the types of decisions.
+
+use std::{sync::Arc, time::Duration};
+
+use crate::{
+    attach::{HeldGroup, Pull, Reply},
+    engine_api::CompletionChunk,
+    evidence::{Chunk, Proved, Segment},
+    ids::Slot,
+    proto::peer,
+    sample::{self, FinishReason, Sample},
+    spec::{PromptGroup, StepSpec},
+    step::{Dispatch, Failure},
+};
+
+/// How long an attempt may take in all; the owner gives up earlier where it
+/// sees no progress.
+const ATTEMPT_TIMEOUT: Duration = Duration::from_secs(600);
+
+/// Returns `duration` in whole milliseconds.
+pub fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Returns how many tokens there are.
+pub fn count(tokens: &[u32]) -> u32 {
+    u32::try_from(tokens.len()).unwrap_or(u32::MAX)
+}
+
+/// Reads a chunk of an engine's stream.
+pub fn chunk(chunk: CompletionChunk) -> Chunk {
+    Chunk {
+        index: Some(chunk.index),
+        token_ids: chunk.token_ids,
+        weight_version: chunk.weight_version,
+        boot: (chunk.boot_id != 0).then_some(chunk.boot_id),
+        adapter: chunk.adapter.into(),
+        adapter_version: chunk.adapter_version,
+    }
+}
+
+/// Writes a segment.
+pub fn segment(segment: &Segment) -> peer::Segment {
+    peer::Segment {
+        weight_version: segment.weight_version,
+        first_token: segment.first_token,
+        token_count: segment.token_count,
+        adapter: segment.adapter.to_string(),
+        adapter_version: segment.adapter_version,
+    }
+}
+
+fn read_segment(message: peer::Segment) -> Segment {
+    Segment {
+        weight_version: message.weight_version,
+        first_token: message.first_token,
+        token_count: message.token_count,
+        adapter: message.adapter.into(),
+        adapter_version: message.adapter_version,
+    }
+}
+
+/// Reads what a request resumes from.
+pub fn proved(request: &peer::GenerateRequest) -> Proved {
+    Proved {
+        tokens: request.resume_tokens.clone(),
+        segments: request
+            .resume_segments
+            .iter()
+            .cloned()
+            .map(read_segment)
+            .collect(),
+    }
+}
+
+/// Writes what an attempt proved so far.
+pub fn progress(proved: Proved) -> peer::Progress {
+    peer::Progress {
+        segments: proved.segments.iter().map(segment).collect(),
+        tokens: proved.tokens,
+    }
+}
+
+/// Reads what an attempt proved so far.
+pub fn read_progress(message: peer::Progress) -> Proved {
+    Proved {
+        tokens: message.tokens,
+        segments: message.segments.into_iter().map(read_segment).collect(),
+    }
+}
+
+/// Reads why an attempt gave no sample.
+pub fn read_failure(message: &peer::GenerateFailure) -> Failure {
+    Failure {
+        not_run: message.not_run,
+        retry_after: Duration::from_millis(message.retry_after_ms),
+        proved: None,
+    }
+}
+
+/// Writes the request for an attempt on `engine`.
+pub fn generate_request(dispatch: &Dispatch, engine: &str) -> peer::GenerateRequest {
+    peer::GenerateRequest {
+        slot: Some(slot(&dispatch.slot)),
+        row: dispatch.slot.trainer.to_string(),
+        engine: engine.to_owned(),
+        prompt_tokens: dispatch.prompt_tokens.to_vec(),
+        max_tokens: dispatch.max_tokens,
+        priority: dispatch.priority,
+        deadline_ms: millis(ATTEMPT_TIMEOUT),
+        resume_tokens: dispatch.resume.tokens.clone(),
+        resume_segments: dispatch.resume.segments.iter().map(segment).collect(),
+        attempt: dispatch.attempt,
+        seed: dispatch.seed,
+        min_version: dispatch.min_version,
+        mixed_versions: dispatch.mixed_versions,
+        predicted_tokens: dispatch.expected_tokens,
+    }
+}
+
+fn slot(slot: &Slot) -> peer::Slot {
+    peer::Slot {
+        trainer: slot.trainer.to_string(),
+        step: slot.step,
+        group: slot.group,
+        index: slot.index,
+    }
+}
+
+/// Writes a sample.
+pub fn write_sample(sample: &Sample) -> peer::Sample {
+    peer::Sample {
+        slot: Some(slot(&sample.slot)),
+        sample_id: sample.id.to_string(),
+        tokens: sample.tokens.to_vec(),
+        segments: sample.segments.iter().map(segment).collect(),
+        engine: sample.engine.to_string(),
+        boot: sample.boot,
+        finish_reason: sample.finish_reason.to_string(),
+    }
+}
+
+/// Reads a sample that `attempt` made.
+pub fn read_sample(message: peer::Sample, attempt: u64) -> Sample {
+    let slot = message.slot.unwrap_or_default();
+    let slot = Slot {
+        trainer: slot.trainer.into(),
+        step: slot.step,
+        group: slot.group,
+        index: slot.index,
+    };
+    Sample {
+        id: sample::id(&slot, attempt),
+        slot,
+        tokens: message.tokens.into(),
+        segments: message.segments.into_iter().map(read_segment).collect(),
+        engine: message.engine.into(),
+        boot: message.boot,
+        finish_reason: message.finish_reason.parse().unwrap_or(FinishReason::Stop),
+    }
+}
+
+/// Reads a submitted step.
+pub fn read_spec(message: peer::StepSpec) -> StepSpec {
+    let groups = message.groups.into_iter().map(|group| PromptGroup {
+        group: group.group,
+        prompt_tokens: group.prompt_tokens.into(),
+        sample_count: group.sample_count,
+        max_tokens: group.max_tokens,
+    });
+    StepSpec {
+        trainer: message.trainer.into(),
+        step: message.step,
+        weight_version: message.weight_version,
+        groups: groups.collect(),
+        seed: message.seed,
+    }
+}
+
+/// Reads a pull.
+pub fn read_pull(message: peer::PullRequest) -> Pull {
+    let held = message.held.into_iter().map(|held| HeldGroup {
+        group: held.group,
+        indexes: held.indexes,
+    });
+    Pull {
+        trainer: message.trainer.into(),
+        step: message.step,
+        attach: message.attach,
+        weight_version: message.weight_version,
+        held: held.collect(),
+        max_samples: message.max_samples,
+        wait: Duration::from_millis(message.wait_ms),
+    }
+}
+
+/// Writes the answer to a pull.
+pub fn write_reply(reply: Reply, owner: &str) -> peer::PullReply {
+    let (status, samples, open_slots) = match reply {
+        Reply::Samples {
+            samples,
+            open_slots,
+        } => (peer::PullStatus::Ok, samples, open_slots),
+        Reply::StepUnknown => (peer::PullStatus::StepUnknown, Vec::new(), 0),
+        Reply::Superseded { .. } => (peer::PullStatus::Superseded, Vec::new(), 0),
+        Reply::Draining => (peer::PullStatus::Draining, Vec::new(), 0),
+    };
+    peer::PullReply {
+        status: status.into(),
+        samples: samples.iter().map(Arc::as_ref).map(write_sample).collect(),
+        open_slots,
+        owner: owner.to_owned(),
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod edit;
 pub mod ejection;
 pub mod engine_api;
+pub mod engine_watch;
 pub mod entry;
 pub mod evidence;
 pub mod exchange;
