--- a/src/blackboard.rs
+++ b/src/blackboard.rs
@@ -63,6 +63,8 @@
     Leaving,
     /// Its whole region is out of reach, so that nothing is known of it.
     Unreachable,
+    /// It answers again after it flapped, and gets no work until it is steady.
+    Damped,
 }
 
 /// One host of the service as the others see it.
--- /dev/null
+++ b/src/telemetry.rs
@@ -0,0 +1,1 @@
+//! Logs and metrics of a process.
--- /dev/null
+++ b/src/upstream_list.rs
@@ -0,0 +1,1 @@
+//! Which upstreams may be given new work.
