Prove weight versions against a model engine and test step failures

Cause: A stream that lost its last chunk looked whole after the engine crashed, which a property test against a model engine showed. Change: Chunks say whether they are the last, and evidence is whole only after that one. All tokens after the first swap of an attempt stay provisional until then. Named tests cause the failures of steps; property tests draw fixed inputs. Conclusion: Callers set Chunk::is_last from the engine's finish reason.

--- a/src/evidence.rs
+++ b/src/evidence.rs
@@ -67,9 +67,7 @@
 
     /// Says whether all segments are of the same weights.
     pub fn is_single_version(&self) -> bool {
-        self.segments
-            .windows(2)
-            .all(|pair| pair[0].has_weights_of(&pair[1]))
+        is_single_version(&self.segments)
     }
 
     /// Cuts off everything from the token at `position` on.
@@ -102,6 +100,13 @@
     segments.iter().map(Segment::policy_version).min()
 }
 
+/// Says whether all `segments` are of the same weights.
+pub fn is_single_version(segments: &[Segment]) -> bool {
+    segments
+        .windows(2)
+        .all(|pair| pair[0].has_weights_of(&pair[1]))
+}
+
 /// One chunk of an engine's stream.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Chunk {
@@ -118,6 +123,8 @@
     pub adapter: AdapterId,
     /// The version of that adapter.
     pub adapter_version: WeightVersion,
+    /// Whether the engine says that the answer is whole with this chunk.
+    pub is_last: bool,
 }
 
 /// Why the rest of a stream proves nothing.
@@ -181,6 +188,12 @@
         /// The version that never was whole.
         version: WeightVersion,
     },
+    /// The stream broke off before the engine said that the answer is whole.
+    #[error("stream broke off after {tokens} tokens")]
+    Unfinished {
+        /// Tokens that came before.
+        tokens: u32,
+    },
     /// The stream ended without a token.
     #[error("stream ended without a token")]
     Empty,
@@ -202,6 +215,7 @@
 ///         token_ids: vec![token],
 ///         weight_version: Some(version),
 ///         boot: Some(1),
+///         is_last: token == 19,
 ///         ..Chunk::default()
 ///     })?;
 /// }
@@ -216,13 +230,14 @@
     collected: Proved,
     /// Where this attempt's own tokens begin.
     resumed_at: u32,
-    /// Where the newest swap within this attempt began, which counts only once
-    /// the engine ends the answer without falling back.
+    /// Where the first swap within this attempt began. What follows counts only
+    /// once the engine ends the answer without falling back.
     swapped_at: Option<u32>,
     boot: Option<BootId>,
     /// The end of each taken chunk, by index.
     chunk_ends: Vec<u32>,
     early: BTreeMap<u32, Chunk>,
+    is_ended: bool,
     error: Option<EvidenceError>,
 }
 
@@ -246,6 +261,7 @@
             boot: None,
             chunk_ends: Vec::new(),
             early: BTreeMap::new(),
+            is_ended: false,
             error: None,
         }
     }
@@ -315,12 +331,12 @@
         self.boot
     }
 
-    /// Ends an answer that the engine says is whole.
+    /// Returns the whole sample after the last chunk.
     ///
     /// # Errors
     ///
-    /// Fails as [`Evidence::push`] did before, where a chunk is missing, and on
-    /// an answer without tokens.
+    /// Fails as [`Evidence::push`] did before, where a chunk is missing, where
+    /// the last one did not come, and on an answer without tokens.
     pub fn finish(self) -> Result<Proved, EvidenceError> {
         if let Some(error) = self.error {
             return Err(error);
@@ -329,6 +345,10 @@
             let expected = self.next_index();
             return Err(EvidenceError::Gap { expected, found });
         }
+        if !self.is_ended {
+            let tokens = self.token_count();
+            return Err(EvidenceError::Unfinished { tokens });
+        }
         if self.collected.tokens.is_empty() {
             return Err(EvidenceError::Empty);
         }
@@ -375,25 +395,34 @@
     }
 
     fn take(&mut self, chunk: &Chunk) -> Result<(), EvidenceError> {
+        self.check_boot(chunk)?;
         if !chunk.token_ids.is_empty() {
             let tag = self.check_tag(chunk)?;
             self.note_swap(&tag);
             self.collected.append(&chunk.token_ids, tag);
         }
         self.chunk_ends.push(self.collected.token_count());
+        self.is_ended |= chunk.is_last;
         Ok(())
     }
 
+    fn check_boot(&mut self, chunk: &Chunk) -> Result<(), EvidenceError> {
+        let Some(after) = chunk.boot else {
+            return Ok(());
+        };
+        let before = *self.boot.get_or_insert(after);
+        if before == after {
+            Ok(())
+        } else {
+            Err(EvidenceError::Restarted { before, after })
+        }
+    }
+
     fn check_tag(&mut self, chunk: &Chunk) -> Result<Segment, EvidenceError> {
         let token = self.collected.token_count();
-        let (Some(weight_version), Some(boot)) = (chunk.weight_version, chunk.boot) else {
+        let (Some(weight_version), Some(_)) = (chunk.weight_version, chunk.boot) else {
             return Err(EvidenceError::Untagged { token });
         };
-        let before = *self.boot.get_or_insert(boot);
-        if before != boot {
-            let after = boot;
-            return Err(EvidenceError::Restarted { before, after });
-        }
         let tag = Segment {
             weight_version,
             first_token: token,
@@ -450,7 +479,7 @@
             .last()
             .is_some_and(|last| !last.has_weights_of(tag));
         if is_swap && position > self.resumed_at {
-            self.swapped_at = Some(position);
+            self.swapped_at.get_or_insert(position);
         }
     }
 
--- a/src/sample.rs
+++ b/src/sample.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    evidence::{Proved, Segment, oldest_version},
+    evidence::{Segment, is_single_version, oldest_version},
     ids::{AttemptNumber, BootId, Slot, TokenId, UpstreamId, WeightVersion},
 };
 
@@ -142,11 +142,7 @@
                 tokens,
             });
         }
-        let proved = Proved {
-            tokens: Vec::new(),
-            segments: self.segments.to_vec(),
-        };
-        if !mixed_versions && !proved.is_single_version() {
+        if !mixed_versions && !is_single_version(&self.segments) {
             return Err(SampleError::MixedVersions);
         }
         Ok(())
--- a/src/staleness.rs
+++ b/src/staleness.rs
@@ -110,10 +110,17 @@
         1 + whole_intervals(at - due, interval)
     }
 
-    /// Returns how many versions one step adds.
-    pub fn versions_per_step(&self) -> WeightVersion {
-        let versions = self.versions_per_step.unwrap_or(DEFAULT_VERSIONS_PER_STEP);
-        versions.round().max(1.0) as WeightVersion
+    /// Returns the version that the trainer is expected to have when it first
+    /// pulls `step`, which it asked for with version `asked`.
+    pub fn version_at(&self, step: StepNumber, asked: WeightVersion) -> WeightVersion {
+        let rate = self.versions_per_step.unwrap_or(DEFAULT_VERSIONS_PER_STEP);
+        let next = asked.saturating_add(whole_versions(rate));
+        if !self.is_known || step <= self.step {
+            return next.max(self.version);
+        }
+        let steps = (step - self.step) as f64;
+        let reached = self.step_version + whole_versions(rate * steps);
+        reached.max(self.version).max(asked)
     }
 
     /// Returns when an expected change counts as overdue.
@@ -234,6 +241,10 @@
     }
 }
 
+fn whole_versions(versions: f64) -> WeightVersion {
+    versions.round() as WeightVersion
+}
+
 fn whole_intervals(span: Duration, interval: Duration) -> WeightVersion {
     (span.as_secs_f64() / interval.as_secs_f64()) as WeightVersion
 }
--- a/src/step.rs
+++ b/src/step.rs
@@ -9,26 +9,28 @@
     time::Duration,
 };
 
-use rand::{Rng as _, RngCore as _};
-
 use crate::{
     attach::{Pull, Reply},
     blackboard::Blackboard,
     clock::Timestamp,
-    controller::{self, Rng, Round},
+    controller::{self, Round},
     decision::{Decision, Kind},
     evidence::Proved,
     handover::Handover,
-    ids::{AttemptNumber, CallNumber, RowId, Slot, StepNumber, TokenId, UpstreamId, WeightVersion},
-    length::{Average, Estimator},
+    ids::{AttemptNumber, CallNumber, RowId, StepNumber, UpstreamId, WeightVersion},
     row::Row,
     sample::Sample,
     slot::Phase,
-    spec::{SpecError, StepSpec},
-    staleness::Cadence,
+    spec::StepSpec,
+    step_registry::{Registry, Turn},
     step_state::{Place, Step},
 };
 
+pub use crate::{
+    step_message::{Action, Dispatch, Event, Failure, SubmitError},
+    step_registry::{Counters, Model, StepKey},
+};
+
 /// How long a step without a pull is kept.
 pub const ABANDONED_TIMEOUT: Duration = Duration::from_secs(600);
 
@@ -40,234 +42,6 @@
 /// their submission starts no work.
 const FINISHED_STEP_COUNT: usize = 32;
 
-/// The first delay before a failed slot is dispatched again.
-const MIN_BACKOFF: Duration = Duration::from_millis(50);
-
-/// The longest such delay.
-const MAX_BACKOFF: Duration = Duration::from_secs(5);
-
-/// Why a step was not taken on.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
-pub enum SubmitError {
-    /// The step itself is at fault.
-    #[error(transparent)]
-    Spec(#[from] SpecError),
-    /// The table has no row for the trainer.
-    #[error("no row {trainer}")]
-    UnknownRow {
-        /// The trainer.
-        trainer: RowId,
-    },
-    /// The row of the trainer is switched off.
-    #[error("row {trainer} is not enabled")]
-    Disabled {
-        /// The trainer.
-        trainer: RowId,
-    },
-    /// The step is known with another content.
-    #[error("step {step} of {trainer} was submitted with another content")]
-    Conflict {
-        /// The trainer.
-        trainer: RowId,
-        /// The step.
-        step: StepNumber,
-    },
-    /// This host is stopping; another one takes the step.
-    #[error("this host is stopping")]
-    Draining,
-}
-
-/// Why an attempt ended without a sample.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Failure {
-    /// Whether the engine never took it up.
-    pub not_run: bool,
-    /// How long to wait before the next attempt.
-    pub retry_after: Duration,
-    /// What stays proved, where that is known; it replaces earlier progress.
-    pub proved: Option<Proved>,
-}
-
-/// What happened outside.
-#[derive(Clone, Debug)]
-pub enum Event {
-    /// A trainer submitted a step.
-    Submitted {
-        /// The call that [`Action::Accept`] answers.
-        call: CallNumber,
-        /// The step.
-        spec: Arc<StepSpec>,
-    },
-    /// A trainer pulled samples.
-    Pulled {
-        /// The call that [`Action::Reply`] answers.
-        call: CallNumber,
-        /// What it asked.
-        pull: Pull,
-    },
-    /// An engine took an attempt up, or went on with it.
-    Progressed {
-        /// The attempt.
-        attempt: AttemptNumber,
-        /// The engine.
-        engine: UpstreamId,
-        /// All that is proved so far, resumed tokens included.
-        proved: Proved,
-    },
-    /// An engine ended an attempt.
-    Finished {
-        /// The attempt.
-        attempt: AttemptNumber,
-        /// Its sample.
-        sample: Sample,
-    },
-    /// An attempt ended without a sample.
-    Failed {
-        /// The attempt.
-        attempt: AttemptNumber,
-        /// Why and with what left.
-        failure: Failure,
-    },
-    /// Another host owns a step from now on.
-    OwnerChanged {
-        /// The trainer.
-        trainer: RowId,
-        /// The step.
-        step: StepNumber,
-    },
-    /// An earlier owner hands a step over.
-    HandedOver(Box<Handover>),
-}
-
-/// What the code that does I/O shall do.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Action {
-    /// Answer a submission.
-    Accept {
-        /// The call.
-        call: CallNumber,
-        /// Whether the step was taken on, or was known already.
-        result: Result<(), SubmitError>,
-    },
-    /// Choose an engine and start an attempt.
-    Dispatch(Box<Dispatch>),
-    /// Stop an attempt; what still comes of it is dropped.
-    Cancel {
-        /// The attempt.
-        attempt: AttemptNumber,
-    },
-    /// Answer a pull.
-    Reply {
-        /// The call.
-        call: CallNumber,
-        /// The answer.
-        reply: Reply,
-    },
-    /// Give a step to the host that owns it now.
-    HandOver(Box<Handover>),
-}
-
-/// One attempt to start.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Dispatch {
-    /// Its number, unique over owners.
-    pub attempt: AttemptNumber,
-    /// The slot that it fills.
-    pub slot: Slot,
-    /// The prompt.
-    pub prompt_tokens: Arc<[TokenId]>,
-    /// The most tokens of the sample, resumed ones included.
-    pub max_tokens: u32,
-    /// How urgent it is within its row; higher goes first.
-    pub priority: u32,
-    /// Proved tokens to resume from.
-    pub resume: Proved,
-    /// The oldest weights that the engine may run.
-    pub min_version: WeightVersion,
-    /// Whether the sample may hold several versions.
-    pub mixed_versions: bool,
-    /// The seed of the sample, equal for all attempts at a slot.
-    pub seed: u64,
-    /// Tokens that it is expected to make.
-    pub expected_tokens: u32,
-    /// An engine to keep away from where another one will do.
-    pub avoid: Option<UpstreamId>,
-}
-
-/// Work done and work lost, since the start of the process.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Counters {
-    /// Attempts that were started.
-    pub dispatched_count: u64,
-    /// Samples put into answers; one that is pulled again counts again.
-    pub delivered_count: u64,
-    /// Whole samples that the gate at delivery refused.
-    pub stale_count: u64,
-    /// Their tokens.
-    pub stale_tokens: u64,
-    /// Times that the gate at dispatch held a step back.
-    pub deferred_count: u64,
-    /// Second attempts that were started.
-    pub hedged_count: u64,
-    /// Tokens of attempts that lost or came after the trainer held the slot.
-    pub lost_tokens: u64,
-    /// Samples that came twice or for an attempt that was given up.
-    pub unexpected_count: u64,
-    /// Samples that were at odds with what was asked for.
-    pub invalid_count: u64,
-    /// Tokens that attempts resumed from in place of making them again.
-    pub resumed_tokens: u64,
-}
-
-/// Names a step.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct StepKey {
-    /// The trainer.
-    pub trainer: RowId,
-    /// Its step.
-    pub step: StepNumber,
-}
-
-/// What was learned of a row's samples and its trainer.
-#[derive(Clone, Debug, Default)]
-pub struct Model {
-    /// How long its samples get.
-    pub lengths: Estimator,
-    /// When its trainer changes the version.
-    pub cadence: Cadence,
-    /// The time that one token takes.
-    pub token_time: Average,
-    /// The time from dispatch to the first token.
-    pub startup: Average,
-}
-
-/// Which slot an attempt is for.
-#[derive(Clone, Debug)]
-pub(crate) struct Target {
-    pub(crate) key: StepKey,
-    pub(crate) place: Place,
-}
-
-/// What all steps of the host share.
-#[derive(Debug, Default)]
-pub(crate) struct Registry {
-    pub(crate) models: BTreeMap<RowId, Model>,
-    pub(crate) attempts: BTreeMap<AttemptNumber, Target>,
-    pub(crate) counters: Counters,
-    salt: Option<u32>,
-    last_attempt: u32,
-}
-
-/// One round, as the parts of the controller see it.
-pub(crate) struct Turn<'a> {
-    pub(crate) board: &'a Blackboard,
-    pub(crate) now: Timestamp,
-    pub(crate) newest: Option<WeightVersion>,
-    pub(crate) rng: &'a mut Rng,
-    pub(crate) decisions: &'a mut Vec<Decision>,
-    pub(crate) actions: Vec<Action>,
-}
-
 /// Owns steps: fills their slots, and answers the pulls of their trainers.
 ///
 /// # Examples
@@ -302,6 +76,7 @@
             actions: Vec::new(),
         };
         self.registry.seed(turn.rng);
+        self.refresh_rows(board);
         for event in events {
             self.handle(event, &mut turn);
         }
@@ -354,7 +129,7 @@
 
     fn submit(&mut self, spec: Arc<StepSpec>, turn: &mut Turn<'_>) -> Result<(), SubmitError> {
         spec.check()?;
-        let key = key_of(&spec);
+        let key = StepKey::of(&spec);
         if let Some(known) = self.steps.get(&key) {
             if known.spec == spec {
                 return Ok(());
@@ -433,7 +208,7 @@
     }
 
     fn receive(&mut self, handover: Handover, turn: &mut Turn<'_>) {
-        let key = key_of(&handover.spec);
+        let key = StepKey::of(&handover.spec);
         if self.submit(Arc::clone(&handover.spec), turn).is_err() {
             return;
         }
@@ -472,6 +247,15 @@
         }
     }
 
+    /// Puts the table in force; a row that left it stays as it was last seen.
+    fn refresh_rows(&mut self, board: &Blackboard) {
+        for (key, step) in &mut self.steps {
+            if let Some(row) = board.rows.rows.get(&key.trainer) {
+                step.row = Arc::clone(row);
+            }
+        }
+    }
+
     /// Lets time pass for all steps.
     fn advance(&mut self, turn: &mut Turn<'_>) {
         if turn.board.draining {
@@ -487,9 +271,6 @@
             let Some(step) = self.steps.get_mut(&key) else {
                 continue;
             };
-            if let Some(row) = turn.board.rows.rows.get(&key.trainer) {
-                step.row = Arc::clone(row);
-            }
             let running = running.entry(Arc::clone(&key.trainer)).or_default();
             step.watch(&key, &mut self.registry, turn);
             step.dispatch(&key, running, &mut self.registry, turn);
@@ -575,44 +356,6 @@
     }
 }
 
-impl Registry {
-    /// Draws the part of attempt numbers that tells owners apart.
-    fn seed(&mut self, rng: &mut Rng) {
-        self.salt.get_or_insert_with(|| rng.next_u32());
-    }
-
-    pub(crate) fn next_attempt(&mut self) -> AttemptNumber {
-        self.last_attempt = self.last_attempt.wrapping_add(1);
-        let salt = u64::from(self.salt.unwrap_or_default());
-        (salt << 32) | u64::from(self.last_attempt)
-    }
-
-    pub(crate) fn model(&mut self, row: &RowId) -> &mut Model {
-        self.models.entry(Arc::clone(row)).or_default()
-    }
-}
-
-/// Returns the delay before a slot is tried again, spread at random so that
-/// slots which failed together do not return together.
-pub(crate) fn backoff(failure_count: u8, retry_after: Duration, rng: &mut Rng) -> Duration {
-    let exponent = u32::from(failure_count.min(10));
-    let ceiling = MIN_BACKOFF.saturating_mul(1 << exponent).min(MAX_BACKOFF);
-    retry_after + ceiling.mul_f64(rng.random_range(0.5..1.0))
-}
-
-impl std::fmt::Display for StepKey {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(f, "{}/{}", self.trainer, self.step)
-    }
-}
-
-fn key_of(spec: &StepSpec) -> StepKey {
-    StepKey {
-        trainer: Arc::clone(&spec.trainer),
-        step: spec.step,
-    }
-}
-
 fn find_row(board: &Blackboard, trainer: &RowId) -> Result<Arc<Row>, SubmitError> {
     let row = board.rows.rows.get(trainer);
     let row = row.ok_or_else(|| SubmitError::UnknownRow {
--- a/src/step_delivery.rs
+++ b/src/step_delivery.rs
@@ -9,7 +9,8 @@
     sample::Sample,
     slot::Phase,
     staleness::{age_versions, is_deliverable},
-    step::{Action, Registry, Turn},
+    step_message::Action,
+    step_registry::{Registry, Turn},
     step_state::{Place, Step},
 };
 
--- a/src/step_dispatch.rs
+++ b/src/step_dispatch.rs
@@ -6,16 +6,13 @@
     clock::Timestamp,
     decision::{Decision, Kind},
     evidence::Proved,
-    ids::{AttemptNumber, UpstreamId, WeightVersion},
-    sample::Sample,
+    ids::{UpstreamId, WeightVersion},
     slot::{Attempt, Phase, Race},
     staleness::{Forecast, Margin, Verdict, judge},
-    step::{Action, Dispatch, Failure, Model, Registry, StepKey, Target, Turn, backoff},
+    step_message::{Action, Dispatch},
+    step_registry::{Model, Registry, StepKey, Target, Turn},
     step_state::{Place, Step},
-    straggler::{
-        Advice, DEFAULT_STARTUP, DEFAULT_TOKEN_TIME, Norm, SILENCE_TIMEOUT, advise,
-        hedge_budget_count,
-    },
+    straggler::{DEFAULT_STARTUP, DEFAULT_TOKEN_TIME, Norm},
 };
 
 /// The most attempts that one step starts in one round.
@@ -28,10 +25,10 @@
 const PULL_PATIENCE: Duration = Duration::from_secs(60);
 
 /// What is expected of an attempt that is about to start.
-struct Plan {
-    resume: Proved,
-    expected_tokens: u32,
-    forecast: Forecast,
+pub(crate) struct Plan {
+    pub(crate) resume: Proved,
+    pub(crate) expected_tokens: u32,
+    pub(crate) forecast: Forecast,
 }
 
 impl Step {
@@ -73,7 +70,7 @@
             let plan = self.plan(place, registry.model(&key.trainer), turn);
             match self.judge(&plan, registry, turn) {
                 Verdict::Dispatch { min_version } => {
-                    self.start(key, place, plan, min_version, registry, turn);
+                    self.start(place, plan, min_version, registry, turn);
                     *running += 1;
                     started += 1;
                 }
@@ -82,150 +79,6 @@
         }
     }
 
-    /// Cancels silent attempts, and hedges the slowest of the tail.
-    pub(crate) fn watch(&mut self, key: &StepKey, registry: &mut Registry, turn: &mut Turn<'_>) {
-        for place in 0..self.slots().len() {
-            let Phase::Running(race) = &self.slots()[place].phase else {
-                continue;
-            };
-            let silence = turn.now.saturating_sub(race.first.progressed_at);
-            let standing = self.standing(place);
-            if silence < SILENCE_TIMEOUT && !(standing.is_pulled && standing.is_tail()) {
-                continue;
-            }
-            let model = registry.model(&key.trainer);
-            let norm = norm(model);
-            let remaining = self.remaining_tokens(place, &race.first.proved, model);
-            let advice = advise(race.first.runner(remaining), standing, norm, turn.now);
-            match advice {
-                Advice::Keep => {}
-                Advice::Hedge => self.hedge(key, place, registry, turn),
-                Advice::Resume => self.resume_elsewhere(place, registry, turn),
-            }
-        }
-    }
-
-    /// Takes in how far an attempt has come.
-    pub(crate) fn progress(
-        &mut self,
-        place: Place,
-        number: AttemptNumber,
-        engine: UpstreamId,
-        proved: Proved,
-        registry: &mut Registry,
-        turn: &mut Turn<'_>,
-    ) {
-        let Phase::Running(race) = &mut self.slot_mut(place).phase else {
-            return;
-        };
-        let Some(attempt) = race.attempt_mut(number) else {
-            return;
-        };
-        let is_first = attempt.started_at.is_none();
-        let dispatched_at = attempt.dispatched_at;
-        attempt.engine = Some(engine);
-        attempt.started_at.get_or_insert(turn.now);
-        attempt.progressed_at = turn.now;
-        if proved.tokens.len() > attempt.proved.tokens.len() {
-            attempt.proved = proved;
-        }
-        let waiting: Vec<_> = race
-            .attempts()
-            .filter(|other| other.number != number && other.started_at.is_none())
-            .map(|other| other.number)
-            .collect();
-        if is_first {
-            let startup = turn.now.saturating_sub(dispatched_at);
-            registry.model(&self.spec.trainer).startup.observe(startup);
-        }
-        for other in waiting {
-            self.drop_attempt(place, other, registry, turn);
-        }
-    }
-
-    /// Takes in a whole sample, unless it is at odds with what was asked for.
-    pub(crate) fn finish(
-        &mut self,
-        place: Place,
-        number: AttemptNumber,
-        sample: Sample,
-        registry: &mut Registry,
-        turn: &mut Turn<'_>,
-    ) {
-        let slot = self.slot_id(place);
-        let max_tokens = self.group_of(place).prompt.max_tokens;
-        if let Err(error) = sample.check(&slot, max_tokens, self.row.mixed_versions) {
-            registry.counters.invalid_count += 1;
-            turn.decisions.push(
-                Decision::new(
-                    Kind::Sample,
-                    turn.now,
-                    format!("refused as invalid: {error}"),
-                )
-                .about(slot.to_string()),
-            );
-            let failure = Failure {
-                proved: Some(Proved::default()),
-                ..Failure::default()
-            };
-            self.fail(place, number, failure, registry, turn);
-            return;
-        }
-        self.learn(place, number, &sample, registry, turn.now);
-        self.end_race(place, number, registry, turn);
-        if !self.passes(&sample) {
-            self.refuse_stale(place, &sample, registry, turn);
-            return;
-        }
-        turn.decisions.push(
-            Decision::new(Kind::Sample, turn.now, "buffered")
-                .about(&*sample.id)
-                .figure("sample_tokens", f64::from(sample.token_count()))
-                .figure("segments_count", sample.segments.len() as f64),
-        );
-        self.ready_since.get_or_insert(turn.now);
-        self.slot_mut(place).failure_count = 0;
-        self.set_phase(place, Phase::Ready(Arc::new(sample)));
-    }
-
-    /// Takes in that an attempt ended without a sample.
-    pub(crate) fn fail(
-        &mut self,
-        place: Place,
-        number: AttemptNumber,
-        failure: Failure,
-        registry: &mut Registry,
-        turn: &mut Turn<'_>,
-    ) {
-        registry.attempts.remove(&number);
-        let Phase::Running(race) = self.set_phase(place, Phase::Open(None)) else {
-            return;
-        };
-        let Some(failed) = race.attempts().find(|attempt| attempt.number == number) else {
-            self.set_phase(place, Phase::Running(race));
-            return;
-        };
-        let engine = failed.engine.clone();
-        let proved = failure.proved.unwrap_or_else(|| failed.proved.clone());
-        turn.decisions.push(
-            Decision::new(Kind::Sample, turn.now, "attempt failed")
-                .about(self.slot_id(place).to_string())
-                .figure("not_run_count", f64::from(u8::from(failure.not_run)))
-                .figure("proved_tokens", proved.tokens.len() as f64)
-                .figure("retry_after_ms", failure.retry_after.as_millis() as f64),
-        );
-        if let Some(rest) = race.without(number) {
-            self.set_phase(place, Phase::Running(Box::new(rest)));
-            return;
-        }
-        self.set_phase(place, Phase::Open(Some(Box::new(proved))));
-        let slot = self.slot_mut(place);
-        let delay = backoff(slot.failure_count, failure.retry_after, turn.rng);
-        slot.not_before = turn.now.saturating_add(delay);
-        slot.failure_count = slot.failure_count.saturating_add(1);
-        slot.avoid = engine;
-    }
-
     /// Says whether a trainer may still want what is dispatched now.
     fn is_wanted(&self, now: Timestamp) -> bool {
         let is_recent = |at: Timestamp| now.saturating_sub(at) < PULL_PATIENCE;
@@ -250,7 +103,13 @@
         self.plan_from(place, Proved::default(), model, turn)
     }
 
-    fn plan_from(&self, place: Place, resume: Proved, model: &Model, turn: &Turn<'_>) -> Plan {
+    pub(crate) fn plan_from(
+        &self,
+        place: Place,
+        resume: Proved,
+        model: &Model,
+        turn: &Turn<'_>,
+    ) -> Plan {
         let norm = norm(model);
         let expected_tokens = self.remaining_tokens(place, &resume, model);
         let duration = norm.startup + norm.token_time * expected_tokens;
@@ -269,7 +128,9 @@
         let stated = self.stated_version();
         let expected = match self.attachment.pulled_at {
             Some(_) => stated + gain,
-            None => stated.max(cadence.version()) + gain.max(cadence.versions_per_step()),
+            None => cadence
+                .version_at(self.spec.step, stated)
+                .max(stated + gain),
         };
         Forecast {
             stated,
@@ -280,7 +141,7 @@
     }
 
     /// Says whether the tokens that an attempt would resume from may stay.
-    fn can_resume(&self, plan: &Plan) -> bool {
+    pub(crate) fn can_resume(&self, plan: &Plan) -> bool {
         let Some(oldest) = plan.resume.oldest_version() else {
             return true;
         };
@@ -316,7 +177,6 @@
     /// Starts the only attempt of an open slot.
     fn start(
         &mut self,
-        key: &StepKey,
         place: Place,
         plan: Plan,
         min_version: WeightVersion,
@@ -324,7 +184,7 @@
         turn: &mut Turn<'_>,
     ) {
         let avoid = self.slot_mut(place).avoid.take();
-        let attempt = self.send(key, place, plan, min_version, avoid, registry, turn);
+        let attempt = self.send(place, plan, min_version, avoid, registry, turn);
         let race = Race {
             first: attempt,
             second: None,
@@ -332,47 +192,9 @@
         self.set_phase(place, Phase::Running(Box::new(race)));
     }
 
-    /// Starts a second attempt beside the one that runs, within the budget.
-    fn hedge(&mut self, key: &StepKey, place: Place, registry: &mut Registry, turn: &mut Turn<'_>) {
-        let budget = hedge_budget_count(&self.row, self.slot_count());
-        let Phase::Running(race) = &self.slots()[place].phase else {
-            return;
-        };
-        if race.second.is_some() || self.hedge_count >= budget {
-            return;
-        }
-        let resume = race.first.proved.clone();
-        let avoid = race.first.engine.clone();
-        let model = registry.model(&key.trainer);
-        let mut plan = self.plan_from(place, resume, model, turn);
-        if !self.can_resume(&plan) {
-            plan = self.plan_from(place, Proved::default(), model, turn);
-        }
-        let Verdict::Dispatch { min_version } = judge(plan.forecast) else {
-            return;
-        };
-        self.hedge_count += 1;
-        registry.counters.hedged_count += 1;
-        turn.decisions.push(
-            Decision::new(Kind::Sample, turn.now, "hedged")
-                .about(self.slot_id(place).to_string())
-                .figure("hedges_count", f64::from(self.hedge_count))
-                .figure("budget_count", f64::from(budget))
-                .figure("expected_tokens", f64::from(plan.expected_tokens)),
-        );
-        let attempt = self.send(key, place, plan, min_version, avoid, registry, turn);
-        if let Phase::Running(race) = &mut self.slot_mut(place).phase {
-            race.second = Some(attempt);
-        }
-    }
-
-    #[expect(
-        clippy::too_many_arguments,
-        reason = "an attempt is named by its slot and made from its plan"
-    )]
-    fn send(
+    /// Asks for an attempt.
+    pub(crate) fn send(
         &self,
-        key: &StepKey,
         place: Place,
         plan: Plan,
         min_version: WeightVersion,
@@ -410,104 +232,12 @@
             expected_tokens: plan.expected_tokens,
             avoid,
         })));
-        let key = key.clone();
+        let key = StepKey::of(&self.spec);
         registry.attempts.insert(number, Target { key, place });
         attempt
     }
 
-    /// Cancels what runs for a slot and opens it, with the tokens so far.
-    fn resume_elsewhere(&mut self, place: Place, registry: &mut Registry, turn: &mut Turn<'_>) {
-        let Phase::Running(race) = self.set_phase(place, Phase::Open(None)) else {
-            return;
-        };
-        for attempt in race.attempts() {
-            registry.attempts.remove(&attempt.number);
-            let attempt = attempt.number;
-            turn.actions.push(Action::Cancel { attempt });
-        }
-        let first = race.first;
-        let silence = turn.now.saturating_sub(first.progressed_at);
-        turn.decisions.push(
-            Decision::new(Kind::Sample, turn.now, "resumed elsewhere")
-                .about(self.slot_id(place).to_string())
-                .figure("silence_ms", silence.as_millis() as f64)
-                .figure("proved_tokens", first.proved.tokens.len() as f64),
-        );
-        self.set_phase(place, Phase::Open(Some(Box::new(first.proved))));
-        self.slot_mut(place).avoid = first.engine;
-    }
-
-    /// Stops the attempts that lost to `winner`.
-    fn end_race(
-        &mut self,
-        place: Place,
-        winner: AttemptNumber,
-        registry: &mut Registry,
-        turn: &mut Turn<'_>,
-    ) {
-        registry.attempts.remove(&winner);
-        let Phase::Running(race) = &self.slots()[place].phase else {
-            return;
-        };
-        let losers: Vec<_> = race
-            .attempts()
-            .filter(|attempt| attempt.number != winner)
-            .map(|attempt| attempt.number)
-            .collect();
-        for loser in losers {
-            self.drop_attempt(place, loser, registry, turn);
-        }
-    }
-
-    /// Cancels one of two attempts and counts its tokens as lost.
-    fn drop_attempt(
-        &mut self,
-        place: Place,
-        number: AttemptNumber,
-        registry: &mut Registry,
-        turn: &mut Turn<'_>,
-    ) {
-        let Phase::Running(race) = &mut self.slot_mut(place).phase else {
-            return;
-        };
-        if let Some(attempt) = race.attempt_mut(number) {
-            registry.counters.lost_tokens += u64::from(attempt.generated_tokens());
-        }
-        if let Some(rest) = race.as_ref().clone().without(number) {
-            **race = rest;
-        }
-        registry.attempts.remove(&number);
-        let attempt = number;
-        turn.actions.push(Action::Cancel { attempt });
-    }
-
-    /// Learns the row's lengths and speed from a whole sample.
-    fn learn(
-        &mut self,
-        place: Place,
-        number: AttemptNumber,
-        sample: &Sample,
-        registry: &mut Registry,
-        now: Timestamp,
-    ) {
-        let tokens = sample.token_count();
-        self.observe_length(place, tokens);
-        let model = registry.model(&self.spec.trainer);
-        model.lengths.observe(tokens);
-        let Phase::Running(race) = &mut self.slot_mut(place).phase else {
-            return;
-        };
-        let Some(attempt) = race.attempt_mut(number) else {
-            return;
-        };
-        let own_tokens = tokens.saturating_sub(attempt.resumed_tokens);
-        if let (Some(started_at), 1..) = (attempt.started_at, own_tokens) {
-            let time = now.saturating_sub(started_at);
-            model.token_time.observe(time / own_tokens);
-        }
-    }
-
-    fn remaining_tokens(&self, place: Place, proved: &Proved, model: &Model) -> u32 {
+    pub(crate) fn remaining_tokens(&self, place: Place, proved: &Proved, model: &Model) -> u32 {
         let group = self.group_of(place);
         let generated = u32::try_from(proved.tokens.len()).unwrap_or(u32::MAX);
         model
@@ -517,7 +247,7 @@
 }
 
 /// Returns what attempts of a row usually take.
-fn norm(model: &Model) -> Norm {
+pub(crate) fn norm(model: &Model) -> Norm {
     Norm {
         token_time: model.token_time.mean_or(DEFAULT_TOKEN_TIME),
         startup: model.startup.mean_or(DEFAULT_STARTUP),
--- /dev/null
+++ b/src/step_registry.rs
@@ -0,0 +1,139 @@
+//! What all steps of one host share.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use rand::{Rng as _, RngCore as _};
+
+use crate::{
+    blackboard::Blackboard,
+    clock::Timestamp,
+    controller::Rng,
+    decision::Decision,
+    ids::{AttemptNumber, RowId, StepNumber, WeightVersion},
+    length::{Average, Estimator},
+    spec::StepSpec,
+    staleness::Cadence,
+    step_message::Action,
+    step_state::Place,
+};
+
+/// The first delay before a failed slot is dispatched again.
+const MIN_BACKOFF: Duration = Duration::from_millis(50);
+
+/// The longest such delay.
+const MAX_BACKOFF: Duration = Duration::from_secs(5);
+
+/// Work done and work lost, since the start of the process.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counters {
+    /// Attempts that were started.
+    pub dispatched_count: u64,
+    /// Samples put into answers; one that is pulled again counts again.
+    pub delivered_count: u64,
+    /// Whole samples that the gate at delivery refused.
+    pub stale_count: u64,
+    /// Their tokens.
+    pub stale_tokens: u64,
+    /// Times that the gate at dispatch held a step back.
+    pub deferred_count: u64,
+    /// Second attempts that were started.
+    pub hedged_count: u64,
+    /// Tokens of attempts that lost or came after the trainer held the slot.
+    pub lost_tokens: u64,
+    /// Samples that came twice or for an attempt that was given up.
+    pub unexpected_count: u64,
+    /// Samples that were at odds with what was asked for.
+    pub invalid_count: u64,
+    /// Tokens that attempts resumed from in place of making them again.
+    pub resumed_tokens: u64,
+}
+
+/// Names a step.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct StepKey {
+    /// The trainer.
+    pub trainer: RowId,
+    /// Its step.
+    pub step: StepNumber,
+}
+
+/// What was learned of a row's samples and its trainer.
+#[derive(Clone, Debug, Default)]
+pub struct Model {
+    /// How long its samples get.
+    pub lengths: Estimator,
+    /// When its trainer changes the version.
+    pub cadence: Cadence,
+    /// The time that one token takes.
+    pub token_time: Average,
+    /// The time from dispatch to the first token.
+    pub startup: Average,
+}
+
+/// Which slot an attempt is for.
+#[derive(Clone, Debug)]
+pub(crate) struct Target {
+    pub(crate) key: StepKey,
+    pub(crate) place: Place,
+}
+
+/// What all steps of the host share.
+#[derive(Debug, Default)]
+pub(crate) struct Registry {
+    pub(crate) models: BTreeMap<RowId, Model>,
+    pub(crate) attempts: BTreeMap<AttemptNumber, Target>,
+    pub(crate) counters: Counters,
+    salt: Option<u32>,
+    last_attempt: u32,
+}
+
+/// One round, as the parts of the controller see it.
+pub(crate) struct Turn<'a> {
+    pub(crate) board: &'a Blackboard,
+    pub(crate) now: Timestamp,
+    pub(crate) newest: Option<WeightVersion>,
+    pub(crate) rng: &'a mut Rng,
+    pub(crate) decisions: &'a mut Vec<Decision>,
+    pub(crate) actions: Vec<Action>,
+}
+
+impl Registry {
+    /// Draws the part of attempt numbers that tells owners apart.
+    pub(crate) fn seed(&mut self, rng: &mut Rng) {
+        self.salt.get_or_insert_with(|| rng.next_u32());
+    }
+
+    pub(crate) fn next_attempt(&mut self) -> AttemptNumber {
+        self.last_attempt = self.last_attempt.wrapping_add(1);
+        let salt = u64::from(self.salt.unwrap_or_default());
+        (salt << 32) | u64::from(self.last_attempt)
+    }
+
+    pub(crate) fn model(&mut self, row: &RowId) -> &mut Model {
+        self.models.entry(Arc::clone(row)).or_default()
+    }
+}
+
+/// Returns the delay before a slot is tried again, spread at random so that
+/// slots which failed together do not return together.
+pub(crate) fn backoff(failure_count: u8, retry_after: Duration, rng: &mut Rng) -> Duration {
+    let exponent = u32::from(failure_count.min(10));
+    let ceiling = MIN_BACKOFF.saturating_mul(1 << exponent).min(MAX_BACKOFF);
+    retry_after + ceiling.mul_f64(rng.random_range(0.5..1.0))
+}
+
+impl StepKey {
+    /// Returns the name of the step that `spec` asks for.
+    pub fn of(spec: &StepSpec) -> Self {
+        Self {
+            trainer: Arc::clone(&spec.trainer),
+            step: spec.step,
+        }
+    }
+}
+
+impl std::fmt::Display for StepKey {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}/{}", self.trainer, self.step)
+    }
+}
--- /dev/null
+++ b/tests/step_support/mod.rs
@@ -0,0 +1,257 @@
+//! A trainer and owners of its steps, in virtual time.
+
+#![expect(dead_code, reason = "each test file uses its own part")]
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use mimosavane::{
+    Blackboard, Controller as _, Row,
+    attach::{HeldGroup, Pull, Reply},
+    blackboard::EngineReport,
+    clock::Timestamp,
+    controller::{Rng, Round},
+    decision::Decision,
+    evidence::{Proved, Segment},
+    ids::WeightVersion,
+    sample::{FinishReason, Sample, id},
+    spec::{PromptGroup, StepSpec},
+    step::{Action, Controller, Dispatch, Event},
+};
+use rand::SeedableRng;
+
+pub const STEP: u64 = 3;
+
+/// A host that owns steps.
+pub struct Owner {
+    pub controller: Controller,
+    pub board: Blackboard,
+    pub decisions: Vec<Decision>,
+    /// Attempts that were started and neither ended nor cancelled.
+    pub works: BTreeMap<u64, Dispatch>,
+    rng: Rng,
+}
+
+impl Owner {
+    pub fn new(seed: u64, row: Row) -> Self {
+        let mut owner = Self {
+            controller: Controller::default(),
+            board: Blackboard::default(),
+            decisions: Vec::new(),
+            works: BTreeMap::new(),
+            rng: Rng::seed_from_u64(seed),
+        };
+        owner.set_row(row);
+        owner.set_newest(40);
+        owner
+    }
+
+    pub fn set_row(&mut self, row: Row) {
+        let rows = Arc::make_mut(&mut self.board.rows);
+        rows.rows.insert(Arc::clone(&row.id), Arc::new(row));
+    }
+
+    pub fn set_newest(&mut self, weight_version: WeightVersion) {
+        let report = EngineReport {
+            weight_version,
+            ..EngineReport::default()
+        };
+        let engines = Arc::make_mut(&mut self.board.engines);
+        engines.reports.insert("engine-0".into(), report);
+    }
+
+    pub fn run(&mut self, now: Timestamp, events: impl IntoIterator<Item = Event>) -> Vec<Action> {
+        let round = Round {
+            board: &mut self.board,
+            now,
+            rng: &mut self.rng,
+            decisions: &mut self.decisions,
+        };
+        let actions = self.controller.run(events, round);
+        for work in dispatches(&actions) {
+            self.works.insert(work.attempt, work);
+        }
+        for attempt in cancels(&actions) {
+            self.works.remove(&attempt);
+        }
+        actions
+    }
+
+    /// Ends all attempts with samples of one version.
+    pub fn finish_all(&mut self, now: Timestamp, version: u64) -> Vec<Action> {
+        let works = std::mem::take(&mut self.works);
+        let events: Vec<_> = works.values().map(|work| finished(work, version)).collect();
+        self.run(now, events)
+    }
+
+    pub fn submit(&mut self, now: Timestamp, spec: &StepSpec) -> Vec<Action> {
+        let spec = Arc::new(spec.clone());
+        self.run(now, [Event::Submitted { call: 1, spec }])
+    }
+
+    pub fn pull(&mut self, now: Timestamp, pull: Pull) -> Vec<Action> {
+        let call = pull.attach;
+        self.run(now, [Event::Pulled { call, pull }])
+    }
+
+    pub fn finish(&mut self, now: Timestamp, work: &Dispatch, version: u64) -> Vec<Action> {
+        self.run(now, [finished(work, version)])
+    }
+
+    pub fn decided(&self, what: &str) -> usize {
+        let found = self.decisions.iter().filter(|one| &*one.what == what);
+        found.count()
+    }
+}
+
+/// A trainer that takes only the answer to its latest pull.
+pub struct Trainer {
+    pub held: BTreeMap<(u32, u32), Arc<str>>,
+    pub attach: u64,
+    pub version: WeightVersion,
+    pub bound: WeightVersion,
+}
+
+impl Trainer {
+    pub fn new() -> Self {
+        Self {
+            held: BTreeMap::new(),
+            attach: 0,
+            version: 40,
+            bound: 2,
+        }
+    }
+
+    pub fn pull(&mut self) -> Pull {
+        self.attach += 1;
+        let mut held: BTreeMap<u32, Vec<u32>> = BTreeMap::new();
+        for &(group, index) in self.held.keys() {
+            held.entry(group).or_default().push(index);
+        }
+        Pull {
+            trainer: "guides".into(),
+            step: STEP,
+            attach: self.attach,
+            weight_version: self.version,
+            held: held
+                .into_iter()
+                .map(|(group, indexes)| HeldGroup { group, indexes })
+                .collect(),
+            max_samples: 64,
+            wait: Duration::from_secs(10),
+        }
+    }
+
+    /// Takes an answer, and fails the test on a slot that it has already.
+    pub fn take(&mut self, actions: &[Action]) -> usize {
+        let mut taken = 0;
+        for action in actions {
+            let Action::Reply { call, reply } = action else {
+                continue;
+            };
+            let Reply::Samples { samples, .. } = reply else {
+                continue;
+            };
+            if *call != self.attach {
+                continue;
+            }
+            for sample in samples {
+                let oldest = sample.oldest_version();
+                assert!(self.version.saturating_sub(oldest) <= self.bound, "stale");
+                let place = (sample.slot.group, sample.slot.index);
+                let known = self.held.insert(place, Arc::clone(&sample.id));
+                assert_eq!(known, None, "a slot came twice");
+                taken += 1;
+            }
+        }
+        taken
+    }
+}
+
+pub fn spec(groups: u32, samples: u32) -> StepSpec {
+    let prompt = |group| PromptGroup {
+        group,
+        prompt_tokens: [1, 2, 3].into(),
+        sample_count: samples,
+        max_tokens: 512,
+    };
+    StepSpec {
+        trainer: "guides".into(),
+        step: STEP,
+        weight_version: 40,
+        groups: (0..groups).map(prompt).collect(),
+        seed: 7,
+    }
+}
+
+pub fn at(seconds: f64) -> Timestamp {
+    Duration::from_secs_f64(seconds)
+}
+
+pub fn dispatches(actions: &[Action]) -> Vec<Dispatch> {
+    let dispatch = |action: &Action| match action {
+        Action::Dispatch(dispatch) => Some(dispatch.as_ref().clone()),
+        _ => None,
+    };
+    actions.iter().filter_map(dispatch).collect()
+}
+
+pub fn cancels(actions: &[Action]) -> Vec<u64> {
+    let cancel = |action: &Action| match action {
+        Action::Cancel { attempt } => Some(*attempt),
+        _ => None,
+    };
+    actions.iter().filter_map(cancel).collect()
+}
+
+pub fn replies(actions: &[Action]) -> Vec<Reply> {
+    let reply = |action: &Action| match action {
+        Action::Reply { reply, .. } => Some(reply.clone()),
+        _ => None,
+    };
+    actions.iter().filter_map(reply).collect()
+}
+
+pub fn proved(tokens: u32, weight_version: WeightVersion) -> Proved {
+    Proved {
+        tokens: (0..tokens).collect(),
+        segments: vec![segment(0, tokens, weight_version)],
+    }
+}
+
+pub fn segment(first_token: u32, token_count: u32, weight_version: WeightVersion) -> Segment {
+    Segment {
+        weight_version,
+        first_token,
+        token_count,
+        adapter: "".into(),
+        adapter_version: 0,
+    }
+}
+
+pub fn sample(work: &Dispatch, version: WeightVersion) -> Sample {
+    let proved = proved(100, version);
+    Sample {
+        slot: work.slot.clone(),
+        id: id(&work.slot, work.attempt),
+        tokens: proved.tokens.into(),
+        segments: proved.segments.into(),
+        engine: "engine-0".into(),
+        boot: 1,
+        finish_reason: FinishReason::Stop,
+    }
+}
+
+pub fn finished(work: &Dispatch, version: WeightVersion) -> Event {
+    Event::Finished {
+        attempt: work.attempt,
+        sample: sample(work, version),
+    }
+}
+
+pub fn progressed(work: &Dispatch, engine: &str, tokens: u32, version: u64) -> Event {
+    Event::Progressed {
+        attempt: work.attempt,
+        engine: engine.into(),
+        proved: proved(tokens, version),
+    }
+}
