--- a/src/blackboard.rs
+++ b/src/blackboard.rs
@@ -229,6 +229,8 @@
 pub struct Served {
     /// The counts by row and by counting host.
     pub counts: BTreeMap<RowId, BTreeMap<HostId, ServedCount>>,
+    /// The counts of the whole fleet by row.
+    pub fleet: BTreeMap<RowId, ServedCount>,
 }
 
 /// Whether the platform's table service answers.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod clock;
 pub mod concurrency;
 pub mod controller;
+pub mod correction;
 pub mod datagram;
 pub mod decision;
 pub mod dispatch;
