--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod concurrency;
 pub mod connection;
 pub mod controller;
+pub mod correction;
 pub mod datagram;
 pub mod decision;
 pub mod dispatch;
