Test the call path over real sockets and claims under random schedules

Cause: each way in which a call can fail must lead to a truthful outcome. Change: stand-ins for upstreams and the claim store, focused tests, properties.

--- a/src/claim.rs
+++ b/src/claim.rs
@@ -85,7 +85,7 @@
 pub enum Expected {
     /// No claim with the key.
     Absent,
-    /// The claim of this attempt, with [`Record::NotRun`].
+    /// The claim of this attempt, with [`Record::NotRun`], or none any more.
     NotRun(AttemptId),
 }
 
--- /dev/null
+++ b/tests/attempt.rs
@@ -0,0 +1,87 @@
+//! What may be said of an attempt after any course of events.
+
+use mimosavane::attempt::{Attempt, Event, Outcome, Reason, State};
+
+const EVENTS: [Event; 8] = [
+    Event::Handed,
+    Event::HandedBack,
+    Event::Written,
+    Event::Head,
+    Event::End,
+    Event::Refusal,
+    Event::Failure(Reason::ConnectionLost),
+    Event::Failure(Reason::DeadlinePassed),
+];
+
+fn after(events: &[Event]) -> Attempt {
+    let mut attempt = Attempt::default();
+    for event in events {
+        attempt.apply(*event);
+    }
+    attempt
+}
+
+#[test]
+fn not_run_true() {
+    bolero::check!()
+        .with_iterations(5_000)
+        .with_type::<Vec<u8>>()
+        .for_each(|bytes| {
+            let mut attempt = Attempt::default();
+            let mut may_have_left = false;
+            let mut has_head = false;
+            for byte in bytes {
+                let event = EVENTS[usize::from(*byte) % EVENTS.len()];
+                let before = attempt;
+                attempt.apply(event);
+                if before.outcome().is_some() {
+                    assert_eq!(attempt, before, "an outcome never changes");
+                    continue;
+                }
+                match (before.state(), event) {
+                    (State::NotSent, Event::Handed) => may_have_left = true,
+                    (State::Sending, Event::HandedBack) => may_have_left = false,
+                    (State::Sending | State::Sent, Event::Head) => has_head = true,
+                    _ => {}
+                }
+                match attempt.outcome() {
+                    Some(Outcome::NotRun(_)) => {
+                        assert!(!may_have_left || event == Event::Refusal);
+                    }
+                    Some(Outcome::Unknown(_)) => assert!(may_have_left),
+                    Some(Outcome::Answered) => assert!(has_head && event == Event::End),
+                    None => {}
+                }
+            }
+        });
+}
+
+#[test]
+fn half_written() {
+    let attempt = after(&[Event::Handed, Event::Failure(Reason::ConnectionLost)]);
+    let expected = Outcome::Unknown(Reason::ConnectionLost);
+    assert_eq!(attempt.outcome(), Some(expected));
+}
+
+#[test]
+fn handed_back() {
+    let attempt = after(&[
+        Event::Handed,
+        Event::HandedBack,
+        Event::Failure(Reason::ClosedBeforeSend),
+    ]);
+    let expected = Outcome::NotRun(Reason::ClosedBeforeSend);
+    assert_eq!(attempt.outcome(), Some(expected));
+}
+
+#[test]
+fn early_answer() {
+    let attempt = after(&[Event::Handed, Event::Head, Event::End]);
+    assert_eq!(attempt.outcome(), Some(Outcome::Answered));
+}
+
+#[test]
+fn end_without_head() {
+    let attempt = after(&[Event::Handed, Event::Written, Event::End]);
+    assert_eq!(attempt.state(), State::Sent);
+}
--- /dev/null
+++ b/tests/call.rs
@@ -0,0 +1,318 @@
+//! The call path over real sockets against an upstream that fails.
+
+mod doubles;
+
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use doubles::{
+    Host,
+    claims::{Claims, Fault},
+    get, host, host_speaking, keyed, post,
+    upstream::{self, Frame, Manner},
+};
+use http::Request;
+use http_body_util::BodyExt;
+use hyper::{server::conn::http1, service::service_fn};
+use hyper_util::rt::TokioIo;
+use mimosavane::connection::Protocol;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+};
+
+async fn host_before(manner: Manner) -> (Host, upstream::Fake) {
+    let fake = upstream::spawn(manner).await;
+    (host(&[fake.address], &Claims::default()), fake)
+}
+
+#[tokio::test]
+async fn whole_answer() {
+    let (host, fake) = host_before(Manner::Answer).await;
+    for _ in 0..3 {
+        let answer = host.outcome(post("one lunch")).await;
+        assert_eq!(answer, (200, "answered".into(), Some("one lunch".into())));
+    }
+    assert_eq!(fake.run_count(), 3);
+    assert_eq!(fake.connections.load(Ordering::SeqCst), 1);
+}
+
+#[tokio::test]
+async fn error_answer() {
+    let (host, _fake) = host_before(Manner::AnswerError).await;
+    let answer = host.outcome(post("one lunch")).await;
+    assert_eq!(answer, (500, "answered".into(), Some("no".into())));
+}
+
+/// Each way to fail has its outcome, and an unkeyed POST runs at most once.
+#[tokio::test]
+async fn failed_post() {
+    let cases = [
+        (Manner::Refuse, "not-run", 503, 0),
+        (Manner::CloseAtOnce, "unknown", 502, 0),
+        (Manner::CloseHalfRead, "unknown", 502, 0),
+        (Manner::RunAndClose, "unknown", 502, 1),
+        (Manner::CutLength, "unknown", 502, 1),
+        (Manner::Undelimited, "unknown", 502, 1),
+        (Manner::OtherAttempt, "unknown", 502, 1),
+        (Manner::SilentFirst, "unknown", 504, 1),
+    ];
+    for (manner, outcome, status, runs) in cases {
+        let (host, fake) = host_before(manner).await;
+        let got = host.outcome(post("one lunch")).await;
+        let is_early_close = manner == Manner::CloseAtOnce && got.1 == "not-run";
+        assert!(
+            is_early_close || (got.0, got.1.as_str()) == (status, outcome),
+            "{manner:?}: {got:?}"
+        );
+        assert_eq!(fake.run_count(), runs, "{manner:?}");
+    }
+}
+
+#[tokio::test]
+async fn closed_port() {
+    let address = upstream::closed().await;
+    let host = host(&[address], &Claims::default());
+    let (status, outcome, _) = host.outcome(post("one lunch")).await;
+    assert_eq!((status, outcome.as_str()), (503, "not-run"));
+}
+
+#[tokio::test]
+async fn refused_port_moves() {
+    let fake = upstream::spawn(Manner::Answer).await;
+    let dead = upstream::closed().await;
+    let host = host(&[dead, fake.address], &Claims::default());
+    for _ in 0..20 {
+        // A connection that never opened carried nothing, so that even an order
+        // may go elsewhere.
+        assert_eq!(host.outcome(post("one lunch")).await.1, "answered");
+    }
+    assert_eq!(fake.run_count(), 20);
+}
+
+#[tokio::test]
+async fn idempotent_moves() {
+    let broken = upstream::spawn(Manner::RunAndClose).await;
+    let fake = upstream::spawn(Manner::Answer).await;
+    let host = host(&[broken.address, fake.address], &Claims::default());
+    for _ in 0..20 {
+        assert_eq!(host.outcome(get("/titles")).await.1, "answered");
+    }
+    assert!(broken.run_count() > 0);
+}
+
+#[tokio::test]
+async fn stale_connection() {
+    let (host, fake) = host_before(Manner::AnswerAndClose).await;
+    for round in 1..=5 {
+        let answer = host.outcome(post("one lunch")).await;
+        assert_eq!(answer.1, "answered", "round {round}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    assert_eq!(fake.run_count(), 5);
+}
+
+/// The second copy of an answer must not pass for the answer to the next call.
+#[tokio::test]
+async fn duplicate_answer() {
+    let (host, _fake) = host_before(Manner::AnswerTwice).await;
+    for body in ["first", "second", "third"] {
+        let (_, outcome, answer) = host.outcome(post(body)).await;
+        if outcome == "answered" {
+            assert_eq!(answer, Some(Bytes::from(body)));
+        }
+    }
+}
+
+#[tokio::test]
+async fn late_answer() {
+    let late = Duration::from_millis(150);
+    let (host, _fake) = host_before(Manner::Late(late)).await;
+    let mut hasty = post("first");
+    let headers = hasty.headers_mut();
+    headers.insert("x-deadline-ms", "50".parse().unwrap());
+    let (status, outcome, _) = host.outcome(hasty).await;
+    assert_eq!((status, outcome.as_str()), (504, "unknown"));
+    let answer = host.outcome(post("second")).await;
+    assert_eq!(answer.2, Some(Bytes::from("second")));
+}
+
+#[tokio::test]
+async fn silent_connection() {
+    let (host, fake) = host_before(Manner::SilentFirst).await;
+    let begun = Instant::now();
+    let (_, outcome, _) = host.outcome(post("one lunch")).await;
+    assert_eq!(outcome, "unknown");
+    assert!(begun.elapsed() < Duration::from_secs(2));
+    // The upstream is well, so that the next call goes to it at once.
+    assert_eq!(host.context.gate.ejected_count("roll"), 0);
+    assert_eq!(host.outcome(post("another")).await.1, "answered");
+    assert_eq!(fake.run_count(), 2);
+}
+
+#[tokio::test]
+async fn silent_moves() {
+    let silent = upstream::spawn(Manner::SilentFirst).await;
+    let fake = upstream::spawn(Manner::Answer).await;
+    let host = host(&[silent.address, fake.address], &Claims::default());
+    for _ in 0..10 {
+        assert_eq!(host.outcome(get("/titles")).await.1, "answered");
+    }
+    assert!(silent.run_count() > 0);
+}
+
+/// Serves one connection through the call path, and returns what its caller got.
+async fn raw_answer(manner: Manner) -> String {
+    let (host, _fake) = host_before(manner).await;
+    let host = Arc::new(host);
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let (stream, _) = listener.accept().await.unwrap();
+        let service = service_fn(|request: Request<hyper::body::Incoming>| {
+            let host = host.clone();
+            async move {
+                let (parts, body) = request.into_parts();
+                let body = body.collect().await?.to_bytes();
+                let response = host.call(Request::from_parts(parts, body)).await;
+                Ok::<_, hyper::Error>(response)
+            }
+        });
+        let served = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+        let _ = served.await;
+    });
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let request = b"GET /titles HTTP/1.1\r\nhost: entry\r\nconnection: close\r\n\r\n";
+    stream.write_all(request).await.unwrap();
+    let mut answer = Vec::new();
+    let _ = stream.read_to_end(&mut answer).await;
+    String::from_utf8(answer).unwrap()
+}
+
+#[tokio::test]
+async fn cut_stream() {
+    for manner in [Manner::CutChunked, Manner::SilentStream] {
+        let answer = raw_answer(manner).await;
+        assert!(answer.contains("half"), "{manner:?}: {answer}");
+        let is_ended = answer.ends_with("0\r\n\r\n");
+        assert!(!is_ended, "{manner:?}: {answer}");
+    }
+}
+
+#[tokio::test]
+async fn protocol_refusals() {
+    let cases = [
+        (Frame::RefuseStream, "not-run"),
+        (Frame::GoAwayBelow, "not-run"),
+        (Frame::CancelStream, "unknown"),
+        (Frame::GoAwayIncluding, "unknown"),
+    ];
+    for (frame, expected) in cases {
+        let address = upstream::spawn_http2(frame).await;
+        let host = host_speaking(&[address], &Claims::default(), Protocol::Http2);
+        let (_, outcome, _) = host.outcome(post("one lunch")).await;
+        assert_eq!(outcome, expected, "{frame:?}");
+    }
+}
+
+#[tokio::test]
+async fn repeated_key() {
+    let fake = upstream::spawn(Manner::Answer).await;
+    let claims = Claims::default();
+    let hosts = [
+        host(&[fake.address], &claims),
+        host(&[fake.address], &claims),
+    ];
+    for host in &hosts {
+        let answer = host.outcome(keyed("k1", "one lunch")).await;
+        assert_eq!(answer, (200, "answered".into(), Some("one lunch".into())));
+    }
+    assert_eq!(fake.run_count(), 1);
+    let reused = hosts[0].outcome(keyed("k1", "two lunches")).await;
+    assert_eq!((reused.0, reused.1.as_str()), (422, "not-run"));
+}
+
+#[tokio::test]
+async fn simultaneous_key() {
+    let fake = upstream::spawn(Manner::Late(Duration::from_millis(100))).await;
+    let claims = Claims::default();
+    let first = host(&[fake.address], &claims);
+    let second = host(&[fake.address], &claims);
+    let (one, two) = tokio::join!(
+        first.outcome(keyed("k1", "one lunch")),
+        second.outcome(keyed("k1", "one lunch")),
+    );
+    let mut statuses = [one.0, two.0];
+    statuses.sort_unstable();
+    assert_eq!(statuses, [200, 409]);
+    assert_eq!(fake.run_count(), 1);
+}
+
+#[tokio::test]
+async fn lost_claim_answer() {
+    for fault in [Fault::AnswerLost, Fault::RequestLost] {
+        let fake = upstream::spawn(Manner::Answer).await;
+        let claims = Claims::default();
+        claims.fail_next([fault]);
+        let host = host(&[fake.address], &claims);
+        assert_eq!(host.outcome(keyed("k1", "one lunch")).await.1, "answered");
+        assert_eq!(host.outcome(keyed("k1", "one lunch")).await.1, "answered");
+        assert_eq!(fake.run_count(), 1, "{fault:?}");
+    }
+}
+
+#[tokio::test]
+async fn claim_store_down() {
+    let fake = upstream::spawn(Manner::Answer).await;
+    let claims = Claims::default();
+    claims.set_down(true);
+    let host = host(&[fake.address], &claims);
+    let response = host.call(keyed("k1", "one lunch")).await;
+    assert_eq!(response.status(), 503);
+    assert_eq!(response.headers()["x-mimosavane-outcome"], "not-run");
+    assert!(response.headers().contains_key("retry-after"));
+    assert_eq!(fake.run_count(), 0);
+    // Unkeyed calls and reads need no store.
+    assert_eq!(host.outcome(post("one lunch")).await.1, "answered");
+    assert_eq!(host.outcome(get("/titles")).await.1, "answered");
+    claims.set_down(false);
+    assert_eq!(host.outcome(keyed("k1", "one lunch")).await.1, "answered");
+}
+
+#[tokio::test]
+async fn unknown_stays_unknown() {
+    let broken = upstream::spawn(Manner::RunAndClose).await;
+    let fake = upstream::spawn(Manner::Answer).await;
+    let claims = Claims::default();
+    let first = host(&[broken.address], &claims);
+    let second = host(&[fake.address], &claims);
+    assert_eq!(first.outcome(keyed("k1", "one lunch")).await.1, "unknown");
+    assert_eq!(second.outcome(keyed("k1", "one lunch")).await.1, "unknown");
+    assert_eq!((broken.run_count(), fake.run_count()), (1, 0));
+}
+
+#[tokio::test]
+async fn released_claim() {
+    let fake = upstream::spawn(Manner::Answer).await;
+    let claims = Claims::default();
+    let first = host(&[upstream::closed().await], &claims);
+    let second = host(&[fake.address], &claims);
+    assert_eq!(first.outcome(keyed("k1", "one lunch")).await.1, "not-run");
+    assert_eq!(second.outcome(keyed("k1", "one lunch")).await.1, "answered");
+    assert_eq!(fake.run_count(), 1);
+}
+
+#[tokio::test]
+async fn bad_headers() {
+    let (host, fake) = host_before(Manner::Answer).await;
+    for (name, value) in [("x-deadline-ms", "soon"), ("idempotency-key", "")] {
+        let mut request = post("one lunch");
+        request.headers_mut().insert(name, value.parse().unwrap());
+        let (status, outcome, _) = host.outcome(request).await;
+        assert_eq!((status, outcome.as_str()), (400, "not-run"), "{name}");
+    }
+    assert_eq!(fake.run_count(), 0);
+}
--- /dev/null
+++ b/tests/ejection.rs
@@ -0,0 +1,101 @@
+//! Ejection of failing upstreams, and their return, in virtual time.
+
+use std::time::Duration;
+
+use mimosavane::{
+    controller::Rng,
+    ejection::{Change, Pool, Standing},
+    ids::UpstreamId,
+};
+use rand::SeedableRng;
+
+fn pool(member_count: usize) -> (Pool, Rng) {
+    let mut pool = Pool::default();
+    pool.set_members((0..member_count).map(name));
+    (pool, Rng::seed_from_u64(3))
+}
+
+fn name(index: usize) -> UpstreamId {
+    format!("roll-{index}").into()
+}
+
+fn fail(pool: &mut Pool, id: &str, now: Timestamp, rng: &mut Rng) -> Vec<Change> {
+    (0..5).filter_map(|_| pool.failed(id, now, rng)).collect()
+}
+
+type Timestamp = Duration;
+
+#[test]
+fn failures_in_a_row() {
+    let (mut pool, mut rng) = pool(4);
+    for _ in 0..20 {
+        assert_eq!(pool.failed("roll-0", Duration::ZERO, &mut rng), None);
+        assert_eq!(pool.failed("roll-0", Duration::ZERO, &mut rng), None);
+        pool.succeeded("roll-0", Duration::ZERO);
+    }
+    let changes = fail(&mut pool, "roll-0", Duration::ZERO, &mut rng);
+    assert_eq!(changes, [Change::Ejected]);
+    assert_eq!(pool.standing("roll-0", Duration::ZERO), Standing::Resting);
+}
+
+#[test]
+fn ejection_floor() {
+    let (mut pool, mut rng) = pool(5);
+    for index in 0..5 {
+        fail(&mut pool, &name(index), Duration::ZERO, &mut rng);
+    }
+    assert_eq!(pool.ejected_count(), 2);
+    let (mut single, mut rng) = self::pool(1);
+    fail(&mut single, "roll-0", Duration::ZERO, &mut rng);
+    assert_eq!(single.ejected_count(), 0);
+}
+
+#[test]
+fn one_probe() {
+    let (mut pool, mut rng) = pool(4);
+    fail(&mut pool, "roll-0", Duration::ZERO, &mut rng);
+    let later = Duration::from_secs(1);
+    assert!(matches!(pool.standing("roll-0", later), Standing::Probe(_)));
+    pool.probe_started("roll-0");
+    assert_eq!(pool.standing("roll-0", later), Standing::Resting);
+    let change = pool.failed("roll-0", later, &mut rng);
+    assert_eq!(change, Some(Change::ProbeFailed));
+    assert_eq!(pool.standing("roll-0", later), Standing::Resting);
+}
+
+#[test]
+fn slow_start() {
+    let (mut pool, mut rng) = pool(4);
+    fail(&mut pool, "roll-0", Duration::ZERO, &mut rng);
+    let back = Duration::from_secs(1);
+    pool.probe_started("roll-0");
+    assert_eq!(pool.succeeded("roll-0", back), Some(Change::Restored));
+    let mut last = 0.0;
+    for tenth in 0..=20 {
+        let now = back + Duration::from_millis(100) * tenth;
+        let Standing::Open(ratio) = pool.standing("roll-0", now) else {
+            panic!("it is open");
+        };
+        assert!(ratio > last);
+        last = ratio;
+    }
+    assert_eq!(last, 1.0);
+}
+
+#[test]
+fn late_success() {
+    let (mut pool, mut rng) = pool(4);
+    fail(&mut pool, "roll-0", Duration::ZERO, &mut rng);
+    // An answer to a call from before the ejection ends no rest.
+    assert_eq!(pool.succeeded("roll-0", Duration::from_millis(1)), None);
+    assert_eq!(pool.ejected_count(), 1);
+}
+
+#[test]
+fn forgotten_member() {
+    let (mut pool, mut rng) = pool(4);
+    fail(&mut pool, "roll-0", Duration::ZERO, &mut rng);
+    pool.set_members((1..4).map(name));
+    assert_eq!(pool.ejected_count(), 0);
+    assert_eq!(pool.standing("roll-0", Duration::ZERO), Standing::Resting);
+}
