Put the entry host into the build: control thread, HTTP, peers

Cause: the controllers had no process around them. Change: a host with its control thread, HTTP interface, gRPC to peers, signed datagrams, engine polls and claims in the table service. Before: nothing served a request. Conclusion: the path can be joined up.

--- a/src/entry/api.rs
+++ b/src/entry/api.rs
@@ -3,8 +3,9 @@
 use std::{io, net::TcpListener, time::Duration};
 
 use bytes::Bytes;
-use http::{HeaderValue, Method, header};
+use http::{HeaderValue, header};
 use serde::{Serialize, de::DeserializeOwned};
+use xitca_server::ServerHandle;
 use xitca_web::{
     App, WebContext,
     body::ResponseBody,
@@ -26,9 +27,14 @@
 pub type Answer = Result<WebResponse, WebResponse>;
 
 /// A running HTTP server.
-#[derive(Debug)]
 pub struct Server {
-    handle: xitca_web::ServerHandle,
+    handle: ServerHandle,
+}
+
+impl std::fmt::Debug for Server {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Server").finish_non_exhaustive()
+    }
 }
 
 impl Server {
@@ -75,9 +81,10 @@
         Ok(Self { handle })
     }
 
-    /// Stops accepting, lets open requests finish, and ends the server.
-    pub fn stop(&self) {
-        self.handle.stop(true);
+    /// Stops accepting and ends the server, after open requests have finished
+    /// where the stop is `graceful`.
+    pub fn stop(&self, graceful: bool) {
+        self.handle.stop(graceful);
     }
 }
 
@@ -108,11 +115,6 @@
     ctx.req().uri().path().split('/').skip(1).collect()
 }
 
-/// Returns the method of the request.
-pub fn method<'a>(ctx: &'a Context<'_>) -> &'a Method {
-    ctx.req().method()
-}
-
 /// Returns who sent the request.
 pub fn role(ctx: &Context<'_>) -> Role {
     ctx.state().keys.role(ctx.req().headers())
@@ -183,7 +185,7 @@
 }
 
 fn with_type(body: impl Into<Bytes>, content_type: &'static str) -> WebResponse {
-    let mut response = WebResponse::new(ResponseBody::bytes(body));
+    let mut response = WebResponse::new(ResponseBody::bytes(body.into()));
     response
         .headers_mut()
         .insert(header::CONTENT_TYPE, HeaderValue::from_static(content_type));
--- /dev/null
+++ b/src/entry/calls.rs
@@ -0,0 +1,90 @@
+//! The handler of calls to plain services.
+
+use std::{
+    pin::Pin,
+    task::{Context as TaskContext, Poll},
+};
+
+use bytes::Bytes;
+use http::Request;
+use xitca_web::{
+    body::{Body, Frame, ResponseBody, SizeHint},
+    http::WebResponse,
+};
+
+use super::{
+    api::{self, Answer, Context},
+    problem::Problem,
+};
+use crate::{
+    auth::Role,
+    call::{self, Payload},
+    relay::Cut,
+};
+
+/// Where the path of the upstream begins, behind `/v1/pools/{pool}`.
+const UPSTREAM_PATH_PART: usize = 3;
+
+/// Forwards a call.
+pub async fn forward(ctx: &Context<'_>) -> WebResponse {
+    api::settle(try_forward(ctx).await)
+}
+
+async fn try_forward(ctx: &Context<'_>) -> Answer {
+    let Role::Row(row) = api::role(ctx) else {
+        return Err(Problem::Unauthorized.respond("this needs a row's key", None));
+    };
+    let shared = ctx.state();
+    let _open = shared.open_work.hold();
+    let parts = api::parts(ctx);
+    let caller = call::Caller {
+        row,
+        pool: parts.get(2).copied().unwrap_or_default().into(),
+    };
+    let body = api::read(ctx).await?;
+    let path = parts
+        .get(UPSTREAM_PATH_PART..)
+        .unwrap_or_default()
+        .join("/");
+    let target = match ctx.req().uri().query() {
+        Some(query) => format!("/{path}?{query}"),
+        None => format!("/{path}"),
+    };
+    let mut request = Request::builder()
+        .method(ctx.req().method())
+        .uri(target)
+        .body(body)
+        .map_err(|error| Problem::Malformed.respond(error.to_string(), None))?;
+    *request.headers_mut() = ctx.req().headers().clone();
+    let response = call::serve(&shared.calls, request, &caller).await;
+    Ok(response.map(|payload| ResponseBody::boxed(Outgoing(payload))))
+}
+
+/// The body of a response in the terms of the server's library.
+struct Outgoing(Payload);
+
+impl Body for Outgoing {
+    type Data = Bytes;
+    type Error = Cut;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut TaskContext<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
+        let payload = Pin::new(&mut self.get_mut().0);
+        hyper::body::Body::poll_frame(payload, cx).map_ok(|frame| match frame.into_data() {
+            Ok(data) => Frame::Data(data),
+            Err(frame) => Frame::Trailers(frame.into_trailers().unwrap_or_default()),
+        })
+    }
+
+    fn is_end_stream(&self) -> bool {
+        hyper::body::Body::is_end_stream(&self.0)
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        hyper::body::Body::size_hint(&self.0)
+            .exact()
+            .map_or(SizeHint::Unknown, SizeHint::Exact)
+    }
+}
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -17,8 +17,9 @@
 
 use super::{Shared, effects, messages};
 use crate::{
-    blackboard::Blackboard,
+    blackboard::{Blackboard, Upstream, Upstreams},
     cache_index::BlockHash,
+    clock::Timestamp,
     controller::{Controller as _, Rng, Round},
     datagram::Transport,
     decision::{Decision, Ring},
@@ -27,6 +28,7 @@
     follower,
     ids::{AttemptNumber, CallNumber, UpstreamId},
     membership,
+    platform_api::Listed,
     proto::peer,
     routing::{self, Policy as _, Router},
     step,
@@ -51,7 +53,9 @@
 const GATHER: Duration = Duration::from_millis(2);
 
 /// What ends the wait of a queued generation.
-pub type Verdict = Result<(), (dispatch::Refusal, Duration)>;
+///
+/// A generation that starts must have left by the time in it.
+pub type Verdict = Result<Timestamp, (dispatch::Refusal, Duration)>;
 
 /// The two ways in which the dispatcher reaches a generation.
 #[derive(Debug)]
@@ -94,6 +98,8 @@
     Engine(engine_watch::Event),
     /// The store or a peer answered about the table.
     Table(follower::Event),
+    /// The platform listed the upstreams.
+    Listed(Vec<Listed>),
     /// A heartbeat arrived, or the platform listed a host.
     Member(membership::Event),
     /// A traffic thread decided something.
@@ -159,19 +165,6 @@
     }
 }
 
-impl Sender {
-    /// Hands over an input; it is dropped where the thread has ended, since
-    /// nothing is left then that needs it.
-    pub async fn tell(&self, input: Input) {
-        let _ = self.send(input).await;
-    }
-
-    /// Hands over a record where there is room; records never hold up traffic.
-    pub fn record(&self, decision: Decision) {
-        let _ = self.inputs.try_send(Input::Decided(decision));
-    }
-}
-
 /// Runs the controllers of a host on one thread.
 ///
 /// # Errors
@@ -322,6 +315,7 @@
             Input::Dispatch(event) => self.take_dispatch(event),
             Input::Engine(event) => self.inboxes.engines.push(event),
             Input::Table(event) => self.inboxes.table.push(event),
+            Input::Listed(listed) => self.take_list(listed),
             Input::Member(event) => self.inboxes.members.push(event),
             Input::Decided(decision) => self.decisions.push(decision),
             Input::Explain { id, reply } => {
@@ -333,6 +327,27 @@
         }
     }
 
+    fn take_list(&mut self, listed: Vec<Listed>) {
+        let checking = &self.shared.settings.platform.fence_checking_engines;
+        let members = listed.into_iter().map(|entry| {
+            let checks_fences = checking.iter().any(|engine| **engine == *entry.id);
+            let upstream = Upstream {
+                checks_fences,
+                id: entry.id.clone(),
+                kind: entry.kind,
+                pool: entry.pool,
+                address: entry.address,
+                failure_domain: entry.failure_domain,
+                state: entry.state,
+            };
+            (entry.id, upstream)
+        });
+        let members = members.collect();
+        if self.board.upstreams.members != members {
+            self.board.upstreams = Arc::new(Upstreams { members });
+        }
+    }
+
     fn take_submit(&mut self, spec: peer::StepSpec, reply: oneshot::Sender<peer::SubmitReply>) {
         let call = self.calls.number();
         self.calls.submits.insert(call, reply);
@@ -448,7 +463,10 @@
     fn submit_reply(&self, result: Result<(), step::SubmitError>) -> peer::SubmitReply {
         peer::SubmitReply {
             accepted: result.is_ok(),
-            refusal: result.err().map(|error| error.to_string()).unwrap_or_default(),
+            refusal: result
+                .err()
+                .map(|error| error.to_string())
+                .unwrap_or_default(),
             owner: self.shared.settings.host.id.to_string(),
         }
     }
@@ -492,10 +510,13 @@
 
     fn act_on_dispatch(&mut self, action: dispatch::Action) {
         match action {
-            dispatch::Action::Start { ticket } => {
-                if let Some(start) = self.turns.get_mut(&ticket).and_then(|turn| turn.start.take())
+            dispatch::Action::Start { ticket, not_after } => {
+                if let Some(start) = self
+                    .turns
+                    .get_mut(&ticket)
+                    .and_then(|turn| turn.start.take())
                 {
-                    let _ = start.send(Ok(()));
+                    let _ = start.send(Ok(not_after));
                 }
             }
             dispatch::Action::Refuse {
--- a/src/entry/effects.rs
+++ b/src/entry/effects.rs
@@ -149,7 +149,11 @@
 /// Asks an engine for its report.
 pub fn poll_engine(shared: &Shared, board: &Blackboard, action: engine_watch::Action) {
     let engine_watch::Action::Poll { engine } = action;
-    let address = board.upstreams.members.get(&engine).map(|known| known.address);
+    let address = board
+        .upstreams
+        .members
+        .get(&engine)
+        .map(|known| known.address);
     let host = shared.clone();
     shared.runtime.spawn(async move {
         let event = match address {
--- a/src/entry/generate.rs
+++ b/src/entry/generate.rs
@@ -54,6 +54,9 @@
     /// The answer does not show which weights made it.
     #[error(transparent)]
     Evidence(#[from] EvidenceError),
+    /// The process was paused between its turn and the request.
+    #[error("its turn had passed before the request left")]
+    Overslept,
     /// The dispatcher stopped it for a row below its share.
     #[error("preempted for a row below its share")]
     Preempted,
@@ -65,7 +68,7 @@
 impl GenerateError {
     const fn is_not_run(&self) -> bool {
         match self {
-            Self::Control | Self::Refused { .. } | Self::UnknownEngine => true,
+            Self::Control | Self::Refused { .. } | Self::UnknownEngine | Self::Overslept => true,
             Self::Engine(error) => error.is_not_run(),
             Self::Evidence(_) | Self::Preempted | Self::Abandoned => false,
         }
@@ -87,7 +90,10 @@
     let result = queue_and_stream(host, &request, ticket, &mut evidence, &events).await;
     let tokens = evidence.token_count();
     host.control
-        .tell(Input::Dispatch(dispatch::Event::Finished { ticket, tokens }))
+        .tell(Input::Dispatch(dispatch::Event::Finished {
+            ticket,
+            tokens,
+        }))
         .await;
     let proved = evidence.proved();
     let event = match result.and_then(|reason| finish(&request, evidence, reason)) {
@@ -179,7 +185,8 @@
         .map_err(|_| GenerateError::Control)?;
     tokio::select! {
         verdict = started => match verdict {
-            Ok(Ok(())) => Ok(preempted),
+            Ok(Ok(not_after)) if host.clock.now() <= not_after => Ok(preempted),
+            Ok(Ok(_)) => Err(GenerateError::Overslept),
             Ok(Err((reason, retry_after))) => Err(GenerateError::Refused { reason, retry_after }),
             Err(_) => Err(GenerateError::Control),
         },
@@ -201,7 +208,10 @@
         class: Class::Rollout,
         priority: request.priority,
         prompt_tokens: messages::count(&request.prompt_tokens) + resumed_tokens,
-        predicted_tokens: request.predicted_tokens.saturating_sub(resumed_tokens).max(1),
+        predicted_tokens: request
+            .predicted_tokens
+            .saturating_sub(resumed_tokens)
+            .max(1),
         deadline: host.clock.now() + Duration::from_millis(request.deadline_ms),
     }
 }
@@ -232,7 +242,10 @@
 async fn report_progress(host: &Host, ticket: Ticket, evidence: &Evidence, events: &Events) {
     let tokens = evidence.token_count();
     host.control
-        .tell(Input::Dispatch(dispatch::Event::Progress { ticket, tokens }))
+        .tell(Input::Dispatch(dispatch::Event::Progress {
+            ticket,
+            tokens,
+        }))
         .await;
     let progress = messages::progress(evidence.proved());
     let _ = events.send(wrap(Event::Progress(progress))).await;
--- a/src/entry/messages.rs
+++ b/src/entry/messages.rs
@@ -31,6 +31,7 @@
 pub fn chunk(chunk: CompletionChunk) -> Chunk {
     Chunk {
         index: Some(chunk.index),
+        is_last: chunk.finish_reason.is_some(),
         token_ids: chunk.token_ids,
         weight_version: chunk.weight_version,
         boot: (chunk.boot_id != 0).then_some(chunk.boot_id),
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,5 +1,376 @@
 //! The entry host: callers and trainers over HTTP, peers over gRPC.
+//!
+//! One thread holds the control state; all others carry traffic
+//! (docs/ARCHITECTURE.md).
 
+use std::{
+    fmt, io,
+    net::TcpListener,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    thread::JoinHandle,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use arc_swap::ArcSwap;
+use rand::SeedableRng as _;
+use tokio::{
+    runtime::{Handle, Runtime},
+    sync::{mpsc, watch},
+};
+use tokio_stream::wrappers::TcpListenerStream;
+
+use crate::{
+    auth::Keys,
+    blackboard::{Blackboard, Snapshot},
+    call,
+    claim_store::TableClaims,
+    clock::Clock,
+    connection,
+    controller::Rng,
+    datagram::{Key, Receiver, Transport},
+    decision::Decision,
+    fairness::Ticket,
+    gate::{self, Gate},
+    ids::Incarnation,
+    membership,
+    proto::peer::peer_server::PeerServer,
+    settings::Settings,
+    store_client::{AddressError, Budget, HttpTableService},
+};
+
+mod api;
+mod body;
+mod calls;
+pub mod control;
+mod effects;
 pub mod engine_client;
+mod generate;
+mod messages;
+pub mod open_work;
+mod operators;
+mod owners;
 pub mod peer_client;
+mod peer_server;
 pub mod problem;
+mod trainers;
+
+use control::{Input, Sender};
+use engine_client::EngineClient;
+use open_work::OpenWork;
+use peer_client::Peers;
+
+/// Records of traffic threads that may wait for the control thread.
+const DECISION_COUNT: usize = 1024;
+
+/// The time between two reads of the platform's list.
+const LIST_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Why a host could not be started.
+#[derive(Debug, thiserror::Error)]
+pub enum StartError {
+    /// An address could not be bound, or a thread not started.
+    #[error("starting the host: {0}")]
+    Io(#[from] io::Error),
+    /// The table service's address is not valid.
+    #[error(transparent)]
+    Address(#[from] AddressError),
+}
+
+/// What all threads of a host share.
+pub struct Host {
+    /// The settings that it runs with.
+    pub settings: Settings,
+    /// The time since it was started.
+    pub clock: Clock,
+    /// This life of the host.
+    pub incarnation: Incarnation,
+    /// The published blackboard.
+    pub snapshot: Arc<Snapshot>,
+    /// Reaches the control thread.
+    pub control: Sender,
+    /// Who may ask for what.
+    pub keys: Keys,
+    /// The platform's table service.
+    pub store: HttpTableService,
+    /// Connections to other hosts.
+    pub peers: Peers,
+    /// Connections to engines.
+    pub engines: EngineClient,
+    /// The way of calls to plain services.
+    pub calls: call::Context<TableClaims<HttpTableService>>,
+    /// The traffic threads.
+    pub runtime: Handle,
+    /// What a graceful shutdown waits for.
+    pub open_work: OpenWork,
+    /// Holds the control thread, as a paused process would be.
+    pub pause: Pause,
+    /// Set when the host shall end at once.
+    pub stopping: AtomicBool,
+    next_ticket: AtomicU64,
+}
+
+impl fmt::Debug for Host {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Host")
+            .field("id", &self.settings.host.id)
+            .field("incarnation", &self.incarnation)
+            .finish_non_exhaustive()
+    }
+}
+
+/// A host as its threads share it.
+pub type Shared = Arc<Host>;
+
+impl Host {
+    fn next_ticket(&self) -> Ticket {
+        self.next_ticket.fetch_add(1, Ordering::Relaxed)
+    }
+}
+
+/// Holds up the control thread while it is set.
+#[derive(Debug)]
+pub struct Pause(watch::Sender<bool>);
+
+impl Default for Pause {
+    fn default() -> Self {
+        Self(watch::Sender::new(false))
+    }
+}
+
+impl Pause {
+    /// Sets or ends the pause.
+    pub fn set(&self, paused: bool) {
+        self.0.send_replace(paused);
+    }
+
+    /// Waits until there is no pause.
+    pub async fn wait(&self) {
+        let _ = self.0.subscribe().wait_for(|paused| !paused).await;
+    }
+}
+
+/// A running host.
+///
+/// Dropping it ends it at once, as a crash would.
+#[derive(Debug)]
+pub struct Running {
+    shared: Shared,
+    runtime: Option<Runtime>,
+    server: api::Server,
+    control: Option<JoinHandle<()>>,
+}
+
+impl Running {
+    /// Starts a host with `settings`.
+    ///
+    /// # Errors
+    ///
+    /// Fails where an address cannot be bound or a thread cannot be started.
+    pub fn start(settings: Settings) -> Result<Self, StartError> {
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(TRAFFIC_THREAD_COUNT)
+            .thread_name("traffic")
+            .enable_all()
+            .build()?;
+        let (control, inputs) = Sender::channel();
+        let (decisions, records) = mpsc::channel(DECISION_COUNT);
+        let shared = Arc::new(build(
+            settings,
+            control,
+            decisions,
+            runtime.handle().clone(),
+        )?);
+        let http = TcpListener::bind(shared.settings.host.http_address)?;
+        let (transport, receiver) = runtime.block_on(bind_datagrams(&shared))?;
+        runtime.block_on(serve_peers(&shared))?;
+        runtime.spawn(receive(shared.clone(), receiver));
+        runtime.spawn(pass_records(shared.clone(), records));
+        runtime.spawn(read_list(shared.clone()));
+        let control = control::start(shared.clone(), inputs, transport)?;
+        let server = api::Server::start(shared.clone(), http, HTTP_WORKER_COUNT)?;
+        tracing::info!(host = %shared.settings.host.id, http = %shared.settings.host.http_address, "started");
+        Ok(Self {
+            shared,
+            runtime: Some(runtime),
+            server,
+            control: Some(control),
+        })
+    }
+
+    /// Returns what the threads share.
+    pub const fn shared(&self) -> &Shared {
+        &self.shared
+    }
+
+    /// Ends the host at once, as a crash would.
+    pub fn kill(&mut self) {
+        self.shared.stopping.store(true, Ordering::Relaxed);
+        self.shared.pause.set(false);
+        self.server.stop(false);
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+        if let Some(control) = self.control.take() {
+            let _ = control.join();
+        }
+    }
+
+    /// Stops gracefully: takes nothing new, finishes what is open, then ends.
+    pub fn drain(mut self, timeout: Duration) {
+        let shared = self.shared.clone();
+        if let Some(runtime) = &self.runtime {
+            runtime.block_on(drain(&shared, timeout));
+        }
+        self.server.stop(true);
+        self.kill();
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Threads that carry streams between hosts and engines.
+const TRAFFIC_THREAD_COUNT: usize = 2;
+
+/// Threads that answer callers and trainers.
+const HTTP_WORKER_COUNT: usize = 1;
+
+/// The time between two looks at what is still open.
+const DRAIN_INTERVAL: Duration = Duration::from_millis(50);
+
+async fn drain(shared: &Shared, timeout: Duration) {
+    shared.control.tell(Input::Drain).await;
+    let started_at = shared.clock.now();
+    loop {
+        tokio::time::sleep(DRAIN_INTERVAL).await;
+        let is_late = shared.clock.now().saturating_sub(started_at) > timeout;
+        if shared.open_work.count() == 0 || is_late {
+            return;
+        }
+    }
+}
+
+fn build(
+    settings: Settings,
+    control: Sender,
+    decisions: mpsc::Sender<Decision>,
+    runtime: Handle,
+) -> Result<Host, AddressError> {
+    let incarnation = incarnation();
+    let clock = Clock::start();
+    let snapshot = Arc::new(ArcSwap::from_pointee(Blackboard::default()));
+    let silence_timeout = Duration::from_millis(settings.limits.silence_timeout_ms);
+    let store = HttpTableService::new(
+        settings.platform.table_service_url.clone(),
+        Duration::from_millis(settings.platform.timeout_ms),
+        Budget::default(),
+        incarnation,
+    )?;
+    let limits = gate::Limits {
+        max_queued_calls: settings.limits.max_queued_calls,
+        retry_budget_ratio: settings.limits.retry_budget_ratio,
+    };
+    let rng = Rng::seed_from_u64(incarnation);
+    let gate = Gate::new(snapshot.clone(), clock, limits, decisions, rng);
+    let calls = call::Context {
+        settings: Arc::new(settings.clone()),
+        gate,
+        connections: connection::Pool::new(connection::Limits {
+            silence_timeout,
+            ..connection::Limits::default()
+        }),
+        claims: TableClaims::new(store.clone()),
+    };
+    Ok(Host {
+        clock,
+        incarnation,
+        snapshot,
+        control,
+        keys: Keys::new(&settings.keys),
+        store,
+        peers: Peers::new(&settings.keys.fleet),
+        engines: EngineClient::new(silence_timeout),
+        calls,
+        open_work: OpenWork::new(runtime.clone()),
+        runtime,
+        pause: Pause::default(),
+        stopping: AtomicBool::new(false),
+        next_ticket: AtomicU64::new(1),
+        settings,
+    })
+}
+
+/// Numbers this life by the wall clock, so that it is above all earlier ones.
+fn incarnation() -> Incarnation {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map(|time| u64::try_from(time.as_millis()).unwrap_or(u64::MAX))
+        .unwrap_or_default()
+}
+
+async fn bind_datagrams(shared: &Shared) -> io::Result<(Transport, Receiver)> {
+    let key = Key::derive(&shared.settings.keys.fleet);
+    Transport::bind(shared.settings.host.peer_address, key).await
+}
+
+/// Answers peers over gRPC.
+async fn serve_peers(shared: &Shared) -> io::Result<()> {
+    let address = shared.settings.host.peer_address;
+    let listener = tokio::net::TcpListener::bind(address).await?;
+    let check = peer_server::Check::new(&shared.settings.keys.fleet);
+    let service = PeerServer::new(peer_server::PeerService::new(shared.clone()))
+        .max_decoding_message_size(peer_client::MAX_MESSAGE_BYTES)
+        .max_encoding_message_size(peer_client::MAX_MESSAGE_BYTES);
+    let checked = tonic::service::interceptor::InterceptedService::new(service, check);
+    let serving = tonic::transport::Server::builder()
+        .tcp_nodelay(true)
+        .add_service(checked)
+        .serve_with_incoming(TcpListenerStream::new(listener));
+    shared.runtime.spawn(async move {
+        if let Err(error) = serving.await {
+            tracing::error!(%error, "the peer server ended");
+        }
+    });
+    Ok(())
+}
+
+async fn receive(shared: Shared, mut receiver: Receiver) {
+    loop {
+        let event = match receiver.receive().await {
+            Ok((Ok(heartbeat), source)) => membership::Event::Received { heartbeat, source },
+            Ok((Err(refusal), source)) => membership::Event::Refused { refusal, source },
+            Err(error) => {
+                tracing::debug!(%error, "a datagram was not received");
+                continue;
+            }
+        };
+        shared.control.tell(Input::Member(event)).await;
+    }
+}
+
+async fn pass_records(shared: Shared, mut records: mpsc::Receiver<Decision>) {
+    while let Some(record) = records.recv().await {
+        shared.control.tell(Input::Decided(record)).await;
+    }
+}
+
+/// Reads the platform's list of upstreams, which lags.
+async fn read_list(shared: Shared) {
+    let url = shared.settings.platform.host_list_url.clone();
+    if url.is_empty() {
+        return;
+    }
+    loop {
+        match shared.engines.get(&url).await {
+            Ok(listed) => shared.control.tell(Input::Listed(listed)).await,
+            Err(error) => tracing::debug!(%error, "the platform's list cannot be read"),
+        }
+        tokio::time::sleep(LIST_INTERVAL).await;
+    }
+}
--- /dev/null
+++ b/src/entry/operators.rs
@@ -0,0 +1,79 @@
+//! The handlers that operators call.
+
+use serde::Serialize;
+use tokio::sync::oneshot;
+use xitca_web::http::WebResponse;
+
+use super::{
+    api::{self, Answer, Context},
+    control::Input,
+    problem::Problem,
+};
+use crate::{
+    blackboard::{HostState, StoreCondition, UpstreamState},
+    decision::Decision,
+    ids::{HostId, Revision, UpstreamId},
+};
+
+/// What a host believes of the fleet.
+#[derive(Clone, Debug, Serialize)]
+struct Status {
+    host: HostId,
+    draining: bool,
+    store: StoreCondition,
+    table_revision: Revision,
+    open_work: usize,
+    hosts: Vec<(HostId, HostState)>,
+    upstreams: Vec<(UpstreamId, UpstreamState)>,
+}
+
+/// Tells what this host believes of the fleet.
+pub async fn status(ctx: &Context<'_>) -> WebResponse {
+    api::settle(try_status(ctx))
+}
+
+/// Tells what this host decided about an id.
+pub async fn explain(ctx: &Context<'_>) -> WebResponse {
+    api::settle(try_explain(ctx).await)
+}
+
+/// Begins a graceful shutdown.
+pub async fn drain(ctx: &Context<'_>) -> WebResponse {
+    api::settle(try_drain(ctx).await)
+}
+
+fn try_status(ctx: &Context<'_>) -> Answer {
+    api::admit_operator(ctx)?;
+    let shared = ctx.state();
+    let board = shared.snapshot.load();
+    let hosts = board.hosts.members.values();
+    let upstreams = board.upstreams.members.values();
+    Ok(api::json(&Status {
+        host: shared.settings.host.id.clone(),
+        draining: board.draining,
+        store: shared.store.condition(),
+        table_revision: board.rows.revision,
+        open_work: shared.open_work.count(),
+        hosts: hosts.map(|host| (host.id.clone(), host.state)).collect(),
+        upstreams: upstreams
+            .map(|upstream| (upstream.id.clone(), upstream.state))
+            .collect(),
+    }))
+}
+
+async fn try_explain(ctx: &Context<'_>) -> Answer {
+    api::admit_operator(ctx)?;
+    let id = api::parts(ctx).get(2..).unwrap_or_default().join("/");
+    let (reply, answer) = oneshot::channel();
+    let asked = ctx.state().control.send(Input::Explain { id, reply }).await;
+    asked.map_err(|error| Problem::Overloaded.respond(error.to_string(), None))?;
+    let records: Vec<Decision> = answer.await.unwrap_or_default();
+    Ok(api::json(&records))
+}
+
+async fn try_drain(ctx: &Context<'_>) -> Answer {
+    api::admit_operator(ctx)?;
+    let asked = ctx.state().control.send(Input::Drain).await;
+    asked.map_err(|error| Problem::Overloaded.respond(error.to_string(), None))?;
+    Ok(api::text("draining\n"))
+}
--- a/src/entry/owners.rs
+++ b/src/entry/owners.rs
@@ -6,9 +6,12 @@
 
 use tokio::sync::oneshot;
 
-use super::{Host, control::Input};
+use super::{
+    Host,
+    control::{ControlError, Input},
+};
 use crate::{
-    ids::HostId,
+    ids::{HostId, RowId, StepNumber},
     proto::peer,
     rendezvous,
 };
@@ -22,9 +25,9 @@
     /// No host is live.
     #[error("no host is live")]
     NoHost,
-    /// This host's control thread is gone or overloaded.
-    #[error("this host's control thread does not answer")]
-    Control,
+    /// This host's control thread took no input.
+    #[error(transparent)]
+    Control(#[from] ControlError),
     /// All hosts that were tried failed; the last said this.
     #[error("no host took the request: {0}")]
     Peer(#[from] Box<tonic::Status>),
@@ -74,10 +77,7 @@
 /// # Errors
 ///
 /// Fails where neither the owner nor the next hosts answer.
-pub async fn pull(
-    host: &Host,
-    request: peer::PullRequest,
-) -> Result<peer::PullReply, OwnerError> {
+pub async fn pull(host: &Host, request: peer::PullRequest) -> Result<peer::PullReply, OwnerError> {
     let forward = peer::PullRequest {
         forwarded: true,
         ..request
@@ -112,7 +112,7 @@
     let (reply, answered) = oneshot::channel();
     let spec = request.spec.unwrap_or_default();
     host.control.send(Input::Submit { spec, reply }).await?;
-    answered.await.map_err(|_| OwnerError::Control)
+    answered.await.map_err(|_| ControlError::Ended.into())
 }
 
 /// Pulls from this host.
@@ -126,11 +126,12 @@
 ) -> Result<peer::PullReply, OwnerError> {
     let (reply, answered) = oneshot::channel();
     host.control.send(Input::Pull { request, reply }).await?;
-    answered.await.map_err(|_| OwnerError::Control)
+    answered.await.map_err(|_| ControlError::Ended.into())
 }
 
 /// Returns the hosts to try for a step, the owner first.
-fn candidates(host: &Host, trainer: &str, step: u64) -> Vec<HostId> {
+fn candidates(host: &Host, trainer: &str, step: StepNumber) -> Vec<HostId> {
+    let trainer = RowId::from(trainer);
     let board = host.snapshot.load();
     let mut left = board
         .hosts
@@ -139,7 +140,7 @@
         .collect::<Vec<_>>();
     let mut ranked = Vec::new();
     while ranked.len() < MAX_TRIED_HOSTS {
-        let Some(owner) = rendezvous::step_owner(trainer, step, &left).cloned() else {
+        let Some(owner) = rendezvous::step_owner(&trainer, step, &left).cloned() else {
             break;
         };
         left.retain(|host| *host != owner);
--- a/src/entry/peer_server.rs
+++ b/src/entry/peer_server.rs
@@ -4,7 +4,7 @@
 
 use subtle::ConstantTimeEq as _;
 use tokio::sync::{mpsc, oneshot};
-use tokio_stream::{Stream, wrappers::ReceiverStream};
+use tokio_stream::{Stream, StreamExt as _, wrappers::ReceiverStream};
 use tonic::{Request, Response, Status, service::Interceptor};
 
 use super::{Shared, control::Input, generate, owners, peer_client};
@@ -80,9 +80,10 @@
         let shared = self.shared.clone();
         let request = request.into_inner();
         self.shared.open_work.spawn(async move {
-            generate::run(&shared, request, generate::Remote(events)).await;
+            generate::run(&shared, request, events).await;
         });
-        Ok(Response::new(Box::pin(ReceiverStream::new(receiver))))
+        let events = ReceiverStream::new(receiver).map(Ok);
+        Ok(Response::new(Box::pin(events)))
     }
 
     async fn submit(
--- a/src/entry/trainers.rs
+++ b/src/entry/trainers.rs
@@ -39,9 +39,8 @@
         forwarded: false,
     };
     let reply = owners::submit(ctx.state(), request).await;
-    let reply = reply.map_err(|error| {
-        Problem::NoUpstream.respond(error.to_string(), Some(RETRY_DELAY))
-    })?;
+    let reply =
+        reply.map_err(|error| Problem::NoUpstream.respond(error.to_string(), Some(RETRY_DELAY)))?;
     if !reply.accepted {
         return Err(Problem::StepConflict.respond(reply.refusal, None));
     }
@@ -54,9 +53,8 @@
     pull.wait_ms = pull.wait_ms.min(MAX_PULL_WAIT_MS);
     let request = pull.into_message(&trainer, step);
     let reply = owners::pull(ctx.state(), request).await;
-    let reply = reply.map_err(|error| {
-        Problem::NoUpstream.respond(error.to_string(), Some(RETRY_DELAY))
-    })?;
+    let reply =
+        reply.map_err(|error| Problem::NoUpstream.respond(error.to_string(), Some(RETRY_DELAY)))?;
     match reply.status() {
         peer::PullStatus::Ok => Ok(api::json(&Pulled {
             samples: reply.samples.into_iter().map(Sample::from).collect(),
@@ -93,7 +91,9 @@
         return Err(Problem::Draining.respond("this host is stopping", Some(RETRY_DELAY)));
     }
     if board.rows.revision == 0 {
-        return Err(Problem::NotReady.respond("the table is not known here yet", Some(NOT_READY_DELAY)));
+        return Err(
+            Problem::NotReady.respond("the table is not known here yet", Some(NOT_READY_DELAY))
+        );
     }
     match board.rows.rows.get(trainer) {
         Some(row) if row.enabled => Ok(row.id.clone()),
--- a/src/standin/host_list.rs
+++ b/src/standin/host_list.rs
@@ -6,36 +6,15 @@
 };
 
 use hyper::{Request, Response, body::Incoming};
-use serde::{Deserialize, Serialize};
 
 use super::listener::{Body, Listener, json};
-use crate::{
-    blackboard::{UpstreamKind, UpstreamState},
-    ids::{FailureDomain, UpstreamId},
-};
-
-/// One line of the list.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Entry {
-    /// The upstream's name.
-    pub id: UpstreamId,
-    /// What it is.
-    pub kind: UpstreamKind,
-    /// The pool that calls name.
-    pub pool: Arc<str>,
-    /// Where it answers.
-    pub address: SocketAddr,
-    /// Where it stands.
-    pub failure_domain: FailureDomain,
-    /// `live` or `leaving`.
-    pub state: UpstreamState,
-}
+use crate::platform_api::Listed;
 
 /// A running stand-in of the list.
 #[derive(Debug)]
 pub struct HostList {
     listener: Listener,
-    entries: Arc<Mutex<Vec<Entry>>>,
+    entries: Arc<Mutex<Vec<Listed>>>,
 }
 
 impl HostList {
@@ -44,7 +23,7 @@
     /// # Errors
     ///
     /// Fails where the address cannot be bound.
-    pub async fn start(address: SocketAddr, entries: Vec<Entry>) -> std::io::Result<Self> {
+    pub async fn start(address: SocketAddr, entries: Vec<Listed>) -> std::io::Result<Self> {
         let entries = Arc::new(Mutex::new(entries));
         let handler = {
             let entries = entries.clone();
@@ -60,12 +39,12 @@
     }
 
     /// Replaces the list.
-    pub fn set(&self, entries: Vec<Entry>) {
+    pub fn set(&self, entries: Vec<Listed>) {
         *self.entries.lock().unwrap_or_else(PoisonError::into_inner) = entries;
     }
 }
 
-async fn answer(entries: Arc<Mutex<Vec<Entry>>>, _request: Request<Incoming>) -> Response<Body> {
+async fn answer(entries: Arc<Mutex<Vec<Listed>>>, _request: Request<Incoming>) -> Response<Body> {
     let entries = entries
         .lock()
         .unwrap_or_else(PoisonError::into_inner)
