--- a/src/lib.rs
+++ b/src/lib.rs
@@ -78,8 +78,6 @@
 pub mod terms;
 pub mod trainer_api;
 pub mod wave;
-mod step_delivery;
-mod step_dispatch;
 
 pub use blackboard::Blackboard;
 pub use controller::Controller;
