--- a/src/blackboard.rs
+++ b/src/blackboard.rs
@@ -63,6 +63,8 @@
     Leaving,
     /// Its whole region is out of reach, so that nothing is known of it.
     Unreachable,
+    /// It answers again after it flapped, and gets no work until it is steady.
+    Damped,
 }
 
 /// One host of the service as the others see it.
@@ -257,6 +259,8 @@
 pub struct Served {
     /// The counts by row and by counting host.
     pub counts: BTreeMap<RowId, BTreeMap<HostId, ServedCount>>,
+    /// The counts of the whole fleet by row.
+    pub fleet: BTreeMap<RowId, ServedCount>,
 }
 
 /// Whether the platform's table service answers.
