Test steps under random schedules of faults

Cause: The gate at dispatch could hold a step back for a version change that only the step's own samples bring about, which random schedules showed. Change: A trainer that is overdue is expected to gain no version. Schedules of lost answers, deaths, restarts, handovers and duplicates run against two owners. Conclusion: Exactly-once delivery and progress hold under these schedules.

--- a/src/engine_watch.rs
+++ b/src/engine_watch.rs
@@ -127,7 +127,11 @@
                 || now.saturating_sub(report.at) > REPORT_LIFETIME && self.own.contains(engine)
         };
         let engines = &round.board.engines;
-        if engines.reports.iter().any(|(id, report)| is_old(id, report)) {
+        if engines
+            .reports
+            .iter()
+            .any(|(id, report)| is_old(id, report))
+        {
             Arc::make_mut(&mut round.board.engines)
                 .reports
                 .retain(|id, report| !is_old(id, report));
@@ -223,9 +227,7 @@
 fn own_engines(board: &Blackboard, host: &HostId) -> BTreeSet<UpstreamId> {
     let hosts = board.hosts.live().map(|host| &host.id).collect::<Vec<_>>();
     engines(board)
-        .filter(|engine| {
-            rendezvous::engine_dispatcher(engine, hosts.iter().copied()) == Some(host)
-        })
+        .filter(|engine| rendezvous::engine_dispatcher(engine, hosts.iter().copied()) == Some(host))
         .cloned()
         .collect()
 }
--- a/src/staleness.rs
+++ b/src/staleness.rs
@@ -90,8 +90,9 @@
 
     /// Returns how many versions the trainer is expected to gain by `at`.
     ///
-    /// A trainer that is overdue waits for samples, so that its next change is
-    /// not counted on before they are there.
+    /// A trainer that is overdue waits for samples, so that no change is counted
+    /// on before they are there. Without this rule a step could be held back for
+    /// a change that only its own samples bring about.
     pub fn gain_by(&self, at: Timestamp, now: Timestamp, margin: Margin) -> WeightVersion {
         let Some(interval) = self.interval.filter(|interval| !interval.is_zero()) else {
             return 0;
@@ -101,7 +102,7 @@
         }
         let due = self.due(interval);
         if now >= due.saturating_add(self.deviation) {
-            return whole_intervals(at.saturating_sub(now), interval);
+            return 0;
         }
         let at = margin.apply(at, self.deviation);
         if at < due {
@@ -123,12 +124,6 @@
         reached.max(self.version).max(asked)
     }
 
-    /// Returns when an expected change counts as overdue.
-    pub fn overdue_at(&self) -> Timestamp {
-        let interval = self.interval.unwrap_or_default();
-        self.due(interval).saturating_add(self.deviation)
-    }
-
     fn due(&self, interval: Duration) -> Timestamp {
         self.changed_at.saturating_add(interval)
     }
--- /dev/null
+++ b/tests/step_schedule.rs
@@ -0,0 +1,167 @@
+//! Random schedules of faults leave each slot filled exactly once.
+
+mod step_support;
+
+use std::collections::VecDeque;
+
+use bolero::check;
+use mimosavane::{
+    Row,
+    step::{Action, Event, Failure},
+};
+use step_support::{Owner, STEP, Trainer, at, finished, progressed, proved, spec};
+
+const SLOT_COUNT: usize = 6;
+
+/// Two hosts that may both own the step, and answers on their way.
+struct World {
+    owners: [Owner; 2],
+    trainer: Trainer,
+    answers: VecDeque<Vec<Action>>,
+    now: f64,
+    lives: u64,
+}
+
+impl World {
+    fn new() -> Self {
+        Self {
+            owners: [owner(1), owner(2)],
+            trainer: Trainer::new(),
+            answers: VecDeque::new(),
+            now: 1.0,
+            lives: 2,
+        }
+    }
+
+    fn run(&mut self, place: usize, event: Event) {
+        let actions = self.owners[place].run(at(self.now), [event]);
+        self.hand_over(place, &actions);
+        self.answers.push_back(actions);
+    }
+
+    fn hand_over(&mut self, from: usize, actions: &[Action]) {
+        for action in actions {
+            if let Action::HandOver(handover) = action {
+                let event = Event::HandedOver(handover.clone());
+                self.owners[1 - from].run(at(self.now), [event]);
+            }
+        }
+    }
+
+    fn pull(&mut self, place: usize) {
+        let pull = self.trainer.pull();
+        let call = pull.attach;
+        self.run(place, Event::Pulled { call, pull });
+    }
+
+    fn submit(&mut self, place: usize) {
+        let spec = std::sync::Arc::new(spec(2, 3));
+        self.run(place, Event::Submitted { call: 0, spec });
+    }
+
+    /// Ends, repeats or breaks off one attempt.
+    fn work(&mut self, place: usize, byte: u8) {
+        let version = self.trainer.version.saturating_sub(u64::from(byte >> 6));
+        let owner = &mut self.owners[place];
+        let keys: Vec<u64> = owner.works.keys().copied().collect();
+        let Some(&number) = keys.get(usize::from(byte >> 4) % keys.len().max(1)) else {
+            return;
+        };
+        let work = owner.works[&number].clone();
+        let attempt = number;
+        let event = match byte % 4 {
+            0 => progressed(&work, "engine-0", 40, version),
+            1 => Event::Failed {
+                attempt,
+                failure: Failure {
+                    proved: Some(proved(20, version)),
+                    ..Failure::default()
+                },
+            },
+            _ => finished(&work, version),
+        };
+        if byte % 8 == 1 {
+            owner.works.remove(&number);
+        }
+        self.run(place, event);
+    }
+
+    fn step(&mut self, byte: u8) {
+        let place = usize::from(byte & 1);
+        match (byte >> 1) % 16 {
+            0 | 1 => self.pull(place),
+            2 => self.submit(place),
+            3 => drop(self.answers.pop_front()),
+            4 => self.trainer.advance(),
+            5 => {
+                self.lives += 1;
+                self.owners[place] = owner(self.lives);
+            }
+            6 => self.trainer.held.clear(),
+            7 => {
+                let trainer = "guides".into();
+                let step = STEP;
+                self.run(place, Event::OwnerChanged { trainer, step });
+            }
+            8 => self.now += 70.0,
+            9 => self.pass(place),
+            10 | 11 => {
+                let late = match place {
+                    0 => self.answers.pop_front(),
+                    _ => self.answers.pop_back(),
+                };
+                self.trainer.take(&late.unwrap_or_default());
+            }
+            _ => self.work(place, byte.rotate_left(3)),
+        }
+    }
+
+    fn pass(&mut self, place: usize) {
+        self.now += 0.3;
+        let newest = self.trainer.version;
+        self.owners[place].set_newest(newest);
+        let actions = self.owners[place].run(at(self.now), []);
+        self.answers.push_back(actions);
+    }
+
+    /// Lets one owner work without faults until the trainer has all.
+    fn settle(&mut self) {
+        for _ in 0..20 {
+            if self.trainer.held.len() == SLOT_COUNT {
+                return;
+            }
+            self.now += 10.0;
+            let version = self.trainer.version;
+            self.owners[0].set_newest(version);
+            self.submit(0);
+            let owner = &mut self.owners[0];
+            let pull = self.trainer.pull();
+            let actions = owner.pull(at(self.now), pull);
+            self.trainer.take(&actions);
+            let actions = owner.finish_all(at(self.now + 1.0), version);
+            self.trainer.take(&actions);
+            let actions = owner.run(at(self.now + 2.0), []);
+            self.trainer.take(&actions);
+        }
+        panic!("{} of {SLOT_COUNT} slots", self.trainer.held.len());
+    }
+}
+
+fn owner(seed: u64) -> Owner {
+    Owner::new(seed, Row::new("guides"))
+}
+
+#[test]
+fn fault_schedules() {
+    check!()
+        .with_iterations(2_000)
+        .with_max_len(64)
+        .for_each(|bytes: &[u8]| {
+            let mut world = World::new();
+            world.submit(0);
+            for &byte in bytes {
+                world.step(byte);
+            }
+            world.settle();
+        });
+}
--- a/tests/step_support/mod.rs
+++ b/tests/step_support/mod.rs
@@ -141,6 +141,12 @@
         }
     }
 
+    /// Moves to the next version, and gives the open pull up.
+    pub fn advance(&mut self) {
+        self.version += 1;
+        self.attach += 1;
+    }
+
     /// Takes an answer, and fails the test on a slot that it has already.
     pub fn take(&mut self, actions: &[Action]) -> usize {
         let mut taken = 0;
