Serve the table over HTTP

Cause: operators steer by editing the table. Change: JSON and CSV interface with row versions, dry run, history and the revision in force a host; problem details for each refusal. Before/After: not measured.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -40,7 +40,10 @@
         .subcommand(replay())
         .subcommand(check_config())
         .subcommand(table())
-        .subcommand(on_host("status", "Shows hosts, upstreams, rows and what is wrong"))
+        .subcommand(on_host(
+            "status",
+            "Shows hosts, upstreams, rows and what is wrong",
+        ))
         .subcommand(explain())
         .subcommand(on_host("drain", "Stops the host gracefully"))
         .subcommand(report())
@@ -110,7 +113,10 @@
                 ),
         )
         .subcommand(on_table("history", "Shows who changed what and when"))
-        .subcommand(on_table("status", "Shows which hosts have which revision in force"))
+        .subcommand(on_table(
+            "status",
+            "Shows which hosts have which revision in force",
+        ))
         .subcommand(on_table("export", "Writes the table as CSV"))
         .subcommand(
             on_table("import", "Reads the table from CSV").arg(
@@ -128,9 +134,12 @@
         .value_name("ID")
         .required(true)
         .help("A request, sample, step, change, upstream or host");
-    on_host("explain", "Tells what was decided about an id, by whom, and from which figures")
-        .arg(id)
-        .arg(recording())
+    on_host(
+        "explain",
+        "Tells what was decided about an id, by whom, and from which figures",
+    )
+    .arg(id)
+    .arg(recording())
 }
 
 fn report() -> Command {
@@ -138,15 +147,18 @@
         .about("Reports on the service")
         .subcommand_required(true)
         .subcommand(
-            on_host("burn", "Shows how fast each objective's error budget is used up")
-                .arg(recording())
-                .arg(
-                    Arg::new("output")
-                        .long("output")
-                        .value_name("FILE")
-                        .value_parser(value_parser!(PathBuf))
-                        .help("Writes to a file in place of standard output"),
-                ),
+            on_host(
+                "burn",
+                "Shows how fast each objective's error budget is used up",
+            )
+            .arg(recording())
+            .arg(
+                Arg::new("output")
+                    .long("output")
+                    .value_name("FILE")
+                    .value_parser(value_parser!(PathBuf))
+                    .help("Writes to a file in place of standard output"),
+            ),
         )
 }
 
--- a/src/table_server.rs
+++ b/src/table_server.rs
@@ -1,1 +1,144 @@
-//! The operators' table over HTTP.
+//! The operators' table over HTTP: an interface in JSON and CSV, and a page that
+//! reads and edits like a spreadsheet (see docs/TABLE.md).
+
+mod body;
+mod handlers;
+mod hosts;
+mod refusal;
+
+use std::{
+    io,
+    net::TcpListener,
+    sync::{Arc, mpsc},
+    thread::{self, JoinHandle},
+    time::Duration,
+};
+
+use xitca_web::{App, handler::handler_service};
+
+use crate::{
+    auth::Keys,
+    settings::Settings,
+    store_client::{AddressError, Budget, HttpTableService},
+    table_api::{
+        CHANGES_PATH, COLUMNS_PATH, CSV_PATH, DRY_RUN_PATH, HISTORY_PATH, LIVE_PATH, PAGE_PATH,
+        STATUS_PATH, TABLE_PATH,
+    },
+};
+
+/// The time that a sender may take over the head of a request.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// The largest body of a change.
+const MAX_BODY_BYTES: usize = 1024 * 1024;
+
+/// What all requests share.
+#[derive(Clone, Debug)]
+pub struct State {
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    keys: Keys,
+    store: HttpTableService,
+    hosts: hosts::Client,
+    body_timeout: Duration,
+}
+
+impl State {
+    /// Takes keys and addresses from `settings`; pauses after failures of the
+    /// store are drawn from `seed`.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the address of the table service is none.
+    pub fn new(settings: &Settings, seed: u64) -> Result<Self, AddressError> {
+        let timeout = Duration::from_millis(settings.platform.timeout_ms);
+        let url = settings.platform.table_service_url.as_str();
+        let store = HttpTableService::new(url, timeout, Budget::default(), seed)?;
+        let shared = Shared {
+            keys: Keys::new(&settings.keys),
+            store,
+            hosts: hosts::Client::new(settings.host.http_address, timeout),
+            body_timeout: Duration::from_millis(settings.limits.request_read_timeout_ms),
+        };
+        Ok(Self {
+            shared: Arc::new(shared),
+        })
+    }
+}
+
+/// A running table server, which stops when it is dropped.
+#[derive(Debug)]
+pub struct Server {
+    stop: mpsc::Sender<()>,
+    thread: Option<JoinHandle<io::Result<()>>>,
+}
+
+impl Server {
+    /// Serves the table on `listener` with `worker_count` threads.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the listener cannot be used or a thread cannot be started.
+    pub fn start(state: State, listener: TcpListener, worker_count: usize) -> io::Result<Self> {
+        let mut running = App::new()
+            .with_state(state)
+            .at(PAGE_PATH, handler_service(handlers::page))
+            .at(LIVE_PATH, handler_service(handlers::live))
+            .at(TABLE_PATH, handler_service(handlers::table))
+            .at(COLUMNS_PATH, handler_service(handlers::columns))
+            .at(CSV_PATH, handler_service(handlers::csv))
+            .at(HISTORY_PATH, handler_service(handlers::history))
+            .at(STATUS_PATH, handler_service(handlers::status))
+            .at(DRY_RUN_PATH, handler_service(handlers::dry_run))
+            .at(CHANGES_PATH, handler_service(handlers::changes))
+            .at(named_path::CHANGE, handler_service(handlers::one_change))
+            .at(named_path::ROW, handler_service(handlers::row))
+            .at("/{*path}", handler_service(handlers::unknown))
+            .serve()
+            .disable_signal()
+            .worker_threads(worker_count)
+            .request_head_timeout(HEAD_TIMEOUT)
+            .listen(listener)?
+            .run();
+        let handle = running.handle()?;
+        let (stop, stopped) = mpsc::channel();
+        // The type of the handle cannot be named, so a thread keeps it.
+        thread::Builder::new()
+            .name("table-server-stop".to_owned())
+            .spawn(move || {
+                let _ = stopped.recv();
+                handle.stop(true);
+            })?;
+        let thread = thread::Builder::new()
+            .name("table-server".to_owned())
+            .spawn(move || running.wait())?;
+        Ok(Self {
+            stop,
+            thread: Some(thread),
+        })
+    }
+
+    /// Stops accepting, and returns once open requests have finished.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the server failed before.
+    pub fn stop(mut self) -> io::Result<()> {
+        let _ = self.stop.send(());
+        match self.thread.take().map(JoinHandle::join) {
+            Some(Ok(ended)) => ended,
+            _ => Ok(()),
+        }
+    }
+}
+
+/// Paths with a name at the end.
+mod named_path {
+    /// One change; see [`crate::table_api::CHANGES_PATH`].
+    pub(super) const CHANGE: &str = "/v1/table/changes/{id}";
+    /// One row; see [`crate::table_api::ROWS_PATH`].
+    pub(super) const ROW: &str = "/v1/table/rows/{id}";
+}
--- a/tests/generated_code.rs
+++ b/tests/generated_code.rs
@@ -4,7 +4,11 @@
 fn up_to_date() {
     let out_dir = tempfile::tempdir().unwrap();
     let root = env!("CARGO_MANIFEST_DIR");
-    let descriptors = protox::compile([format!("{root}/proto/peer.proto")], [format!("{root}/proto")]).unwrap();
+    let descriptors = protox::compile(
+        [format!("{root}/proto/peer.proto")],
+        [format!("{root}/proto")],
+    )
+    .unwrap();
     tonic_prost_build::configure()
         .out_dir(out_dir.path())
         .compile_fds(descriptors)
