--- a/src/datagram.rs
+++ b/src/datagram.rs
@@ -147,6 +147,7 @@
 ///     updates: Vec::new(),
 ///     table_revision: 3,
 ///     served: Vec::new(),
+///     notices: Vec::new(),
 /// };
 /// let bytes = Sealer::new(key.clone()).seal(&heartbeat, receiver)?;
 /// let mut opener = Opener::new(key, receiver);
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -7,7 +7,8 @@
 
 use crate::{
     blackboard::{Host, HostState, ServedCount},
-    ids::{HostId, Incarnation, Revision, RowId},
+    broadcast::News,
+    ids::{FailureDomain, HostId, Incarnation, Region, Revision, RowId, UpstreamId},
     proto::peer::{self, heartbeat, member_update},
 };
 
@@ -54,9 +55,9 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Place {
     /// Its failure domain.
-    pub failure_domain: crate::ids::FailureDomain,
+    pub failure_domain: FailureDomain,
     /// Its region.
-    pub region: crate::ids::Region,
+    pub region: Region,
     /// Where it answers peers.
     pub peer_address: SocketAddr,
     /// Where it answers callers.
@@ -91,11 +92,15 @@
             }),
         }
     }
+}
 
-    /// Returns the bytes that the claim takes in a datagram.
-    pub fn encoded_bytes(&self) -> usize {
-        let length = prost::Message::encoded_len(&peer::MemberUpdate::from(self));
-        length + prost::length_delimiter_len(length) + 1
+impl News for Update {
+    fn subject(&self) -> &HostId {
+        &self.host
+    }
+
+    fn encoded_bytes(&self) -> usize {
+        field_bytes(&peer::MemberUpdate::from(self))
     }
 }
 
@@ -113,8 +118,31 @@
 impl ServedReport {
     /// Returns the bytes that the count takes in a datagram.
     pub fn encoded_bytes(&self) -> usize {
-        let length = prost::Message::encoded_len(&peer::ServedTokens::from(self));
-        length + prost::length_delimiter_len(length) + 1
+        field_bytes(&peer::ServedTokens::from(self))
+    }
+}
+
+/// Numbers what is found out of one upstream; higher is newer.
+pub type NoticeVersion = u64;
+
+/// What one host found out about an upstream, for the others.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UpstreamNotice {
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// Which of two notices is newer.
+    pub version: NoticeVersion,
+    /// Whether it takes no new work.
+    pub leaving: bool,
+}
+
+impl News for UpstreamNotice {
+    fn subject(&self) -> &UpstreamId {
+        &self.upstream
+    }
+
+    fn encoded_bytes(&self) -> usize {
+        field_bytes(&peer::UpstreamNotice::from(self))
     }
 }
 
@@ -133,6 +161,8 @@
     pub table_revision: Revision,
     /// Served-token counts that the sender knows.
     pub served: Vec<ServedReport>,
+    /// What is news of upstreams.
+    pub notices: Vec<UpstreamNotice>,
 }
 
 /// Why a message that was rightly signed makes no heartbeat.
@@ -185,6 +215,7 @@
                 .into_iter()
                 .map(ServedReport::try_from)
                 .collect::<Result<_, _>>()?,
+            notices: message.notices.into_iter().map(Into::into).collect(),
         })
     }
 }
@@ -211,6 +242,7 @@
             updates: heartbeat.updates.iter().map(Into::into).collect(),
             table_revision: heartbeat.table_revision,
             served: heartbeat.served.iter().map(Into::into).collect(),
+            notices: heartbeat.notices.iter().map(Into::into).collect(),
         }
     }
 }
@@ -306,6 +338,32 @@
     }
 }
 
+impl From<peer::UpstreamNotice> for UpstreamNotice {
+    fn from(message: peer::UpstreamNotice) -> Self {
+        Self {
+            upstream: message.upstream.into(),
+            version: message.version,
+            leaving: message.leaving,
+        }
+    }
+}
+
+impl From<&UpstreamNotice> for peer::UpstreamNotice {
+    fn from(notice: &UpstreamNotice) -> Self {
+        Self {
+            upstream: notice.upstream.to_string(),
+            version: notice.version,
+            leaving: notice.leaving,
+        }
+    }
+}
+
+/// Returns the bytes that a message takes as a repeated field of another.
+fn field_bytes(message: &impl prost::Message) -> usize {
+    let length = message.encoded_len();
+    length + prost::length_delimiter_len(length) + 1
+}
+
 /// Reads what a message asks or answers.
 fn body(message: &peer::Heartbeat) -> Result<Body, Malformed> {
     let probe = message.probe;
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -13,8 +13,8 @@
     controller::Round,
     datagram::Refusal,
     decision::{Decision, Kind},
-    gossip::{Body, Heartbeat, ServedReport, Update},
-    ids::{HostId, Incarnation, Region, Revision, RowId},
+    gossip::{Body, Heartbeat, NoticeVersion, ServedReport, Update, UpstreamNotice},
+    ids::{HostId, Incarnation, Region, Revision, RowId, UpstreamId},
     member::{List, Transition},
     prober::{Prober, Waiter},
     refusals::Tally,
@@ -39,9 +39,11 @@
 /// The time between two probes of hosts that are held for gone.
 const RECONNECT_INTERVAL: Duration = Duration::from_secs(1);
 /// The bytes of member news in one datagram.
-const NEWS_BUDGET_BYTES: usize = 520;
+const NEWS_BUDGET_BYTES: usize = 480;
+/// The bytes of upstream news in one datagram.
+const NOTICE_BUDGET_BYTES: usize = 200;
 /// The bytes of served counts in one datagram.
-const SERVED_BUDGET_BYTES: usize = 520;
+const SERVED_BUDGET_BYTES: usize = 400;
 /// The bytes of members in one page of the list.
 const PAGE_BUDGET_BYTES: usize = 1_100;
 
@@ -122,6 +124,8 @@
         /// How it is listed.
         listing: Listing,
     },
+    /// This host found something out about an upstream.
+    Noticed(UpstreamNotice),
     /// This host is stopping.
     Leave,
 }
@@ -148,6 +152,8 @@
         /// The counts.
         reports: Vec<ServedReport>,
     },
+    /// Give a peer's finding to the controller of the upstream list.
+    PeerNotice(UpstreamNotice),
     /// Stop this process, since another one runs under this host's name.
     Superseded {
         /// The incarnation of the other one.
@@ -176,7 +182,10 @@
 pub struct Controller {
     config: Config,
     list: List,
-    news: Queue,
+    news: Queue<Update>,
+    notices: Queue<UpstreamNotice>,
+    /// The newest notice of each upstream, so that old ones end.
+    notice_versions: BTreeMap<UpstreamId, NoticeVersion>,
     prober: Prober,
     incarnation: Incarnation,
     leaving: bool,
@@ -211,6 +220,8 @@
         Self {
             list: List::new(config.own.clone()),
             news: Queue::default(),
+            notices: Queue::default(),
+            notice_versions: BTreeMap::new(),
             prober: Prober::default(),
             incarnation: config.own.incarnation,
             leaving: false,
@@ -280,6 +291,9 @@
                 peer_address,
                 listing,
             } => self.follow_listing(&host, peer_address, listing, turn),
+            Event::Noticed(notice) => {
+                self.take_notice(&notice);
+            }
             Event::Leave => self.leave(turn),
         }
     }
@@ -318,6 +332,11 @@
             Body::Sync { after } => self.send_page(to, &after, turn),
             Body::SyncReply { next } => self.finish_page(next),
         }
+        for notice in heartbeat.notices {
+            if self.take_notice(&notice) {
+                turn.actions.push(Action::PeerNotice(notice));
+            }
+        }
         if heartbeat.table_revision > turn.round.board.rows.revision {
             turn.actions.push(Action::PeerRevision {
                 host: from,
--- a/src/membership/dissemination.rs
+++ b/src/membership/dissemination.rs
@@ -6,16 +6,17 @@
 
 use crate::{
     blackboard::{Blackboard, HostState, ServedCount},
+    broadcast::News as _,
     decision::{Decision, Kind},
-    gossip::{Body, Heartbeat, ServedReport, Update},
+    gossip::{Body, Heartbeat, ServedReport, Update, UpstreamNotice},
     ids::{HostId, RowId},
     prober::Waiter,
 };
 
 use super::{
     Action, Controller, GOSSIP_FANOUT, GOSSIP_INTERVAL, JOIN_INTERVAL, LEAVE_FANOUT,
-    NEWS_BUDGET_BYTES, PAGE_BUDGET_BYTES, RECONNECT_INTERVAL, SERVED_BUDGET_BYTES, SYNC_INTERVAL,
-    Turn,
+    NEWS_BUDGET_BYTES, NOTICE_BUDGET_BYTES, PAGE_BUDGET_BYTES, RECONNECT_INTERVAL,
+    SERVED_BUDGET_BYTES, SYNC_INTERVAL, Turn,
 };
 
 impl Controller {
@@ -30,7 +31,7 @@
         }
         if now >= self.next_gossip_at {
             self.next_gossip_at = now + GOSSIP_INTERVAL;
-            if !self.news.is_empty() {
+            if !self.news.is_empty() || !self.notices.is_empty() {
                 self.gossip(GOSSIP_FANOUT, turn);
             }
         }
@@ -144,6 +145,18 @@
         Some(seeds[turn.round.rng.random_range(0..seeds.len())])
     }
 
+    /// Takes a notice on and passes it on, or says that a newer one is known.
+    pub(super) fn take_notice(&mut self, notice: &UpstreamNotice) -> bool {
+        let known = self.notice_versions.get(&notice.upstream);
+        if known.is_some_and(|version| *version >= notice.version) {
+            return false;
+        }
+        self.notice_versions
+            .insert(notice.upstream.clone(), notice.version);
+        self.notices.push(notice.clone());
+        true
+    }
+
     /// Tells peers that this host takes no new work.
     pub(super) fn leave(&mut self, turn: &mut Turn<'_>) {
         if self.leaving {
@@ -239,7 +252,10 @@
         updates.extend(host.and_then(|host| self.accusation(host)));
         updates.extend(self.news.take(self.list.live_count(), NEWS_BUDGET_BYTES));
         let served = self.take_served(turn.round.board);
-        let heartbeat = self.heartbeat(body, updates, served, turn);
+        let mut heartbeat = self.heartbeat(body, updates, served, turn);
+        heartbeat.notices = self
+            .notices
+            .take(self.list.live_count(), NOTICE_BUDGET_BYTES);
         turn.actions.push(Action::Send { to, heartbeat });
     }
 
@@ -268,6 +284,7 @@
             updates,
             table_revision: turn.round.board.rows.revision,
             served,
+            notices: Vec::new(),
         }
     }
 
