Run the whole path in one process with mimosavane demo

Cause: nothing showed that the parts work together. Change: a demo of four hosts, six engines, two services, a table service, three trainers and four callers over real sockets, held to its promises. Before: no path.

--- a/src/bin/mimosavane.rs
+++ b/src/bin/mimosavane.rs
@@ -1,3 +1,46 @@
 //! The operators' command line.
 
-fn main() {}
+use std::{process::ExitCode, time::Duration};
+
+use anyhow::{Context, Result};
+use clap::ArgMatches;
+use mimosavane::{
+    cli::{self, Format},
+    demo::{self, Options},
+};
+
+fn main() -> ExitCode {
+    let matches = cli::build().get_matches();
+    match run(&matches) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(1),
+        Err(error) => {
+            eprintln!("error: {error:#}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+/// Runs the command, and says whether what was asked held.
+fn run(matches: &ArgMatches) -> Result<bool> {
+    match matches.subcommand() {
+        Some(("demo", matches)) => run_demo(matches),
+        _ => Ok(false),
+    }
+}
+
+fn run_demo(matches: &ArgMatches) -> Result<bool> {
+    let options = Options {
+        seed: matches.get_one("seed").copied().unwrap_or_default(),
+        duration: Duration::from_secs(matches.get_one("duration-s").copied().unwrap_or_default()),
+    };
+    let runtime = tokio::runtime::Runtime::new().context("starting the demo's threads")?;
+    let report = runtime
+        .block_on(demo::run(&options))
+        .context("running the demo")?;
+    match cli::format_of(matches) {
+        Format::Json => println!("{}", serde_json::to_string_pretty(&report)?),
+        _ => print!("{}", report.to_text()),
+    }
+    Ok(report.is_held())
+}
--- /dev/null
+++ b/src/demo/caller.rs
@@ -0,0 +1,150 @@
+//! Callers of the plain services, who never repeat an order in doubt.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use hyper::Method;
+use rand::{Rng as _, SeedableRng as _};
+use serde::Serialize;
+
+use super::cluster::{CALLER_ROW, SERVICE_POOL, row_token};
+use crate::{
+    controller::Rng,
+    entry::problem::OUTCOME_HEADER,
+    standin::client::{Answer, CallError, Client},
+};
+
+/// The time between two calls of one caller.
+const CALL_INTERVAL: Duration = Duration::from_millis(20);
+
+/// How long one call may take.
+const CALL_TIMEOUT: Duration = Duration::from_secs(8);
+
+/// One call in this many is a lookup; the others are orders.
+const LOOKUP_EVERY: u64 = 2;
+
+/// What became of an order, as its caller was told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Told {
+    /// The whole answer came.
+    Answered,
+    /// It was refused as not run.
+    NotRun,
+    /// Nobody knows, or no whole answer came.
+    Unknown,
+}
+
+/// What a caller saw.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Tally {
+    /// Lookups that were answered.
+    pub lookups_answered: u64,
+    /// Lookups that were not.
+    pub lookups_refused: u64,
+    /// What was told of each order.
+    pub orders: BTreeMap<String, Told>,
+    /// Answers that belong to another request.
+    pub wrong_answers: u64,
+}
+
+/// A caller that looks up and orders until its stop time.
+#[derive(Debug)]
+pub struct Caller {
+    entries: Vec<SocketAddr>,
+    client: Client,
+    rng: Rng,
+    number: u64,
+    tally: Tally,
+}
+
+impl Caller {
+    /// Makes the caller with `number`, which goes into its orders' names.
+    pub fn new(entries: Vec<SocketAddr>, number: u64, seed: u64) -> Self {
+        Self {
+            entries,
+            client: Client::new(CALL_TIMEOUT),
+            rng: Rng::seed_from_u64(seed ^ number),
+            number,
+            tally: Tally::default(),
+        }
+    }
+
+    /// Calls until `until`, and returns what it saw.
+    pub async fn run(mut self, until: Instant) -> Tally {
+        let mut turn = 0;
+        while Instant::now() < until {
+            turn += 1;
+            if turn % LOOKUP_EVERY == 0 {
+                self.look_up().await;
+            } else {
+                self.order(turn).await;
+            }
+            tokio::time::sleep(CALL_INTERVAL).await;
+        }
+        self.tally
+    }
+
+    async fn look_up(&mut self) {
+        let answer = self.call(Method::GET, "/members/7", &[], "").await;
+        if answer.is_ok_and(|answer| answer.status.is_success()) {
+            self.tally.lookups_answered += 1;
+        } else {
+            self.tally.lookups_refused += 1;
+        }
+    }
+
+    /// Places an order; asks again with its key while the answer is in doubt.
+    async fn order(&mut self, turn: u64) {
+        let name = format!("order-{}-{turn}", self.number);
+        let mut told = Told::Unknown;
+        for _ in 0..3 {
+            let headers = [("idempotency-key", name.as_str())];
+            let answer = self.call(Method::POST, "/orders", &headers, &name).await;
+            told = self.judge(&name, &answer);
+            if told != Told::Unknown {
+                break;
+            }
+        }
+        self.tally.orders.insert(name, told);
+    }
+
+    fn judge(&mut self, name: &str, answer: &Result<Answer, CallError>) -> Told {
+        let Ok(answer) = answer else {
+            return Told::Unknown;
+        };
+        let outcome = answer.headers.get(OUTCOME_HEADER);
+        if outcome.is_some_and(|outcome| outcome == "not-run") {
+            return Told::NotRun;
+        }
+        if !answer.status.is_success() {
+            return Told::Unknown;
+        }
+        let body = serde_json::from_slice::<serde_json::Value>(&answer.body);
+        if body.is_ok_and(|body| body["order"] == name) {
+            return Told::Answered;
+        }
+        self.tally.wrong_answers += 1;
+        Told::Unknown
+    }
+
+    async fn call(
+        &mut self,
+        method: Method,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> Result<Answer, CallError> {
+        let place = self.rng.random_range(0..self.entries.len());
+        let bearer = format!("Bearer {}", row_token(CALLER_ROW));
+        let mut all = vec![("authorization", bearer.as_str())];
+        all.extend_from_slice(headers);
+        let path = format!("/v1/pools/{SERVICE_POOL}{path}");
+        self.client
+            .send(method, self.entries[place], &path, &all, body.to_owned())
+            .await
+    }
+}
--- /dev/null
+++ b/src/demo/mod.rs
@@ -0,0 +1,141 @@
+//! The whole path in one process, on stand-ins, held to its promises.
+//!
+//! `mimosavane demo` runs it (see README.md).
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use tokio::task::JoinHandle;
+
+use crate::standin::trainer::{self, Trainer};
+
+pub mod caller;
+pub mod cluster;
+pub mod report;
+
+use caller::Caller;
+use cluster::{Cluster, ClusterError, ROWS, row_token};
+use report::Report;
+
+/// Callers of plain services.
+const CALLER_COUNT: u64 = 4;
+
+/// How long the hosts may take until they know each other and the table.
+const WARM_UP: Duration = Duration::from_secs(2);
+
+/// The time between two lines of progress.
+const PROGRESS_INTERVAL: Duration = Duration::from_secs(2);
+
+/// The time between two versions of the weights.
+const WEIGHT_INTERVAL: Duration = Duration::from_millis(1_500);
+
+/// The time between the swaps of two engines.
+const SWAP_INTERVAL: Duration = Duration::from_millis(30);
+
+/// What a demo shall do.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Seeds every choice.
+    pub seed: u64,
+    /// How long the load runs.
+    pub duration: Duration,
+}
+
+/// Runs a demo, and returns what it saw.
+///
+/// # Errors
+///
+/// Fails where a part cannot be started.
+pub async fn run(options: &Options) -> Result<Report, ClusterError> {
+    let cluster = Cluster::start(options.seed).await?;
+    tokio::time::sleep(WARM_UP).await;
+    let until = Instant::now() + options.duration;
+    let version = Arc::new(AtomicU64::new(1));
+    let trainers = start_trainers(&cluster, options, &version, until);
+    let callers = start_callers(&cluster, options, until);
+    let publishing = publish_weights(&cluster, &version, until);
+    tokio::join!(publishing, show_progress(&cluster, until));
+    let mut report = Report::default();
+    for (row, trainer) in trainers {
+        if let Ok(tally) = trainer.await {
+            report.trainers.insert(row, tally);
+        }
+    }
+    for caller in callers {
+        if let Ok(tally) = caller.await {
+            report.add_caller(tally);
+        }
+    }
+    for service in &cluster.services {
+        report.add_runs(service.runs());
+    }
+    Ok(report)
+}
+
+fn start_trainers(
+    cluster: &Cluster,
+    options: &Options,
+    version: &Arc<AtomicU64>,
+    until: Instant,
+) -> Vec<(String, JoinHandle<trainer::Tally>)> {
+    ROWS.iter()
+        .enumerate()
+        .map(|(place, (row, _))| {
+            let config = trainer::Config {
+                row: (*row).into(),
+                token: row_token(row),
+                entries: cluster.entries(),
+                group_count: 8,
+                samples_per_group: 4,
+                max_tokens: 256,
+                train_time: Duration::from_millis(300),
+                staleness_bound_versions: 2,
+                seed: options.seed + place as u64,
+            };
+            let trainer = Trainer::new(config, version.clone());
+            ((*row).to_owned(), tokio::spawn(trainer.run(until)))
+        })
+        .collect()
+}
+
+fn start_callers(
+    cluster: &Cluster,
+    options: &Options,
+    until: Instant,
+) -> Vec<JoinHandle<caller::Tally>> {
+    (0..CALLER_COUNT)
+        .map(|number| {
+            let caller = Caller::new(cluster.entries(), number, options.seed);
+            tokio::spawn(caller.run(until))
+        })
+        .collect()
+}
+
+/// Brings out new weights, and has the engines swap one after the other.
+async fn publish_weights(cluster: &Cluster, version: &AtomicU64, until: Instant) {
+    while Instant::now() + WEIGHT_INTERVAL < until {
+        tokio::time::sleep(WEIGHT_INTERVAL).await;
+        let next = version.fetch_add(1, Ordering::Relaxed) + 1;
+        for engine in &cluster.engines {
+            engine.swap(next);
+            tokio::time::sleep(SWAP_INTERVAL).await;
+        }
+    }
+}
+
+async fn show_progress(cluster: &Cluster, until: Instant) {
+    while Instant::now() < until {
+        tokio::time::sleep(PROGRESS_INTERVAL.min(until - Instant::now())).await;
+        let tokens = cluster
+            .engines
+            .iter()
+            .map(|engine| engine.served_tokens())
+            .sum::<u64>();
+        eprintln!("{tokens} tokens generated");
+    }
+}
--- a/src/entry/api.rs
+++ b/src/entry/api.rs
@@ -23,8 +23,11 @@
 /// The context of one request.
 pub type Context<'a> = WebContext<'a, Shared>;
 
+/// A refusal, boxed since it is far larger than what is returned otherwise.
+pub type Refusal = Box<WebResponse>;
+
 /// An answer, or the refusal to send in its place.
-pub type Answer = Result<WebResponse, WebResponse>;
+pub type Answer = Result<WebResponse, Refusal>;
 
 /// A running HTTP server.
 pub struct Server {
@@ -125,11 +128,11 @@
 /// # Errors
 ///
 /// Fails with the refusal to send.
-pub fn admit_operator(ctx: &Context<'_>) -> Result<(), WebResponse> {
+pub fn admit_operator(ctx: &Context<'_>) -> Result<(), Refusal> {
     match role(ctx) {
         Role::Operator(_) => Ok(()),
-        Role::Row(_) => Err(Problem::Forbidden.respond("this needs an operator's key", None)),
-        Role::None => Err(Problem::Unauthorized.respond("this needs an operator's key", None)),
+        Role::Row(_) => Err(Problem::Forbidden.refuse("this needs an operator's key", None)),
+        Role::None => Err(Problem::Unauthorized.refuse("this needs an operator's key", None)),
     }
 }
 
@@ -138,14 +141,14 @@
 /// # Errors
 ///
 /// Fails with the refusal to send.
-pub fn admit_row(ctx: &Context<'_>, row: &str) -> Result<(), WebResponse> {
+pub fn admit_row(ctx: &Context<'_>, row: &str) -> Result<(), Refusal> {
     let role = role(ctx);
     if role.owns(row) {
         return Ok(());
     }
     match role {
-        Role::None => Err(Problem::Unauthorized.respond("this needs the row's key", None)),
-        _ => Err(Problem::Forbidden.respond("the key is not for this row", None)),
+        Role::None => Err(Problem::Unauthorized.refuse("this needs the row's key", None)),
+        _ => Err(Problem::Forbidden.refuse("the key is not for this row", None)),
     }
 }
 
@@ -154,10 +157,10 @@
 /// # Errors
 ///
 /// Fails with the refusal to send.
-pub async fn read_json<T: DeserializeOwned>(ctx: &Context<'_>) -> Result<T, WebResponse> {
+pub async fn read_json<T: DeserializeOwned>(ctx: &Context<'_>) -> Result<T, Refusal> {
     let bytes = read(ctx).await?;
     serde_json::from_slice(&bytes)
-        .map_err(|error| Problem::Malformed.respond(error.to_string(), None))
+        .map_err(|error| Problem::Malformed.refuse(error.to_string(), None))
 }
 
 /// Reads the body of a request.
@@ -165,10 +168,10 @@
 /// # Errors
 ///
 /// Fails with the refusal to send.
-pub async fn read(ctx: &Context<'_>) -> Result<Bytes, WebResponse> {
+pub async fn read(ctx: &Context<'_>) -> Result<Bytes, Refusal> {
     body::read(ctx)
         .await
-        .map_err(|problem| problem.respond("the body was not taken", None))
+        .map_err(|problem| problem.refuse("the body was not taken", None))
 }
 
 /// Answers with a JSON document.
@@ -195,6 +198,7 @@
 /// Merges the two sides of an answer.
 pub fn settle(answer: Answer) -> WebResponse {
     match answer {
-        Ok(response) | Err(response) => response,
+        Ok(response) => response,
+        Err(refusal) => *refusal,
     }
 }
--- a/src/entry/calls.rs
+++ b/src/entry/calls.rs
@@ -32,7 +32,7 @@
 
 async fn try_forward(ctx: &Context<'_>) -> Answer {
     let Role::Row(row) = api::role(ctx) else {
-        return Err(Problem::Unauthorized.respond("this needs a row's key", None));
+        return Err(Problem::Unauthorized.refuse("this needs a row's key", None));
     };
     let shared = ctx.state();
     let _open = shared.open_work.hold();
@@ -54,7 +54,7 @@
         .method(ctx.req().method())
         .uri(target)
         .body(body)
-        .map_err(|error| Problem::Malformed.respond(error.to_string(), None))?;
+        .map_err(|error| Problem::Malformed.refuse(error.to_string(), None))?;
     *request.headers_mut() = ctx.req().headers().clone();
     let response = call::serve(&shared.calls, request, &caller).await;
     Ok(response.map(|payload| ResponseBody::boxed(Outgoing(payload))))
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -429,6 +429,7 @@
                     .push(follower::Event::PeerAnnounced { host, revision });
             }
             membership::Action::PeerServed { .. } => {}
+            membership::Action::PeerNotice(_) => {}
             membership::Action::Superseded { incarnation } => {
                 tracing::error!(incarnation, "another process runs under this host's name");
                 self.shared.stopping.store(true, Ordering::Relaxed);
--- a/src/entry/operators.rs
+++ b/src/entry/operators.rs
@@ -66,7 +66,7 @@
     let id = api::parts(ctx).get(2..).unwrap_or_default().join("/");
     let (reply, answer) = oneshot::channel();
     let asked = ctx.state().control.send(Input::Explain { id, reply }).await;
-    asked.map_err(|error| Problem::Overloaded.respond(error.to_string(), None))?;
+    asked.map_err(|error| Problem::Overloaded.refuse(error.to_string(), None))?;
     let records: Vec<Decision> = answer.await.unwrap_or_default();
     Ok(api::json(&records))
 }
@@ -74,6 +74,6 @@
 async fn try_drain(ctx: &Context<'_>) -> Answer {
     api::admit_operator(ctx)?;
     let asked = ctx.state().control.send(Input::Drain).await;
-    asked.map_err(|error| Problem::Overloaded.respond(error.to_string(), None))?;
+    asked.map_err(|error| Problem::Overloaded.refuse(error.to_string(), None))?;
     Ok(api::text("draining\n"))
 }
--- a/src/entry/problem.rs
+++ b/src/entry/problem.rs
@@ -106,6 +106,16 @@
         }
     }
 
+    /// Builds the answer as [`Problem::respond`] does, for the error side of a
+    /// result.
+    pub fn refuse(
+        self,
+        detail: impl Into<String>,
+        retry_after: Option<Duration>,
+    ) -> Box<Response<ResponseBody>> {
+        Box::new(self.respond(detail, retry_after))
+    }
+
     /// Builds the answer, with the time to come back where there is one.
     pub fn respond(
         self,
--- a/src/entry/trainers.rs
+++ b/src/entry/trainers.rs
@@ -5,7 +5,7 @@
 use xitca_web::http::WebResponse;
 
 use super::{
-    api::{self, Answer, Context, NOT_READY_DELAY},
+    api::{self, Answer, Context, NOT_READY_DELAY, Refusal},
     owners,
     problem::Problem,
 };
@@ -40,9 +40,9 @@
     };
     let reply = owners::submit(ctx.state(), request).await;
     let reply =
-        reply.map_err(|error| Problem::NoUpstream.respond(error.to_string(), Some(RETRY_DELAY)))?;
+        reply.map_err(|error| Problem::NoUpstream.refuse(error.to_string(), Some(RETRY_DELAY)))?;
     if !reply.accepted {
-        return Err(Problem::StepConflict.respond(reply.refusal, None));
+        return Err(Problem::StepConflict.refuse(reply.refusal, None));
     }
     Ok(api::json(&Submitted { owner: reply.owner }))
 }
@@ -54,49 +54,49 @@
     let request = pull.into_message(&trainer, step);
     let reply = owners::pull(ctx.state(), request).await;
     let reply =
-        reply.map_err(|error| Problem::NoUpstream.respond(error.to_string(), Some(RETRY_DELAY)))?;
+        reply.map_err(|error| Problem::NoUpstream.refuse(error.to_string(), Some(RETRY_DELAY)))?;
     match reply.status() {
         peer::PullStatus::Ok => Ok(api::json(&Pulled {
             samples: reply.samples.into_iter().map(Sample::from).collect(),
             open_slots: reply.open_slots,
         })),
         peer::PullStatus::Superseded => {
-            Err(Problem::Superseded.respond("a pull with a higher attach number took over", None))
+            Err(Problem::Superseded.refuse("a pull with a higher attach number took over", None))
         }
         peer::PullStatus::Draining => {
-            Err(Problem::Draining.respond("the step's host is stopping", Some(RETRY_DELAY)))
+            Err(Problem::Draining.refuse("the step's host is stopping", Some(RETRY_DELAY)))
         }
         peer::PullStatus::StepUnknown | peer::PullStatus::Unspecified => {
-            Err(Problem::StepUnknown.respond("submit the step again", None))
+            Err(Problem::StepUnknown.refuse("submit the step again", None))
         }
     }
 }
 
 /// Checks the key, the row and the step of a path.
-fn admit_step(ctx: &Context<'_>) -> Result<(RowId, StepNumber), WebResponse> {
+fn admit_step(ctx: &Context<'_>) -> Result<(RowId, StepNumber), Refusal> {
     let trainer = admit_trainer(ctx)?;
     let step = api::parts(ctx)
         .get(4)
         .and_then(|part| part.parse().ok())
-        .ok_or_else(|| Problem::Malformed.respond("the step is not a number", None))?;
+        .ok_or_else(|| Problem::Malformed.refuse("the step is not a number", None))?;
     Ok((trainer, step))
 }
 
-fn admit_trainer(ctx: &Context<'_>) -> Result<RowId, WebResponse> {
+fn admit_trainer(ctx: &Context<'_>) -> Result<RowId, Refusal> {
     let parts = api::parts(ctx);
     let trainer = parts.get(2).copied().unwrap_or_default();
     api::admit_row(ctx, trainer)?;
     let board = ctx.state().snapshot.load();
     if board.draining {
-        return Err(Problem::Draining.respond("this host is stopping", Some(RETRY_DELAY)));
+        return Err(Problem::Draining.refuse("this host is stopping", Some(RETRY_DELAY)));
     }
     if board.rows.revision == 0 {
         return Err(
-            Problem::NotReady.respond("the table is not known here yet", Some(NOT_READY_DELAY))
+            Problem::NotReady.refuse("the table is not known here yet", Some(NOT_READY_DELAY))
         );
     }
     match board.rows.rows.get(trainer) {
         Some(row) if row.enabled => Ok(row.id.clone()),
-        _ => Err(Problem::RowUnknown.respond("the table has no such row, or it is off", None)),
+        _ => Err(Problem::RowUnknown.refuse("the table has no such row, or it is off", None)),
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod correction;
 pub mod datagram;
 pub mod decision;
+pub mod demo;
 pub mod dispatch;
 pub mod drain;
 pub mod edit;
--- a/src/standin/trainer.rs
+++ b/src/standin/trainer.rs
@@ -93,8 +93,7 @@
 type Holdings = BTreeMap<GroupNumber, BTreeSet<SampleIndex>>;
 
 impl Trainer {
-    /// Makes a trainer that trains `version` of the weights, which it raises
-    /// after each step.
+    /// Makes a trainer that has `version` of the weights.
     pub fn new(config: Config, version: Arc<AtomicU64>) -> Self {
         Self {
             client: Client::new(REQUEST_TIMEOUT),
@@ -130,7 +129,6 @@
             }
             self.submit(step + 1, until).await;
             tokio::time::sleep(self.config.train_time).await;
-            self.version.fetch_add(1, Ordering::Relaxed);
             step += 1;
         }
         self.note(|tally| tally.elapsed_ms = millis(start.elapsed()));
