Write attempt ids of claims as text

Cause: JSON numbers end at 64 bits, so that no claim with a 128-bit attempt id could be encoded, and every keyed call was refused as not run.

--- a/src/claim.rs
+++ b/src/claim.rs
@@ -69,6 +69,7 @@
     /// The call that it is for.
     pub key: Key,
     /// The attempt that holds it.
+    #[serde(with = "crate::ids::attempt_text")]
     pub attempt: AttemptId,
     /// The host of that attempt.
     pub host: HostId,
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -105,3 +105,29 @@
         )
     }
 }
+
+/// Writes an [`AttemptId`] as hexadecimal text, since JSON numbers cannot hold it.
+pub mod attempt_text {
+    use serde::{Deserialize as _, Deserializer, Serializer, de::Error as _};
+
+    use super::AttemptId;
+
+    /// Writes the id.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the serializer does.
+    pub fn serialize<S: Serializer>(id: &AttemptId, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_str(&format!("{id:032x}"))
+    }
+
+    /// Reads the id.
+    ///
+    /// # Errors
+    ///
+    /// Fails on text that is no hexadecimal number.
+    pub fn deserialize<'de, D: Deserializer<'de>>(deserializer: D) -> Result<AttemptId, D::Error> {
+        let text = String::deserialize(deserializer)?;
+        AttemptId::from_str_radix(&text, 16).map_err(D::Error::custom)
+    }
+}
