--- a/src/settings.rs
+++ b/src/settings.rs
@@ -3,7 +3,11 @@
 //! Each field carries its unit as a suffix and has a documented default; see
 //! docs/SETTINGS.md. Unknown fields are refused.
 
-use std::{collections::BTreeMap, net::SocketAddr, path::Path};
+use std::{
+    collections::BTreeMap,
+    net::{Ipv4Addr, SocketAddr},
+    path::Path,
+};
 
 use serde::{Deserialize, Serialize};
 
@@ -46,6 +50,9 @@
     /// Who may ask for what.
     #[serde(default)]
     pub keys: KeySettings,
+    /// Where operators reach the table.
+    #[serde(default)]
+    pub table: TableSettings,
     /// Bounds on what callers may ask.
     #[serde(default)]
     pub limits: LimitSettings,
@@ -94,6 +101,12 @@
     /// How long one request to the platform may take.
     #[serde(default = "defaults::platform_timeout_ms")]
     pub timeout_ms: u64,
+    /// Reads of the table service a second that the whole fleet may use.
+    #[serde(default = "defaults::table_service_max_reads_per_s")]
+    pub table_service_max_reads_per_s: u32,
+    /// Writes to the table service a second that the whole fleet may use.
+    #[serde(default = "defaults::table_service_max_writes_per_s")]
+    pub table_service_max_writes_per_s: u32,
     /// Engines that refuse an order with an old fencing number.
     #[serde(default)]
     pub fence_checking_engines: Vec<String>,
@@ -123,6 +136,14 @@
     }
 }
 
+/// Where operators reach the table.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct TableSettings {
+    /// Where the table server of this host answers operators.
+    pub http_address: SocketAddr,
+}
+
 /// Bounds on what callers may ask.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -219,6 +240,14 @@
     pub change_in_force_ms: u64,
 }
 
+impl Default for TableSettings {
+    fn default() -> Self {
+        Self {
+            http_address: (Ipv4Addr::LOCALHOST, 8090).into(),
+        }
+    }
+}
+
 impl Default for LimitSettings {
     fn default() -> Self {
         Self {
@@ -269,6 +298,14 @@
     pub(super) const fn platform_timeout_ms() -> u64 {
         1_000
     }
+
+    pub(super) const fn table_service_max_reads_per_s() -> u32 {
+        2_000
+    }
+
+    pub(super) const fn table_service_max_writes_per_s() -> u32 {
+        300
+    }
 }
 
 /// Why settings could not be read.
--- a/src/store_client.rs
+++ b/src/store_client.rs
@@ -30,6 +30,7 @@
     clock::Clock,
     controller::Rng,
     ids::Revision,
+    settings::PlatformSettings,
     store::{
         Committed, Condition, NotSentReason, Record, RecordKey, Scan, StoreError, TableService,
         Transaction,
@@ -98,6 +99,15 @@
     }
 }
 
+impl From<&PlatformSettings> for Budget {
+    fn from(settings: &PlatformSettings) -> Self {
+        Self {
+            max_reads_per_s: settings.table_service_max_reads_per_s,
+            max_writes_per_s: settings.table_service_max_writes_per_s,
+        }
+    }
+}
+
 /// What a request costs the table service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Cost {
--- a/src/table_server.rs
+++ b/src/table_server.rs
@@ -32,6 +32,10 @@
 /// The largest body of a change.
 const MAX_BODY_BYTES: usize = 1024 * 1024;
 
+/// The part of the store's rate that one table server may use, since all its
+/// load comes from a few operators.
+const PARTS_COUNT: u32 = 100;
+
 /// What all requests share.
 #[derive(Clone, Debug)]
 pub struct State {
@@ -56,7 +60,9 @@
     pub fn new(settings: &Settings, seed: u64) -> Result<Self, AddressError> {
         let timeout = Duration::from_millis(settings.platform.timeout_ms);
         let url = settings.platform.table_service_url.as_str();
-        let store = HttpTableService::new(url, timeout, Budget::default(), seed)?;
+        let budget = Budget::from(&settings.platform);
+        let store = HttpTableService::new(url, timeout, budget, seed)?;
+        store.set_live_hosts(PARTS_COUNT);
         let shared = Shared {
             keys: Keys::new(&settings.keys),
             store,
