--- a/src/lib.rs
+++ b/src/lib.rs
@@ -87,6 +87,7 @@
 pub mod table_client;
 pub mod table_csv;
 pub mod table_server;
+pub mod table_view;
 pub mod targets;
 pub mod telemetry;
 pub mod terms;
