Check settings against a table of fields

Cause: settings stopped at the first mistake and told no field. Change: one table of fields gives the check, the page docs/SETTINGS.md and the known units; the check returns all mistakes with file, line and field, and never repeats a value, since it may be a secret. Settings::load uses it. Conclusion: a new field takes one line in the table.

--- /dev/null
+++ b/examples/pages.rs
@@ -0,0 +1,11 @@
+//! Writes the pages under `docs/` that come from tables in the code.
+
+use anyhow::{Context, Result};
+
+fn main() -> Result<()> {
+    let pages = [("docs/SETTINGS.md", mimosavane::settings_field::page())];
+    for (path, text) in pages {
+        std::fs::write(path, text).with_context(|| format!("writing {path}"))?;
+    }
+    Ok(())
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -62,6 +62,7 @@
 pub mod sample;
 pub mod settings;
 pub mod settings_check;
+pub mod settings_field;
 pub mod share;
 pub mod slot;
 pub mod spec;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -10,6 +10,7 @@
 use crate::{
     connection::Protocol,
     ids::{FailureDomain, HostId, Region, RowId},
+    settings_check::{self, Mistake},
 };
 
 /// All settings of one host.
@@ -55,6 +56,9 @@
     /// How hosts watch each other.
     #[serde(default)]
     pub membership: MembershipSettings,
+    /// How this host stops.
+    #[serde(default)]
+    pub drain: DrainSettings,
     /// Where logs and metrics go.
     #[serde(default)]
     pub telemetry: TelemetrySettings,
@@ -168,6 +172,16 @@
     pub suspicion_timeout_ms: u64,
 }
 
+/// How this host stops.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct DrainSettings {
+    /// How long callers may still arrive after readiness is off.
+    pub grace_ms: u64,
+    /// How long a planned stop may take in all.
+    pub bound_ms: u64,
+}
+
 /// Where logs and metrics go.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -242,6 +256,15 @@
     }
 }
 
+impl Default for DrainSettings {
+    fn default() -> Self {
+        Self {
+            grace_ms: 3_000,
+            bound_ms: 120_000,
+        }
+    }
+}
+
 impl Default for TelemetrySettings {
     fn default() -> Self {
         Self {
@@ -282,20 +305,31 @@
         /// What the system said.
         source: std::io::Error,
     },
-    /// The text is not a settings file.
-    #[error("{0}")]
+    /// The text has mistakes.
+    #[error("{}", lines(.0))]
+    Invalid(Vec<Mistake>),
+    /// The text cannot be read into settings.
+    #[error(transparent)]
     Parse(#[from] serde_norway::Error),
 }
 
+/// Writes one mistake a line.
+fn lines(mistakes: &[Mistake]) -> String {
+    let lines: Vec<String> = mistakes.iter().map(ToString::to_string).collect();
+    lines.join("\n")
+}
+
+/// Names text in mistakes that came from no file.
+const UNNAMED_FILE: &str = "settings";
+
 impl Settings {
     /// Reads settings from YAML text.
     ///
     /// # Errors
     ///
-    /// Fails on text that is not YAML, on unknown or missing fields, and on
-    /// values of the wrong type.
+    /// Fails with all mistakes that [`settings_check::check`] finds.
     pub fn parse(text: &str) -> Result<Self, SettingsError> {
-        Ok(serde_norway::from_str(text)?)
+        Self::parse_named(UNNAMED_FILE, text)
     }
 
     /// Reads settings from the file at `path`.
@@ -304,10 +338,19 @@
     ///
     /// Fails as [`Settings::parse`] does, and where the file cannot be read.
     pub fn load(path: &Path) -> Result<Self, SettingsError> {
-        let text = std::fs::read_to_string(path).map_err(|source| SettingsError::Read {
-            path: path.display().to_string(),
-            source,
-        })?;
-        Self::parse(&text)
+        let name = path.display().to_string();
+        match std::fs::read_to_string(path) {
+            Ok(text) => Self::parse_named(&name, &text),
+            Err(source) => Err(SettingsError::Read { path: name, source }),
+        }
+    }
+
+    fn parse_named(file: &str, text: &str) -> Result<Self, SettingsError> {
+        let mistakes = settings_check::check(file, text);
+        if mistakes.is_empty() {
+            Ok(serde_norway::from_str(text)?)
+        } else {
+            Err(SettingsError::Invalid(mistakes))
+        }
     }
 }
