Stop hosts gracefully and follow the upstreams' own word

Cause: a host could not be stopped without cutting off work, and the platform's list of upstreams lags. Before: stops cut off requests.

--- a/src/blackboard.rs
+++ b/src/blackboard.rs
@@ -35,6 +35,9 @@
     pub store: StoreCondition,
     /// Whether this host is stopping, written by the drain controller.
     pub draining: bool,
+    /// Whether this host takes no new requests any more, written by the drain
+    /// controller.
+    pub refusing: bool,
 }
 
 /// What is believed of a host.
--- a/src/drain.rs
+++ b/src/drain.rs
@@ -206,6 +206,7 @@
             self.advance(round.now, &mut actions, round.decisions);
         }
         round.board.draining = self.phase > Phase::Serving;
+        round.board.refusing = self.phase > Phase::Announced;
         actions
     }
 }
--- a/src/entry/api.rs
+++ b/src/entry/api.rs
@@ -1,6 +1,6 @@
 //! The HTTP interface of an entry host; see docs/API.md.
 
-use std::{io, net::TcpListener, time::Duration};
+use std::{io, net::TcpListener, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderValue, header};
@@ -12,6 +12,7 @@
     handler::handler_service,
     http::WebResponse,
     route::{get, post},
+    service::Service,
 };
 
 use super::{Shared, body, problem::Problem};
@@ -68,8 +69,9 @@
                 "/v1/explain/{*id}",
                 get(handler_service(super::operators::explain)),
             )
-            .at("/v1/drain", post(handler_service(super::operators::drain)))
+            .at("/v1/drain", post(handler_service(super::operators::stop)))
             .at("/{*path}", handler_service(unknown))
+            .enclosed_fn(close_when_draining)
             .serve()
             .disable_signal()
             .worker_threads(worker_count)
@@ -91,6 +93,21 @@
     }
 }
 
+/// Has clients leave a host that is stopping, so that none reuses a connection
+/// in the moment that it is closed.
+async fn close_when_draining<S, E>(service: &S, ctx: Context<'_>) -> Result<WebResponse, E>
+where
+    S: for<'r> Service<Context<'r>, Response = WebResponse, Error = E>,
+{
+    let snapshot = ctx.state().snapshot.clone();
+    let mut response = service.call(ctx).await?;
+    if snapshot.load().draining {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    Ok(response)
+}
+
 async fn live() -> &'static str {
     "live\n"
 }
@@ -123,14 +140,14 @@
     ctx.state().keys.role(ctx.req().headers())
 }
 
-/// Lets only operators pass.
+/// Lets only operators pass, and returns the operator's name.
 ///
 /// # Errors
 ///
 /// Fails with the refusal to send.
-pub fn admit_operator(ctx: &Context<'_>) -> Result<(), Refusal> {
+pub fn admit_operator(ctx: &Context<'_>) -> Result<Arc<str>, Refusal> {
     match role(ctx) {
-        Role::Operator(_) => Ok(()),
+        Role::Operator(name) => Ok(name),
         Role::Row(_) => Err(Problem::Forbidden.refuse("this needs an operator's key", None)),
         Role::None => Err(Problem::Unauthorized.refuse("this needs an operator's key", None)),
     }
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -1,12 +1,6 @@
 //! The control thread: runs the controllers and publishes the blackboard.
 
-use std::{
-    collections::HashMap,
-    mem,
-    sync::{Arc, atomic::Ordering},
-    thread::JoinHandle,
-    time::Duration,
-};
+use std::{collections::HashMap, mem, sync::Arc, thread::JoinHandle, time::Duration};
 
 use rand::SeedableRng as _;
 use tokio::{
@@ -17,21 +11,22 @@
 
 use super::{Shared, effects, messages};
 use crate::{
-    blackboard::{Blackboard, Upstream, Upstreams},
+    blackboard::{Blackboard, UpstreamState},
     cache_index::BlockHash,
     clock::Timestamp,
     controller::{Controller as _, Rng, Round},
     datagram::Transport,
     decision::{Decision, Ring},
-    dispatch, engine_watch,
+    dispatch, drain, engine_watch,
     fairness::{Class, Ticket},
     follower,
-    ids::{AttemptNumber, CallNumber, UpstreamId},
+    ids::{AttemptNumber, CallNumber, HostId, UpstreamId},
     membership,
     platform_api::Listed,
     proto::peer,
     routing::{self, Policy as _, Router},
-    step,
+    settings::Settings,
+    step, upstream_list,
 };
 
 /// The pool that trainers' samples are generated in.
@@ -116,8 +111,10 @@
         /// Where the windows go, as JSON.
         reply: oneshot::Sender<String>,
     },
+    /// Something showed the state of an upstream.
+    Upstreams(upstream_list::Event),
     /// Stop gracefully.
-    Drain,
+    Drain(drain::Requester),
 }
 
 /// Why the control thread took no input.
@@ -198,6 +195,8 @@
     engines: Vec<engine_watch::Event>,
     table: Vec<follower::Event>,
     members: Vec<membership::Event>,
+    upstreams: Vec<upstream_list::Event>,
+    drain: Vec<drain::Event>,
 }
 
 /// Everything that the control thread owns.
@@ -219,6 +218,8 @@
     engines: engine_watch::Controller,
     table: follower::Controller,
     members: membership::Controller,
+    upstreams: upstream_list::Controller,
+    drain: drain::Controller,
 }
 
 /// The trainers' calls that wait for an answer.
@@ -268,7 +269,9 @@
             steps: step::Controller::default(),
             dispatch: dispatch::Controller::default(),
             engines: engine_watch::Controller::new(id.clone()),
-            table: follower::Controller::new(id),
+            table: follower::Controller::new(id.clone()),
+            upstreams: upstream_list::Controller::new(id.clone()),
+            drain: drain::Controller::new(drain_config(id, &shared.settings)),
             members: membership::Controller::new(config),
             shared,
         }
@@ -295,7 +298,7 @@
                 self.take(input);
             }
             self.round();
-            if self.shared.stopping.load(Ordering::Relaxed) {
+            if self.shared.is_ended() {
                 return;
             }
         }
@@ -323,29 +326,26 @@
                 let _ = reply.send(records);
             }
             Input::Burn { reply } => drop(reply),
-            Input::Drain => self.board.draining = true,
+            Input::Upstreams(event) => self.inboxes.upstreams.push(event),
+            Input::Drain(requester) => {
+                self.inboxes.drain.push(drain::Event::Requested(requester));
+            }
         }
     }
 
     fn take_list(&mut self, listed: Vec<Listed>) {
         let checking = &self.shared.settings.platform.fence_checking_engines;
-        let members = listed.into_iter().map(|entry| {
-            let checks_fences = checking.iter().any(|engine| **engine == *entry.id);
-            let upstream = Upstream {
-                checks_fences,
-                id: entry.id.clone(),
-                kind: entry.kind,
-                pool: entry.pool,
-                address: entry.address,
-                failure_domain: entry.failure_domain,
-                state: entry.state,
-            };
-            (entry.id, upstream)
+        let entries = listed.into_iter().map(|entry| upstream_list::Listed {
+            checks_fences: checking.iter().any(|engine| **engine == *entry.id),
+            leaving: entry.state == UpstreamState::Leaving,
+            id: entry.id,
+            kind: entry.kind,
+            pool: entry.pool,
+            address: entry.address,
+            failure_domain: entry.failure_domain,
         });
-        let members = members.collect();
-        if self.board.upstreams.members != members {
-            self.board.upstreams = Arc::new(Upstreams { members });
-        }
+        let list = upstream_list::Event::List(entries.collect());
+        self.inboxes.upstreams.push(list);
     }
 
     fn take_submit(&mut self, spec: peer::StepSpec, reply: oneshot::Sender<peer::SubmitReply>) {
@@ -387,6 +387,13 @@
         for action in round!(self, members, members) {
             self.act_on_member(action);
         }
+        for action in round!(self, upstreams, upstreams) {
+            self.act_on_upstream(action);
+        }
+        self.report_open_work();
+        for action in round!(self, drain, drain) {
+            self.act_on_drain(&action);
+        }
         for action in round!(self, table, table) {
             effects::follow_table(&self.shared, action);
         }
@@ -429,14 +436,66 @@
                     .push(follower::Event::PeerAnnounced { host, revision });
             }
             membership::Action::PeerServed { .. } => {}
-            membership::Action::PeerNotice(_) => {}
+            membership::Action::PeerNotice(notice) => {
+                let noticed = upstream_list::Event::PeerNotice(notice);
+                self.inboxes.upstreams.push(noticed);
+            }
             membership::Action::Superseded { incarnation } => {
                 tracing::error!(incarnation, "another process runs under this host's name");
-                self.shared.stopping.store(true, Ordering::Relaxed);
+                self.shared.end();
             }
         }
     }
 
+    fn act_on_upstream(&mut self, action: upstream_list::Action) {
+        match action {
+            upstream_list::Action::Ask { upstream, address } => {
+                let known = self.board.upstreams.members.get(&upstream);
+                if let Some(kind) = known.map(|known| known.kind) {
+                    effects::ask_upstream(&self.shared, upstream, address, kind);
+                }
+            }
+            upstream_list::Action::Notify(notice) => {
+                self.inboxes
+                    .members
+                    .push(membership::Event::Noticed(notice));
+            }
+        }
+    }
+
+    /// Tells a stop that is under way what it still waits for.
+    fn report_open_work(&mut self) {
+        if !self.board.draining {
+            return;
+        }
+        let open = drain::OpenWork {
+            accepting: !self.board.refusing,
+            request_count: self.shared.open_work.count(),
+            ..drain::OpenWork::default()
+        };
+        self.inboxes.drain.push(drain::Event::Open(open));
+    }
+
+    fn act_on_drain(&mut self, action: &drain::Action) {
+        match action {
+            drain::Action::AnnounceLeaving => {
+                self.inboxes.members.push(membership::Event::Leave);
+            }
+            drain::Action::Exit {
+                outcome,
+                open_count,
+            } => {
+                tracing::info!(%outcome, open_count, "the stop is complete");
+                self.shared.end();
+            }
+            // The blackboard tells the traffic threads of these, and the step
+            // controller hands over by itself.
+            drain::Action::StopReadiness
+            | drain::Action::StopAccepting
+            | drain::Action::HandOver(_) => {}
+        }
+    }
+
     fn act_on_step(&mut self, action: step::Action) {
         match action {
             step::Action::Accept { call, result } => {
@@ -457,7 +516,7 @@
                     self.router.on_done(&cancelled.engine);
                 }
             }
-            step::Action::HandOver(_) => {}
+            step::Action::HandOver(handover) => effects::hand_over(&self.shared, &handover),
         }
     }
 
@@ -540,6 +599,14 @@
     }
 }
 
+fn drain_config(own: HostId, settings: &Settings) -> drain::Config {
+    drain::Config {
+        own,
+        grace: Duration::from_millis(settings.drain.grace_ms),
+        bound: Duration::from_millis(settings.drain.bound_ms),
+    }
+}
+
 /// Says that no engine may take an attempt now.
 fn no_engine(attempt: AttemptNumber) -> step::Event {
     step::Event::Failed {
--- a/src/entry/effects.rs
+++ b/src/entry/effects.rs
@@ -1,20 +1,22 @@
 //! The I/O that the control thread asks for, on the traffic threads.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use tokio::{sync::mpsc, task::AbortHandle};
 use tokio_stream::StreamExt as _;
 
-use super::{Host, Shared, control::Input, generate, messages, owners};
+use super::{Host, Shared, control::Input, engine_client::EngineError, generate, messages, owners};
 use crate::{
-    blackboard::{Blackboard, EngineReport},
+    blackboard::{Blackboard, EngineReport, UpstreamKind},
     engine_api::Report,
     engine_watch, follower,
+    handover::Handover,
     ids::{AttemptNumber, HostId, Revision, UpstreamId},
     proto::peer::{self, generate_event::Event},
     rendezvous,
     row::Row,
     step::{self, Dispatch, Failure},
+    upstream_list,
 };
 
 /// Events of one attempt that may wait for the control thread.
@@ -146,6 +148,49 @@
     }
 }
 
+/// Gives a step to its next owner; without an answer the trainer's next pull
+/// makes that owner ask for the step.
+pub fn hand_over(shared: &Shared, handover: &Handover) {
+    let request = messages::write_handover(handover);
+    let host = shared.clone();
+    shared.open_work.spawn(async move {
+        if let Err(error) = owners::hand_over(&host, request).await {
+            tracing::warn!(%error, "a step was not handed over");
+        }
+    });
+}
+
+/// Asks an upstream whether it is leaving.
+pub fn ask_upstream(
+    shared: &Shared,
+    upstream: UpstreamId,
+    address: SocketAddr,
+    kind: UpstreamKind,
+) {
+    let host = shared.clone();
+    shared.runtime.spawn(async move {
+        let sent_at = host.clock.now();
+        let answer = match kind {
+            UpstreamKind::Engine => host
+                .engines
+                .report(address)
+                .await
+                .map(|report| report.leaving),
+            UpstreamKind::Service => host.engines.is_leaving(address).await,
+        };
+        let event = match answer {
+            Ok(leaving) => upstream_list::Event::Told {
+                upstream,
+                leaving,
+                sent_at,
+            },
+            Err(EngineError::Connect(_)) => upstream_list::Event::ConnectionRefused { upstream },
+            Err(_) => return,
+        };
+        host.control.tell(Input::Upstreams(event)).await;
+    });
+}
+
 /// Asks an engine for its report.
 pub fn poll_engine(shared: &Shared, board: &Blackboard, action: engine_watch::Action) {
     let engine_watch::Action::Poll { engine } = action;
--- a/src/entry/engine_client.rs
+++ b/src/entry/engine_client.rs
@@ -4,7 +4,7 @@
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
-use hyper::{Request, body::Incoming};
+use hyper::{Request, Response, body::Incoming};
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
     rt::TokioExecutor,
@@ -16,6 +16,9 @@
 /// The longest line of an event stream.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
 
+/// The header by which an upstream says that it is leaving.
+const LEAVING_HEADER: &str = "x-leaving";
+
 /// How long an idle connection to an engine is kept.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -137,6 +140,19 @@
         self.get(&format!("http://{engine}/v1/report")).await
     }
 
+    /// Asks a plain service whether it is leaving, as the header `x-leaving` of
+    /// any answer says.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the service cannot be reached or stays silent.
+    pub async fn is_leaving(&self, service: SocketAddr) -> Result<bool, EngineError> {
+        let request = Request::head(format!("http://{service}/")).body(Full::new(Bytes::new()))?;
+        let response = self.answer(request).await?;
+        let said = response.headers().get(LEAVING_HEADER);
+        Ok(said.is_some_and(|value| value == "true"))
+    }
+
     /// Gets a JSON document of the platform.
     ///
     /// # Errors
@@ -153,12 +169,19 @@
         serde_json::from_slice(&bytes).map_err(EngineError::Malformed)
     }
 
-    async fn send(&self, request: Request<Full<Bytes>>) -> Result<Incoming, EngineError> {
+    async fn answer(
+        &self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, EngineError> {
         let sent = self.client.request(request);
-        let response = tokio::time::timeout(self.silence_timeout, sent)
+        tokio::time::timeout(self.silence_timeout, sent)
             .await
             .map_err(|_| EngineError::Silent(self.silence_timeout))?
-            .map_err(classify)?;
+            .map_err(classify)
+    }
+
+    async fn send(&self, request: Request<Full<Bytes>>) -> Result<Incoming, EngineError> {
+        let response = self.answer(request).await?;
         if !response.status().is_success() {
             return Err(EngineError::Status(response.status()));
         }
--- a/src/entry/messages.rs
+++ b/src/entry/messages.rs
@@ -6,6 +6,7 @@
     attach::{HeldGroup, Pull, Reply},
     engine_api::CompletionChunk,
     evidence::{Chunk, Proved, Segment},
+    handover::{Handover, Partial},
     ids::Slot,
     proto::peer,
     sample::{self, FinishReason, Sample},
@@ -161,6 +162,69 @@
     }
 }
 
+/// Writes a step that goes to another owner.
+pub fn write_handover(handover: &Handover) -> peer::HandoverRequest {
+    let partials = handover.partials.iter().map(|partial| peer::Partial {
+        group: partial.group,
+        index: partial.index,
+        tokens: partial.proved.tokens.clone(),
+        segments: partial.proved.segments.iter().map(segment).collect(),
+    });
+    peer::HandoverRequest {
+        spec: Some(write_spec(&handover.spec)),
+        attach: handover.attach,
+        weight_version: handover.weight_version,
+        samples: handover
+            .samples
+            .iter()
+            .map(|sample| write_sample(sample))
+            .collect(),
+        partials: partials.collect(),
+    }
+}
+
+/// Reads a step that comes from another owner.
+pub fn read_handover(message: peer::HandoverRequest) -> Handover {
+    let samples = message.samples.into_iter().map(|sample| {
+        let id = sample.sample_id.as_str().into();
+        Arc::new(Sample {
+            id,
+            ..read_sample(sample, 0)
+        })
+    });
+    let partials = message.partials.into_iter().map(|partial| Partial {
+        group: partial.group,
+        index: partial.index,
+        proved: Proved {
+            tokens: partial.tokens,
+            segments: partial.segments.into_iter().map(read_segment).collect(),
+        },
+    });
+    Handover {
+        spec: Arc::new(read_spec(message.spec.unwrap_or_default())),
+        attach: message.attach,
+        weight_version: message.weight_version,
+        samples: samples.collect(),
+        partials: partials.collect(),
+    }
+}
+
+fn write_spec(spec: &StepSpec) -> peer::StepSpec {
+    let groups = spec.groups.iter().map(|group| peer::PromptGroup {
+        group: group.group,
+        prompt_tokens: group.prompt_tokens.to_vec(),
+        sample_count: group.sample_count,
+        max_tokens: group.max_tokens,
+    });
+    peer::StepSpec {
+        trainer: spec.trainer.to_string(),
+        step: spec.step,
+        weight_version: spec.weight_version,
+        groups: groups.collect(),
+        seed: spec.seed,
+    }
+}
+
 /// Reads a submitted step.
 pub fn read_spec(message: peer::StepSpec) -> StepSpec {
     let groups = message.groups.into_iter().map(|group| PromptGroup {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -4,11 +4,13 @@
 //! (docs/ARCHITECTURE.md).
 
 use std::{
-    fmt, io,
+    fmt,
+    future::Future,
+    io,
     net::TcpListener,
     sync::{
         Arc,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicU64, Ordering},
     },
     thread::JoinHandle,
     time::{Duration, SystemTime, UNIX_EPOCH},
@@ -32,6 +34,7 @@
     controller::Rng,
     datagram::{Key, Receiver, Transport},
     decision::Decision,
+    drain,
     fairness::Ticket,
     gate::{self, Gate},
     ids::Incarnation,
@@ -107,8 +110,7 @@
     pub open_work: OpenWork,
     /// Holds the control thread, as a paused process would be.
     pub pause: Pause,
-    /// Set when the host shall end at once.
-    pub stopping: AtomicBool,
+    ended: watch::Sender<bool>,
     next_ticket: AtomicU64,
 }
 
@@ -125,6 +127,20 @@
 pub type Shared = Arc<Host>;
 
 impl Host {
+    /// Ends the control thread and whoever waits for the end of the host.
+    fn end(&self) {
+        self.ended.send_replace(true);
+    }
+
+    fn is_ended(&self) -> bool {
+        *self.ended.borrow()
+    }
+
+    /// Waits until the host has ended by itself or after a planned stop.
+    pub async fn wait_end(&self) {
+        let _ = self.ended.subscribe().wait_for(|ended| *ended).await;
+    }
+
     fn next_ticket(&self) -> Ticket {
         self.next_ticket.fetch_add(1, Ordering::Relaxed)
     }
@@ -207,7 +223,7 @@
 
     /// Ends the host at once, as a crash would.
     pub fn kill(&mut self) {
-        self.shared.stopping.store(true, Ordering::Relaxed);
+        self.shared.end();
         self.shared.pause.set(false);
         self.server.stop(false);
         if let Some(runtime) = self.runtime.take() {
@@ -218,17 +234,27 @@
         }
     }
 
-    /// Stops gracefully: takes nothing new, finishes what is open, then ends.
-    pub fn drain(mut self, timeout: Duration) {
-        let shared = self.shared.clone();
+    /// Waits until the host ends by itself, or after a stop that `requested`
+    /// asks for.
+    pub fn wait(mut self, requested: impl Future<Output = drain::Requester>) {
         if let Some(runtime) = &self.runtime {
-            runtime.block_on(drain(&shared, timeout));
+            runtime.block_on(wait(&self.shared, requested));
         }
         self.server.stop(true);
         self.kill();
     }
 }
 
+async fn wait(shared: &Shared, requested: impl Future<Output = drain::Requester>) {
+    tokio::select! {
+        requester = requested => {
+            shared.control.tell(Input::Drain(requester)).await;
+            shared.wait_end().await;
+        }
+        () = shared.wait_end() => {}
+    }
+}
+
 impl Drop for Running {
     fn drop(&mut self) {
         self.kill();
@@ -241,21 +267,6 @@
 /// Threads that answer callers and trainers.
 const HTTP_WORKER_COUNT: usize = 1;
 
-/// The time between two looks at what is still open.
-const DRAIN_INTERVAL: Duration = Duration::from_millis(50);
-
-async fn drain(shared: &Shared, timeout: Duration) {
-    shared.control.tell(Input::Drain).await;
-    let started_at = shared.clock.now();
-    loop {
-        tokio::time::sleep(DRAIN_INTERVAL).await;
-        let is_late = shared.clock.now().saturating_sub(started_at) > timeout;
-        if shared.open_work.count() == 0 || is_late {
-            return;
-        }
-    }
-}
-
 fn build(
     settings: Settings,
     control: Sender,
@@ -300,7 +311,7 @@
         open_work: OpenWork::new(runtime.clone()),
         runtime,
         pause: Pause::default(),
-        stopping: AtomicBool::new(false),
+        ended: watch::Sender::new(false),
         next_ticket: AtomicU64::new(1),
         settings,
     })
--- a/src/entry/operators.rs
+++ b/src/entry/operators.rs
@@ -12,6 +12,7 @@
 use crate::{
     blackboard::{HostState, StoreCondition, UpstreamState},
     decision::Decision,
+    drain,
     ids::{HostId, Revision, UpstreamId},
 };
 
@@ -38,7 +39,7 @@
 }
 
 /// Begins a graceful shutdown.
-pub async fn drain(ctx: &Context<'_>) -> WebResponse {
+pub async fn stop(ctx: &Context<'_>) -> WebResponse {
     api::settle(try_drain(ctx).await)
 }
 
@@ -72,8 +73,9 @@
 }
 
 async fn try_drain(ctx: &Context<'_>) -> Answer {
-    api::admit_operator(ctx)?;
-    let asked = ctx.state().control.send(Input::Drain).await;
+    let operator = api::admit_operator(ctx)?;
+    let requester = drain::Requester::Operator(operator);
+    let asked = ctx.state().control.send(Input::Drain(requester)).await;
     asked.map_err(|error| Problem::Overloaded.refuse(error.to_string(), None))?;
     Ok(api::text("draining\n"))
 }
--- a/src/entry/owners.rs
+++ b/src/entry/owners.rs
@@ -100,6 +100,35 @@
     Err(failure)
 }
 
+/// Gives a step to the next host in its order.
+///
+/// # Errors
+///
+/// Fails where none of the next hosts takes it.
+pub async fn hand_over(host: &Host, request: peer::HandoverRequest) -> Result<(), OwnerError> {
+    let (trainer, step) = request
+        .spec
+        .as_ref()
+        .map(|spec| (spec.trainer.clone(), spec.step))
+        .unwrap_or_default();
+    let mut failure = OwnerError::NoHost;
+    for owner in candidates(host, &trainer, step) {
+        if is_self(host, &owner) {
+            continue;
+        }
+        let sent = async {
+            let mut client = peer_client(host, &owner)?;
+            client.hand_over(request.clone()).await.map_err(Box::new)?;
+            Ok::<_, OwnerError>(())
+        };
+        match sent.await {
+            Ok(()) => return Ok(()),
+            Err(error) => failure = error,
+        }
+    }
+    Err(failure)
+}
+
 /// Submits a step to this host.
 ///
 /// # Errors
--- a/src/entry/peer_server.rs
+++ b/src/entry/peer_server.rs
@@ -7,8 +7,8 @@
 use tokio_stream::{Stream, StreamExt as _, wrappers::ReceiverStream};
 use tonic::{Request, Response, Status, service::Interceptor};
 
-use super::{Shared, control::Input, generate, owners, peer_client};
-use crate::proto::peer;
+use super::{Shared, control::Input, generate, messages, owners, peer_client};
+use crate::{proto::peer, step};
 
 /// Events of one generation that may wait for a slow peer.
 const EVENT_BUFFER_COUNT: usize = 8;
@@ -106,6 +106,20 @@
             .map_err(|error| Status::unavailable(error.to_string()))
     }
 
+    async fn hand_over(
+        &self,
+        request: Request<peer::HandoverRequest>,
+    ) -> Result<Response<peer::HandoverReply>, Status> {
+        let handover = Box::new(messages::read_handover(request.into_inner()));
+        let received = Input::Step(step::Event::HandedOver(handover));
+        self.shared
+            .control
+            .send(received)
+            .await
+            .map_err(|error| Status::unavailable(error.to_string()))?;
+        Ok(Response::new(peer::HandoverReply {}))
+    }
+
     async fn fetch_rows(
         &self,
         request: Request<peer::FetchRowsRequest>,
--- a/src/entry/trainers.rs
+++ b/src/entry/trainers.rs
@@ -87,7 +87,7 @@
     let trainer = parts.get(2).copied().unwrap_or_default();
     api::admit_row(ctx, trainer)?;
     let board = ctx.state().snapshot.load();
-    if board.draining {
+    if board.refusing {
         return Err(Problem::Draining.refuse("this host is stopping", Some(RETRY_DELAY)));
     }
     if board.rows.revision == 0 {
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -118,9 +118,9 @@
         self.shared.clock.now()
     }
 
-    /// Says whether this host is stopping.
+    /// Says whether this host is stopping and takes no new calls any more.
     pub fn is_draining(&self) -> bool {
-        self.shared.snapshot.load().draining
+        self.shared.snapshot.load().refusing
     }
 
     /// Hands on a record of what was decided.
