Return shares within seconds and hold them over uneven hosts

Cause: a returning row got only its part of new starts, and preemption and the fleet's corrections worked against each other. Change: a returning row starts behind by what runs for the others, running work makes room for it, corrected shares are used throughout; modules split.

--- a/src/correction.rs
+++ b/src/correction.rs
@@ -8,10 +8,10 @@
 use crate::{ids::RowId, ledger::Counts, share::Shares};
 
 /// How far ahead a row must be for its share to fall by the factor e.
-const PROPORTIONAL_TIME_S: f64 = 5.0;
+const PROPORTIONAL_TIME_S: f64 = 10.0;
 
 /// The time over which a lasting lead moves the share as far again.
-const INTEGRAL_TIME_S: f64 = 10.0;
+const INTEGRAL_TIME_S: f64 = 12.0;
 
 /// The longest lead or lag that counts, so that a row that cannot be served
 /// does not save up a claim.
@@ -98,6 +98,7 @@
             lead.integral += lead.ahead_s * elapsed_s / (INTEGRAL_TIME_S * PROPORTIONAL_TIME_S);
             lead.integral = lead.integral.clamp(-MAX_EXPONENT, MAX_EXPONENT);
         }
+        self.center(&is_waiting);
         let fade = (-elapsed_s / FADE_TIME_S).exp();
         for (row, lead) in &mut self.leads {
             if !is_waiting(row) {
@@ -108,6 +109,22 @@
         }
     }
 
+    /// Takes out what all waiting rows have in common, which changes no ratio
+    /// and would only use up the bounds.
+    fn center(&mut self, is_waiting: &impl Fn(&RowId) -> bool) {
+        let waiting = |leads: &BTreeMap<RowId, Lead>| {
+            let kept = leads.iter().filter(|(row, _)| is_waiting(row));
+            kept.map(|(_, lead)| lead.integral).collect::<Vec<_>>()
+        };
+        let integrals = waiting(&self.leads);
+        let mean = integrals.iter().sum::<f64>() / integrals.len().max(1) as f64;
+        for (row, lead) in &mut self.leads {
+            if is_waiting(row) {
+                lead.integral -= mean;
+            }
+        }
+    }
+
     /// Returns the factor of each row that was ever ahead or behind.
     pub fn factors(&self) -> BTreeMap<RowId, f64> {
         self.leads
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -5,18 +5,17 @@
 //! batches (see docs/design/shares.md). What cannot be started in time is
 //! refused at once with the time after which asking again makes sense.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    time::Duration,
-};
+use std::{collections::BTreeMap, time::Duration};
 
+pub use crate::queue_event::{Action, Event, Refusal, Request};
 use crate::{
-    blackboard::{Blackboard, EngineReport, UpstreamState},
+    blackboard::{Blackboard, UpstreamState},
     clock::Timestamp,
     controller::{self, Round},
     decision::{Decision, Kind},
-    fairness::{Class, Cost, Entry, Queue, Ranking, Ticket, Weighted},
+    fairness::{Cost, Entry, Ranking, Ticket, Weighted},
     ids::{RowId, UpstreamId},
+    lane::{Lane, Pending, Running},
     quota::Allowances,
     share::{Shares, shares},
 };
@@ -24,12 +23,6 @@
 /// The most requests of one row that wait for one engine.
 pub const MAX_WAITING_PER_ROW: usize = 512;
 
-/// How long one token takes on an engine that has not reported yet.
-const DEFAULT_TOKEN_TIME: Duration = Duration::from_millis(30);
-
-/// Batch size of an engine that has not reported yet.
-const DEFAULT_SLOTS: u32 = 4;
-
 /// The shortest and longest time after which a refused caller asks again.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(30);
@@ -37,230 +30,6 @@
 /// How long after the decision a start may still be sent.
 pub const START_VALIDITY: Duration = Duration::from_millis(500);
 
-/// How long a report may still count requests that ended here.
-const REPORT_LAG: Duration = Duration::from_secs(2);
-
-/// How long a row waits below its share before running work is preempted.
-const PREEMPT_AFTER: Duration = Duration::from_secs(2);
-
-/// The least time between two preemptions on one engine.
-const PREEMPT_INTERVAL: Duration = Duration::from_millis(500);
-
-/// The most running requests that one round preempts on one engine.
-const MAX_PREEMPTS_PER_ROUND: usize = 4;
-
-/// A request for one engine.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Request {
-    /// The name that later events use.
-    pub ticket: Ticket,
-    /// The engine that shall run it.
-    pub engine: UpstreamId,
-    /// The row that is charged.
-    pub row: RowId,
-    /// Whether somebody waits.
-    pub class: Class,
-    /// Higher goes first within the row.
-    pub priority: u32,
-    /// The length of the prompt.
-    pub prompt_tokens: u32,
-    /// The predicted length of the answer.
-    pub predicted_tokens: u32,
-    /// When the answer is worth nothing any more.
-    pub deadline: Timestamp,
-}
-
-/// What happened since the last round.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Event {
-    /// A request arrived.
-    Enqueue(Request),
-    /// A running request has generated this much so far.
-    Progress {
-        /// The request.
-        ticket: Ticket,
-        /// Tokens generated so far.
-        tokens: u32,
-    },
-    /// A running request ended, whole or not.
-    Finished {
-        /// The request.
-        ticket: Ticket,
-        /// Tokens generated.
-        tokens: u32,
-    },
-    /// The caller gave the request up.
-    Cancelled {
-        /// The request.
-        ticket: Ticket,
-        /// Tokens generated until then; 0 if it waited.
-        tokens: u32,
-    },
-}
-
-/// Why a request was not started.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    PartialEq,
-    Eq,
-    Hash,
-    PartialOrd,
-    Ord,
-    strum::Display,
-    strum::EnumString,
-    strum::IntoStaticStr,
-    thiserror::Error,
-)]
-#[strum(serialize_all = "kebab-case")]
-pub enum Refusal {
-    /// The row has as many requests waiting for the engine as it may.
-    QueueFull,
-    /// The request would not be whole by its deadline.
-    DeadlineUnreachable,
-    /// The engine finishes what it has and gets nothing new.
-    EngineLeaving,
-    /// The engine is not known, ejected or gone.
-    EngineGone,
-    /// The table does not name the row, or the row is disabled.
-    RowDisabled,
-    /// This host is stopping.
-    Draining,
-}
-
-/// What the traffic side shall do.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Action {
-    /// Send the request to its engine.
-    ///
-    /// A process that was paused in between must not send it after `not_after`;
-    /// it reports [`Event::Cancelled`] and refuses it as not run instead.
-    Start {
-        /// The request.
-        ticket: Ticket,
-        /// The last moment for sending it.
-        not_after: Timestamp,
-    },
-    /// Answer that the request was not run.
-    Refuse {
-        /// The request.
-        ticket: Ticket,
-        /// Why.
-        reason: Refusal,
-        /// When asking again makes sense.
-        retry_after: Duration,
-    },
-    /// Stop the running request; its tokens so far stay good for resuming.
-    ///
-    /// The traffic side reports it as [`Event::Finished`] when it has stopped.
-    Preempt {
-        /// The request.
-        ticket: Ticket,
-    },
-}
-
-/// What the dispatcher keeps of a request besides the queue's own fields.
-#[derive(Clone, Copy, Debug)]
-struct Pending {
-    deadline: Timestamp,
-}
-
-#[derive(Clone, Debug)]
-struct Running {
-    row: RowId,
-    generated_tokens: u32,
-    preempted: bool,
-}
-
-/// One engine with its queue.
-#[derive(Debug)]
-struct Lane<R> {
-    queue: Queue<Pending, R>,
-    running: BTreeMap<Ticket, Running>,
-    deadlines: BTreeSet<(Timestamp, Ticket)>,
-    slots: u32,
-    token_time: Duration,
-    /// Requests in the engine that other hosts started.
-    foreign_count: u32,
-    report_at: Timestamp,
-    /// The most that ran here since the last but one report.
-    recent_running_count: u32,
-    last_preempt_at: Timestamp,
-    /// Since when a row has waited below its share.
-    starved_since: BTreeMap<RowId, Timestamp>,
-}
-
-impl<R> Default for Lane<R> {
-    fn default() -> Self {
-        Self {
-            queue: Queue::default(),
-            running: BTreeMap::new(),
-            deadlines: BTreeSet::new(),
-            slots: DEFAULT_SLOTS,
-            token_time: DEFAULT_TOKEN_TIME,
-            foreign_count: 0,
-            report_at: Timestamp::ZERO,
-            recent_running_count: 0,
-            last_preempt_at: Timestamp::ZERO,
-            starved_since: BTreeMap::new(),
-        }
-    }
-}
-
-impl<R: Ranking> Lane<R> {
-    fn observe(&mut self, report: Option<&EngineReport>, now: Timestamp) {
-        self.slots = report.map_or(DEFAULT_SLOTS, |report| report.slots.max(1));
-        self.token_time = report
-            .map(|report| report.token_time)
-            .filter(|time| !time.is_zero())
-            .unwrap_or(DEFAULT_TOKEN_TIME);
-        let own = u32::try_from(self.running.len()).unwrap_or(u32::MAX);
-        self.recent_running_count = self.recent_running_count.max(own);
-        let Some(report) = report else {
-            return;
-        };
-        if report.at != self.report_at {
-            self.report_at = report.at;
-            self.foreign_count =
-                (report.running + report.waiting).saturating_sub(self.recent_running_count);
-            self.recent_running_count = own;
-        }
-        if now.saturating_sub(report.at) > REPORT_LAG * 5 {
-            self.foreign_count = 0;
-        }
-    }
-
-    fn free_slots(&self) -> usize {
-        (self.slots as usize)
-            .saturating_sub(self.foreign_count as usize)
-            .saturating_sub(self.running.len())
-    }
-
-    /// Returns how many tokens the engine generates a second when full.
-    fn rate_tokens_per_s(&self) -> f64 {
-        f64::from(self.slots) / self.token_time.as_secs_f64()
-    }
-
-    /// Estimates how long `tokens` of `row` wait for their turn.
-    fn wait(&self, row: &RowId, tokens: f64, shares: &Shares) -> Duration {
-        let active: f64 = shares
-            .iter()
-            .filter(|(name, _)| *name == row || self.queue.waiting_of(name) > 0)
-            .map(|(_, share)| share)
-            .sum();
-        let part = shares.get(row).copied().unwrap_or(0.0) / active.max(f64::MIN_POSITIVE);
-        let seconds = tokens / (self.rate_tokens_per_s() * part.max(1e-6));
-        Duration::from_secs_f64(seconds.clamp(0.0, 86_400.0))
-    }
-
-    fn take_out(&mut self, ticket: Ticket) -> Option<Entry<Pending>> {
-        let entry = self.queue.cancel(ticket)?;
-        self.deadlines.remove(&(entry.item.deadline, ticket));
-        Some(entry)
-    }
-}
-
 /// The dispatcher of one host, with rows ranked by `R`.
 ///
 /// # Examples
@@ -322,6 +91,8 @@
     /// The engine of each request that waits or runs.
     engines: BTreeMap<Ticket, UpstreamId>,
     shares: Shares,
+    /// The shares times the ledger's corrections.
+    corrected: Shares,
     corrections: BTreeMap<RowId, f64>,
     allowances: Allowances,
     /// What lanes charged that are gone by now.
@@ -331,8 +102,8 @@
 /// What one host has served and still holds for one row.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct RowLoad {
-    /// Tokens charged since the start; it never falls by more than refunds.
-    pub charged_tokens: f64,
+    /// Tokens counted since the start; it never falls by more than refunds.
+    pub counted_tokens: f64,
     /// The predicted cost of what waits.
     pub backlog_tokens: f64,
     /// Requests that run.
@@ -348,6 +119,7 @@
             lanes: BTreeMap::new(),
             engines: BTreeMap::new(),
             shares: Shares::new(),
+            corrected: Shares::new(),
             corrections: BTreeMap::new(),
             allowances: Allowances::new(),
             retired_tokens: BTreeMap::new(),
@@ -370,12 +142,12 @@
     pub fn loads(&self) -> BTreeMap<RowId, RowLoad> {
         let mut loads: BTreeMap<RowId, RowLoad> = BTreeMap::new();
         for (row, &tokens) in &self.retired_tokens {
-            loads.entry(row.clone()).or_default().charged_tokens += tokens;
+            loads.entry(row.clone()).or_default().counted_tokens += tokens;
         }
         for lane in self.lanes.values() {
             for row in lane.queue.row_ids() {
                 let load = loads.entry(row.clone()).or_default();
-                load.charged_tokens += lane.queue.charged_tokens_of(row);
+                load.counted_tokens += lane.queue.counted_tokens_of(row);
                 load.backlog_tokens += lane.queue.backlog_tokens_of(row);
                 load.running_count += lane.queue.running_of(row);
             }
@@ -414,6 +186,7 @@
         if now + wait + run > request.deadline {
             return Some(refuse(ticket, Refusal::DeadlineUnreachable, wait));
         }
+        lane.note_return(&request.row, &self.corrected, now);
         lane.deadlines.insert((request.deadline, ticket));
         lane.queue.push(Entry {
             ticket,
@@ -442,6 +215,8 @@
     fn end(&mut self, ticket: Ticket, tokens: u32) {
         if let Some(lane) = lane_of(&mut self.lanes, &self.engines, ticket) {
             if let Some(running) = lane.running.remove(&ticket) {
+                lane.ended_count += 1;
+                lane.cleared_for.extend(running.cleared_for);
                 lane.queue
                     .settle(ticket, tokens.max(running.generated_tokens));
             } else {
@@ -453,7 +228,7 @@
 
     fn apply_shares(&mut self, board: &Blackboard) {
         self.shares = shares(&board.rows);
-        let corrected: Shares = self
+        self.corrected = self
             .shares
             .iter()
             .map(|(row, share)| {
@@ -462,7 +237,7 @@
             })
             .collect();
         for lane in self.lanes.values_mut() {
-            lane.queue.set_shares(&corrected);
+            lane.queue.set_shares(&self.corrected);
         }
     }
 
@@ -517,7 +292,7 @@
                     let blocked = !allowance.admits(count, lane.token_time);
                     lane.queue.set_blocked(row, blocked);
                 }
-                let Some(entry) = lane.queue.pop() else {
+                let Some(entry) = lane.next() else {
                     break;
                 };
                 *running.entry(entry.row.clone()).or_default() += 1;
@@ -527,7 +302,7 @@
                     Running {
                         row: entry.row,
                         generated_tokens: 0,
-                        preempted: false,
+                        cleared_for: None,
                     },
                 );
                 actions.push(Action::Start {
@@ -543,10 +318,11 @@
         if !R::KEEPS_SHARES {
             return Vec::new();
         }
-        let shares = &self.shares;
+        let shares = &self.corrected;
         self.lanes
             .values_mut()
-            .flat_map(|lane| preempt_lane(lane, shares, now))
+            .flat_map(|lane| lane.preempt(shares, now))
+            .map(|ticket| Action::Preempt { ticket })
             .collect()
     }
 
@@ -568,7 +344,7 @@
             };
             for row in lane.queue.row_ids() {
                 *self.retired_tokens.entry(row.clone()).or_default() +=
-                    lane.queue.charged_tokens_of(row);
+                    lane.queue.counted_tokens_of(row);
             }
         }
     }
@@ -654,77 +430,6 @@
     late.chain(disabled).collect()
 }
 
-/// Stops the newest work of rows above their share for rows that wait below it.
-fn preempt_lane<R: Ranking>(lane: &mut Lane<R>, shares: &Shares, now: Timestamp) -> Vec<Action> {
-    let held = held_slots(lane);
-    let active: f64 = shares
-        .iter()
-        .filter(|(row, _)| held.contains_key(*row) || lane.queue.waiting_of(row) > 0)
-        .map(|(_, share)| share)
-        .sum();
-    let fair = |row: &RowId| {
-        shares.get(row).copied().unwrap_or(0.0) / active.max(f64::MIN_POSITIVE)
-            * f64::from(lane.slots)
-    };
-    let mut missing = 0;
-    let mut starved = BTreeMap::new();
-    for row in shares.keys() {
-        let gap = fair(row).floor() as usize;
-        let gap = gap.saturating_sub(held.get(row).copied().unwrap_or(0));
-        let gap = gap.min(lane.queue.waiting_of(row));
-        if gap == 0 {
-            continue;
-        }
-        let since = lane.starved_since.get(row).copied().unwrap_or(now);
-        starved.insert(row.clone(), since);
-        if now.saturating_sub(since) >= PREEMPT_AFTER {
-            missing += gap;
-        }
-    }
-    let mut excess: BTreeMap<RowId, usize> = held
-        .iter()
-        .map(|(row, count)| (row.clone(), count.saturating_sub(fair(row).ceil() as usize)))
-        .collect();
-    lane.starved_since = starved;
-    if missing == 0 || now.saturating_sub(lane.last_preempt_at) < PREEMPT_INTERVAL {
-        return Vec::new();
-    }
-    let mut youngest: Vec<(u32, Ticket)> = lane
-        .running
-        .iter()
-        .filter(|(_, running)| !running.preempted)
-        .map(|(ticket, running)| (running.generated_tokens, *ticket))
-        .collect();
-    youngest.sort_unstable();
-    let mut actions = Vec::new();
-    for (_, ticket) in youngest {
-        if actions.len() >= missing.min(MAX_PREEMPTS_PER_ROUND) {
-            break;
-        }
-        let Some(running) = lane.running.get_mut(&ticket) else {
-            continue;
-        };
-        let Some(left) = excess.get_mut(&running.row).filter(|left| **left > 0) else {
-            continue;
-        };
-        *left -= 1;
-        running.preempted = true;
-        actions.push(Action::Preempt { ticket });
-    }
-    if !actions.is_empty() {
-        lane.last_preempt_at = now;
-    }
-    actions
-}
-
-fn held_slots<R>(lane: &Lane<R>) -> BTreeMap<RowId, usize> {
-    let mut held = BTreeMap::new();
-    for running in lane.running.values().filter(|running| !running.preempted) {
-        *held.entry(running.row.clone()).or_default() += 1;
-    }
-    held
-}
-
 fn refuse(ticket: Ticket, reason: Refusal, wait: Duration) -> Action {
     Action::Refuse {
         ticket,
--- a/src/fairness.rs
+++ b/src/fairness.rs
@@ -13,13 +13,14 @@
 
 use xxhash_rust::xxh3::Xxh3Builder;
 
-use crate::{ids::RowId, share::Shares};
-
-/// What one prompt token costs against one generated token.
-pub const PROMPT_COST_RATIO: f64 = 0.1;
-
-/// What a request costs besides its tokens, so that splitting does not pay.
-pub const REQUEST_COST_TOKENS: f64 = 8.0;
+pub use crate::charge::{
+    Class, Cost, Entry, PROMPT_COST_RATIO, REQUEST_COST_TOKENS, Ranking, Ticket, Weighted,
+};
+use crate::{
+    ids::RowId,
+    row_queue::{Position, RowState, Sums, Tag},
+    share::Shares,
+};
 
 /// How far interactive work may put its row ahead of the rollouts of others.
 pub const INTERACTIVE_LEAD_TOKENS: f64 = 2_048.0;
@@ -30,178 +31,6 @@
 /// The share of a row that the table does not name.
 const UNKNOWN_SHARE_RATIO: f64 = 1e-3;
 
-/// Names one queued or running request within a host.
-pub type Ticket = u64;
-
-/// Whether somebody waits for the answer.
-#[derive(
-    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, strum::Display, strum::EnumString,
-)]
-#[strum(serialize_all = "kebab-case")]
-pub enum Class {
-    /// A person waits.
-    Interactive,
-    /// A trainer's sample.
-    Rollout,
-}
-
-/// The work of one request in tokens.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Cost {
-    /// Tokens to read.
-    pub prompt_tokens: u32,
-    /// Tokens to generate, predicted or real.
-    pub generated_tokens: u32,
-}
-
-impl Cost {
-    /// Returns what the request is charged, in generated tokens.
-    ///
-    /// # Examples
-    ///
-    /// ```
-    /// use mimosavane::fairness::Cost;
-    ///
-    /// let long = Cost { prompt_tokens: 10_000, generated_tokens: 10 };
-    /// let short = Cost { prompt_tokens: 10, generated_tokens: 10 };
-    /// assert!(long.charge_tokens() > 10.0 * short.charge_tokens());
-    /// ```
-    pub fn charge_tokens(self) -> f64 {
-        REQUEST_COST_TOKENS
-            + f64::from(self.prompt_tokens) * PROMPT_COST_RATIO
-            + f64::from(self.generated_tokens)
-    }
-}
-
-/// One request to queue.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Entry<T> {
-    /// The name that it is settled or cancelled by.
-    pub ticket: Ticket,
-    /// The row that is charged.
-    pub row: RowId,
-    /// Whether somebody waits.
-    pub class: Class,
-    /// Higher goes first within the row and class.
-    pub priority: u32,
-    /// The predicted work.
-    pub cost: Cost,
-    /// What the caller keeps with it.
-    pub item: T,
-}
-
-/// An f64 with the total order, for sorted sets.
-#[derive(Clone, Copy, Debug)]
-struct Tag(f64);
-
-impl PartialEq for Tag {
-    fn eq(&self, other: &Self) -> bool {
-        self.cmp(other).is_eq()
-    }
-}
-
-impl Eq for Tag {}
-
-impl PartialOrd for Tag {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Tag {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        self.0.total_cmp(&other.0)
-    }
-}
-
-/// How the queue ranks rows against each other; the lowest rank goes first.
-pub trait Ranking: std::fmt::Debug {
-    /// Ranks a row from its virtual time and the number of its next entry.
-    fn rank(virtual_time: f64, next_sequence: u64) -> f64;
-
-    /// Whether interactive work goes first, and running work is preempted for
-    /// rows below their share.
-    const KEEPS_SHARES: bool;
-}
-
-/// Ranks rows by virtual time, so that each gets its share.
-#[derive(Debug)]
-pub struct Weighted;
-
-impl Ranking for Weighted {
-    const KEEPS_SHARES: bool = true;
-
-    fn rank(virtual_time: f64, _next_sequence: u64) -> f64 {
-        virtual_time
-    }
-}
-
-/// The order within one row and class.
-type Position = (Reverse<u32>, u64);
-
-/// One row's entries of one class.
-type Line<T> = BTreeMap<Position, Entry<T>>;
-
-#[derive(Debug)]
-struct RowState<T> {
-    share: f64,
-    /// Settled tokens over the share.
-    settled: f64,
-    /// Charged and not yet settled.
-    in_flight_tokens: f64,
-    running_count: u32,
-    blocked: bool,
-    backlog_tokens: f64,
-    /// Charged since the start, net of refunds.
-    charged_tokens: f64,
-    interactive: Line<T>,
-    rollouts: Line<T>,
-}
-
-impl<T> RowState<T> {
-    fn new(share: f64) -> Self {
-        Self {
-            share,
-            settled: 0.0,
-            in_flight_tokens: 0.0,
-            running_count: 0,
-            blocked: false,
-            backlog_tokens: 0.0,
-            charged_tokens: 0.0,
-            interactive: Line::new(),
-            rollouts: Line::new(),
-        }
-    }
-
-    fn virtual_time(&self) -> f64 {
-        self.settled + self.in_flight_tokens / self.share
-    }
-
-    fn line(&self, class: Class) -> &Line<T> {
-        match class {
-            Class::Interactive => &self.interactive,
-            Class::Rollout => &self.rollouts,
-        }
-    }
-
-    fn line_mut(&mut self, class: Class) -> &mut Line<T> {
-        match class {
-            Class::Interactive => &mut self.interactive,
-            Class::Rollout => &mut self.rollouts,
-        }
-    }
-
-    fn rank<R: Ranking>(&self, class: Class) -> Option<Tag> {
-        let ((_, sequence), _) = self.line(class).first_key_value()?;
-        Some(Tag(R::rank(self.virtual_time(), *sequence)))
-    }
-
-    fn is_backlogged(&self) -> bool {
-        let is_empty = self.interactive.is_empty() && self.rollouts.is_empty();
-        !self.blocked && !is_empty
-    }
-}
-
 #[derive(Clone, Copy, Debug)]
 struct Place {
     row: usize,
@@ -214,6 +43,8 @@
     row: usize,
     prompt_tokens: u32,
     charged_tokens: f64,
+    /// The part of the charge that outgrew the prediction, settled already.
+    settled_tokens: f64,
 }
 
 /// The queue of one engine.
@@ -247,9 +78,9 @@
     interactive: BTreeSet<(Tag, usize)>,
     /// Rows with waiting rollouts by virtual time.
     rollouts: BTreeSet<(Tag, usize)>,
-    /// Backlogged rows by settled work, where a returning row starts.
-    settled: BTreeSet<(Tag, usize)>,
-    floor: f64,
+    /// Sums over the backlogged rows, from which a returning row starts.
+    backlogged: Sums,
+    last_virtual_time: f64,
     interactive_lead_tokens: f64,
     places: HashMap<Ticket, Place, Xxh3Builder>,
     running: HashMap<Ticket, Running, Xxh3Builder>,
@@ -271,8 +102,8 @@
             rows: Vec::new(),
             interactive: BTreeSet::new(),
             rollouts: BTreeSet::new(),
-            settled: BTreeSet::new(),
-            floor: 0.0,
+            backlogged: Sums::default(),
+            last_virtual_time: 0.0,
             interactive_lead_tokens: 0.0,
             places: HashMap::default(),
             running: HashMap::default(),
@@ -299,22 +130,22 @@
         if self.rows[row].blocked == blocked {
             return;
         }
-        let floor = self.floor();
+        let (floor, virtual_time) = self.levels(self.rows[row].share);
         self.update(row, |state| {
             state.blocked = blocked;
             if !blocked {
-                state.settled = state.settled.max(floor);
+                state.resume(floor, virtual_time);
             }
         });
     }
 
     /// Appends `entry` to its row.
     ///
-    /// A row without waiting entries starts level with the backlogged row that
-    /// was served least, so that idle time saves up no claim.
+    /// A row without waiting entries starts level with the backlogged rows, so
+    /// that idle time saves up no claim.
     pub fn push(&mut self, entry: Entry<T>) {
         let row = self.row_index(&entry.row);
-        let floor = self.floor();
+        let (floor, virtual_time) = self.levels(self.rows[row].share);
         let position = (Reverse(entry.priority), self.next_sequence);
         self.next_sequence += 1;
         let class = entry.class;
@@ -327,7 +158,7 @@
         let was_backlogged = self.rows[row].is_backlogged();
         self.update(row, |state| {
             if !was_backlogged {
-                state.settled = state.settled.max(floor);
+                state.resume(floor, virtual_time);
             }
             state.backlog_tokens += entry.cost.charge_tokens();
             state.line_mut(class).insert(position, entry);
@@ -337,13 +168,25 @@
     /// Takes the next entry and charges its row with the predicted cost.
     pub fn pop(&mut self) -> Option<Entry<T>> {
         let (class, row) = self.next_row()?;
+        self.take(class, row)
+    }
+
+    /// Takes the next rollout of one row, for a slot that was cleared for it.
+    pub fn pop_rollout_of(&mut self, row: &RowId) -> Option<Entry<T>> {
+        let row = *self.names.get(row)?;
+        if self.rows[row].blocked {
+            return None;
+        }
+        self.take(Class::Rollout, row)
+    }
+
+    fn take(&mut self, class: Class, row: usize) -> Option<Entry<T>> {
         let mut popped = None;
         self.update(row, |state| {
             if let Some((_, entry)) = state.line_mut(class).pop_first() {
                 let charge = entry.cost.charge_tokens();
                 state.backlog_tokens -= charge;
-                state.in_flight_tokens += charge;
-                state.charged_tokens += charge;
+                state.charge(charge);
                 state.running_count += 1;
                 popped = Some(entry);
             }
@@ -358,6 +201,7 @@
                 row,
                 prompt_tokens: entry.cost.prompt_tokens,
                 charged_tokens: charge,
+                settled_tokens: 0.0,
             },
         );
         Some(entry)
@@ -377,10 +221,11 @@
             return;
         }
         running.charged_tokens += excess;
+        running.settled_tokens += excess;
         let row = running.row;
         self.update(row, |state| {
-            state.in_flight_tokens += excess;
-            state.charged_tokens += excess;
+            state.settled += excess / state.share;
+            state.counted_tokens += excess;
         });
     }
 
@@ -397,10 +242,11 @@
         }
         .charge_tokens();
         self.update(running.row, |state| {
-            state.in_flight_tokens = (state.in_flight_tokens - running.charged_tokens).max(0.0);
+            let predicted_tokens = running.charged_tokens - running.settled_tokens;
+            state.in_flight_tokens = (state.in_flight_tokens - predicted_tokens).max(0.0);
             state.running_count = state.running_count.saturating_sub(1);
-            state.settled += real / state.share;
-            state.charged_tokens += real - running.charged_tokens;
+            state.settled += (real - running.settled_tokens) / state.share;
+            state.counted_tokens += real - running.charged_tokens;
         });
         true
     }
@@ -449,9 +295,10 @@
         self.state(row).map_or(0.0, |state| state.backlog_tokens)
     }
 
-    /// Returns what `row` was charged since the start, net of refunds.
-    pub fn charged_tokens_of(&self, row: &RowId) -> f64 {
-        self.state(row).map_or(0.0, |state| state.charged_tokens)
+    /// Returns what `row` was charged since the start, net of refunds and of
+    /// what fills its part of the slots when it returns.
+    pub fn counted_tokens_of(&self, row: &RowId) -> f64 {
+        self.state(row).map_or(0.0, |state| state.counted_tokens)
     }
 
     /// Returns the rows that were ever queued or named, in order.
@@ -520,12 +367,18 @@
         }
     }
 
-    /// Returns the settled work of the backlogged row that was served least.
-    fn floor(&mut self) -> f64 {
-        if let Some(&(Tag(settled), _)) = self.settled.first() {
-            self.floor = self.floor.max(settled);
+    /// Returns where a row of `share` starts that had nothing waiting: behind
+    /// the others by what runs for them, so that it fills its part of the slots
+    /// first; and the virtual time of the others.
+    fn levels(&mut self, share: f64) -> (f64, f64) {
+        let sums = self.backlogged;
+        if sums.row_count == 0 {
+            return (self.last_virtual_time, self.last_virtual_time);
         }
-        self.floor
+        let virtual_time = sums.weighted_time / sums.share;
+        self.last_virtual_time = self.last_virtual_time.max(virtual_time);
+        let fill = sums.in_flight_tokens / (sums.share + share);
+        (virtual_time - fill, virtual_time)
     }
 
     /// Changes a row and puts it at its new place in the sorted sets.
@@ -546,7 +399,7 @@
         if let Some(tag) = state.rank::<R>(Class::Rollout) {
             self.rollouts.remove(&(tag, row));
         }
-        self.settled.remove(&(Tag(state.settled), row));
+        self.backlogged.subtract(state);
     }
 
     fn list(&mut self, row: usize) {
@@ -560,6 +413,6 @@
         if let Some(tag) = state.rank::<R>(Class::Rollout) {
             self.rollouts.insert((tag, row));
         }
-        self.settled.insert((Tag(state.settled), row));
+        self.backlogged.add(state);
     }
 }
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -218,7 +218,7 @@
     fn count_own(&mut self, loads: BTreeMap<RowId, RowLoad>) {
         for (row, load) in loads {
             let count = self.own.entry(row).or_default();
-            count.served_tokens = count.served_tokens.max(load.charged_tokens as u64);
+            count.served_tokens = count.served_tokens.max(load.counted_tokens as u64);
             count.backlog_tokens = load.backlog_tokens as u64;
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,12 +4,14 @@
 //! controllers without I/O, and the servers and clients around them. The map of
 //! the files is in `docs/ARCHITECTURE.md`.
 
+pub mod allowance;
 pub mod attempt;
 pub mod baseline;
 pub mod blackboard;
 pub mod burn;
 pub mod cache_index;
 pub mod call;
+pub mod charge;
 pub mod claim;
 pub mod clock;
 pub mod concurrency;
@@ -26,6 +28,7 @@
 pub mod fairness;
 pub mod follower;
 pub mod ids;
+mod lane;
 pub mod lease;
 pub mod ledger;
 pub mod length;
@@ -33,11 +36,13 @@
 pub mod order;
 pub mod progress;
 pub mod proto;
+pub mod queue_event;
 pub mod quota;
 pub mod rendezvous;
 pub mod retry;
 pub mod routing;
 pub mod row;
+mod row_queue;
 pub mod settings;
 pub mod settings_check;
 pub mod share;
