--- a/src/blackboard.rs
+++ b/src/blackboard.rs
@@ -63,6 +63,8 @@
     Leaving,
     /// Its whole region is out of reach, so that nothing is known of it.
     Unreachable,
+    /// It answers again after it flapped, and gets no work until it is steady.
+    Damped,
 }
 
 /// One host of the service as the others see it.
@@ -176,9 +178,37 @@
     pub members: BTreeMap<UpstreamId, Upstream>,
 }
 
+/// How far this host may rely on its copy of the table.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    Serialize,
+    Deserialize,
+    strum::Display,
+    strum::EnumString,
+)]
+#[serde(rename_all = "kebab-case")]
+#[strum(serialize_all = "kebab-case")]
+pub enum TableStanding {
+    /// The host has learned no table yet, and admits nothing.
+    #[default]
+    Empty,
+    /// The store or a peer was heard of late.
+    Current,
+    /// Neither the store nor any peer was heard for long, so that changes may
+    /// have been missed; the host admits nothing new.
+    Isolated,
+}
+
 /// The table in force.
 #[derive(Clone, Debug, Default)]
 pub struct Rows {
+    /// Whether the rows may be relied on.
+    pub standing: TableStanding,
     /// The revision that the rows are of.
     pub revision: Revision,
     /// The rows by name.
@@ -229,6 +259,8 @@
 pub struct Served {
     /// The counts by row and by counting host.
     pub counts: BTreeMap<RowId, BTreeMap<HostId, ServedCount>>,
+    /// The counts of the whole fleet by row.
+    pub fleet: BTreeMap<RowId, ServedCount>,
 }
 
 /// Whether the platform's table service answers.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -3,13 +3,18 @@
 //! Each field carries its unit as a suffix and has a documented default; see
 //! docs/SETTINGS.md. Unknown fields are refused.
 
-use std::{collections::BTreeMap, net::SocketAddr, path::Path};
+use std::{
+    collections::BTreeMap,
+    net::{Ipv4Addr, SocketAddr},
+    path::Path,
+};
 
 use serde::{Deserialize, Serialize};
 
 use crate::{
     connection::Protocol,
     ids::{FailureDomain, HostId, Region, RowId},
+    settings_check::{self, Mistake},
 };
 
 /// All settings of one host.
@@ -46,6 +51,9 @@
     /// Who may ask for what.
     #[serde(default)]
     pub keys: KeySettings,
+    /// Where operators reach the table.
+    #[serde(default)]
+    pub table: TableSettings,
     /// Bounds on what callers may ask.
     #[serde(default)]
     pub limits: LimitSettings,
@@ -55,6 +63,9 @@
     /// How hosts watch each other.
     #[serde(default)]
     pub membership: MembershipSettings,
+    /// How this host stops.
+    #[serde(default)]
+    pub drain: DrainSettings,
     /// Where logs and metrics go.
     #[serde(default)]
     pub telemetry: TelemetrySettings,
@@ -94,6 +105,12 @@
     /// How long one request to the platform may take.
     #[serde(default = "defaults::platform_timeout_ms")]
     pub timeout_ms: u64,
+    /// Reads of the table service a second that the whole fleet may use.
+    #[serde(default = "defaults::table_service_max_reads_per_s")]
+    pub table_service_max_reads_per_s: u32,
+    /// Writes to the table service a second that the whole fleet may use.
+    #[serde(default = "defaults::table_service_max_writes_per_s")]
+    pub table_service_max_writes_per_s: u32,
     /// Engines that refuse an order with an old fencing number.
     #[serde(default)]
     pub fence_checking_engines: Vec<String>,
@@ -123,6 +140,14 @@
     }
 }
 
+/// Where operators reach the table.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct TableSettings {
+    /// Where the table server of this host answers operators.
+    pub http_address: SocketAddr,
+}
+
 /// Bounds on what callers may ask.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -168,6 +193,16 @@
     pub suspicion_timeout_ms: u64,
 }
 
+/// How this host stops.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct DrainSettings {
+    /// How long callers may still arrive after readiness is off.
+    pub grace_ms: u64,
+    /// How long a planned stop may take in all.
+    pub bound_ms: u64,
+}
+
 /// Where logs and metrics go.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -219,6 +254,14 @@
     pub change_in_force_ms: u64,
 }
 
+impl Default for TableSettings {
+    fn default() -> Self {
+        Self {
+            http_address: (Ipv4Addr::LOCALHOST, 8090).into(),
+        }
+    }
+}
+
 impl Default for LimitSettings {
     fn default() -> Self {
         Self {
@@ -242,6 +285,15 @@
     }
 }
 
+impl Default for DrainSettings {
+    fn default() -> Self {
+        Self {
+            grace_ms: 3_000,
+            bound_ms: 120_000,
+        }
+    }
+}
+
 impl Default for TelemetrySettings {
     fn default() -> Self {
         Self {
@@ -269,6 +321,14 @@
     pub(super) const fn platform_timeout_ms() -> u64 {
         1_000
     }
+
+    pub(super) const fn table_service_max_reads_per_s() -> u32 {
+        2_000
+    }
+
+    pub(super) const fn table_service_max_writes_per_s() -> u32 {
+        300
+    }
 }
 
 /// Why settings could not be read.
@@ -282,20 +342,31 @@
         /// What the system said.
         source: std::io::Error,
     },
-    /// The text is not a settings file.
-    #[error("{0}")]
+    /// The text has mistakes.
+    #[error("{}", lines(.0))]
+    Invalid(Vec<Mistake>),
+    /// The text cannot be read into settings.
+    #[error(transparent)]
     Parse(#[from] serde_norway::Error),
 }
 
+/// Writes one mistake a line.
+fn lines(mistakes: &[Mistake]) -> String {
+    let lines: Vec<String> = mistakes.iter().map(ToString::to_string).collect();
+    lines.join("\n")
+}
+
+/// Names text in mistakes that came from no file.
+const UNNAMED_FILE: &str = "settings";
+
 impl Settings {
     /// Reads settings from YAML text.
     ///
     /// # Errors
     ///
-    /// Fails on text that is not YAML, on unknown or missing fields, and on
-    /// values of the wrong type.
+    /// Fails with all mistakes that [`settings_check::check`] finds.
     pub fn parse(text: &str) -> Result<Self, SettingsError> {
-        Ok(serde_norway::from_str(text)?)
+        Self::parse_named(UNNAMED_FILE, text)
     }
 
     /// Reads settings from the file at `path`.
@@ -304,10 +375,19 @@
     ///
     /// Fails as [`Settings::parse`] does, and where the file cannot be read.
     pub fn load(path: &Path) -> Result<Self, SettingsError> {
-        let text = std::fs::read_to_string(path).map_err(|source| SettingsError::Read {
-            path: path.display().to_string(),
-            source,
-        })?;
-        Self::parse(&text)
+        let name = path.display().to_string();
+        match std::fs::read_to_string(path) {
+            Ok(text) => Self::parse_named(&name, &text),
+            Err(source) => Err(SettingsError::Read { path: name, source }),
+        }
+    }
+
+    fn parse_named(file: &str, text: &str) -> Result<Self, SettingsError> {
+        let mistakes = settings_check::check(file, text);
+        if mistakes.is_empty() {
+            Ok(serde_norway::from_str(text)?)
+        } else {
+            Err(SettingsError::Invalid(mistakes))
+        }
     }
 }
--- /dev/null
+++ b/src/step_dispatch.rs
@@ -0,0 +1,259 @@
+//! Attempts of one step: when they start, how they end, which get a second.
+
+use std::{sync::Arc, time::Duration};
+
+use crate::{
+    clock::Timestamp,
+    decision::{Decision, Kind},
+    evidence::Proved,
+    ids::{UpstreamId, WeightVersion},
+    slot::{Attempt, Phase, Race},
+    staleness::{Forecast, Margin, Verdict, judge},
+    step_message::{Action, Dispatch},
+    step_registry::{Model, Registry, StepKey, Target, Turn},
+    step_state::{Place, Step},
+    straggler::{DEFAULT_STARTUP, DEFAULT_TOKEN_TIME, Norm},
+};
+
+/// The most attempts that one step starts in one round.
+const MAX_DISPATCHES_PER_ROUND: usize = 256;
+
+/// The most slots that one step looks at in one round without starting them.
+const MAX_REFUSALS_PER_ROUND: usize = 64;
+
+/// How long after its last pull a trainer still counts as waiting.
+const PULL_PATIENCE: Duration = Duration::from_secs(60);
+
+/// What is expected of an attempt that is about to start.
+pub(crate) struct Plan {
+    pub(crate) resume: Proved,
+    pub(crate) expected_tokens: u32,
+    pub(crate) forecast: Forecast,
+}
+
+impl Step {
+    /// Returns the version that the trainer last stated for this step.
+    pub(crate) fn stated_version(&self) -> WeightVersion {
+        match self.attachment.pulled_at {
+            Some(_) => self.attachment.weight_version,
+            None => self.spec.weight_version.max(self.attachment.weight_version),
+        }
+    }
+
+    /// Starts attempts for open slots, within `running` and the row's limit.
+    pub(crate) fn dispatch(
+        &mut self,
+        key: &StepKey,
+        running: &mut u32,
+        registry: &mut Registry,
+        turn: &mut Turn<'_>,
+    ) {
+        if self.is_dormant || !self.row.enabled || !self.is_wanted(turn.now) {
+            return;
+        }
+        let slot_count = self.slots().len();
+        let mut started = 0;
+        let mut refused = 0;
+        for offset in 0..slot_count {
+            let is_limited = is_limited(self.row.max_running_samples, *running);
+            if self.counts().open == 0 || is_limited {
+                break;
+            }
+            if started == MAX_DISPATCHES_PER_ROUND || refused == MAX_REFUSALS_PER_ROUND {
+                self.cursor = (self.cursor + offset) % slot_count;
+                break;
+            }
+            let place = (self.cursor + offset) % slot_count;
+            if !self.is_due(place, turn.now) {
+                continue;
+            }
+            let plan = self.plan(place, registry.model(&key.trainer), turn);
+            match self.judge(&plan, registry, turn) {
+                Verdict::Dispatch { min_version } => {
+                    self.start(place, plan, min_version, registry, turn);
+                    *running += 1;
+                    started += 1;
+                }
+                Verdict::AwaitWeights | Verdict::AwaitChange => refused += 1,
+            }
+        }
+    }
+
+    /// Says whether a trainer may still want what is dispatched now.
+    fn is_wanted(&self, now: Timestamp) -> bool {
+        let is_recent = |at: Timestamp| now.saturating_sub(at) < PULL_PATIENCE;
+        self.attachment.waiting.is_some() || self.attachment.pulled_at.is_none_or(is_recent)
+    }
+
+    fn is_due(&self, place: Place, now: Timestamp) -> bool {
+        let slot = &self.slots()[place];
+        matches!(slot.phase, Phase::Open(_)) && slot.not_before <= now
+    }
+
+    /// Works out what an attempt at an open slot would be.
+    fn plan(&self, place: Place, model: &Model, turn: &Turn<'_>) -> Plan {
+        let resume = match &self.slots()[place].phase {
+            Phase::Open(Some(proved)) => proved.as_ref().clone(),
+            _ => Proved::default(),
+        };
+        let plan = self.plan_from(place, resume, model, turn);
+        if self.can_resume(&plan) {
+            return plan;
+        }
+        self.plan_from(place, Proved::default(), model, turn)
+    }
+
+    pub(crate) fn plan_from(
+        &self,
+        place: Place,
+        resume: Proved,
+        model: &Model,
+        turn: &Turn<'_>,
+    ) -> Plan {
+        let norm = norm(model);
+        let expected_tokens = self.remaining_tokens(place, &resume, model);
+        let duration = norm.startup + norm.token_time * expected_tokens;
+        Plan {
+            resume,
+            expected_tokens,
+            forecast: self.forecast(duration, model, turn),
+        }
+    }
+
+    /// Predicts the trainer's version for a sample that takes `duration`.
+    fn forecast(&self, duration: Duration, model: &Model, turn: &Turn<'_>) -> Forecast {
+        let whole_at = turn.now.saturating_add(duration);
+        let cadence = &model.cadence;
+        let gain = cadence.gain_by(whole_at, turn.now, Margin::of(&self.row));
+        let stated = self.stated_version();
+        let expected = match self.attachment.pulled_at {
+            Some(_) => stated + gain,
+            None => cadence
+                .version_at(self.spec.step, stated)
+                .max(stated + gain),
+        };
+        Forecast {
+            stated,
+            expected,
+            newest: turn.newest,
+            bound_versions: self.row.staleness_bound_versions,
+        }
+    }
+
+    /// Says whether the tokens that an attempt would resume from may stay.
+    pub(crate) fn can_resume(&self, plan: &Plan) -> bool {
+        let Some(oldest) = plan.resume.oldest_version() else {
+            return true;
+        };
+        let forecast = &plan.forecast;
+        let least = forecast.expected.saturating_sub(forecast.bound_versions);
+        let is_one_version = forecast.newest.is_none_or(|newest| newest == oldest);
+        oldest >= least && (self.row.mixed_versions || is_one_version)
+    }
+
+    /// Asks the gate, and records when its answer changes.
+    fn judge(&mut self, plan: &Plan, registry: &mut Registry, turn: &mut Turn<'_>) -> Verdict {
+        let verdict = judge(plan.forecast);
+        if matches!(verdict, Verdict::Dispatch { .. }) {
+            self.verdict = Some(verdict);
+            return verdict;
+        }
+        if self.verdict != Some(verdict) {
+            self.verdict = Some(verdict);
+            registry.counters.deferred_count += 1;
+            let newest = plan.forecast.newest.unwrap_or_default();
+            turn.decisions.push(
+                Decision::new(Kind::Step, turn.now, format!("held back: {verdict}"))
+                    .about(format!("{}/{}", self.spec.trainer, self.spec.step))
+                    .figure("stated_version_count", plan.forecast.stated as f64)
+                    .figure("expected_version_count", plan.forecast.expected as f64)
+                    .figure("newest_version_count", newest as f64)
+                    .figure("bound_versions", plan.forecast.bound_versions as f64),
+            );
+        }
+        verdict
+    }
+
+    /// Starts the only attempt of an open slot.
+    fn start(
+        &mut self,
+        place: Place,
+        plan: Plan,
+        min_version: WeightVersion,
+        registry: &mut Registry,
+        turn: &mut Turn<'_>,
+    ) {
+        let avoid = self.slot_mut(place).avoid.take();
+        let attempt = self.send(place, plan, min_version, avoid, registry, turn);
+        let race = Race {
+            first: attempt,
+            second: None,
+        };
+        self.set_phase(place, Phase::Running(Box::new(race)));
+    }
+
+    /// Asks for an attempt.
+    pub(crate) fn send(
+        &self,
+        place: Place,
+        plan: Plan,
+        min_version: WeightVersion,
+        avoid: Option<UpstreamId>,
+        registry: &mut Registry,
+        turn: &mut Turn<'_>,
+    ) -> Attempt {
+        let number = registry.next_attempt();
+        let slot = self.slot_id(place);
+        let prompt = &self.group_of(place).prompt;
+        let priority = self.standing(place).priority();
+        registry.counters.dispatched_count += 1;
+        registry.counters.resumed_tokens += plan.resume.tokens.len() as u64;
+        turn.decisions.push(
+            Decision::new(Kind::Sample, turn.now, "dispatched")
+                .about(format!("{slot}/{number:x}"))
+                .figure("min_version_count", min_version as f64)
+                .figure("expected_version_count", plan.forecast.expected as f64)
+                .figure("expected_tokens", f64::from(plan.expected_tokens))
+                .figure("resumed_tokens", plan.resume.tokens.len() as f64)
+                .figure("priority_ratio", f64::from(priority)),
+        );
+        let attempt = Attempt::new(number, plan.resume.clone(), turn.now);
+        let seed = self.spec.sample_seed(slot.group, slot.index);
+        turn.actions.push(Action::Dispatch(Box::new(Dispatch {
+            attempt: number,
+            slot,
+            prompt_tokens: Arc::clone(&prompt.prompt_tokens),
+            max_tokens: prompt.max_tokens,
+            priority,
+            resume: plan.resume,
+            min_version,
+            mixed_versions: self.row.mixed_versions,
+            seed,
+            expected_tokens: plan.expected_tokens,
+            avoid,
+        })));
+        let key = StepKey::of(&self.spec);
+        registry.attempts.insert(number, Target { key, place });
+        attempt
+    }
+
+    pub(crate) fn remaining_tokens(&self, place: Place, proved: &Proved, model: &Model) -> u32 {
+        let group = self.group_of(place);
+        let generated = u32::try_from(proved.tokens.len()).unwrap_or(u32::MAX);
+        model
+            .lengths
+            .remaining_in_group(group.lengths, generated, group.prompt.max_tokens)
+    }
+}
+
+/// Returns what attempts of a row usually take.
+pub(crate) fn norm(model: &Model) -> Norm {
+    Norm {
+        token_time: model.token_time.mean_or(DEFAULT_TOKEN_TIME),
+        startup: model.startup.mean_or(DEFAULT_STARTUP),
+    }
+}
+
+fn is_limited(max_running_samples: u32, running: u32) -> bool {
+    max_running_samples > 0 && running >= max_running_samples
+}
