Count living peers as contact in the follower

Cause: membership passes on only revisions above ours, so that after 15 s of a store outage each host would have held itself for isolated. Change: a peer that membership holds for alive counts as contact. Conclusion: isolation means now that no peer answers and the store does not. Open in the entry server: readiness and admission ask for a revision above 0 and not for the standing 'current'; set_live_hosts is never called, so each host takes the fleet's whole budget, which is the default and not the settings'; nothing writes board.store; the report under follower::REPORT_PATH is not served.

--- a/src/follower.rs
+++ b/src/follower.rs
@@ -315,12 +315,18 @@
 
     /// A host that hears neither the store nor a peer cannot know whether its
     /// table still holds; one without any peer has nobody to differ from.
-    fn judge(&self, round: &mut Round<'_>) {
+    fn judge(&mut self, round: &mut Round<'_>) {
+        let members = round.board.hosts.members.values();
+        let mut peers = members.filter(|member| member.id != self.host).peekable();
+        let has_peers = peers.peek().is_some();
+        // Membership answers for the peers that are at our own revision.
+        if peers.any(|peer| peer.state == HostState::Alive) {
+            self.heard_at = round.now;
+        }
         if round.board.rows.standing == TableStanding::Empty {
             return;
         }
         let silence = round.now.saturating_sub(self.heard_at);
-        let has_peers = round.board.hosts.members.keys().any(|id| *id != self.host);
         if silence >= ISOLATION_TIMEOUT && has_peers {
             stand(round, TableStanding::Isolated);
         } else {
--- a/tests/follower.rs
+++ b/tests/follower.rs
@@ -4,7 +4,7 @@
 
 use mimosavane::{
     Blackboard, Controller as _,
-    blackboard::TableStanding,
+    blackboard::{HostState, TableStanding},
     controller::{Rng, Round},
     follower::{self, Action, Event, ISOLATION_TIMEOUT, Report},
     ids::Revision,
@@ -33,7 +33,7 @@
         Self {
             follower: follower::Controller::new("host-0000"),
             board: Blackboard {
-                hosts: hosts(4),
+                hosts: hosts(4, HostState::Suspect),
                 ..Blackboard::default()
             },
             rng: Rng::seed_from_u64(SEED),
@@ -186,10 +186,22 @@
     }
 }
 
+#[test]
+fn peer_at_same_revision() {
+    let mut host = Lone::new();
+    host.run([store_answered(5)]);
+    host.board.hosts = hosts(4, HostState::Alive);
+    host.wait(ISOLATION_TIMEOUT);
+    assert_eq!(host.standing(), TableStanding::Current);
+    host.board.hosts = hosts(4, HostState::Dead);
+    host.wait(ISOLATION_TIMEOUT);
+    assert_eq!(host.standing(), TableStanding::Isolated);
+}
+
 #[test]
 fn no_other_host() {
     let mut host = Lone::new();
-    host.board.hosts = hosts(1);
+    host.board.hosts = hosts(1, HostState::Suspect);
     host.run([store_answered(5)]);
     host.wait(Duration::from_secs(3600));
     assert_eq!(host.standing(), TableStanding::Current);
@@ -340,7 +352,7 @@
 fn partitioned_host() {
     let mut fleet = Fleet::new(12, TICK, SEED);
     fleet.run_for(Duration::from_secs(5));
-    fleet.members[3].is_cut_off = true;
+    fleet.cut_off(3, true);
     fleet.revision = 2;
     fleet.run_for(ISOLATION_TIMEOUT + Duration::from_secs(3));
     assert_eq!(fleet.in_force_count(2), 11);
@@ -348,7 +360,7 @@
         fleet.members[3].board.rows.standing,
         TableStanding::Isolated
     );
-    fleet.members[3].is_cut_off = false;
+    fleet.cut_off(3, false);
     fleet.run_for(Duration::from_secs(5));
     assert_eq!(fleet.in_force_count(2), 12);
     assert_eq!(fleet.members[3].board.rows.standing, TableStanding::Current);
--- a/tests/support/virtual_fleet.rs
+++ b/tests/support/virtual_fleet.rs
@@ -26,7 +26,7 @@
     pub id: HostId,
     pub follower: Controller,
     pub board: Blackboard,
-    pub is_cut_off: bool,
+    is_cut_off: bool,
     tick: Duration,
 }
 
@@ -58,13 +58,13 @@
     vec![row]
 }
 
-pub fn hosts(count: usize) -> Arc<Hosts> {
+pub fn hosts(count: usize, state: HostState) -> Arc<Hosts> {
     let members = (0..count).map(|number| {
         let id: HostId = format!("host-{number:04}").into();
         let host = Host {
             id: id.clone(),
             incarnation: 1,
-            state: HostState::Alive,
+            state,
             failure_domain: "mx-a".into(),
             region: "mx-centro".into(),
             peer_address: ([127, 0, 0, 1], 1).into(),
@@ -79,7 +79,7 @@
 
 impl Fleet {
     pub fn new(hosts_count: usize, tick: Duration, seed: u64) -> Self {
-        let hosts = hosts(hosts_count);
+        let hosts = hosts(hosts_count, HostState::Alive);
         let mut fleet = Self {
             now: Duration::ZERO,
             members: Vec::new(),
@@ -128,6 +128,18 @@
         };
     }
 
+    /// Cuts the host off from the store and from all others, or ends that.
+    pub fn cut_off(&mut self, number: usize, is_cut_off: bool) {
+        let out_of_reach = hosts(self.members.len(), HostState::Unreachable);
+        let member = &mut self.members[number];
+        member.is_cut_off = is_cut_off;
+        member.board.hosts = if is_cut_off {
+            out_of_reach
+        } else {
+            self.hosts.clone()
+        };
+    }
+
     pub fn run_for(&mut self, time: Duration) {
         self.run_until(self.now + time, |_| false);
     }
