--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,8 @@
 pub mod blackboard;
 pub mod broadcast;
 pub mod burn;
+pub mod burn_page;
+pub mod burn_report;
 pub mod cache_index;
 pub mod call;
 pub mod change;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -231,6 +231,8 @@
     pub min_call_success_ratio: f64,
     /// How soon an accepted change must be in force on all hosts.
     pub change_in_force_ms: u64,
+    /// The length of the windows against those of the report's page.
+    pub window_scale_ratio: f64,
 }
 
 impl Default for LimitSettings {
@@ -283,6 +285,7 @@
             max_share_error_ratio: 0.05,
             min_call_success_ratio: 0.999,
             change_in_force_ms: 2_000,
+            window_scale_ratio: 1.0,
         }
     }
 }
--- a/src/settings_field.rs
+++ b/src/settings_field.rs
@@ -141,6 +141,7 @@
     field("objectives.max_share_error_ratio", PART, Or("0.05"), "The part by which a row's served tokens may miss its share."),
     field("objectives.min_call_success_ratio", PART, Or("0.999"), "The part of calls that must get a whole answer."),
     field("objectives.change_in_force_ms", millis(1), Or("2000"), "How soon an accepted change must be in force on all hosts."),
+    field("objectives.window_scale_ratio", Ratio { min: 0.0001, max: 1.0 }, Or("1.0"), "The length of the windows against 5 min, 1 h and 6 h; all hosts need the same."),
 ];
 
 /// Two fields of which the first must stay below the second.
