Cause faults in the demo and mend what they show

Cause: the demo showed the path only in calm. Change: eight faults by name, two operators who edit one row at a time, a watch of what is in force. A resubmitted step is the same work where only the trainer's stated version rose; forwarded pulls and submissions carry a timeout.

--- a/src/attach.rs
+++ b/src/attach.rs
@@ -89,6 +89,11 @@
         pull.attach >= self.highest
     }
 
+    /// Takes note of the version that the trainer states outside of a pull.
+    pub fn state_version(&mut self, version: WeightVersion) {
+        self.weight_version = self.weight_version.max(version);
+    }
+
     /// Takes `pull` as the one to answer, and returns the call that it displaced.
     pub fn admit(&mut self, call: CallNumber, pull: &Pull, now: Timestamp) -> Option<CallNumber> {
         self.highest = pull.attach;
--- a/src/bin/mimosavane.rs
+++ b/src/bin/mimosavane.rs
@@ -6,7 +6,7 @@
 use clap::ArgMatches;
 use mimosavane::{
     cli::{self, Format},
-    demo::{self, Options},
+    demo::{self, Options, fault::Fault},
 };
 
 fn main() -> ExitCode {
@@ -29,8 +29,25 @@
     }
 }
 
+fn faults(matches: &ArgMatches) -> Result<Vec<Fault>> {
+    let names = matches.get_many::<String>("fault").into_iter().flatten();
+    names
+        .map(|name| {
+            name.parse::<Fault>()
+                .with_context(|| format!("--fault {name} (see --list-faults)"))
+        })
+        .collect()
+}
+
 fn run_demo(matches: &ArgMatches) -> Result<bool> {
+    if matches.get_flag("list-faults") {
+        for fault in Fault::all() {
+            println!("{fault:20} {}", fault.describe());
+        }
+        return Ok(true);
+    }
     let options = Options {
+        faults: faults(matches)?,
         seed: matches.get_one("seed").copied().unwrap_or_default(),
         duration: Duration::from_secs(matches.get_one("duration-s").copied().unwrap_or_default()),
     };
--- a/src/demo/caller.rs
+++ b/src/demo/caller.rs
@@ -1,16 +1,15 @@
 //! Callers of the plain services, who never repeat an order in doubt.
 
-use std::{
-    collections::BTreeMap,
-    net::SocketAddr,
-    time::{Duration, Instant},
-};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use hyper::Method;
 use rand::{Rng as _, SeedableRng as _};
 use serde::Serialize;
 
-use super::cluster::{CALLER_ROW, SERVICE_POOL, row_token};
+use super::{
+    Stop,
+    cluster::{CALLER_ROW, SERVICE_POOL, row_token},
+};
 use crate::{
     controller::Rng,
     entry::problem::OUTCOME_HEADER,
@@ -73,10 +72,10 @@
         }
     }
 
-    /// Calls until `until`, and returns what it saw.
-    pub async fn run(mut self, until: Instant) -> Tally {
+    /// Calls until `stop`, and returns what it saw.
+    pub async fn run(mut self, stop: Stop) -> Tally {
         let mut turn = 0;
-        while Instant::now() < until {
+        while !stop.is_set() {
             turn += 1;
             if turn % LOOKUP_EVERY == 0 {
                 self.look_up().await;
--- a/src/demo/cluster.rs
+++ b/src/demo/cluster.rs
@@ -4,6 +4,7 @@
     collections::BTreeMap,
     io,
     net::{Ipv4Addr, SocketAddr, TcpListener},
+    sync::{Mutex, PoisonError},
     time::Duration,
 };
 
@@ -13,8 +14,9 @@
     blackboard::{UpstreamKind, UpstreamState},
     change::{Change, RowEdit},
     controller::Rng,
+    drain::Requester,
     edit::{self, EditError},
-    entry::{Running, StartError},
+    entry::{Running, Shared, StartError},
     ids::RowId,
     platform_api::Listed,
     settings::{Settings, SettingsError},
@@ -24,6 +26,7 @@
         service::Service,
         table_service::{MemoryTable, TableServiceStandin},
     },
+    store_client::AddressError,
 };
 
 /// Hosts of the service.
@@ -44,6 +47,13 @@
 /// The secret that the hosts share.
 const FLEET_SECRET: &str = "fleet-secret-of-the-demo";
 
+/// How long callers still arrive at a host that stops, here where the balancer
+/// is a client that draws hosts at random.
+const GRACE_MS: u64 = 500;
+
+/// How long a connection may make no progress, where a token takes a millisecond.
+const SILENCE_TIMEOUT_MS: u64 = 1_000;
+
 /// The rows of the demo with their weights.
 pub const ROWS: [(&str, f64); 3] = [("guides", 2.0), ("summaries", 1.0), ("menus", 1.0)];
 
@@ -62,6 +72,9 @@
     /// The settings of a host are not valid.
     #[error(transparent)]
     Settings(#[from] SettingsError),
+    /// The table service's address is not valid.
+    #[error(transparent)]
+    Address(#[from] AddressError),
     /// The table could not be filled.
     #[error(transparent)]
     Edit(#[from] EditError),
@@ -78,8 +91,7 @@
     pub engines: Vec<Engine>,
     /// The plain services.
     pub services: Vec<Service>,
-    /// The hosts; one that was killed is `None`.
-    pub hosts: Vec<Option<Running>>,
+    hosts: Mutex<Vec<Option<Running>>>,
     settings: Vec<Settings>,
 }
 
@@ -116,7 +128,7 @@
             list,
             engines,
             services,
-            hosts,
+            hosts: Mutex::new(hosts),
             settings,
         })
     }
@@ -129,14 +141,59 @@
             .collect()
     }
 
+    /// Returns what the running hosts share with their threads.
+    pub fn shared(&self) -> Vec<Shared> {
+        let hosts = self.hosts.lock().unwrap_or_else(PoisonError::into_inner);
+        hosts
+            .iter()
+            .flatten()
+            .map(|host| host.shared().clone())
+            .collect()
+    }
+
+    /// Returns what the host at `place` shares with its threads, while it runs.
+    pub fn host(&self, place: usize) -> Option<Shared> {
+        let hosts = self.hosts.lock().unwrap_or_else(PoisonError::into_inner);
+        hosts[place].as_ref().map(|host| host.shared().clone())
+    }
+
+    /// Returns the address of the table service's stand-in.
+    pub fn table_url(&self) -> &str {
+        &self.settings[0].platform.table_service_url
+    }
+
+    /// Kills the host at `place`, as a crash would.
+    pub async fn kill(&self, place: usize) {
+        let killed = self.take(place);
+        // A host ends threads of its own, which must not hold up the others.
+        let _ = tokio::task::spawn_blocking(move || drop(killed)).await;
+    }
+
+    /// Stops the host at `place` as planned, and waits until it has ended.
+    pub async fn stop(&self, place: usize) {
+        let Some(running) = self.take(place) else {
+            return;
+        };
+        let stopped = tokio::task::spawn_blocking(move || {
+            running.wait(std::future::ready(Requester::Signal));
+        });
+        let _ = stopped.await;
+    }
+
+    fn take(&self, place: usize) -> Option<Running> {
+        let mut hosts = self.hosts.lock().unwrap_or_else(PoisonError::into_inner);
+        hosts[place].take()
+    }
+
     /// Starts the host at `place` anew, with nothing kept.
     ///
     /// # Errors
     ///
     /// Fails where the host cannot be started.
-    pub async fn restart(&mut self, place: usize) -> Result<(), ClusterError> {
-        let settings = self.settings[place].clone();
-        self.hosts[place] = Some(start_host(settings).await?);
+    pub async fn restart(&self, place: usize) -> Result<(), ClusterError> {
+        let started = start_host(self.settings[place].clone()).await?;
+        let mut hosts = self.hosts.lock().unwrap_or_else(PoisonError::into_inner);
+        hosts[place] = Some(started);
         Ok(())
     }
 }
@@ -225,6 +282,8 @@
         );
         let mut settings = Settings::parse(&text)?;
         settings.seed_peers = peers.clone();
+        settings.drain.grace_ms = GRACE_MS;
+        settings.limits.silence_timeout_ms = SILENCE_TIMEOUT_MS;
         settings.keys.fleet = FLEET_SECRET.to_owned();
         settings.keys.rows = row_keys.clone();
         settings
--- a/src/demo/mod.rs
+++ b/src/demo/mod.rs
@@ -7,19 +7,26 @@
         Arc,
         atomic::{AtomicU64, Ordering},
     },
-    time::{Duration, Instant},
+    time::Duration,
 };
 
+use futures_util::future::join_all;
 use tokio::task::JoinHandle;
 
 use crate::standin::trainer::{self, Trainer};
 
+pub use crate::standin::trainer::Stop;
+
 pub mod caller;
 pub mod cluster;
+pub mod editor;
+pub mod fault;
 pub mod report;
 
 use caller::Caller;
 use cluster::{Cluster, ClusterError, ROWS, row_token};
+use editor::Editors;
+use fault::Fault;
 use report::Report;
 
 /// Callers of plain services.
@@ -28,6 +35,9 @@
 /// How long the hosts may take until they know each other and the table.
 const WARM_UP: Duration = Duration::from_secs(2);
 
+/// How long the last changes of the table may take to be in force.
+const SETTLE_TIME: Duration = Duration::from_secs(10);
+
 /// The time between two lines of progress.
 const PROGRESS_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -42,8 +52,10 @@
 pub struct Options {
     /// Seeds every choice.
     pub seed: u64,
-    /// How long the load runs.
+    /// How long the load runs, beside the time that faults take.
     pub duration: Duration,
+    /// What shall go wrong.
+    pub faults: Vec<Fault>,
 }
 
 /// Runs a demo, and returns what it saw.
@@ -54,13 +66,18 @@
 pub async fn run(options: &Options) -> Result<Report, ClusterError> {
     let cluster = Cluster::start(options.seed).await?;
     tokio::time::sleep(WARM_UP).await;
-    let until = Instant::now() + options.duration;
+    let stop = Stop::default();
     let version = Arc::new(AtomicU64::new(1));
-    let trainers = start_trainers(&cluster, options, &version, until);
-    let callers = start_callers(&cluster, options, until);
-    let publishing = publish_weights(&cluster, &version, until);
-    tokio::join!(publishing, show_progress(&cluster, until));
-    let mut report = Report::default();
+    let trainers = start_trainers(&cluster, options, &version, &stop);
+    let callers = start_callers(&cluster, options, &stop);
+    let editors = Editors::new(&cluster, options.seed)?;
+    let (edits, ..) = tokio::join!(
+        editors.run(&cluster, &stop, SETTLE_TIME),
+        publish_weights(&cluster, &version, &stop),
+        show_progress(&cluster, &stop),
+        cause_faults(&cluster, options, &stop),
+    );
+    let mut report = Report::new(options, edits);
     for (row, trainer) in trainers {
         if let Ok(tally) = trainer.await {
             report.trainers.insert(row, tally);
@@ -77,11 +94,20 @@
     Ok(report)
 }
 
+/// Causes the faults in the middle of the load, then ends the load.
+async fn cause_faults(cluster: &Cluster, options: &Options, stop: &Stop) {
+    let part = options.duration / 4;
+    tokio::time::sleep(part).await;
+    join_all(options.faults.iter().map(|fault| fault.cause(cluster))).await;
+    tokio::time::sleep(options.duration - part).await;
+    stop.set();
+}
+
 fn start_trainers(
     cluster: &Cluster,
     options: &Options,
     version: &Arc<AtomicU64>,
-    until: Instant,
+    stop: &Stop,
 ) -> Vec<(String, JoinHandle<trainer::Tally>)> {
     ROWS.iter()
         .enumerate()
@@ -98,7 +124,7 @@
                 seed: options.seed + place as u64,
             };
             let trainer = Trainer::new(config, version.clone());
-            ((*row).to_owned(), tokio::spawn(trainer.run(until)))
+            ((*row).to_owned(), tokio::spawn(trainer.run(stop.clone())))
         })
         .collect()
 }
@@ -106,19 +132,19 @@
 fn start_callers(
     cluster: &Cluster,
     options: &Options,
-    until: Instant,
+    stop: &Stop,
 ) -> Vec<JoinHandle<caller::Tally>> {
     (0..CALLER_COUNT)
         .map(|number| {
             let caller = Caller::new(cluster.entries(), number, options.seed);
-            tokio::spawn(caller.run(until))
+            tokio::spawn(caller.run(stop.clone()))
         })
         .collect()
 }
 
 /// Brings out new weights, and has the engines swap one after the other.
-async fn publish_weights(cluster: &Cluster, version: &AtomicU64, until: Instant) {
-    while Instant::now() + WEIGHT_INTERVAL < until {
+async fn publish_weights(cluster: &Cluster, version: &AtomicU64, stop: &Stop) {
+    while !stop.is_set() {
         tokio::time::sleep(WEIGHT_INTERVAL).await;
         let next = version.fetch_add(1, Ordering::Relaxed) + 1;
         for engine in &cluster.engines {
@@ -128,9 +154,9 @@
     }
 }
 
-async fn show_progress(cluster: &Cluster, until: Instant) {
-    while Instant::now() < until {
-        tokio::time::sleep(PROGRESS_INTERVAL.min(until - Instant::now())).await;
+async fn show_progress(cluster: &Cluster, stop: &Stop) {
+    while !stop.is_set() {
+        tokio::time::sleep(PROGRESS_INTERVAL).await;
         let tokens = cluster
             .engines
             .iter()
--- a/src/demo/report.rs
+++ b/src/demo/report.rs
@@ -5,16 +5,26 @@
 use comfy_table::{Table, presets::UTF8_FULL_CONDENSED};
 use serde::Serialize;
 
-use super::caller::{self, Told};
+use super::{
+    Options,
+    caller::{self, Told},
+    editor,
+};
 use crate::standin::trainer;
 
 /// What a demo saw.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct Report {
+    /// What the choices were seeded with.
+    pub seed: u64,
+    /// What went wrong on purpose.
+    pub faults: Vec<String>,
     /// What each trainer saw, by row.
     pub trainers: BTreeMap<String, trainer::Tally>,
     /// What the callers saw.
     pub callers: caller::Tally,
+    /// What the operators saw.
+    pub edits: editor::Tally,
     /// How often each order ran.
     pub runs: BTreeMap<String, u32>,
 }
@@ -31,6 +41,16 @@
 }
 
 impl Report {
+    /// Starts the report of a demo.
+    pub fn new(options: &Options, edits: editor::Tally) -> Self {
+        Self {
+            seed: options.seed,
+            faults: options.faults.iter().map(ToString::to_string).collect(),
+            edits,
+            ..Self::default()
+        }
+    }
+
     /// Adds what one caller saw.
     pub fn add_caller(&mut self, tally: caller::Tally) {
         self.callers.lookups_answered += tally.lookups_answered;
@@ -93,6 +113,19 @@
                 self.callers.wrong_answers,
                 "wrong",
             ),
+            Promise {
+                promise: "an accepted change is in force on all hosts",
+                held: self.edits.not_in_force == 0 && self.edits.accepted > 0,
+                figure: format!(
+                    "{} accepted, the slowest in {} ms",
+                    self.edits.accepted, self.edits.in_force_ms
+                ),
+            },
+            none(
+                "an accepted change never reverts",
+                self.edits.reverted + self.edits.lost,
+                "reverted or lost",
+            ),
         ]
     }
 
@@ -113,6 +146,9 @@
             self.told(Told::Unknown),
             calls.lookups_answered,
             calls.lookups_refused,
+        ) + &format!(
+            "\nedits: {} accepted, {} conflicts, {} failed",
+            self.edits.accepted, self.edits.conflicts, self.edits.failed
         )
     }
 
--- a/src/entry/owners.rs
+++ b/src/entry/owners.rs
@@ -4,7 +4,10 @@
 //! order of the hash takes over, at the price of work done twice
 //! (docs/design/steps.md).
 
+use std::time::Duration;
+
 use tokio::sync::oneshot;
+use tonic::Request;
 
 use super::{
     Host,
@@ -19,6 +22,10 @@
 /// Hosts that are tried for one request.
 const MAX_TRIED_HOSTS: usize = 3;
 
+/// How long an owner may take to answer, beside the time that it was asked to
+/// wait.
+const FORWARD_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Why no owner took a request.
 #[derive(Debug, thiserror::Error)]
 pub enum OwnerError {
@@ -61,7 +68,8 @@
         }
         let sent = async {
             let mut client = peer_client(host, &owner)?;
-            let reply = client.submit(forward.clone()).await.map_err(Box::new)?;
+            let request = with_timeout(forward.clone(), FORWARD_TIMEOUT);
+            let reply = client.submit(request).await.map_err(Box::new)?;
             Ok::<_, OwnerError>(reply.into_inner())
         };
         match sent.await {
@@ -89,7 +97,9 @@
         }
         let sent = async {
             let mut client = peer_client(host, &owner)?;
-            let reply = client.pull(forward.clone()).await.map_err(Box::new)?;
+            let wait = Duration::from_millis(forward.wait_ms);
+            let request = with_timeout(forward.clone(), wait + FORWARD_TIMEOUT);
+            let reply = client.pull(request).await.map_err(Box::new)?;
             Ok::<_, OwnerError>(reply.into_inner())
         };
         match sent.await {
@@ -118,7 +128,8 @@
         }
         let sent = async {
             let mut client = peer_client(host, &owner)?;
-            client.hand_over(request.clone()).await.map_err(Box::new)?;
+            let request = with_timeout(request.clone(), FORWARD_TIMEOUT);
+            client.hand_over(request).await.map_err(Box::new)?;
             Ok::<_, OwnerError>(())
         };
         match sent.await {
@@ -178,6 +189,13 @@
     ranked
 }
 
+/// Bounds a request, so that a paused owner does not hold up the trainer.
+fn with_timeout<T>(message: T, timeout: Duration) -> Request<T> {
+    let mut request = Request::new(message);
+    request.set_timeout(timeout);
+    request
+}
+
 fn is_self(host: &Host, owner: &HostId) -> bool {
     *owner == host.settings.host.id
 }
--- a/src/spec.rs
+++ b/src/spec.rs
@@ -120,6 +120,15 @@
         Ok(())
     }
 
+    /// Says whether `other` asks for the same work.
+    ///
+    /// The version that the trainer states may have risen between two
+    /// submissions of one step.
+    pub fn is_same_work(&self, other: &Self) -> bool {
+        let parts = |spec: &Self| (spec.trainer.clone(), spec.step, spec.seed);
+        parts(self) == parts(other) && self.groups == other.groups
+    }
+
     /// Returns the seed of one sample.
     ///
     /// All attempts at a slot share it. A race between two attempts then picks
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -196,6 +196,11 @@
         }
     }
 
+    /// Lets all open connections go silent for good, while new ones work.
+    pub fn silence_connections(&self) {
+        self.listener.silence_connections();
+    }
+
     /// Keeps connections open and sends nothing while `silent`.
     pub fn set_silent(&self, silent: bool) {
         self.shared.state().silent = silent;
--- a/src/standin/listener.rs
+++ b/src/standin/listener.rs
@@ -50,6 +50,7 @@
     /// Where it answers.
     pub address: SocketAddr,
     connections: watch::Sender<u64>,
+    silenced: watch::Sender<u64>,
     task: JoinHandle<()>,
 }
 
@@ -67,14 +68,22 @@
         let socket = TcpListener::bind(address).await?;
         let address = socket.local_addr()?;
         let (connections, generation) = watch::channel(0);
-        let task = tokio::spawn(accept(socket, generation, handler));
+        let (silenced, silence) = watch::channel(0);
+        let task = tokio::spawn(accept(socket, generation, silence, handler));
         Ok(Self {
             address,
             connections,
+            silenced,
             task,
         })
     }
 
+    /// Lets all open connections go silent for good, while new ones work, as a
+    /// middlebox does that lost track of them.
+    pub fn silence_connections(&self) {
+        self.silenced.send_modify(|generation| *generation += 1);
+    }
+
     /// Resets all open connections, as a crashed process would.
     pub fn reset_connections(&self) {
         self.connections.send_modify(|generation| *generation += 1);
@@ -88,8 +97,12 @@
     }
 }
 
-async fn accept<F, R>(socket: TcpListener, generation: watch::Receiver<u64>, handler: F)
-where
+async fn accept<F, R>(
+    socket: TcpListener,
+    generation: watch::Receiver<u64>,
+    silence: watch::Receiver<u64>,
+    handler: F,
+) where
     F: Fn(Request<Incoming>) -> R + Clone + Send + Sync + 'static,
     R: Future<Output = Response<Body>> + Send + 'static,
 {
@@ -100,6 +113,8 @@
         let _ = stream.set_nodelay(true);
         let mut generation = generation.clone();
         generation.mark_unchanged();
+        let mut silence = silence.clone();
+        silence.mark_unchanged();
         let handler = handler.clone();
         tokio::spawn(async move {
             let answer = service_fn(move |request| {
@@ -108,10 +123,14 @@
             });
             let server = hyper_util::server::conn::auto::Builder::new(TokioExecutor::new());
             let connection = server.serve_connection(TokioIo::new(stream), answer);
+            let mut connection = std::pin::pin!(connection);
             tokio::select! {
-                _ = connection => {}
-                _ = generation.changed() => {}
+                _ = connection.as_mut() => return,
+                _ = generation.changed() => return,
+                _ = silence.changed() => {}
             }
+            // The socket stays open and nothing moves until it is reset.
+            let _ = generation.changed().await;
         });
     }
 }
--- a/src/standin/service.rs
+++ b/src/standin/service.rs
@@ -79,6 +79,11 @@
         lock(&self.state).delay = delay;
     }
 
+    /// Lets all open connections go silent for good, while new ones work.
+    pub fn silence_connections(&self) {
+        self.listener.silence_connections();
+    }
+
     /// Resets all connections, so that answers under way are lost.
     pub fn reset_connections(&self) {
         self.listener.reset_connections();
--- a/src/standin/trainer.rs
+++ b/src/standin/trainer.rs
@@ -5,7 +5,7 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::{Duration, Instant},
 };
@@ -30,6 +30,22 @@
 /// How long one request of a trainer may take.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Tells load to end.
+#[derive(Clone, Debug, Default)]
+pub struct Stop(Arc<AtomicBool>);
+
+impl Stop {
+    /// Ends the load.
+    pub fn set(&self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+
+    /// Says whether the load shall end.
+    pub fn is_set(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
 /// How a trainer behaves.
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -109,17 +125,17 @@
         self.tally.clone()
     }
 
-    /// Runs steps until `until`, and returns what it saw.
+    /// Runs steps until `stop`, and returns what it saw.
     ///
     /// The next step is submitted before it trains on the last, so that the
     /// service can work ahead.
-    pub async fn run(mut self, until: Instant) -> Tally {
+    pub async fn run(mut self, stop: Stop) -> Tally {
         let start = Instant::now();
         let mut step = 0;
-        self.submit(step, until).await;
-        while Instant::now() < until {
+        self.submit(step, &stop).await;
+        while !stop.is_set() {
             let waited = Instant::now();
-            let is_whole = self.collect(step, until).await;
+            let is_whole = self.collect(step, &stop).await;
             self.note(|tally| {
                 tally.idle_ms += millis(waited.elapsed());
                 tally.whole_steps += u64::from(is_whole);
@@ -127,7 +143,7 @@
             if !is_whole {
                 break;
             }
-            self.submit(step + 1, until).await;
+            self.submit(step + 1, &stop).await;
             tokio::time::sleep(self.config.train_time).await;
             step += 1;
         }
@@ -167,10 +183,10 @@
     }
 
     /// Submits a step at one entry host after the other until one takes it.
-    async fn submit(&mut self, step: StepNumber, until: Instant) {
+    async fn submit(&mut self, step: StepNumber, stop: &Stop) {
         let submission = self.submission(step);
         let path = self.path(step, "");
-        while Instant::now() < until {
+        while !stop.is_set() {
             let entry = self.entry();
             let token = self.config.token.clone();
             let answer = self.client.post(entry, &path, &token, &submission).await;
@@ -183,27 +199,21 @@
     }
 
     /// Pulls until the step is whole; returns false where time ran out before.
-    async fn collect(&mut self, step: StepNumber, until: Instant) -> bool {
+    async fn collect(&mut self, step: StepNumber, stop: &Stop) -> bool {
         let needed = self.config.group_count * self.config.samples_per_group;
         let mut holdings = Holdings::new();
         let mut attach = 0;
         while count(&holdings) < needed {
-            if Instant::now() >= until {
+            if stop.is_set() {
                 return false;
             }
             attach += 1;
-            self.pull(step, attach, &mut holdings, until).await;
+            self.pull(step, attach, &mut holdings, stop).await;
         }
         true
     }
 
-    async fn pull(
-        &mut self,
-        step: StepNumber,
-        attach: u64,
-        holdings: &mut Holdings,
-        until: Instant,
-    ) {
+    async fn pull(&mut self, step: StepNumber, attach: u64, holdings: &mut Holdings, stop: &Stop) {
         let pull = Pull {
             attach,
             weight_version: self.version.load(Ordering::Relaxed),
@@ -222,7 +232,7 @@
             }
             Ok(answer) if answer.status == StatusCode::PRECONDITION_REQUIRED => {
                 self.note(|tally| tally.retries += 1);
-                self.submit(step, until).await;
+                self.submit(step, stop).await;
             }
             _ => {
                 self.note(|tally| tally.retries += 1);
--- a/src/step.rs
+++ b/src/step.rs
@@ -130,8 +130,9 @@
     fn submit(&mut self, spec: Arc<StepSpec>, turn: &mut Turn<'_>) -> Result<(), SubmitError> {
         spec.check()?;
         let key = StepKey::of(&spec);
-        if let Some(known) = self.steps.get(&key) {
-            if known.spec == spec {
+        if let Some(known) = self.steps.get_mut(&key) {
+            if known.spec.is_same_work(&spec) {
+                known.attachment.state_version(spec.weight_version);
                 return Ok(());
             }
             let StepKey { trainer, step } = key;
