Move slow attempts and measure policies in virtual time

Cause: A slow engine held the tail of a step, and nothing measured by how much. Change: Attempts know their own recent pace; slow ones are moved, the slowest of the tail get a second attempt. An experiment runs one trainer on model engines.

--- a/src/evidence.rs
+++ b/src/evidence.rs
@@ -326,6 +326,11 @@
         self.collected.token_count()
     }
 
+    /// Says whether the stream proves nothing more.
+    pub fn has_failed(&self) -> bool {
+        self.error.is_some()
+    }
+
     /// Returns the boot that the stream began on.
     pub fn boot(&self) -> Option<BootId> {
         self.boot
--- /dev/null
+++ b/src/experiment.rs
@@ -0,0 +1,474 @@
+//! Experiments with the step controller in virtual time.
+//!
+//! One trainer runs against model engines, so that policies can be compared on
+//! the same lengths, speeds and faults. The figures stand in
+//! docs/design/stragglers.md and docs/design/staleness.md.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use rand::{Rng as _, SeedableRng};
+
+use crate::{
+    attach::{HeldGroup, Pull, Reply},
+    blackboard::{Blackboard, EngineReport},
+    clock::Timestamp,
+    controller::{Controller as _, Rng, Round},
+    experiment_engine::Engine,
+    ids::{GroupNumber, RowId, SampleIndex, StepNumber, WeightVersion},
+    row::Row,
+    spec::{PromptGroup, StepSpec},
+    staleness::age_versions,
+    step::{Action, Controller, Counters, Dispatch, Event, Policy},
+};
+
+/// The span of one turn of the experiment.
+const TICK: Duration = Duration::from_millis(100);
+
+/// How long one pull waits.
+const PULL_WAIT: Duration = Duration::from_secs(2);
+
+/// The longest experiment.
+const MAX_DURATION: Duration = Duration::from_secs(20_000);
+
+/// What an experiment runs.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Scenario {
+    /// Seeds lengths and faults.
+    pub seed: u64,
+    /// The row of the trainer.
+    pub row: Row,
+    /// How many engines there are.
+    pub engines_count: usize,
+    /// How many requests an engine generates for at once.
+    pub engine_slots_count: usize,
+    /// The time of one token.
+    pub token_time: Duration,
+    /// The part of engines that are slow at any time.
+    pub slow_engine_ratio: f64,
+    /// By how much a slow engine is slower.
+    pub slowdown_ratio: f64,
+    /// How long an engine keeps its speed.
+    pub speed_period: Duration,
+    /// The part of requests that fall silent.
+    pub stuck_request_ratio: f64,
+    /// How many steps the trainer takes.
+    pub steps_count: StepNumber,
+    /// Groups of a step.
+    pub groups_count: GroupNumber,
+    /// Samples of a group.
+    pub group_samples_count: SampleIndex,
+    /// The median length of a sample.
+    pub median_tokens: f64,
+    /// The spread of the logarithm of lengths, within and between groups.
+    pub spread_ratio: f64,
+    /// The longest sample.
+    pub max_tokens: u32,
+    /// How long the trainer trains on a whole step.
+    pub train_time: Duration,
+    /// How long new weights take to reach the last engine.
+    pub swap_spread: Duration,
+    /// How many steps the trainer asks for ahead.
+    pub steps_ahead_count: StepNumber,
+    /// The time between two versions of a trainer that changes its version
+    /// within a step, as one that learns on other data too; `None` for one that
+    /// changes it after each step.
+    pub version_interval: Option<Duration>,
+}
+
+impl Default for Scenario {
+    fn default() -> Self {
+        Self {
+            seed: 1,
+            row: Row::new("guides"),
+            engines_count: 10,
+            engine_slots_count: 32,
+            token_time: Duration::from_millis(25),
+            slow_engine_ratio: 0.1,
+            slowdown_ratio: 5.0,
+            speed_period: Duration::from_secs(60),
+            stuck_request_ratio: 0.001,
+            steps_count: 12,
+            groups_count: 32,
+            group_samples_count: 8,
+            median_tokens: 400.0,
+            spread_ratio: 0.5,
+            max_tokens: 4096,
+            train_time: Duration::from_secs(60),
+            swap_spread: Duration::from_secs(20),
+            steps_ahead_count: 0,
+            version_interval: None,
+        }
+    }
+}
+
+/// What an experiment showed.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Outcome {
+    /// How long the trainer waited for samples.
+    pub idle: Duration,
+    /// How long the experiment took.
+    pub duration: Duration,
+    /// How long the trainer waited for each step.
+    pub step_waits: Vec<Duration>,
+    /// Samples by their age in versions when the trainer took them.
+    pub ages: BTreeMap<WeightVersion, u32>,
+    /// The counts of the controller.
+    pub counters: Counters,
+    /// Tokens that engines made.
+    pub generated_tokens: u64,
+    /// Slots times turns for which the gate at dispatch kept an engine idle.
+    pub refused_slot_time: Duration,
+}
+
+impl Outcome {
+    /// Returns the part of all tokens that no trainer got.
+    pub fn waste_ratio(&self) -> f64 {
+        let wasted = self.counters.stale_tokens + self.counters.lost_tokens;
+        wasted as f64 / (self.generated_tokens as f64).max(1.0)
+    }
+
+    /// Returns the wait that the part `ratio` of steps stayed within.
+    pub fn step_wait(&self, ratio: f64) -> Duration {
+        let mut waits = self.step_waits.clone();
+        waits.sort_unstable();
+        let last = waits.len().saturating_sub(1);
+        let place = (ratio * waits.len() as f64).ceil() as usize;
+        let place = place.saturating_sub(1).min(last);
+        waits.get(place).copied().unwrap_or_default()
+    }
+}
+
+/// What the trainer does.
+#[derive(Debug)]
+struct Trainer {
+    step: StepNumber,
+    version: WeightVersion,
+    version_due: Timestamp,
+    held: BTreeSet<(GroupNumber, SampleIndex)>,
+    attach: u64,
+    is_pulling: bool,
+    waits_since: Timestamp,
+    trains_until: Option<Timestamp>,
+    submitted: StepNumber,
+}
+
+/// An experiment under way.
+struct Run<'a> {
+    scenario: &'a Scenario,
+    controller: Controller,
+    board: Blackboard,
+    engines: Vec<Engine>,
+    swaps: Vec<(Timestamp, usize, WeightVersion)>,
+    trainer: Trainer,
+    rng: Rng,
+    control_rng: Rng,
+    now: Timestamp,
+    outcome: Outcome,
+}
+
+/// Runs `scenario` under `policy`.
+///
+/// # Examples
+///
+/// ```
+/// use mimosavane::{experiment::{Scenario, run}, step::Policy};
+///
+/// let scenario = Scenario { steps_count: 1, groups_count: 2, ..Scenario::default() };
+/// let outcome = run(&scenario, Policy::default());
+/// assert_eq!(outcome.ages.values().sum::<u32>(), 16);
+/// ```
+pub fn run(scenario: &Scenario, policy: Policy) -> Outcome {
+    let mut run = Run::new(scenario, policy);
+    while run.trainer.step <= scenario.steps_count && run.now < MAX_DURATION {
+        run.turn();
+    }
+    run.outcome.duration = run.now;
+    run.outcome.counters = run.controller.counters();
+    run.outcome.generated_tokens = run
+        .engines
+        .iter()
+        .map(|engine| engine.generated_tokens)
+        .sum();
+    run.outcome
+}
+
+impl<'a> Run<'a> {
+    fn new(scenario: &'a Scenario, policy: Policy) -> Self {
+        let engine = |place| {
+            let id = format!("engine-{place:03}").into();
+            Engine::new(id, scenario.engine_slots_count, scenario.token_time)
+        };
+        let mut board = Blackboard::default();
+        let row = Arc::new(scenario.row.clone());
+        Arc::make_mut(&mut board.rows)
+            .rows
+            .insert(Arc::clone(&row.id), row);
+        Self {
+            scenario,
+            controller: Controller::new(policy),
+            board,
+            engines: (0..scenario.engines_count).map(engine).collect(),
+            swaps: Vec::new(),
+            trainer: Trainer::new(),
+            rng: Rng::seed_from_u64(scenario.seed),
+            control_rng: Rng::seed_from_u64(scenario.seed),
+            now: Duration::ZERO,
+            outcome: Outcome::default(),
+        }
+    }
+
+    fn turn(&mut self) {
+        self.set_speeds();
+        self.now += TICK;
+        let mut events = Vec::new();
+        for engine in &mut self.engines {
+            events.extend(engine.advance(TICK, self.now));
+        }
+        self.swap();
+        events.extend(self.train());
+        self.report();
+        let mut decisions = Vec::new();
+        let round = Round {
+            board: &mut self.board,
+            now: self.now,
+            rng: &mut self.control_rng,
+            decisions: &mut decisions,
+        };
+        let actions = self.controller.run(events, round);
+        for action in actions {
+            self.act(action);
+        }
+    }
+
+    /// Draws which engines are slow for the next period.
+    fn set_speeds(&mut self) {
+        let period = self.scenario.speed_period.as_millis();
+        if !self.now.as_millis().is_multiple_of(period) {
+            return;
+        }
+        for engine in &mut self.engines {
+            let is_slow = self.rng.random_bool(self.scenario.slow_engine_ratio);
+            engine.token_time = match is_slow {
+                true => self
+                    .scenario
+                    .token_time
+                    .mul_f64(self.scenario.slowdown_ratio),
+                false => self.scenario.token_time,
+            };
+        }
+    }
+
+    fn swap(&mut self) {
+        let now = self.now;
+        for &(_, place, version) in self.swaps.iter().filter(|(at, ..)| *at <= now) {
+            self.engines[place].weight_version = version;
+        }
+        self.swaps.retain(|(at, ..)| *at > now);
+    }
+
+    fn report(&mut self) {
+        let reports = &mut Arc::make_mut(&mut self.board.engines).reports;
+        for engine in &self.engines {
+            let report = EngineReport {
+                weight_version: engine.weight_version,
+                at: self.now,
+                ..EngineReport::default()
+            };
+            reports.insert(Arc::clone(&engine.id), report);
+        }
+    }
+
+    /// Gives the trainer its turn.
+    fn train(&mut self) -> Vec<Event> {
+        let mut events = Vec::new();
+        self.change_version();
+        let ahead = self.trainer.step + self.scenario.steps_ahead_count;
+        while self.trainer.submitted < ahead.min(self.scenario.steps_count) {
+            self.trainer.submitted += 1;
+            let spec = Arc::new(self.spec(self.trainer.submitted));
+            events.push(Event::Submitted { call: 0, spec });
+        }
+        if self
+            .trainer
+            .trains_until
+            .is_some_and(|until| until <= self.now)
+        {
+            self.end_training();
+        } else if self.trainer.trains_until.is_none() {
+            self.outcome.idle += TICK;
+            events.extend(self.trainer.pull(&self.scenario.row.id));
+        }
+        events
+    }
+
+    fn end_training(&mut self) {
+        self.trainer.trains_until = None;
+        self.trainer.step += 1;
+        self.trainer.held.clear();
+        self.trainer.waits_since = self.now;
+        if self.scenario.version_interval.is_none() {
+            self.publish();
+        }
+    }
+
+    fn change_version(&mut self) {
+        let Some(interval) = self.scenario.version_interval else {
+            return;
+        };
+        if self.trainer.version_due > self.now {
+            return;
+        }
+        let jitter = self.rng.random_range(0.9..1.1);
+        self.trainer.version_due = self.now + interval.mul_f64(jitter);
+        self.trainer.is_pulling = false;
+        self.publish();
+    }
+
+    /// Raises the trainer's version and sends its weights to the engines.
+    fn publish(&mut self) {
+        self.trainer.version += 1;
+        let version = self.trainer.version;
+        let spread = self.scenario.swap_spread;
+        let count = self.engines.len() as f64;
+        for place in 0..self.engines.len() {
+            let delay = spread.mul_f64((place + 1) as f64 / count);
+            self.swaps.push((self.now + delay, place, version));
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Dispatch(work) => self.dispatch(*work),
+            Action::Cancel { attempt } => {
+                for engine in &mut self.engines {
+                    engine.cancel(attempt);
+                }
+            }
+            Action::Reply { call, reply } => self.take(call, reply),
+            Action::Accept { .. } | Action::HandOver(_) => {}
+        }
+    }
+
+    /// Sends an attempt to the least loaded engine that is fresh enough.
+    fn dispatch(&mut self, work: Dispatch) {
+        let is_avoided = |engine: &Engine| work.avoid.as_ref() == Some(&engine.id);
+        let chosen = (0..self.engines.len())
+            .filter(|&place| self.engines[place].weight_version >= work.min_version)
+            .min_by_key(|&place| {
+                let engine = &self.engines[place];
+                (is_avoided(engine), engine.load())
+            });
+        let chosen = chosen.unwrap_or_default();
+        let length = self.scenario.length(&work);
+        let is_stuck = self.rng.random_bool(self.scenario.stuck_request_ratio);
+        self.engines[chosen].push(work, length, is_stuck, self.now);
+    }
+
+    fn take(&mut self, call: u64, reply: Reply) {
+        if call != self.trainer.attach || !self.trainer.is_pulling {
+            return;
+        }
+        self.trainer.is_pulling = false;
+        let Reply::Samples {
+            samples,
+            open_slots,
+        } = reply
+        else {
+            return;
+        };
+        for sample in samples {
+            let age = age_versions(self.trainer.version, sample.oldest_version());
+            *self.outcome.ages.entry(age).or_default() += 1;
+            self.trainer
+                .held
+                .insert((sample.slot.group, sample.slot.index));
+        }
+        if open_slots == 0 {
+            let wait = self.now.saturating_sub(self.trainer.waits_since);
+            self.outcome.step_waits.push(wait);
+            self.trainer.trains_until = Some(self.now + self.scenario.train_time);
+        }
+    }
+
+    fn spec(&self, step: StepNumber) -> StepSpec {
+        let scenario = self.scenario;
+        let group = |group| PromptGroup {
+            group,
+            prompt_tokens: [1; 64].into(),
+            sample_count: scenario.group_samples_count,
+            max_tokens: scenario.max_tokens,
+        };
+        StepSpec {
+            trainer: Arc::clone(&scenario.row.id),
+            step,
+            weight_version: self.trainer.version,
+            groups: (0..scenario.groups_count).map(group).collect(),
+            seed: scenario.seed.wrapping_add(step),
+        }
+    }
+}
+
+impl Scenario {
+    /// Returns the length of the sample that `work` makes, which depends on its
+    /// seed and its group only.
+    fn length(&self, work: &Dispatch) -> u32 {
+        let place = u64::from(work.slot.group) << 32 | work.slot.step;
+        let mut group_rng = Rng::seed_from_u64(self.seed ^ place);
+        let mut rng = Rng::seed_from_u64(work.seed);
+        let spread = self.spread_ratio * (normal(&mut group_rng) + normal(&mut rng));
+        let tokens = self.median_tokens * spread.exp();
+        (tokens as u32).clamp(1, self.max_tokens)
+    }
+}
+
+impl Trainer {
+    fn new() -> Self {
+        Self {
+            step: 1,
+            version: 0,
+            version_due: Duration::ZERO,
+            held: BTreeSet::new(),
+            attach: 0,
+            is_pulling: false,
+            waits_since: Duration::ZERO,
+            trains_until: None,
+            submitted: 0,
+        }
+    }
+
+    fn pull(&mut self, trainer: &RowId) -> Option<Event> {
+        if self.is_pulling {
+            return None;
+        }
+        self.is_pulling = true;
+        self.attach += 1;
+        let mut held: BTreeMap<GroupNumber, Vec<SampleIndex>> = BTreeMap::new();
+        for &(group, index) in &self.held {
+            held.entry(group).or_default().push(index);
+        }
+        let pull = Pull {
+            trainer: Arc::clone(trainer),
+            step: self.step,
+            attach: self.attach,
+            weight_version: self.version,
+            held: held
+                .into_iter()
+                .map(|(group, indexes)| HeldGroup { group, indexes })
+                .collect(),
+            max_samples: 256,
+            wait: PULL_WAIT,
+        };
+        let call = self.attach;
+        Some(Event::Pulled { call, pull })
+    }
+}
+
+/// Draws from the standard normal distribution by the Box-Muller method.
+fn normal(rng: &mut Rng) -> f64 {
+    let radius = (-2.0 * rng.random_range(f64::MIN_POSITIVE..1.0).ln()).sqrt();
+    radius * (std::f64::consts::TAU * rng.random::<f64>()).cos()
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -34,6 +34,8 @@
 pub mod entry;
 pub mod evidence;
 pub mod exchange;
+pub mod experiment;
+pub mod experiment_engine;
 pub mod explain;
 pub mod fairness;
 pub mod flap;
--- a/src/slot.rs
+++ b/src/slot.rs
@@ -3,14 +3,14 @@
 //! All of it is soft: the trainer's pull says what it holds, and everything
 //! else can be generated again (see docs/design/steps.md).
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use crate::{
     clock::Timestamp,
     evidence::Proved,
     ids::{AttemptNumber, UpstreamId},
     sample::Sample,
-    straggler::Runner,
+    straggler::{PACE_SMOOTHING_RATIO, Runner},
 };
 
 /// One attempt at a slot.
@@ -24,6 +24,8 @@
     pub started_at: Option<Timestamp>,
     /// When it last made progress, or was dispatched.
     pub progressed_at: Timestamp,
+    /// The time that one of its tokens took of late, once that is known.
+    pub token_time: Option<Duration>,
     /// Tokens that it was given to resume from.
     pub resumed_tokens: u32,
     /// What it proved so far, the resumed tokens included.
@@ -40,6 +42,7 @@
             dispatched_at: now,
             started_at: None,
             progressed_at: now,
+            token_time: None,
             resumed_tokens: token_count(&proved),
             proved,
             engine: None,
@@ -51,13 +54,33 @@
         token_count(&self.proved).saturating_sub(self.resumed_tokens)
     }
 
+    /// Takes in progress at `now`, and returns the time that one token took.
+    pub fn progress(&mut self, proved: Proved, now: Timestamp) -> Option<Duration> {
+        let span = now.saturating_sub(self.progressed_at);
+        let is_started = self.started_at.is_some();
+        let made = token_count(&proved).saturating_sub(token_count(&self.proved));
+        self.started_at.get_or_insert(now);
+        self.progressed_at = now;
+        if made == 0 {
+            return None;
+        }
+        self.proved = proved;
+        if !is_started {
+            return None;
+        }
+        let found = span / made;
+        let mean = self.token_time.unwrap_or(found);
+        let ratio = PACE_SMOOTHING_RATIO;
+        self.token_time = Some(mean.mul_f64(1.0 - ratio) + found.mul_f64(ratio));
+        Some(found)
+    }
+
     /// Returns the figures that decide whether it is a straggler.
     pub fn runner(&self, remaining_tokens: u32) -> Runner {
         Runner {
-            dispatched_at: self.dispatched_at,
             started_at: self.started_at,
             progressed_at: self.progressed_at,
-            generated_tokens: self.generated_tokens(),
+            token_time: self.token_time,
             remaining_tokens,
         }
     }
@@ -118,6 +141,8 @@
     pub phase: Phase,
     /// Failures since the last success.
     pub failure_count: u8,
+    /// How often it was moved away from a slow engine.
+    pub move_count: u8,
     /// Before this time nothing is dispatched for it.
     pub not_before: Timestamp,
     /// The engine that the last failure came from.
@@ -129,6 +154,7 @@
         Self {
             phase: Phase::Open(None),
             failure_count: 0,
+            move_count: 0,
             not_before: Timestamp::ZERO,
             avoid: None,
         }
--- a/src/staleness.rs
+++ b/src/staleness.rs
@@ -236,6 +236,37 @@
     }
 }
 
+/// Which gate stands before dispatch.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Gate {
+    /// It predicts the trainer's version at the time that the sample is whole.
+    #[default]
+    Predicted,
+    /// It takes the trainer to gain a fixed number of versions; a baseline.
+    FixedMargin {
+        /// The versions that it takes the trainer to gain.
+        margin_versions: WeightVersion,
+    },
+    /// Everything may start that is fresh enough now; a baseline.
+    Open,
+}
+
+impl Gate {
+    /// Returns the forecast that this gate judges by, given the prediction.
+    pub fn adjust(self, predicted: Forecast) -> Forecast {
+        let expected = match self {
+            Self::Predicted => predicted.expected,
+            Self::FixedMargin { margin_versions } => predicted.stated + margin_versions,
+            Self::Open => predicted.stated,
+        };
+        Forecast {
+            expected,
+            ..predicted
+        }
+    }
+}
+
 fn whole_versions(versions: f64) -> WeightVersion {
     versions.round() as WeightVersion
 }
--- a/src/step.rs
+++ b/src/step.rs
@@ -28,7 +28,7 @@
 
 pub use crate::{
     step_message::{Action, Dispatch, Event, Failure, SubmitError},
-    step_registry::{Counters, Model, StepKey},
+    step_registry::{Counters, Model, Policy, StepKey},
 };
 
 /// How long a step without a pull is kept.
@@ -86,6 +86,14 @@
 }
 
 impl Controller {
+    /// Makes a controller that decides by `policy`.
+    pub fn new(policy: Policy) -> Self {
+        Self {
+            registry: Registry::new(policy),
+            ..Self::default()
+        }
+    }
+
     /// Returns the steps that this host owns.
     pub fn keys(&self) -> impl Iterator<Item = &StepKey> {
         self.steps.keys()
--- a/src/step_attempt.rs
+++ b/src/step_attempt.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 
 use crate::{
-    clock::Timestamp,
     decision::{Decision, Kind},
     evidence::Proved,
     ids::{AttemptNumber, UpstreamId},
@@ -34,19 +33,20 @@
         let is_first = attempt.started_at.is_none();
         let dispatched_at = attempt.dispatched_at;
         attempt.engine = Some(engine);
-        attempt.started_at.get_or_insert(turn.now);
-        attempt.progressed_at = turn.now;
-        if proved.tokens.len() > attempt.proved.tokens.len() {
-            attempt.proved = proved;
-        }
+        let token_time = attempt.progress(proved, turn.now);
         let waiting: Vec<_> = race
             .attempts()
             .filter(|other| other.number != number && other.started_at.is_none())
             .map(|other| other.number)
             .collect();
+        let model = registry.model(&self.spec.trainer);
         if is_first {
-            let startup = turn.now.saturating_sub(dispatched_at);
-            registry.model(&self.spec.trainer).startup.observe(startup);
+            model
+                .startup
+                .observe(turn.now.saturating_sub(dispatched_at));
+        }
+        if let Some(token_time) = token_time {
+            model.token_time.observe(token_time);
         }
         for other in waiting {
             self.drop_attempt(place, other, registry, turn);
@@ -81,7 +81,7 @@
             self.fail(place, number, failure, registry, turn);
             return;
         }
-        self.learn(place, number, &sample, registry, turn.now);
+        self.learn(place, &sample, registry);
         self.end_race(place, number, registry, turn);
         if !self.passes(&sample) {
             self.refuse_stale(place, &sample, registry, turn);
@@ -180,29 +180,10 @@
         turn.actions.push(Action::Cancel { attempt });
     }
 
-    /// Learns the row's lengths and speed from a whole sample.
-    fn learn(
-        &mut self,
-        place: Place,
-        number: AttemptNumber,
-        sample: &Sample,
-        registry: &mut Registry,
-        now: Timestamp,
-    ) {
+    /// Learns the row's lengths from a whole sample.
+    fn learn(&mut self, place: Place, sample: &Sample, registry: &mut Registry) {
         let tokens = sample.token_count();
         self.observe_length(place, tokens);
-        let model = registry.model(&self.spec.trainer);
-        model.lengths.observe(tokens);
-        let Phase::Running(race) = &mut self.slot_mut(place).phase else {
-            return;
-        };
-        let Some(attempt) = race.attempt_mut(number) else {
-            return;
-        };
-        let own_tokens = tokens.saturating_sub(attempt.resumed_tokens);
-        if let (Some(started_at), 1..) = (attempt.started_at, own_tokens) {
-            let time = now.saturating_sub(started_at);
-            model.token_time.observe(time / own_tokens);
-        }
+        registry.model(&self.spec.trainer).lengths.observe(tokens);
     }
 }
--- a/src/step_dispatch.rs
+++ b/src/step_dispatch.rs
@@ -6,13 +6,13 @@
     clock::Timestamp,
     decision::{Decision, Kind},
     evidence::Proved,
-    ids::{UpstreamId, WeightVersion},
+    ids::{RowId, UpstreamId, WeightVersion},
     slot::{Attempt, Phase, Race},
-    staleness::{Forecast, Margin, Verdict, judge},
+    staleness::{Forecast, Gate, Margin, Verdict, judge},
     step_message::{Action, Dispatch},
     step_registry::{Model, Registry, StepKey, Target, Turn},
     step_state::{Place, Step},
-    straggler::{DEFAULT_STARTUP, DEFAULT_TOKEN_TIME, Norm},
+    straggler::{DEFAULT_STARTUP, DEFAULT_TOKEN_TIME, Norm, priority},
 };
 
 /// The most attempts that one step starts in one round.
@@ -67,7 +67,7 @@
             if !self.is_due(place, turn.now) {
                 continue;
             }
-            let plan = self.plan(place, registry.model(&key.trainer), turn);
+            let plan = self.plan(place, &key.trainer, registry, turn);
             match self.judge(&plan, registry, turn) {
                 Verdict::Dispatch { min_version } => {
                     self.start(place, plan, min_version, registry, turn);
@@ -91,22 +91,31 @@
     }
 
     /// Works out what an attempt at an open slot would be.
-    fn plan(&self, place: Place, model: &Model, turn: &Turn<'_>) -> Plan {
+    fn plan(
+        &self,
+        place: Place,
+        trainer: &RowId,
+        registry: &mut Registry,
+        turn: &Turn<'_>,
+    ) -> Plan {
+        let gate = registry.policy.gate;
+        let model = registry.model(trainer);
         let resume = match &self.slots()[place].phase {
             Phase::Open(Some(proved)) => proved.as_ref().clone(),
             _ => Proved::default(),
         };
-        let plan = self.plan_from(place, resume, model, turn);
+        let plan = self.plan_from(place, resume, gate, model, turn);
         if self.can_resume(&plan) {
             return plan;
         }
-        self.plan_from(place, Proved::default(), model, turn)
+        self.plan_from(place, Proved::default(), gate, model, turn)
     }
 
     pub(crate) fn plan_from(
         &self,
         place: Place,
         resume: Proved,
+        gate: Gate,
         model: &Model,
         turn: &Turn<'_>,
     ) -> Plan {
@@ -116,7 +125,7 @@
         Plan {
             resume,
             expected_tokens,
-            forecast: self.forecast(duration, model, turn),
+            forecast: gate.adjust(self.forecast(duration, model, turn)),
         }
     }
 
@@ -205,7 +214,10 @@
         let number = registry.next_attempt();
         let slot = self.slot_id(place);
         let prompt = &self.group_of(place).prompt;
-        let priority = self.standing(place).priority();
+        let priority = match registry.policy.raises_last_slots {
+            true => self.standing(place).priority(),
+            false => priority::PULLED,
+        };
         registry.counters.dispatched_count += 1;
         registry.counters.resumed_tokens += plan.resume.tokens.len() as u64;
         turn.decisions.push(
--- a/src/step_registry.rs
+++ b/src/step_registry.rs
@@ -12,7 +12,7 @@
     ids::{AttemptNumber, RowId, StepNumber, WeightVersion},
     length::{Average, Estimator},
     spec::StepSpec,
-    staleness::Cadence,
+    staleness::{Cadence, Gate},
     step_message::Action,
     step_state::Place,
 };
@@ -38,6 +38,8 @@
     pub deferred_count: u64,
     /// Second attempts that were started.
     pub hedged_count: u64,
+    /// Attempts that were cancelled to be resumed elsewhere.
+    pub moved_count: u64,
     /// Tokens of attempts that lost or came after the trainer held the slot.
     pub lost_tokens: u64,
     /// Samples that came twice or for an attempt that was given up.
@@ -48,6 +50,28 @@
     pub resumed_tokens: u64,
 }
 
+/// Which decisions a controller takes; the defaults are in service, the others
+/// are baselines to measure them against.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Policy {
+    /// The gate before dispatch.
+    pub gate: Gate,
+    /// Whether slow attempts are moved, and hedged in the tail of a step.
+    pub mitigates_slow_attempts: bool,
+    /// Whether the last slots of a group and a step go first.
+    pub raises_last_slots: bool,
+}
+
+impl Default for Policy {
+    fn default() -> Self {
+        Self {
+            gate: Gate::Predicted,
+            mitigates_slow_attempts: true,
+            raises_last_slots: true,
+        }
+    }
+}
+
 /// Names a step.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct StepKey {
@@ -83,6 +107,7 @@
     pub(crate) models: BTreeMap<RowId, Model>,
     pub(crate) attempts: BTreeMap<AttemptNumber, Target>,
     pub(crate) counters: Counters,
+    pub(crate) policy: Policy,
     salt: Option<u32>,
     last_attempt: u32,
 }
@@ -98,6 +123,13 @@
 }
 
 impl Registry {
+    pub(crate) fn new(policy: Policy) -> Self {
+        Self {
+            policy,
+            ..Self::default()
+        }
+    }
+
     /// Draws the part of attempt numbers that tells owners apart.
     pub(crate) fn seed(&mut self, rng: &mut Rng) {
         self.salt.get_or_insert_with(|| rng.next_u32());
--- a/src/step_state.rs
+++ b/src/step_state.rs
@@ -12,7 +12,7 @@
     slot::{Phase, State},
     spec::{PromptGroup, StepSpec},
     staleness::Verdict,
-    straggler::Standing,
+    straggler::{Standing, is_eager},
 };
 
 /// The place of a slot among all slots of its step.
@@ -170,6 +170,7 @@
     pub fn standing(&self, place: Place) -> Standing {
         Standing {
             is_pulled: self.attachment.pulled_at.is_some(),
+            is_eager: is_eager(&self.row),
             group_open_count: self.group_of(place).open_count,
             step_open_count: self.counts.unfinished(),
             step_slot_count: self.slot_count(),
--- a/src/step_watch.rs
+++ b/src/step_watch.rs
@@ -1,63 +1,97 @@
 //! Attempts of one step that are slow or silent.
 
+use std::time::Duration;
+
 use crate::{
     clock::Timestamp,
     decision::{Decision, Kind},
     ids::AttemptNumber,
-    slot::{Attempt, Phase, Race},
+    slot::{Attempt, Phase},
     staleness::{Verdict, judge},
     step_dispatch::norm,
     step_message::Action,
-    step_registry::{Registry, StepKey, Turn},
+    step_registry::{Model, Registry, StepKey, Turn},
     step_state::{Place, Step},
-    straggler::{Advice, SILENCE_TIMEOUT, advise, hedge_budget_count},
+    straggler::{
+        Advice, MAX_MOVE_COUNT, Norm, Runner, SILENCE_TIMEOUT, advise, hedge_budget_count,
+    },
 };
 
+/// A token time above this part of the usual one makes an attempt suspect.
+const SLOW_RATIO: f64 = 1.5;
+
+/// The part of the slowest attempt's remaining time below which hedging another
+/// one would not end the step earlier.
+const SLOWEST_RATIO: f64 = 0.5;
+
+/// An attempt that a second one may save time for.
+struct Candidate {
+    place: Place,
+    remaining: Duration,
+}
+
 impl Step {
-    /// Cancels silent attempts, and hedges the slowest of the tail.
+    /// Moves silent and slow attempts, and hedges the slowest of the tail.
     pub(crate) fn watch(&mut self, key: &StepKey, registry: &mut Registry, turn: &mut Turn<'_>) {
-        let is_tail = self.is_pulled_tail();
+        let norm = norm(registry.model(&key.trainer));
+        let is_tail = self.may_hedge();
+        let mut candidates = Vec::new();
         for place in 0..self.slots().len() {
             let Phase::Running(race) = &self.slots()[place].phase else {
                 continue;
             };
-            match &race.second {
-                Some(second) => {
-                    if let Some(silent) = silent_of_two(&race.first, second, turn.now) {
-                        self.drop_attempt(place, silent, registry, turn);
-                    }
-                }
-                None if is_tail || is_silent(&race.first, turn.now) => {
-                    self.watch_attempt(key, place, registry, turn);
+            if let Some(second) = &race.second {
+                if let Some(silent) = silent_of_two(&race.first, second, turn.now) {
+                    self.drop_attempt(place, silent, registry, turn);
                 }
-                None => {}
+                continue;
+            }
+            if is_silent(&race.first, turn.now) {
+                self.move_attempt(place, registry, turn);
+                continue;
+            }
+            let is_mitigated = registry.policy.mitigates_slow_attempts;
+            if !is_mitigated || !(is_tail || is_slow(&race.first, norm)) {
+                continue;
+            }
+            let runner = self.runner(place, &race.first, registry.model(&key.trainer));
+            match advise(runner, self.standing(place), norm, turn.now) {
+                Advice::Keep => {}
+                Advice::Hedge => candidates.push(Candidate {
+                    place,
+                    remaining: runner.remaining_time(turn.now, norm),
+                }),
+                Advice::Resume => self.move_slow(place, registry, turn),
             }
         }
+        self.hedge_slowest(key, candidates, registry, turn);
+    }
+
+    fn may_hedge(&self) -> bool {
+        !self.slots().is_empty() && self.standing(0).may_hedge()
     }
 
-    fn is_pulled_tail(&self) -> bool {
-        let is_tail = !self.slots().is_empty() && self.standing(0).is_tail();
-        is_tail && self.attachment.pulled_at.is_some()
+    fn runner(&self, place: Place, attempt: &Attempt, model: &Model) -> Runner {
+        attempt.runner(self.remaining_tokens(place, &attempt.proved, model))
     }
 
-    /// Decides about the only attempt of a slot.
-    fn watch_attempt(
+    /// Hedges the candidates that the step is expected to wait for longest.
+    fn hedge_slowest(
         &mut self,
         key: &StepKey,
-        place: Place,
+        mut candidates: Vec<Candidate>,
         registry: &mut Registry,
         turn: &mut Turn<'_>,
     ) {
-        let Phase::Running(race) = &self.slots()[place].phase else {
+        candidates.sort_by_key(|candidate| std::cmp::Reverse(candidate.remaining));
+        let Some(longest) = candidates.first().map(|candidate| candidate.remaining) else {
             return;
         };
-        let model = registry.model(&key.trainer);
-        let remaining_tokens = self.remaining_tokens(place, &race.first.proved, model);
-        let runner = race.first.runner(remaining_tokens);
-        match advise(runner, self.standing(place), norm(model), turn.now) {
-            Advice::Keep => {}
-            Advice::Hedge => self.hedge(key, place, registry, turn),
-            Advice::Resume => self.resume_elsewhere(place, registry, turn),
+        let least = longest.mul_f64(SLOWEST_RATIO);
+        for candidate in candidates {
+            if candidate.remaining >= least {
+                self.hedge(key, candidate.place, registry, turn);
+            }
         }
     }
 
@@ -76,7 +110,8 @@
         }
         let resume = race.first.proved.clone();
         let avoid = race.first.engine.clone();
-        let plan = self.plan_from(place, resume, registry.model(&key.trainer), turn);
+        let gate = registry.policy.gate;
+        let plan = self.plan_from(place, resume, gate, registry.model(&key.trainer), turn);
         if !self.can_resume(&plan) {
             return;
         }
@@ -98,21 +133,33 @@
         }
     }
 
+    /// Moves a slow attempt, unless its slot was moved often already.
+    fn move_slow(&mut self, place: Place, registry: &mut Registry, turn: &mut Turn<'_>) {
+        let slot = self.slot_mut(place);
+        if slot.move_count >= MAX_MOVE_COUNT {
+            return;
+        }
+        slot.move_count += 1;
+        self.move_attempt(place, registry, turn);
+    }
+
     /// Cancels what runs for a slot and opens it, with the tokens so far.
-    fn resume_elsewhere(&mut self, place: Place, registry: &mut Registry, turn: &mut Turn<'_>) {
+    fn move_attempt(&mut self, place: Place, registry: &mut Registry, turn: &mut Turn<'_>) {
         let Phase::Running(race) = self.set_phase(place, Phase::Open(None)) else {
             return;
         };
-        let Race { first, .. } = *race;
-        registry.attempts.remove(&first.number);
-        turn.actions.push(Action::Cancel {
-            attempt: first.number,
-        });
+        let first = race.first;
+        let attempt = first.number;
+        registry.attempts.remove(&attempt);
+        registry.counters.moved_count += 1;
+        turn.actions.push(Action::Cancel { attempt });
         let silence = turn.now.saturating_sub(first.progressed_at);
+        let token_time = first.token_time.unwrap_or_default();
         turn.decisions.push(
             Decision::new(Kind::Sample, turn.now, "resumed elsewhere")
                 .about(self.slot_id(place).to_string())
                 .figure("silence_ms", silence.as_millis() as f64)
+                .figure("token_time_us", token_time.as_micros() as f64)
                 .figure("proved_tokens", first.proved.tokens.len() as f64),
         );
         self.set_phase(place, Phase::Open(Some(Box::new(first.proved))));
@@ -132,3 +179,8 @@
     let silence = now.saturating_sub(attempt.progressed_at);
     attempt.started_at.is_some() && silence >= SILENCE_TIMEOUT
 }
+
+fn is_slow(attempt: &Attempt, norm: Norm) -> bool {
+    let usual = norm.token_time.mul_f64(SLOW_RATIO);
+    attempt.token_time.is_some_and(|time| time > usual)
+}
--- a/src/straggler.rs
+++ b/src/straggler.rs
@@ -29,6 +29,18 @@
 /// The least time that a second attempt must save.
 const MIN_GAIN: Duration = Duration::from_secs(1);
 
+/// The least time that a move before the tail must save.
+const MIN_MOVE_GAIN: Duration = Duration::from_secs(10);
+
+/// How often one slot is moved away from slow engines.
+pub const MAX_MOVE_COUNT: u8 = 2;
+
+/// The part that a new observation has in an attempt's own token time.
+pub const PACE_SMOOTHING_RATIO: f64 = 0.3;
+
+/// The idle preference from which on a row hedges ahead of its trainer.
+const EAGER_PREFERENCE_RATIO: f64 = 0.5;
+
 /// The time of one token before any was seen.
 pub const DEFAULT_TOKEN_TIME: Duration = Duration::from_millis(20);
 
@@ -52,6 +64,8 @@
 pub struct Standing {
     /// Whether the trainer pulls the step.
     pub is_pulled: bool,
+    /// Whether the row would rather spend tokens than wait later on.
+    pub is_eager: bool,
     /// Slots of the group that are not whole.
     pub group_open_count: u32,
     /// Slots of the step that are not whole.
@@ -66,6 +80,11 @@
         f64::from(self.step_open_count) <= (f64::from(self.step_slot_count) * TAIL_RATIO).max(1.0)
     }
 
+    /// Says whether a second attempt may be worth its tokens here.
+    pub fn may_hedge(&self) -> bool {
+        self.is_tail() && (self.is_pulled || self.is_eager)
+    }
+
     /// Returns how urgent an attempt at the slot is.
     ///
     /// # Examples
@@ -75,6 +94,7 @@
     ///
     /// let last = Standing {
     ///     is_pulled: true,
+    ///     is_eager: false,
     ///     group_open_count: 1,
     ///     step_open_count: 1,
     ///     step_slot_count: 64,
@@ -101,41 +121,41 @@
 /// What is known of one attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Runner {
-    /// When it was dispatched.
-    pub dispatched_at: Timestamp,
     /// When its engine took it up; `None` while it waits.
     pub started_at: Option<Timestamp>,
-    /// When it last made progress.
+    /// When it last made progress, or was dispatched.
     pub progressed_at: Timestamp,
-    /// Tokens that this attempt made itself.
-    pub generated_tokens: u32,
+    /// The time that one of its tokens took of late, once that is known.
+    pub token_time: Option<Duration>,
     /// Tokens that it is expected to make still.
     pub remaining_tokens: u32,
 }
 
 impl Runner {
-    /// Returns the time that one of its tokens takes; a silence slows it down.
-    pub fn token_time(&self, now: Timestamp, norm: Norm) -> Duration {
-        let Some(started_at) = self.started_at else {
-            return norm.token_time;
-        };
-        if self.generated_tokens == 0 {
-            return norm.token_time;
-        }
-        let seen = self.progressed_at.saturating_sub(started_at);
-        let silent = now
-            .saturating_sub(self.progressed_at)
-            .saturating_sub(PROGRESS_LAG);
-        (seen + silent) / self.generated_tokens
-    }
-
     /// Returns how long it is expected to run still.
+    ///
+    /// A silence is expected to last as long again as it did so far.
     pub fn remaining_time(&self, now: Timestamp, norm: Norm) -> Duration {
         let startup = match self.started_at {
             Some(_) => Duration::ZERO,
             None => norm.startup,
         };
-        startup + self.token_time(now, norm) * self.remaining_tokens
+        let silence = now
+            .saturating_sub(self.progressed_at)
+            .saturating_sub(PROGRESS_LAG);
+        let token_time = self.token_time.unwrap_or(norm.token_time);
+        startup + silence + token_time * self.remaining_tokens
+    }
+
+    /// Returns how long it would run after a move to a usual engine.
+    pub fn moved_time(&self, norm: Norm) -> Duration {
+        norm.startup + norm.token_time * self.remaining_tokens
+    }
+
+    /// Returns the time that a move would save.
+    pub fn gain(&self, now: Timestamp, norm: Norm) -> Duration {
+        self.remaining_time(now, norm)
+            .saturating_sub(self.moved_time(norm))
     }
 }
 
@@ -156,36 +176,45 @@
     Keep,
     /// Start a second attempt beside it and take the first that is whole.
     Hedge,
-    /// Cancel it and resume elsewhere from its proved tokens.
+    /// Cancel it and resume it elsewhere from its proved tokens.
     Resume,
 }
 
 /// Decides about one attempt.
+///
+/// A slow attempt is moved while others keep the step busy. In the tail it gets
+/// a second one beside it, because there the move must not cost time.
 pub fn advise(runner: Runner, standing: Standing, norm: Norm, now: Timestamp) -> Advice {
     let silence = now.saturating_sub(runner.progressed_at);
-    if runner.started_at.is_some() && silence >= SILENCE_TIMEOUT {
+    let is_started = runner.started_at.is_some();
+    if is_started && silence >= SILENCE_TIMEOUT {
         return Advice::Resume;
     }
-    if !standing.is_pulled || !standing.is_tail() {
-        return Advice::Keep;
+    let gain = runner.gain(now, norm);
+    if !standing.may_hedge() {
+        return match is_started && gain >= MIN_MOVE_GAIN {
+            true => Advice::Resume,
+            false => Advice::Keep,
+        };
     }
-    if runner.started_at.is_none() {
-        return if silence >= QUEUE_PATIENCE {
-            Advice::Hedge
-        } else {
-            Advice::Keep
+    if !is_started {
+        return match silence >= QUEUE_PATIENCE {
+            true => Advice::Hedge,
+            false => Advice::Keep,
         };
     }
-    let stays = runner.remaining_time(now, norm);
-    let moves = norm.startup + norm.token_time * runner.remaining_tokens;
-    let gain = stays.saturating_sub(moves);
-    if gain >= MIN_GAIN && gain >= stays.mul_f64(MIN_GAIN_RATIO) {
-        Advice::Hedge
-    } else {
-        Advice::Keep
+    let least = runner.remaining_time(now, norm).mul_f64(MIN_GAIN_RATIO);
+    match gain >= MIN_GAIN.max(least) {
+        true => Advice::Hedge,
+        false => Advice::Keep,
     }
 }
 
+/// Says whether a row hedges steps that its trainer does not pull yet.
+pub fn is_eager(row: &Row) -> bool {
+    row.idle_preference_ratio >= EAGER_PREFERENCE_RATIO
+}
+
 /// Returns how many second attempts a step of `slot_count` slots may have.
 ///
 /// A row that weighs idle time gets up to one and a half times as many as one
