--- a/src/entry/peer_server.rs
+++ b/src/entry/peer_server.rs
@@ -4,11 +4,11 @@
 
 use subtle::ConstantTimeEq as _;
 use tokio::sync::{mpsc, oneshot};
-use tokio_stream::{Stream, wrappers::ReceiverStream};
+use tokio_stream::{Stream, StreamExt as _, wrappers::ReceiverStream};
 use tonic::{Request, Response, Status, service::Interceptor};
 
-use super::{Shared, control::Input, generate, owners, peer_client};
-use crate::proto::peer;
+use super::{Shared, control::Input, generate, messages, owners, peer_client};
+use crate::{proto::peer, step};
 
 /// Events of one generation that may wait for a slow peer.
 const EVENT_BUFFER_COUNT: usize = 8;
@@ -80,9 +80,10 @@
         let shared = self.shared.clone();
         let request = request.into_inner();
         self.shared.open_work.spawn(async move {
-            generate::run(&shared, request, generate::Remote(events)).await;
+            generate::run(&shared, request, events).await;
         });
-        Ok(Response::new(Box::pin(ReceiverStream::new(receiver))))
+        let events = ReceiverStream::new(receiver).map(Ok);
+        Ok(Response::new(Box::pin(events)))
     }
 
     async fn submit(
@@ -105,6 +106,20 @@
             .map_err(|error| Status::unavailable(error.to_string()))
     }
 
+    async fn hand_over(
+        &self,
+        request: Request<peer::HandoverRequest>,
+    ) -> Result<Response<peer::HandoverReply>, Status> {
+        let handover = Box::new(messages::read_handover(request.into_inner()));
+        let received = Input::Step(step::Event::HandedOver(handover));
+        self.shared
+            .control
+            .send(received)
+            .await
+            .map_err(|error| Status::unavailable(error.to_string()))?;
+        Ok(Response::new(peer::HandoverReply {}))
+    }
+
     async fn fetch_rows(
         &self,
         request: Request<peer::FetchRowsRequest>,
