Hand steps over when the fleet changes, and take back false progress

Cause: A host that lost a step to a newcomer went on with it unasked, and tokens that a fallen swap disproved stayed as a point to resume from. Change: The controller watches the owners of its steps and hands them over. The latest progress of an attempt counts even where it is shorter, and faulty evidence always sends what is left. The predicted length of a resumed sample counts its resumed tokens once. Conclusion: A step has one working owner shortly after a change.

--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -266,7 +266,7 @@
             attempts: HashMap::new(),
             transport,
             router: Router::new(id.clone()),
-            steps: step::Controller::default(),
+            steps: step::Controller::default().of_host(id.clone()),
             dispatch: dispatch::Controller::default(),
             engines: engine_watch::Controller::new(id.clone()),
             table: follower::Controller::new(id.clone()),
--- a/src/entry/generate.rs
+++ b/src/entry/generate.rs
@@ -112,8 +112,13 @@
 }
 
 /// Gives the owner what stays proved, so that the next attempt resumes there.
+///
+/// After faulty evidence that is sent even where nothing is left, because it
+/// takes back what was reported before.
 async fn send_proved(proved: &Proved, error: &GenerateError, events: &Events) {
-    if proved.tokens.is_empty() || matches!(error, GenerateError::Abandoned) {
+    let takes_back = matches!(error, GenerateError::Evidence(_));
+    let has_news = takes_back || !proved.tokens.is_empty();
+    if !has_news || matches!(error, GenerateError::Abandoned) {
         return;
     }
     let progress = messages::progress(proved.clone());
--- a/src/entry/messages.rs
+++ b/src/entry/messages.rs
@@ -116,7 +116,9 @@
         seed: dispatch.seed,
         min_version: dispatch.min_version,
         mixed_versions: dispatch.mixed_versions,
-        predicted_tokens: dispatch.expected_tokens,
+        predicted_tokens: dispatch
+            .expected_tokens
+            .saturating_add(count(&dispatch.resume.tokens)),
     }
 }
 
--- a/src/handover.rs
+++ b/src/handover.rs
@@ -6,10 +6,13 @@
 use std::sync::Arc;
 
 use crate::{
+    blackboard::Hosts,
     evidence::Proved,
-    ids::{AttachNumber, GroupNumber, SampleIndex, WeightVersion},
+    ids::{AttachNumber, GroupNumber, HostId, SampleIndex, WeightVersion},
+    rendezvous,
     sample::Sample,
     spec::StepSpec,
+    step_registry::StepKey,
 };
 
 /// Tokens that an unfinished slot may resume from.
@@ -37,3 +40,48 @@
     /// Tokens of unfinished slots.
     pub partials: Vec<Partial>,
 }
+
+/// Watches which steps go to another owner when the fleet changes.
+///
+/// A step that this host took on in place of an owner out of its reach stays
+/// here until the owner changes again.
+#[derive(Debug, Default)]
+pub struct Ownership {
+    host: Option<HostId>,
+    hosts: Arc<Hosts>,
+}
+
+impl Ownership {
+    /// Watches for the host named `host`.
+    pub fn new(host: impl Into<HostId>) -> Self {
+        Self {
+            host: Some(host.into()),
+            hosts: Arc::default(),
+        }
+    }
+
+    /// Returns those of `keys` that this host owned before `hosts` and does not
+    /// own now.
+    pub fn lost<'a>(
+        &mut self,
+        keys: impl Iterator<Item = &'a StepKey>,
+        hosts: &Arc<Hosts>,
+    ) -> Vec<StepKey> {
+        let Some(own) = &self.host else {
+            return Vec::new();
+        };
+        if Arc::ptr_eq(&self.hosts, hosts) {
+            return Vec::new();
+        }
+        let before = std::mem::replace(&mut self.hosts, Arc::clone(hosts));
+        let was_own = |key: &StepKey| owner(&before, key) == Some(own);
+        let is_lost = |key: &StepKey| owner(hosts, key).is_some_and(|owner| owner != own);
+        keys.filter(|key| was_own(key) && is_lost(key))
+            .cloned()
+            .collect()
+    }
+}
+
+fn owner<'a>(hosts: &'a Hosts, key: &StepKey) -> Option<&'a HostId> {
+    rendezvous::step_owner(&key.trainer, key.step, hosts.live().map(|host| &host.id))
+}
--- a/src/slot.rs
+++ b/src/slot.rs
@@ -55,17 +55,17 @@
     }
 
     /// Takes in progress at `now`, and returns the time that one token took.
+    ///
+    /// The latest report counts, also where it is shorter: the engine may have
+    /// shown that earlier tokens were not proved after all.
     pub fn progress(&mut self, proved: Proved, now: Timestamp) -> Option<Duration> {
         let span = now.saturating_sub(self.progressed_at);
         let is_started = self.started_at.is_some();
         let made = token_count(&proved).saturating_sub(token_count(&self.proved));
         self.started_at.get_or_insert(now);
         self.progressed_at = now;
-        if made == 0 {
-            return None;
-        }
         self.proved = proved;
-        if !is_started {
+        if made == 0 || !is_started {
             return None;
         }
         let found = span / made;
--- a/src/step.rs
+++ b/src/step.rs
@@ -16,8 +16,8 @@
     controller::{self, Round},
     decision::{Decision, Kind},
     evidence::Proved,
-    handover::Handover,
-    ids::{AttemptNumber, CallNumber, RowId, StepNumber, UpstreamId, WeightVersion},
+    handover::{Handover, Ownership},
+    ids::{AttemptNumber, CallNumber, HostId, RowId, StepNumber, UpstreamId, WeightVersion},
     row::Row,
     sample::Sample,
     slot::Phase,
@@ -56,6 +56,7 @@
 pub struct Controller {
     steps: BTreeMap<StepKey, Step>,
     finished: BTreeMap<RowId, BTreeSet<StepNumber>>,
+    ownership: Ownership,
     registry: Registry,
 }
 
@@ -94,6 +95,14 @@
         }
     }
 
+    /// Lets the controller hand steps over by itself when the fleet changes so
+    /// that another host than `host` owns them.
+    #[must_use]
+    pub fn of_host(mut self, host: impl Into<HostId>) -> Self {
+        self.ownership = Ownership::new(host);
+        self
+    }
+
     /// Returns the steps that this host owns.
     pub fn keys(&self) -> impl Iterator<Item = &StepKey> {
         self.steps.keys()
@@ -273,6 +282,9 @@
             }
             return;
         }
+        for key in self.ownership.lost(self.steps.keys(), &turn.board.hosts) {
+            self.hand_over(&key, turn);
+        }
         self.expire(turn);
         let mut running = self.running_by_row();
         for key in self.keys_by_urgency() {
--- a/tests/step.rs
+++ b/tests/step.rs
@@ -6,7 +6,9 @@
     Row,
     attach::Reply,
     blackboard::StoreCondition,
-    step::{Action, Event, Failure, StepKey, SubmitError},
+    ids::HostId,
+    rendezvous::step_owner,
+    step::{Action, Controller, Event, Failure, StepKey, SubmitError},
 };
 use step_support::{
     Owner, STEP, Trainer, at, cancels, dispatches, finished, progressed, proved, replies, sample,
@@ -354,6 +356,46 @@
     assert_eq!(first.controller.keys().count(), 0);
 }
 
+#[test]
+fn fleet_grows() {
+    let names = ["a", "b", "c", "d", "e", "f", "g", "h"];
+    let ids: Vec<HostId> = names.map(HostId::from).to_vec();
+    let next = step_owner(&"guides".into(), STEP, &ids).unwrap();
+    let own = names.iter().find(|name| **name != &**next).unwrap();
+    let mut owner = owner(1);
+    owner.controller = Controller::default().of_host(*own);
+    owner.set_hosts(&[own]);
+    owner.submit(at(0.0), &spec(1, 4));
+    owner.set_hosts(&[]);
+    owner.run(at(1.0), []);
+    owner.set_hosts(&[own]);
+    owner.run(at(2.0), []);
+    assert_eq!(owner.controller.keys().count(), 1, "nobody else owns it");
+    owner.set_hosts(&names);
+    let actions = owner.run(at(3.0), []);
+    let is_handed = |action: &Action| matches!(action, Action::HandOver(_));
+    assert!(actions.iter().any(is_handed));
+    assert_eq!(owner.controller.keys().count(), 0);
+}
+
+#[test]
+fn taken_back() {
+    let mut owner = owner(1);
+    let works = dispatches(&owner.submit(at(0.0), &spec(1, 1)));
+    let failed = Event::Failed {
+        attempt: works[0].attempt,
+        failure: Failure::default(),
+    };
+    let events = [
+        progressed(&works[0], "engine-0", 50, 41),
+        progressed(&works[0], "engine-0", 0, 41),
+        failed,
+    ];
+    owner.run(at(1.0), events);
+    let again = dispatches(&owner.run(at(2.0), []));
+    assert!(again[0].resume.tokens.is_empty(), "the swap had failed");
+}
+
 #[test]
 fn foreign_progress() {
     let mut first = owner(1);
--- a/tests/step_support/mod.rs
+++ b/tests/step_support/mod.rs
@@ -7,7 +7,7 @@
 use mimosavane::{
     Blackboard, Controller as _, Row,
     attach::{HeldGroup, Pull, Reply},
-    blackboard::EngineReport,
+    blackboard::{EngineReport, Host, HostState, Hosts},
     clock::Timestamp,
     controller::{Rng, Round},
     decision::Decision,
@@ -83,6 +83,23 @@
         self.run(now, events)
     }
 
+    /// Makes `names` the live hosts.
+    pub fn set_hosts(&mut self, names: &[&str]) {
+        let host = |name: &&str| Host {
+            id: (*name).into(),
+            incarnation: 1,
+            state: HostState::Alive,
+            failure_domain: "mx-a".into(),
+            region: "mx".into(),
+            peer_address: ([127, 0, 0, 1], 1).into(),
+            http_address: ([127, 0, 0, 1], 2).into(),
+        };
+        let members = names.iter().map(|name| ((*name).into(), host(name)));
+        self.board.hosts = Arc::new(Hosts {
+            members: members.collect(),
+        });
+    }
+
     pub fn submit(&mut self, now: Timestamp, spec: &StepSpec) -> Vec<Action> {
         let spec = Arc::new(spec.clone());
         self.run(now, [Event::Submitted { call: 1, spec }])
