--- a/src/ids.rs
+++ b/src/ids.rs
@@ -53,6 +53,18 @@
 /// Names one attempt to claim or write, so that it can be read back.
 pub type AttemptId = u128;
 
+/// Numbers one attempt to fill a sample slot; unique over owners.
+pub type AttemptNumber = u64;
+
+/// Numbers an open call of a trainer at one host.
+pub type CallNumber = u64;
+
+/// Names an adapter on the base weights; empty where none is used.
+pub type AdapterId = Arc<str>;
+
+/// Numbers a token of the model's vocabulary.
+pub type TokenId = u32;
+
 /// Names a client's request.
 pub type RequestId = Arc<str>;
 
@@ -93,3 +105,29 @@
         )
     }
 }
+
+/// Writes an [`AttemptId`] as hexadecimal text, since JSON numbers cannot hold it.
+pub mod attempt_text {
+    use serde::{Deserialize as _, Deserializer, Serializer, de::Error as _};
+
+    use super::AttemptId;
+
+    /// Writes the id.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the serializer does.
+    pub fn serialize<S: Serializer>(id: &AttemptId, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_str(&format!("{id:032x}"))
+    }
+
+    /// Reads the id.
+    ///
+    /// # Errors
+    ///
+    /// Fails on text that is no hexadecimal number.
+    pub fn deserialize<'de, D: Deserializer<'de>>(deserializer: D) -> Result<AttemptId, D::Error> {
+        let text = String::deserialize(deserializer)?;
+        AttemptId::from_str_radix(&text, 16).map_err(D::Error::custom)
+    }
+}
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -1,472 +1,265 @@
-//! A small engine fake in virtual time behind real dispatchers and ledgers.
+//! Real membership controllers over a network in virtual time.
 
 use std::{
-    collections::{BTreeMap, BTreeSet, VecDeque},
-    sync::Arc,
+    cmp::Reverse,
+    collections::{BTreeMap, BinaryHeap},
+    net::{IpAddr, Ipv4Addr, SocketAddr},
     time::Duration,
 };
 
 use mimosavane::{
-    Blackboard, Row,
-    blackboard::{
-        EngineReport, Engines, Host, HostState, Hosts, Rows, Upstream, UpstreamKind,
-        UpstreamState, Upstreams,
-    },
-    controller::{Controller as _, Rng, Round},
-    dispatch::{Action, Dispatcher, Event, Request},
-    fairness::{Class, Cost, Ranking, Ticket},
-    ids::{HostId, RowId, UpstreamId},
-    ledger, rendezvous,
-    share::shares,
+    Blackboard, Controller as _,
+    blackboard::{Host, HostState},
+    clock::Timestamp,
+    controller::{Rng, Round},
+    datagram::{Key, Opener, Sealer},
+    decision::Decision,
+    membership::{Action, Config, Controller, Event},
 };
 use rand::{Rng as _, SeedableRng};
 
-pub const TICK: Duration = Duration::from_millis(100);
-const MESSAGE_DELAY: Duration = Duration::from_millis(50);
-const REPORT_EVERY: Duration = Duration::from_secs(1);
+/// The time between two rounds of a host.
+const TICK: Duration = Duration::from_millis(50);
+/// What IP and UDP add to a datagram.
+const HEADER_BYTES: u64 = 28;
 
-/// How a row asks for work.
-#[derive(Clone, Debug)]
-pub struct Demand {
-    pub row: RowId,
-    pub weight_ratio: f64,
-    /// Engines that it sends to: those with a number below this part of all.
-    pub engines_ratio: f64,
-    /// Requests that it keeps waiting on each of them.
-    pub waiting_count: usize,
-    pub prompt_tokens: u32,
-    pub mean_tokens: u32,
-    /// Gives a request up after this part of its tokens.
-    pub cancel_at_ratio: Option<f64>,
-    /// Asks only in these times.
-    pub active: std::ops::Range<u64>,
-    pub class: Class,
-}
-
-impl Demand {
-    pub fn new(row: &str) -> Self {
-        Self {
-            row: row.into(),
-            weight_ratio: 1.0,
-            engines_ratio: 1.0,
-            waiting_count: 4,
-            prompt_tokens: 200,
-            mean_tokens: 400,
-            cancel_at_ratio: None,
-            active: 0..u64::MAX,
-            class: Class::Rollout,
-        }
-    }
-}
-
-#[derive(Clone, Copy, Debug)]
-pub struct Shape {
-    pub host_count: usize,
-    pub engine_count: usize,
-    pub slots: u32,
-    pub corrects: bool,
-    pub seed: u64,
+/// One host with its side of the network.
+pub struct Node {
+    pub own: Host,
+    pub controller: Controller,
+    pub board: Blackboard,
+    pub decisions: Vec<Decision>,
+    pub actions: Vec<Action>,
+    pub running: bool,
+    pub paused_until: Timestamp,
+    pub sent_bytes: u64,
+    pub sent_count: u64,
+    pub largest_bytes: usize,
+    sealer: Sealer,
+    opener: Opener,
+    inbox: Vec<Event>,
+    rng: Rng,
 }
 
-#[derive(Debug)]
-struct Job {
-    row: usize,
-    engine: usize,
-    class: Class,
-    prompt_left: f64,
-    tokens: u32,
-    stop_at: u32,
-    generated: f64,
+/// A datagram on its way.
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+struct Flight {
+    at: Timestamp,
+    number: u64,
+    from: usize,
+    to: usize,
+    bytes: Vec<u8>,
 }
 
-#[derive(Debug)]
-struct Member<R> {
-    id: HostId,
-    board: Blackboard,
-    dispatcher: Dispatcher<R>,
-    ledger: ledger::Controller,
-    events: Vec<Event>,
+/// The fleet.
+pub struct Fleet {
+    pub nodes: Vec<Node>,
+    pub now: Timestamp,
+    pub loss_ratio: f64,
+    pub delay_ms: std::ops::Range<u64>,
+    /// Says whether the link between two hosts is cut.
+    pub cut: fn(&Host, &Host) -> bool,
+    pub config: fn(&mut Config),
+    flights: BinaryHeap<Reverse<Flight>>,
+    addresses: BTreeMap<SocketAddr, usize>,
+    flight_count: u64,
+    lives: u64,
+    rng: Rng,
 }
 
-/// Counts of one run: tokens by row and second.
-#[derive(Debug, Default)]
-pub struct Served {
-    pub tokens: Vec<Vec<f64>>,
-    pub waits: BTreeMap<Class, Vec<Duration>>,
-    pub refused_count: usize,
-    pub preempted_count: usize,
-    pub factors: BTreeMap<RowId, f64>,
+fn address(index: usize) -> SocketAddr {
+    let ip = Ipv4Addr::from(0x0a00_0000 + u32::try_from(index).expect("a small index") + 1);
+    SocketAddr::new(IpAddr::V4(ip), 9080)
 }
 
-pub struct Fleet<R> {
-    shape: Shape,
-    demands: Vec<Demand>,
-    members: Vec<Member<R>>,
-    dispatcher_of: Vec<usize>,
-    engines: Vec<UpstreamId>,
-    waiting: BTreeMap<Ticket, (Job, Duration)>,
-    waiting_count: BTreeMap<(usize, usize), usize>,
-    running: BTreeMap<Ticket, Job>,
-    messages: VecDeque<(Duration, usize, ledger::Event)>,
-    next_ticket: Ticket,
-    rng: Rng,
-    now: Duration,
-    pub served: Served,
+pub fn host(index: usize, region_count: usize, incarnation: u64) -> Host {
+    let region = index % region_count;
+    let domain = index / region_count % 3;
+    Host {
+        id: format!("entry-{index:04}").into(),
+        incarnation,
+        state: HostState::Alive,
+        failure_domain: format!("region-{region}-{domain}").into(),
+        region: format!("region-{region}").into(),
+        peer_address: address(index),
+        http_address: SocketAddr::new(address(index).ip(), 8080),
+    }
 }
 
-impl<R: Ranking> Fleet<R> {
-    pub fn new(shape: Shape, demands: Vec<Demand>) -> Self {
-        let host_ids: Vec<HostId> = (0..shape.host_count)
-            .map(|n| format!("entry-{n}").into())
-            .collect();
-        let engines: Vec<UpstreamId> = (0..shape.engine_count)
-            .map(|n| format!("engine-{n:04}").into())
-            .collect();
-        let dispatcher_of = engines
-            .iter()
-            .map(|engine| {
-                let owner = rendezvous::engine_dispatcher(engine, &host_ids);
-                host_ids.iter().position(|id| Some(id) == owner).unwrap()
-            })
-            .collect();
-        let board = board(&host_ids, &engines, &demands);
-        let members = host_ids
-            .iter()
-            .map(|id| Member {
-                id: id.clone(),
-                board: board.clone(),
-                dispatcher: Dispatcher::default(),
-                ledger: ledger::Controller::new(id.clone(), 1),
-                events: Vec::new(),
-            })
-            .collect();
-        let served = Served {
-            tokens: vec![Vec::new(); demands.len()],
-            ..Served::default()
+impl Fleet {
+    /// Starts `count` hosts that know the first three as seeds.
+    pub fn start(count: usize, region_count: usize, seed: u64) -> Self {
+        let mut fleet = Self {
+            nodes: Vec::new(),
+            now: Timestamp::ZERO,
+            loss_ratio: 0.0,
+            delay_ms: 1..4,
+            cut: |_, _| false,
+            config: |_| {},
+            flights: BinaryHeap::new(),
+            addresses: BTreeMap::new(),
+            flight_count: 0,
+            lives: 1_000,
+            rng: Rng::seed_from_u64(seed),
         };
-        Self {
-            shape,
-            demands,
-            members,
-            dispatcher_of,
-            engines,
-            waiting: BTreeMap::new(),
-            waiting_count: BTreeMap::new(),
-            running: BTreeMap::new(),
-            messages: VecDeque::new(),
-            next_ticket: 0,
-            rng: Rng::seed_from_u64(shape.seed),
-            now: Duration::from_secs(1),
-            served,
+        for index in 0..count {
+            fleet.addresses.insert(address(index), index);
+            let node = fleet.node(host(index, region_count, 1_000));
+            fleet.nodes.push(node);
         }
+        fleet
     }
 
-    pub fn run(&mut self, seconds: u64) {
-        let end = self.now + Duration::from_secs(seconds);
-        while self.now < end {
-            self.now += TICK;
-            if self.now.as_millis().is_multiple_of(REPORT_EVERY.as_millis()) {
-                self.report();
-            }
-            self.demand();
-            self.generate();
-            self.control();
+    fn node(&mut self, own: Host) -> Node {
+        let key = Key::derive("test");
+        let mut config = Config {
+            own: own.clone(),
+            seeds: (0..3).map(address).collect(),
+            probe_interval: Duration::from_millis(500),
+            probe_timeout: Duration::from_millis(200),
+            suspicion_timeout: Duration::from_secs(2),
+        };
+        (self.config)(&mut config);
+        Node {
+            controller: Controller::new(config),
+            board: Blackboard::default(),
+            decisions: Vec::new(),
+            actions: Vec::new(),
+            running: true,
+            paused_until: Timestamp::ZERO,
+            sent_bytes: 0,
+            sent_count: 0,
+            largest_bytes: 0,
+            sealer: Sealer::new(key.clone()),
+            opener: Opener::new(key, own.peer_address),
+            inbox: Vec::new(),
+            rng: Rng::seed_from_u64(self.rng.random()),
+            own,
         }
     }
 
-    /// Every engine runs at its own speed, so that hosts are uneven.
-    fn token_time(&self, engine: usize) -> Duration {
-        Duration::from_millis(20 + 4 * (engine as u64 % 6))
+    /// Starts a host anew under its name, with nothing kept.
+    pub fn restart(&mut self, index: usize) {
+        self.lives += 1_000;
+        let mut own = self.nodes[index].own.clone();
+        own.incarnation = self.lives;
+        self.nodes[index] = self.node(own);
     }
 
-    fn report(&mut self) {
-        let mut engines = Engines::default();
-        for (number, id) in self.engines.iter().enumerate() {
-            let running = self.running.values().filter(|job| job.engine == number).count();
-            let report = EngineReport {
-                running: running as u32,
-                slots: self.shape.slots,
-                at: self.now,
-                token_time: self.token_time(number),
-                ..EngineReport::default()
-            };
-            engines.reports.insert(id.clone(), report);
-        }
-        let engines = Arc::new(engines);
-        for member in &mut self.members {
-            member.board.engines = engines.clone();
-        }
+    pub fn run_for(&mut self, time: Duration) {
+        let end = self.now + time;
+        self.run_until(end, |_| false);
     }
 
-    fn demand(&mut self) {
-        let second = self.now.as_secs();
-        for row in 0..self.demands.len() {
-            let demand = self.demands[row].clone();
-            if !demand.active.contains(&second) {
-                continue;
+    /// Runs until `done` or `end`, and says whether it was done.
+    pub fn run_until(&mut self, end: Timestamp, done: impl Fn(&Self) -> bool) -> bool {
+        while self.now < end {
+            self.now += TICK;
+            self.deliver();
+            for index in 0..self.nodes.len() {
+                self.step(index);
             }
-            let reach = (demand.engines_ratio * self.engines.len() as f64).ceil() as usize;
-            for engine in 0..reach {
-                let waiting = self.waiting_count.get(&(row, engine)).copied().unwrap_or(0);
-                for _ in waiting..demand.waiting_count {
-                    self.enqueue(row, engine, &demand);
-                }
+            if done(self) {
+                return true;
             }
         }
+        false
     }
 
-    /// Lengths have a tail: one in sixteen is four times as long.
-    fn enqueue(&mut self, row: usize, engine: usize, demand: &Demand) {
-        let factor = if self.rng.random_ratio(1, 16) {
-            4.0
-        } else {
-            self.rng.random_range(0.4..1.2)
-        };
-        let tokens = (f64::from(demand.mean_tokens) * factor).ceil() as u32;
-        let stop_at = demand
-            .cancel_at_ratio
-            .map_or(tokens, |ratio| (f64::from(tokens) * ratio).ceil() as u32);
-        self.next_ticket += 1;
-        let job = Job {
-            row,
-            engine,
-            class: demand.class,
-            prompt_left: f64::from(demand.prompt_tokens),
-            tokens,
-            stop_at,
-            generated: 0.0,
-        };
-        self.waiting.insert(self.next_ticket, (job, self.now));
-        *self.waiting_count.entry((row, engine)).or_default() += 1;
-        let event = Event::Enqueue(Request {
-            ticket: self.next_ticket,
-            engine: self.engines[engine].clone(),
-            row: demand.row.clone(),
-            class: demand.class,
-            priority: 0,
-            prompt_tokens: demand.prompt_tokens,
-            predicted_tokens: demand.mean_tokens,
-            deadline: self.now + Duration::from_secs(100_000),
-        });
-        self.members[self.dispatcher_of[engine]].events.push(event);
+    /// Gives a host an event at its next round.
+    pub fn tell(&mut self, index: usize, event: Event) {
+        self.nodes[index].inbox.push(event);
     }
 
-    fn generate(&mut self) {
-        let second = (self.now - Duration::from_secs(1)).as_secs() as usize;
-        for row in &mut self.served.tokens {
-            row.resize(second + 1, 0.0);
-        }
-        let mut ended = Vec::new();
-        let token_times: Vec<f64> = (0..self.engines.len())
-            .map(|engine| self.token_time(engine).as_secs_f64())
-            .collect();
-        for (ticket, job) in &mut self.running {
-            let mut steps = TICK.as_secs_f64() / token_times[job.engine];
-            let served = &mut self.served.tokens[job.row][second];
-            let read = job.prompt_left.min(steps / mimosavane::fairness::PROMPT_COST_RATIO);
-            job.prompt_left -= read;
-            *served += read * mimosavane::fairness::PROMPT_COST_RATIO;
-            steps -= read * mimosavane::fairness::PROMPT_COST_RATIO;
-            let made = steps.min(f64::from(job.stop_at) - job.generated).max(0.0);
-            job.generated += made;
-            *served += made;
-            if job.generated >= f64::from(job.stop_at) {
-                ended.push(*ticket);
-            }
-        }
-        for ticket in ended {
-            self.end(ticket);
-        }
-        if self.now.as_millis().is_multiple_of(1_000) {
-            for (&ticket, job) in &self.running {
-                let tokens = job.generated as u32;
-                self.members[self.dispatcher_of[job.engine]]
-                    .events
-                    .push(Event::Progress { ticket, tokens });
+    fn deliver(&mut self) {
+        while self
+            .flights
+            .peek()
+            .is_some_and(|flight| flight.0.at <= self.now)
+        {
+            let flight = self.flights.pop().expect("peeked").0;
+            let (from, to) = (&self.nodes[flight.from].own, &self.nodes[flight.to].own);
+            let cut = (self.cut)(from, to);
+            let source = from.peer_address;
+            let node = &mut self.nodes[flight.to];
+            if cut || !node.running {
+                continue;
             }
+            let event = match node.opener.open(&flight.bytes) {
+                Ok(heartbeat) => Event::Received { heartbeat, source },
+                Err(refusal) => Event::Refused { refusal, source },
+            };
+            node.inbox.push(event);
         }
     }
 
-    fn end(&mut self, ticket: Ticket) {
-        let Some(job) = self.running.remove(&ticket) else {
+    fn step(&mut self, index: usize) {
+        let now = self.now;
+        let node = &mut self.nodes[index];
+        if !node.running || now < node.paused_until {
             return;
-        };
-        let tokens = job.generated as u32;
-        let event = if job.stop_at < job.tokens {
-            Event::Cancelled { ticket, tokens }
-        } else {
-            Event::Finished { ticket, tokens }
-        };
-        self.members[self.dispatcher_of[job.engine]].events.push(event);
-    }
-
-    fn control(&mut self) {
-        while self.messages.front().is_some_and(|(at, ..)| *at <= self.now) {
-            let (_, to, event) = self.messages.pop_front().unwrap();
-            self.ledger(to, vec![event]);
         }
-        for number in 0..self.members.len() {
-            let loads = self.members[number].dispatcher.loads();
-            self.ledger(number, vec![ledger::Event::Loads(loads)]);
-            let member = &mut self.members[number];
-            if self.shape.corrects {
-                member.dispatcher.set_corrections(member.ledger.corrections());
-            }
-            let events = std::mem::take(&mut member.events);
-            let round = Round {
-                board: &mut member.board,
-                now: self.now,
-                rng: &mut self.rng,
-                decisions: &mut Vec::new(),
-            };
-            let actions = member.dispatcher.run(events, round);
-            for action in actions {
-                self.act(action);
-            }
-        }
-        self.served.factors = self.members[0].ledger.corrections();
-    }
-
-    fn ledger(&mut self, number: usize, events: Vec<ledger::Event>) {
-        let member = &mut self.members[number];
-        let from = member.id.clone();
         let round = Round {
-            board: &mut member.board,
-            now: self.now,
-            rng: &mut self.rng,
-            decisions: &mut Vec::new(),
+            board: &mut node.board,
+            now,
+            rng: &mut node.rng,
+            decisions: &mut node.decisions,
         };
-        for ledger::Action::Send { to, message } in member.ledger.run(events, round) {
-            let to = self.members.iter().position(|member| member.id == to).unwrap();
-            let event = ledger::Event::Received {
-                from: from.clone(),
-                message: (*message).clone(),
-            };
-            self.messages.push_back((self.now + MESSAGE_DELAY, to, event));
-        }
-    }
-
-    fn act(&mut self, action: Action) {
-        match action {
-            Action::Start { ticket, .. } => {
-                let (job, since) = self.waiting.remove(&ticket).unwrap();
-                *self.waiting_count.get_mut(&(job.row, job.engine)).unwrap() -= 1;
-                let waits = self.served.waits.entry(job.class).or_default();
-                waits.push(self.now - since);
-                self.running.insert(ticket, job);
-            }
-            Action::Refuse { ticket, .. } => {
-                let (job, _) = self.waiting.remove(&ticket).unwrap();
-                *self.waiting_count.get_mut(&(job.row, job.engine)).unwrap() -= 1;
-                self.served.refused_count += 1;
-            }
-            Action::Preempt { ticket } => {
-                self.served.preempted_count += 1;
-                self.end(ticket);
+        let actions = node.controller.run(std::mem::take(&mut node.inbox), round);
+        for action in actions {
+            match action {
+                Action::Send { to, heartbeat } => {
+                    let bytes = node.sealer.seal(&heartbeat, to).expect("it fits");
+                    node.sent_bytes += bytes.len() as u64 + HEADER_BYTES;
+                    node.sent_count += 1;
+                    node.largest_bytes = node.largest_bytes.max(bytes.len());
+                    let lost = self.rng.random_bool(self.loss_ratio);
+                    let delay = self.rng.random_range(self.delay_ms.clone());
+                    let Some(&to) = self.addresses.get(&to) else {
+                        continue;
+                    };
+                    if !lost {
+                        self.flight_count += 1;
+                        self.flights.push(Reverse(Flight {
+                            at: now + Duration::from_millis(delay),
+                            number: self.flight_count,
+                            from: index,
+                            to,
+                            bytes,
+                        }));
+                    }
+                }
+                other => node.actions.push(other),
             }
         }
     }
-}
 
-impl Served {
-    /// Returns the tokens of each row in the seconds of `window`.
-    pub fn window(&self, window: std::ops::Range<usize>) -> Vec<f64> {
-        self.tokens
-            .iter()
-            .map(|row| row[window.clone()].iter().sum())
-            .collect()
+    /// Returns what `viewer` believes of `index`.
+    pub fn view(&self, viewer: usize, index: usize) -> Option<HostState> {
+        let id = &self.nodes[index].own.id;
+        let members = &self.nodes[viewer].board.hosts.members;
+        members.get(id).map(|host| host.state)
     }
 
-    /// Returns the worst miss of any of `rows` in any window of `seconds`.
-    pub fn worst_error_ratio(
-        &self,
-        shares: &[f64],
-        rows: &BTreeSet<usize>,
-        span: std::ops::Range<usize>,
-        seconds: usize,
-    ) -> f64 {
-        let share_sum: f64 = rows.iter().map(|&row| shares[row]).sum();
-        let starts = span.start..=span.end - seconds;
-        starts
-            .flat_map(|start| {
-                let tokens = self.window(start..start + seconds);
-                let sum: f64 = rows.iter().map(|&row| tokens[row]).sum();
-                rows.iter()
-                    .map(|&row| (tokens[row] / (sum * shares[row] / share_sum) - 1.0).abs())
-                    .collect::<Vec<_>>()
+    /// Says whether every running host believes `state` of every host in `of`.
+    pub fn all_see(&self, state: HostState, of: impl IntoIterator<Item = usize> + Clone) -> bool {
+        (0..self.nodes.len())
+            .filter(|viewer| self.nodes[*viewer].running)
+            .all(|viewer| {
+                of.clone()
+                    .into_iter()
+                    .all(|index| viewer == index || self.view(viewer, index) == Some(state))
             })
-            .fold(0.0, f64::max)
     }
 
-    /// Returns Jain's index over tokens divided by share.
-    pub fn jain(&self, shares: &[f64], window: std::ops::Range<usize>) -> f64 {
-        let parts: Vec<f64> = self
-            .window(window)
+    /// Counts decisions `what` about hosts that `about` takes.
+    pub fn count(&self, what: &str, about: impl Fn(&str) -> bool) -> usize {
+        self.nodes
             .iter()
-            .zip(shares)
-            .map(|(tokens, share)| tokens / share)
-            .collect();
-        let sum: f64 = parts.iter().sum();
-        let squares: f64 = parts.iter().map(|part| part * part).sum();
-        sum * sum / (parts.len() as f64 * squares)
-    }
-}
-
-/// Returns the share of each demand's row.
-pub fn shares_of(demands: &[Demand]) -> Vec<f64> {
-    let shares = shares(&rows(demands));
-    demands.iter().map(|demand| shares[&demand.row]).collect()
-}
-
-fn rows(demands: &[Demand]) -> Rows {
-    let mut rows = Rows::default();
-    for demand in demands {
-        let mut row = Row::new(demand.row.clone());
-        row.weight_ratio = demand.weight_ratio;
-        rows.rows.insert(demand.row.clone(), row.into());
-    }
-    rows
-}
-
-fn board(hosts: &[HostId], engines: &[UpstreamId], demands: &[Demand]) -> Blackboard {
-    let mut members = Hosts::default();
-    for id in hosts {
-        let host = Host {
-            id: id.clone(),
-            incarnation: 1,
-            state: HostState::Alive,
-            failure_domain: "mx-a".into(),
-            region: "mx".into(),
-            peer_address: ([127, 0, 0, 1], 9000).into(),
-            http_address: ([127, 0, 0, 1], 8000).into(),
-        };
-        members.members.insert(id.clone(), host);
-    }
-    let mut upstreams = Upstreams::default();
-    for id in engines {
-        let upstream = Upstream {
-            id: id.clone(),
-            kind: UpstreamKind::Engine,
-            pool: "base".into(),
-            address: ([127, 0, 0, 1], 7000).into(),
-            failure_domain: "mx-a".into(),
-            state: UpstreamState::Live,
-            checks_fences: true,
-        };
-        upstreams.members.insert(id.clone(), upstream);
-    }
-    Blackboard {
-        hosts: members.into(),
-        upstreams: upstreams.into(),
-        rows: rows(demands).into(),
-        ..Blackboard::default()
-    }
-}
-
-/// Returns a request's charge, for tests that feed the queue itself.
-pub fn cost(generated_tokens: u32) -> Cost {
-    Cost {
-        prompt_tokens: 0,
-        generated_tokens,
+            .flat_map(|node| &node.decisions)
+            .filter(|decision| {
+                &*decision.what == what && decision.subjects.iter().any(|id| about(id))
+            })
+            .count()
     }
 }
