--- /dev/null
+++ b/tests/cache_index.rs
@@ -0,0 +1,192 @@
+//! Cache events that are late, lost, repeated, or of another process.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use mimosavane::{
+    cache_index::{Action, BlockHash, CacheEvent, Index, Listing, MAX_ENGINES, Trust},
+    ids::UpstreamId,
+};
+
+const NOW: Duration = Duration::from_secs(1);
+const LATER: Duration = Duration::from_secs(2);
+
+fn engine() -> UpstreamId {
+    "engine-1".into()
+}
+
+fn event(sequence: u64, stored: &[BlockHash], evicted: &[BlockHash]) -> CacheEvent {
+    CacheEvent {
+        boot: 1,
+        sequence,
+        stored: stored.to_vec(),
+        evicted: evicted.to_vec(),
+    }
+}
+
+fn listing(boot: u64, sequence: u64, blocks: &[BlockHash]) -> Listing {
+    Listing {
+        boot,
+        sequence,
+        blocks: blocks.to_vec(),
+    }
+}
+
+#[test]
+fn stored_and_evicted() {
+    let mut index = Index::default();
+    index.absorb(&engine(), event(1, &[1, 2, 3], &[]), NOW);
+    assert_eq!(index.matched(&engine(), &[1, 2, 3, 4]), 3);
+    index.absorb(&engine(), event(2, &[], &[2]), NOW);
+    assert_eq!(index.matched(&engine(), &[1, 2, 3]), 1);
+    let holders: Vec<_> = index.holders(&[1, 9]).collect();
+    assert_eq!(holders, [(&engine(), 1)]);
+}
+
+#[test]
+fn late_event() {
+    let mut index = Index::default();
+    index.absorb(&engine(), event(1, &[1, 2], &[]), NOW);
+    index.absorb(&engine(), event(3, &[3], &[]), NOW);
+    // Event 2 may have evicted anything.
+    assert_eq!(index.trust(&engine()), Trust::Waiting);
+    assert_eq!(index.matched(&engine(), &[1, 2, 3]), 0);
+    index.absorb(&engine(), event(2, &[], &[2]), NOW);
+    assert_eq!(index.trust(&engine()), Trust::Sure);
+    assert_eq!(index.matched(&engine(), &[1, 2]), 1);
+    assert!(index.run(LATER).is_empty());
+}
+
+#[test]
+fn lost_event() {
+    let mut index = Index::default();
+    index.absorb(&engine(), event(1, &[1, 2], &[]), NOW);
+    index.absorb(&engine(), event(3, &[3], &[]), NOW);
+    assert!(index.run(NOW).is_empty());
+    let resync = Action::Resync { engine: engine() };
+    assert_eq!(index.run(LATER), [resync.clone()]);
+    assert_eq!(index.trust(&engine()), Trust::Unsure);
+    assert!(index.run(LATER).is_empty());
+    // The answer may be lost too.
+    assert_eq!(index.run(LATER + Duration::from_secs(5)), [resync]);
+    index.absorb(&engine(), event(4, &[4], &[]), LATER);
+    assert_eq!(index.matched(&engine(), &[4]), 0);
+    index.resync(&engine(), listing(1, 3, &[1, 3]));
+    assert_eq!(index.trust(&engine()), Trust::Sure);
+    assert_eq!(index.matched(&engine(), &[1, 3, 4]), 3);
+}
+
+#[test]
+fn lost_last_event() {
+    let mut index = Index::default();
+    index.absorb(&engine(), event(1, &[1], &[]), NOW);
+    index.observe(&engine(), 1, 1, NOW);
+    assert_eq!(index.trust(&engine()), Trust::Sure);
+    index.observe(&engine(), 1, 2, NOW);
+    assert_eq!(index.matched(&engine(), &[1]), 0);
+    assert_eq!(index.run(LATER).len(), 1);
+}
+
+#[test]
+fn late_listing() {
+    let mut index = Index::default();
+    index.absorb(&engine(), event(1, &[1], &[]), NOW);
+    index.absorb(&engine(), event(2, &[2], &[1]), NOW);
+    index.resync(&engine(), listing(1, 1, &[1]));
+    assert_eq!(index.matched(&engine(), &[1]), 0);
+    assert_eq!(index.matched(&engine(), &[2]), 1);
+}
+
+#[test]
+fn gap_after_listing() {
+    let mut index = Index::default();
+    index.absorb(&engine(), event(3, &[3], &[]), NOW);
+    index.run(LATER);
+    index.absorb(&engine(), event(8, &[8], &[]), LATER);
+    index.resync(&engine(), listing(1, 5, &[3]));
+    assert_eq!(index.trust(&engine()), Trust::Unsure);
+    assert_eq!(index.matched(&engine(), &[3]), 0);
+    assert_eq!(index.run(LATER).len(), 1);
+}
+
+#[test]
+fn repeated_event() {
+    let mut index = Index::default();
+    index.absorb(&engine(), event(1, &[1], &[]), NOW);
+    index.absorb(&engine(), event(2, &[], &[1]), NOW);
+    index.absorb(&engine(), event(1, &[1], &[]), NOW);
+    assert_eq!(index.matched(&engine(), &[1]), 0);
+}
+
+#[test]
+fn restarted_engine() {
+    let mut index = Index::default();
+    index.absorb(&engine(), event(1, &[1, 2], &[]), NOW);
+    index.observe(&engine(), 2, 0, NOW);
+    assert_eq!(index.matched(&engine(), &[1]), 0);
+    // An event of the former process comes late.
+    index.absorb(&engine(), event(2, &[1], &[]), NOW);
+    assert_eq!(index.matched(&engine(), &[1]), 0);
+    let mut fresh = event(1, &[7], &[]);
+    fresh.boot = 2;
+    index.absorb(&engine(), fresh, NOW);
+    assert_eq!(index.matched(&engine(), &[7]), 1);
+    index.resync(&engine(), listing(1, 9, &[1]));
+    assert_eq!(index.matched(&engine(), &[1]), 0);
+}
+
+#[test]
+fn bounded_engines() {
+    let mut index = Index::default();
+    for number in 0..2 * MAX_ENGINES {
+        let name: UpstreamId = format!("engine-{number}").into();
+        index.absorb(&name, event(1, &[1], &[]), NOW);
+    }
+    assert_eq!(index.holders(&[1]).count(), MAX_ENGINES);
+    index.forget(&engine());
+    assert_eq!(index.holders(&[1]).count(), MAX_ENGINES - 1);
+}
+
+/// Against a model: the index never claims a block that the engine evicted.
+#[test]
+fn random_loss() {
+    bolero::check!()
+        .with_iterations(2_000)
+        .with_type::<Vec<(u8, u8, u8)>>()
+        .for_each(|steps| {
+            let mut index = Index::default();
+            let mut blocks = BTreeSet::new();
+            let mut sequence = 0;
+            let mut delayed = Vec::new();
+            for (number, (block, kind, fate)) in steps.iter().enumerate() {
+                let now = Duration::from_millis(100 * number as u64);
+                let block = BlockHash::from(block % 8);
+                sequence += 1;
+                let sent = if kind % 2 == 0 {
+                    blocks.insert(block);
+                    event(sequence, &[block], &[])
+                } else {
+                    blocks.remove(&block);
+                    event(sequence, &[], &[block])
+                };
+                match fate % 8 {
+                    0 => {}
+                    1 => delayed.push(sent),
+                    _ => index.absorb(&engine(), sent, now),
+                }
+                if fate % 5 == 0 {
+                    delayed
+                        .drain(..)
+                        .for_each(|late| index.absorb(&engine(), late, now));
+                }
+                index.observe(&engine(), 1, sequence, now);
+                if !index.run(now).is_empty() && fate % 3 > 0 {
+                    let held: Vec<BlockHash> = blocks.iter().copied().collect();
+                    index.resync(&engine(), listing(1, sequence, &held));
+                }
+                for block in 0..8 {
+                    let claimed = index.matched(&engine(), &[block]) == 1;
+                    assert!(!claimed || blocks.contains(&block));
+                }
+            }
+        });
+}
