Plan orders to engines under sharded leases

Cause: weights must reach all engines without two hosts ordering against each other, and a failed swap must be found. Change: leases judged by each host's own clock, engines that converge on what they report, waves under a capacity floor and the store's rate.

--- a/src/lease.rs
+++ b/src/lease.rs
@@ -1,1 +1,321 @@
 //! Leases with fencing numbers, kept by the table service.
+//!
+//! A [`Machine`] decides when a host may give orders. Clocks of hosts are never
+//! compared: a challenger waits until the record has stayed the same on its own
+//! clock for the lease and one order timeout (see docs/design/weights.md).
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    clock::Timestamp,
+    ids::{FenceNumber, HostId},
+    store::RecordVersion,
+};
+
+/// The part of the lease after which it is renewed.
+const RENEW_RATIO: f64 = 0.3;
+
+/// The times of a lease, the same on all hosts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Terms {
+    /// How long a lease holds after the write that took or renewed it was sent.
+    pub lease: Duration,
+    /// How long an order may be under way.
+    pub order_timeout: Duration,
+    /// How often a host that does not hold the lease looks at it.
+    pub watch_interval: Duration,
+}
+
+/// A lease as the store keeps it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    /// The host that holds it.
+    pub holder: HostId,
+    /// The life of the holder's process, so that a restart is another holder.
+    pub life: u64,
+    /// The fencing number; each new holder raises it.
+    pub fence: FenceNumber,
+    /// Numbers the holder's writes, so that a lost answer can be read back.
+    pub sequence: u64,
+    /// Whether the holder gave it up with no order under way.
+    pub released: bool,
+}
+
+/// A record with its version in the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Versioned {
+    /// The version that a conditional write names.
+    pub version: RecordVersion,
+    /// What it holds.
+    pub record: Record,
+}
+
+/// What to ask of the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Read the record.
+    Read,
+    /// Write the record if it still has this version; 0 asks that it be absent.
+    Write {
+        /// The version that it must have.
+        version: RecordVersion,
+        /// What to write.
+        record: Record,
+    },
+}
+
+/// How a write ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Wrote {
+    /// It took effect.
+    Done,
+    /// The record had another version.
+    Refused,
+    /// It certainly did not take effect.
+    NotApplied,
+    /// It may have taken effect, or may yet do so.
+    Unknown,
+}
+
+/// What came back from the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// A read ended; none where the store gave no answer.
+    Read(Option<Option<Versioned>>),
+    /// A write ended.
+    Wrote(Wrote),
+}
+
+#[derive(Clone, Debug)]
+struct Seen {
+    at: Option<Versioned>,
+    since: Timestamp,
+    checked: Timestamp,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Held {
+    fence: FenceNumber,
+    valid_until: Timestamp,
+    renew_at: Timestamp,
+}
+
+#[derive(Clone, Debug)]
+struct Pending {
+    version: RecordVersion,
+    record: Record,
+    sent_at: Timestamp,
+    answer_lost: bool,
+}
+
+/// One host's view of one lease.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use mimosavane::lease::{Action, Event, Machine, Terms, Wrote};
+///
+/// let terms = Terms {
+///     lease: Duration::from_secs(10),
+///     order_timeout: Duration::from_secs(2),
+///     watch_interval: Duration::from_secs(1),
+/// };
+/// let mut machine = Machine::new("entry-1", 7, terms);
+/// assert_eq!(machine.poll(Duration::ZERO), Some(Action::Read));
+/// machine.apply(Event::Read(Some(None)), Duration::ZERO);
+/// assert!(matches!(machine.poll(Duration::ZERO), Some(Action::Write { .. })));
+/// machine.apply(Event::Wrote(Wrote::Done), Duration::from_millis(5));
+/// assert_eq!(machine.fence(Duration::from_secs(7)), Some(1));
+/// assert_eq!(machine.fence(Duration::from_secs(9)), None);
+/// ```
+#[derive(Clone, Debug)]
+pub struct Machine {
+    host: HostId,
+    life: u64,
+    terms: Terms,
+    seen: Option<Seen>,
+    held: Option<Held>,
+    pending: Option<Pending>,
+    is_waiting: bool,
+    sequence: u64,
+}
+
+impl Machine {
+    /// Starts without the lease and without knowledge of it.
+    pub fn new(host: impl Into<HostId>, life: u64, terms: Terms) -> Self {
+        Self {
+            host: host.into(),
+            life,
+            terms,
+            seen: None,
+            held: None,
+            pending: None,
+            is_waiting: false,
+            sequence: 0,
+        }
+    }
+
+    /// Returns the fencing number under which an order may be sent at `now`.
+    ///
+    /// The time left must cover the order timeout, so that the order is over
+    /// before anybody else may give one. Ask just before each send.
+    pub fn fence(&self, now: Timestamp) -> Option<FenceNumber> {
+        self.held
+            .filter(|held| now + self.terms.order_timeout <= held.valid_until)
+            .map(|held| held.fence)
+    }
+
+    /// Says whether the lease is held at `now`, if only to let orders end.
+    pub fn is_held(&self, now: Timestamp) -> bool {
+        self.held.is_some_and(|held| now < held.valid_until)
+    }
+
+    /// Gives the lease up because an engine saw a higher fencing number.
+    pub fn lost(&mut self) {
+        self.held = None;
+        self.seen = None;
+        self.pending = None;
+    }
+
+    /// Returns what to ask of the store at `now`, one request at a time.
+    pub fn poll(&mut self, now: Timestamp) -> Option<Action> {
+        if self.is_waiting {
+            return None;
+        }
+        if self.held.is_some_and(|held| now >= held.valid_until) {
+            self.held = None;
+        }
+        let action = match (&self.pending, &self.held) {
+            (Some(pending), _) if pending.answer_lost => Some(Action::Read),
+            (_, Some(held)) if now < held.renew_at => None,
+            (_, Some(held)) => {
+                let fence = held.fence;
+                self.write(fence, false, now)
+            }
+            (_, None) => self.challenge(now),
+        };
+        self.is_waiting = action.is_some();
+        action
+    }
+
+    /// Returns the write that gives the lease up, if it is held.
+    ///
+    /// Call it only when no order is under way.
+    pub fn release(&mut self, now: Timestamp) -> Option<Action> {
+        let fence = self.held.filter(|_| !self.is_waiting)?.fence;
+        self.held = None;
+        self.pending = None;
+        let action = self.write(fence, true, now);
+        self.is_waiting = action.is_some();
+        action
+    }
+
+    /// Takes in what the store answered, or that it did not.
+    pub fn apply(&mut self, event: Event, now: Timestamp) {
+        self.is_waiting = false;
+        match event {
+            Event::Read(Some(found)) => self.found(found, now),
+            Event::Read(None) => {}
+            Event::Wrote(Wrote::Done) => self.confirm(now),
+            Event::Wrote(Wrote::Refused) => {
+                self.pending = None;
+                self.held = None;
+                self.seen = None;
+            }
+            // Nothing took effect, so that the same write is due again.
+            Event::Wrote(Wrote::NotApplied) => self.pending = None,
+            Event::Wrote(Wrote::Unknown) => {
+                if let Some(pending) = &mut self.pending {
+                    pending.answer_lost = true;
+                }
+            }
+        }
+    }
+
+    fn found(&mut self, found: Option<Versioned>, now: Timestamp) {
+        let pending = self.pending.take();
+        if let (Some(pending), Some(found)) = (&pending, &found)
+            && pending.record == found.record
+        {
+            self.pending = Some(pending.clone());
+            self.confirm(now);
+            return;
+        }
+        let is_same = self.seen.as_ref().is_some_and(|seen| seen.at == found);
+        if is_same {
+            if let Some(seen) = &mut self.seen {
+                seen.checked = now;
+            }
+            return;
+        }
+        // Somebody else wrote, so that a lease that was held is gone.
+        self.held = None;
+        self.seen = Some(Seen {
+            at: found,
+            since: now,
+            checked: now,
+        });
+    }
+
+    /// Notes that the pending write is in force.
+    fn confirm(&mut self, now: Timestamp) {
+        let Some(pending) = self.pending.take() else {
+            return;
+        };
+        if !pending.record.released {
+            self.held = Some(Held {
+                fence: pending.record.fence,
+                valid_until: pending.sent_at + self.terms.lease,
+                renew_at: pending.sent_at + self.terms.lease.mul_f64(RENEW_RATIO),
+            });
+        }
+        self.seen = Some(Seen {
+            at: Some(Versioned {
+                version: pending.version + 1,
+                record: pending.record,
+            }),
+            since: now,
+            checked: now,
+        });
+    }
+
+    /// Looks at the record of another holder, and takes it over when it lapsed.
+    fn challenge(&mut self, now: Timestamp) -> Option<Action> {
+        let Some(seen) = &self.seen else {
+            return Some(Action::Read);
+        };
+        let Some(found) = &seen.at else {
+            return self.write(1, false, now);
+        };
+        let wait = self.terms.lease + self.terms.order_timeout;
+        let has_lapsed = found.record.released || now >= seen.since + wait;
+        if has_lapsed {
+            let fence = found.record.fence + 1;
+            return self.write(fence, false, now);
+        }
+        (now >= seen.checked + self.terms.watch_interval).then_some(Action::Read)
+    }
+
+    fn write(&mut self, fence: FenceNumber, released: bool, now: Timestamp) -> Option<Action> {
+        let version = self.seen.as_ref()?.at.as_ref().map_or(0, |at| at.version);
+        self.sequence += 1;
+        let record = Record {
+            holder: self.host.clone(),
+            life: self.life,
+            fence,
+            sequence: self.sequence,
+            released,
+        };
+        self.pending = Some(Pending {
+            version,
+            record: record.clone(),
+            sent_at: now,
+            answer_lost: false,
+        });
+        Some(Action::Write { version, record })
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -66,6 +66,7 @@
 pub mod settings;
 pub mod settings_check;
 pub mod settings_field;
+pub mod shard;
 pub mod share;
 pub mod slot;
 pub mod spec;
--- /dev/null
+++ b/tests/lease.rs
@@ -0,0 +1,243 @@
+//! Leases under pauses, lost answers, late writes and old reads.
+
+use std::time::Duration;
+
+use mimosavane::{
+    clock::Timestamp,
+    controller::Rng,
+    ids::FenceNumber,
+    lease::{Action, Event, Machine, Record, Terms, Versioned, Wrote},
+};
+use rand::{Rng as _, SeedableRng};
+
+const TERMS: Terms = Terms {
+    lease: Duration::from_secs(5),
+    order_timeout: Duration::from_secs(1),
+    watch_interval: Duration::from_millis(500),
+};
+const STEP: Duration = Duration::from_millis(100);
+
+/// The record in the store, with the one before for old reads.
+#[derive(Default)]
+struct Store {
+    now: Option<Versioned>,
+    before: Option<Versioned>,
+}
+
+impl Store {
+    fn write(&mut self, version: u64, record: &Record) -> bool {
+        let present = self.now.as_ref().map_or(0, |now| now.version);
+        if present != version {
+            return false;
+        }
+        self.before = self.now.take();
+        self.now = Some(Versioned {
+            version: version + 1,
+            record: record.clone(),
+        });
+        true
+    }
+}
+
+struct Host {
+    machine: Machine,
+    asleep_until: Timestamp,
+    /// What the store will answer, and when.
+    answer: Option<(Timestamp, Event)>,
+}
+
+struct World {
+    now: Timestamp,
+    store: Store,
+    hosts: Vec<Host>,
+    late: Vec<(Timestamp, Action)>,
+    rng: Rng,
+    /// Orders that reached an engine: fence and holder.
+    orders: Vec<(FenceNumber, usize)>,
+}
+
+impl World {
+    fn new(seed: u64) -> Self {
+        let hosts = (0..3).map(|index| Host {
+            machine: Machine::new(format!("entry-{index}"), 1, TERMS),
+            asleep_until: Duration::ZERO,
+            answer: None,
+        });
+        Self {
+            now: Duration::ZERO,
+            store: Store::default(),
+            hosts: hosts.collect(),
+            late: Vec::new(),
+            rng: Rng::seed_from_u64(seed),
+            orders: Vec::new(),
+        }
+    }
+
+    fn step(&mut self, fault_ratio: f64) {
+        self.now += STEP;
+        self.deliver_late();
+        for index in 0..self.hosts.len() {
+            self.run(index, fault_ratio);
+        }
+        let holders = self.hosts.iter().enumerate();
+        let able: Vec<(FenceNumber, usize)> = holders
+            .filter_map(|(index, host)| Some((host.machine.fence(self.now)?, index)))
+            .collect();
+        assert!(able.len() <= 1, "two holders: {able:?}");
+        for order in able {
+            let last = self.orders.last().copied().unwrap_or_default();
+            assert!(order.0 >= last.0, "the fence fell");
+            assert!(order.0 > last.0 || order.1 == last.1 || last.0 == 0);
+            self.orders.push(order);
+        }
+    }
+
+    fn deliver_late(&mut self) {
+        let now = self.now;
+        let (due, late) = self.late.drain(..).partition(|(at, _)| *at <= now);
+        self.late = late;
+        let due: Vec<(Timestamp, Action)> = due;
+        for (_, action) in due {
+            if let Action::Write { version, record } = action {
+                self.store.write(version, &record);
+            }
+        }
+    }
+
+    fn run(&mut self, index: usize, fault_ratio: f64) {
+        let now = self.now;
+        if now < self.hosts[index].asleep_until {
+            return;
+        }
+        if self.rng.random_bool(fault_ratio / 20.0) {
+            let pause = STEP * self.rng.random_range(1..150);
+            self.hosts[index].asleep_until = now + pause;
+            return;
+        }
+        let host = &mut self.hosts[index];
+        if host.answer.as_ref().is_some_and(|(at, _)| *at <= now)
+            && let Some((_, event)) = host.answer.take()
+        {
+            host.machine.apply(event, now);
+        }
+        if host.answer.is_some() {
+            return;
+        }
+        if let Some(action) = host.machine.poll(now) {
+            let event = self.ask(action, fault_ratio);
+            let delay = STEP * self.rng.random_range(0..4);
+            self.hosts[index].answer = Some((now + delay, event));
+        }
+    }
+
+    fn ask(&mut self, action: Action, fault_ratio: f64) -> Event {
+        let fault = if self.rng.random_bool(fault_ratio) {
+            self.rng.random_range(0..4)
+        } else {
+            4
+        };
+        match (action, fault) {
+            (Action::Read, 0..=1) => Event::Read(None),
+            (Action::Read, 2..=3) => Event::Read(Some(self.store.before.clone())),
+            (Action::Read, _) => Event::Read(Some(self.store.now.clone())),
+            (Action::Write { .. }, 0) => Event::Wrote(Wrote::NotApplied),
+            (write @ Action::Write { .. }, 1) => {
+                let at = self.now + STEP * self.rng.random_range(1..200);
+                self.late.push((at, write));
+                Event::Wrote(Wrote::Unknown)
+            }
+            (Action::Write { version, record }, fault) => {
+                let is_done = self.store.write(version, &record);
+                match (is_done, fault) {
+                    (_, 2..=3) => Event::Wrote(Wrote::Unknown),
+                    (true, _) => Event::Wrote(Wrote::Done),
+                    (false, _) => Event::Wrote(Wrote::Refused),
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn seeded_schedules() {
+    let mut holder_count = 0;
+    for seed in 0..200 {
+        let mut world = World::new(seed);
+        for _ in 0..2_000 {
+            world.step(0.2);
+        }
+        holder_count += world.orders.last().map_or(0, |order| order.0);
+    }
+    // The schedules must move the lease, or they would show nothing.
+    assert!(holder_count > 400, "{holder_count}");
+}
+
+#[test]
+fn calm_holder() {
+    let mut world = World::new(1);
+    for _ in 0..1_000 {
+        world.step(0.0);
+    }
+    assert_eq!(world.orders.last().map(|order| order.0), Some(1));
+    assert!(world.orders.len() > 900, "{}", world.orders.len());
+}
+
+#[test]
+fn dead_holder() {
+    let mut world = World::new(1);
+    for _ in 0..50 {
+        world.step(0.0);
+    }
+    let (fence, index) = world.orders.last().copied().unwrap();
+    world.hosts[index].asleep_until = Duration::MAX;
+    let died_at = world.now;
+    while world.orders.last().map(|order| order.0) == Some(fence) {
+        world.step(0.0);
+        assert!(world.now < died_at + Duration::from_secs(20));
+    }
+    let waited = world.now - died_at;
+    println!("taken over after {waited:?}");
+    // Nobody takes over before the lease and one order timeout are over.
+    assert!(waited > Duration::from_secs(3), "{waited:?}");
+    assert!(waited < Duration::from_secs(9), "{waited:?}");
+}
+
+#[test]
+fn store_down() {
+    let mut machine = Machine::new("entry-1", 1, TERMS);
+    machine.poll(Duration::ZERO);
+    machine.apply(Event::Read(Some(None)), Duration::ZERO);
+    machine.poll(Duration::ZERO);
+    machine.apply(Event::Wrote(Wrote::Done), Duration::ZERO);
+    for second in 0..20 {
+        let now = Duration::from_secs(second);
+        if machine.poll(now).is_some() {
+            machine.apply(Event::Wrote(Wrote::NotApplied), now);
+        }
+        // Orders stop one order timeout before the lease ends.
+        assert_eq!(machine.fence(now).is_some(), second <= 4, "{second}");
+    }
+}
+
+#[test]
+fn released_lease() {
+    let mut world = World::new(1);
+    for _ in 0..50 {
+        world.step(0.0);
+    }
+    let (_, index) = world.orders.last().copied().unwrap();
+    let now = world.now;
+    let host = &mut world.hosts[index];
+    host.asleep_until = Duration::MAX;
+    if host.answer.take().is_some() {
+        host.machine.apply(Event::Read(None), now);
+    }
+    let Some(Action::Write { version, record }) = host.machine.release(now) else {
+        panic!("it holds the lease");
+    };
+    assert!(world.store.write(version, &record));
+    for _ in 0..12 {
+        world.step(0.0);
+    }
+    assert_eq!(world.orders.last().map(|order| order.0), Some(2));
+}
--- /dev/null
+++ b/tests/order.rs
@@ -0,0 +1,138 @@
+//! Orders that converge on what an engine reports.
+
+use std::time::Duration;
+
+use mimosavane::order::{End, Engine, Need, Order, Report, Swap, Wanted};
+
+const LOAD: Order = Order::LoadWeights { version: 4 };
+
+fn report(version: u64, swap: Swap) -> Report {
+    Report {
+        boot: 1,
+        version,
+        swap,
+    }
+}
+
+fn wanted() -> Wanted {
+    Wanted {
+        version: 4,
+        ..Wanted::default()
+    }
+}
+
+fn at(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+fn engine_at(version: u64) -> Engine {
+    let mut engine = Engine::default();
+    engine.reported(report(version, Swap::Idle), at(0));
+    engine
+}
+
+#[test]
+fn no_report() {
+    assert_eq!(Engine::default().need(&wanted(), at(0)), None);
+    // An old report is no ground for an order.
+    assert_eq!(engine_at(3).need(&wanted(), at(60)), None);
+}
+
+#[test]
+fn never_lower() {
+    assert_eq!(engine_at(7).need(&wanted(), at(0)), None);
+    let mut engine = engine_at(7);
+    engine.reported(report(7, Swap::Failed), at(1));
+    let repair = Order::LoadWeights { version: 7 };
+    assert_eq!(engine.need(&wanted(), at(1)), Some(Need::Repair(repair)));
+}
+
+#[test]
+fn lost_order_answer() {
+    let mut engine = engine_at(3);
+    engine.sending(&LOAD, at(0));
+    engine.ended(LOAD, End::Failed, at(1));
+    // It may have taken effect, so that a report decides.
+    assert!(!engine.is_serving(at(1)));
+    engine.reported(report(3, Swap::Loading), at(2));
+    assert_eq!(engine.need(&wanted(), at(2)), None);
+    engine.reported(report(4, Swap::Idle), at(9));
+    assert_eq!(engine.need(&wanted(), at(9)), None);
+    assert!(engine.is_serving(at(9)));
+}
+
+#[test]
+fn lost_order() {
+    let mut engine = engine_at(3);
+    engine.sending(&LOAD, at(0));
+    engine.ended(LOAD, End::Failed, at(1));
+    engine.reported(report(3, Swap::Idle), at(2));
+    engine.reported(report(3, Swap::Idle), at(6));
+    assert_eq!(engine.need(&wanted(), at(6)), Some(Need::Load(LOAD)));
+}
+
+#[test]
+fn repeated_failure() {
+    let mut engine = engine_at(3);
+    let mut gaps = Vec::new();
+    let mut last = 0;
+    for second in 0..120 {
+        let now = at(second);
+        if engine.need(&wanted(), now).is_some() {
+            engine.sending(&LOAD, now);
+            engine.ended(LOAD, End::Accepted, now);
+            gaps.push(second - last);
+            last = second;
+        }
+        let swap = if second == 0 {
+            Swap::Idle
+        } else {
+            Swap::Failed
+        };
+        engine.reported(report(3, swap), now);
+    }
+    assert!(gaps.len() >= 5, "{gaps:?}");
+    assert!(gaps.len() <= 12, "the pause must grow: {gaps:?}");
+}
+
+#[test]
+fn stuck_load() {
+    let mut engine = engine_at(3);
+    engine.sending(&LOAD, at(0));
+    engine.ended(LOAD, End::Accepted, at(0));
+    for second in 1..70 {
+        engine.reported(report(3, Swap::Loading), at(second));
+    }
+    assert_eq!(engine.need(&wanted(), at(70)), Some(Need::Repair(LOAD)));
+}
+
+#[test]
+fn restarted_engine() {
+    let mut engine = engine_at(4);
+    let mut wanted = wanted();
+    wanted.adapters.insert("guides-es".to_owned(), 2);
+    let order = Order::LoadAdapter {
+        adapter: "guides-es".to_owned(),
+        version: 2,
+    };
+    assert_eq!(
+        engine.need(&wanted, at(0)),
+        Some(Need::Light(order.clone()))
+    );
+    engine.sending(&order, at(0));
+    engine.ended(order.clone(), End::Accepted, at(0));
+    assert_eq!(engine.need(&wanted, at(1)), None);
+    let restarted = Report {
+        boot: 2,
+        ..report(4, Swap::Idle)
+    };
+    engine.reported(restarted, at(2));
+    assert_eq!(engine.need(&wanted, at(2)), Some(Need::Light(order)));
+}
+
+#[test]
+fn order_message() {
+    let message = LOAD.message(9);
+    assert_eq!((message.fence, message.version), (9, 4));
+    assert_eq!(message.kind, "load-weights");
+}
--- /dev/null
+++ b/tests/wave.rs
@@ -0,0 +1,391 @@
+//! Rollouts of weights over fake engines, in virtual time.
+
+use std::{
+    collections::BTreeMap,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use mimosavane::{
+    clock::Timestamp,
+    ids::UpstreamId,
+    lease::{self, Terms, Versioned, Wrote},
+    order::{End, Order, Report, Swap, Wanted},
+    shard::{Action, Event, Shard, shard_of},
+    wave::Limits,
+};
+
+const TERMS: Terms = Terms {
+    lease: Duration::from_secs(10),
+    order_timeout: Duration::from_secs(2),
+    watch_interval: Duration::from_secs(1),
+};
+const STEP: Duration = Duration::from_millis(100);
+
+/// An engine that loads for a while and may fail halfway.
+struct Fake {
+    report: Report,
+    loading: Option<(u64, Timestamp)>,
+    fence: u64,
+    checks_fences: bool,
+    fail_count: u32,
+    refused: u32,
+    /// The highest version that it ever ran, and whether it fell below.
+    fell: bool,
+}
+
+struct World {
+    now: Timestamp,
+    store: Option<Versioned>,
+    shards: Vec<Shard>,
+    events: Vec<Vec<Event>>,
+    engines: BTreeMap<UpstreamId, Fake>,
+    load_time: Duration,
+    /// Orders of paused hosts that passed the check and are sent later.
+    held_back: Vec<(UpstreamId, Order, u64)>,
+    paused: Vec<bool>,
+    least_serving: usize,
+    load_count: u64,
+}
+
+fn name(index: usize) -> UpstreamId {
+    format!("engine-{index:04}").into()
+}
+
+fn wanted(version: u64) -> Event {
+    let wanted = Wanted {
+        version,
+        ..Wanted::default()
+    };
+    Event::Wanted([(Arc::from("guide"), wanted)].into())
+}
+
+impl World {
+    fn new(engine_count: usize, shard_count: usize, limits: Limits, checks: bool) -> Self {
+        let engines: BTreeMap<UpstreamId, Fake> = (0..engine_count)
+            .map(|index| {
+                let fake = Fake {
+                    report: Report {
+                        boot: 1,
+                        version: 1,
+                        swap: Swap::Idle,
+                    },
+                    loading: None,
+                    fence: 0,
+                    checks_fences: checks,
+                    fail_count: 0,
+                    refused: 0,
+                    fell: false,
+                };
+                (name(index), fake)
+            })
+            .collect();
+        let listed: BTreeMap<UpstreamId, Arc<str>> = engines
+            .keys()
+            .map(|id| (id.clone(), Arc::from("guide")))
+            .collect();
+        let shards = (0..shard_count)
+            .map(|index| Shard::new(format!("entry-{index}"), 1, TERMS, limits))
+            .collect();
+        Self {
+            now: Duration::ZERO,
+            store: None,
+            shards,
+            events: vec![vec![Event::Listed(listed)]; shard_count],
+            least_serving: engines.len(),
+            engines,
+            load_time: Duration::from_secs(5),
+            held_back: Vec::new(),
+            paused: vec![false; shard_count],
+            load_count: 0,
+        }
+    }
+
+    fn want(&mut self, version: u64) {
+        for events in &mut self.events {
+            events.push(wanted(version));
+        }
+    }
+
+    fn step(&mut self) {
+        self.now += STEP;
+        self.load();
+        for index in 0..self.shards.len() {
+            if self.paused[index] {
+                continue;
+            }
+            let events = std::mem::take(&mut self.events[index]);
+            let actions = self.shards[index].run(events, self.now);
+            for action in actions {
+                self.act(index, action);
+            }
+        }
+        let serving = self.engines.values().filter(|fake| fake.is_serving());
+        self.least_serving = self.least_serving.min(serving.count());
+    }
+
+    fn run_for(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    fn load(&mut self) {
+        for fake in self.engines.values_mut() {
+            let Some((version, until)) = fake.loading else {
+                continue;
+            };
+            if self.now < until {
+                continue;
+            }
+            fake.loading = None;
+            if fake.fail_count > 0 {
+                fake.fail_count -= 1;
+                fake.report.swap = Swap::Failed;
+                continue;
+            }
+            fake.fell |= version < fake.report.version;
+            fake.report.version = version;
+            fake.report.swap = Swap::Idle;
+        }
+    }
+
+    fn act(&mut self, index: usize, action: Action) {
+        match action {
+            Action::Lease(lease::Action::Read) => {
+                let event = lease::Event::Read(Some(self.store.clone()));
+                self.events[index].push(Event::Lease(event));
+            }
+            Action::Lease(lease::Action::Write { version, record }) => {
+                let present = self.store.as_ref().map_or(0, |at| at.version);
+                let wrote = if present == version {
+                    self.store = Some(Versioned {
+                        version: version + 1,
+                        record,
+                    });
+                    Wrote::Done
+                } else {
+                    Wrote::Refused
+                };
+                self.events[index].push(Event::Lease(lease::Event::Wrote(wrote)));
+            }
+            Action::Ask { engine } => {
+                let report = self.engines[&engine].report;
+                self.events[index].push(Event::Reported { engine, report });
+            }
+            Action::Send { engine, order } => {
+                let Some(fence) = self.shards[index].fence(self.now) else {
+                    panic!("it plans under a lease only");
+                };
+                let end = self.deliver(&engine, &order, fence);
+                self.events[index].push(Event::Ended { engine, order, end });
+            }
+        }
+    }
+
+    fn deliver(&mut self, engine: &UpstreamId, order: &Order, fence: u64) -> End {
+        let until = self.now + self.load_time;
+        let fake = self.engines.get_mut(engine).unwrap();
+        if fake.checks_fences && fence < fake.fence {
+            fake.refused += 1;
+            return End::Stale;
+        }
+        fake.fence = fake.fence.max(fence);
+        if let Order::LoadWeights { version } = order {
+            fake.loading = Some((*version, until));
+            fake.report.swap = Swap::Loading;
+            self.load_count += 1;
+        }
+        End::Accepted
+    }
+
+    /// Pauses the host that may give orders, after its check of one more order.
+    fn pause_holder(&mut self, version: u64) {
+        let holder = (0..self.shards.len())
+            .find(|index| self.shards[*index].fence(self.now).is_some())
+            .unwrap();
+        let fence = self.shards[holder].fence(self.now).unwrap();
+        let order = Order::LoadWeights { version };
+        let engines: Vec<UpstreamId> = self.engines.keys().cloned().collect();
+        for engine in engines {
+            self.held_back.push((engine, order.clone(), fence));
+        }
+        self.paused[holder] = true;
+    }
+
+    /// Wakes all hosts, whose orders then arrive under their old lease.
+    fn wake(&mut self) {
+        for (engine, order, fence) in std::mem::take(&mut self.held_back) {
+            self.deliver(&engine, &order, fence);
+        }
+        self.paused.fill(false);
+    }
+
+    fn versions(&self) -> Vec<u64> {
+        let mut versions: Vec<u64> = self
+            .engines
+            .values()
+            .map(|fake| fake.report.version)
+            .collect();
+        versions.sort_unstable();
+        versions.dedup();
+        versions
+    }
+
+    fn all_at(&self, version: u64) -> bool {
+        self.versions() == [version] && self.engines.values().all(Fake::is_serving)
+    }
+}
+
+impl Fake {
+    fn is_serving(&self) -> bool {
+        self.report.swap == Swap::Idle
+    }
+}
+
+fn limits(floor: f64, rate: f64) -> Limits {
+    Limits {
+        capacity_floor_ratio: floor,
+        max_rate_loads_per_s: rate,
+    }
+}
+
+#[test]
+fn capacity_floor() {
+    let mut world = World::new(10, 1, limits(0.7, 100.0), true);
+    world.want(2);
+    world.run_for(Duration::from_secs(40));
+    assert!(world.all_at(2));
+    assert_eq!(world.least_serving, 7);
+    assert_eq!(world.load_count, 10);
+}
+
+#[test]
+fn single_engine() {
+    let mut world = World::new(1, 1, limits(0.9, 100.0), true);
+    world.want(2);
+    world.run_for(Duration::from_secs(10));
+    assert!(world.all_at(2));
+}
+
+#[test]
+fn store_rate() {
+    let mut world = World::new(100, 1, limits(0.0, 2.0), true);
+    world.want(2);
+    world.run_for(Duration::from_secs(20));
+    assert!(world.load_count <= 42, "{}", world.load_count);
+    assert!(world.load_count >= 36, "{}", world.load_count);
+}
+
+#[test]
+fn failed_swap() {
+    let mut world = World::new(10, 1, limits(0.7, 100.0), true);
+    for fake in world.engines.values_mut().take(4) {
+        fake.fail_count = 2;
+    }
+    world.want(2);
+    world.run_for(Duration::from_secs(90));
+    assert!(world.all_at(2), "{:?}", world.versions());
+    assert_eq!(world.load_count, 18);
+}
+
+#[test]
+fn newer_engine() {
+    let mut world = World::new(4, 1, limits(0.5, 100.0), true);
+    world.engines.get_mut(&name(0)).unwrap().report.version = 9;
+    world.want(2);
+    world.run_for(Duration::from_secs(30));
+    assert_eq!(world.versions(), [2, 9]);
+    assert!(!world.engines[&name(0)].fell);
+}
+
+/// A holder is paused after its check, another takes over, the first wakes and
+/// its orders arrive; then all of it once more.
+#[test]
+fn paused_holder() {
+    for checks in [true, false] {
+        let mut world = World::new(10, 3, limits(0.5, 100.0), checks);
+        world.want(2);
+        world.run_for(Duration::from_secs(30));
+        assert!(world.all_at(2));
+        for version in [4, 6] {
+            world.pause_holder(version - 1);
+            world.want(version);
+            world.run_for(Duration::from_secs(60));
+            assert!(world.all_at(version), "{checks} {:?}", world.versions());
+            world.wake();
+            world.run_for(Duration::from_secs(40));
+            assert!(world.all_at(version), "{checks} {:?}", world.versions());
+        }
+        let refused = world.engines.values().map(|fake| fake.refused).sum::<u32>();
+        assert_eq!(refused, if checks { 20 } else { 0 });
+        let fell = world.engines.values().any(|fake| fake.fell);
+        assert_eq!(fell, !checks, "only engines without fences go back a while");
+    }
+}
+
+#[test]
+fn old_read() {
+    let mut world = World::new(4, 1, limits(0.5, 100.0), true);
+    world.want(3);
+    world.run_for(Duration::from_secs(30));
+    world.want(2);
+    world.run_for(Duration::from_secs(30));
+    assert!(world.all_at(3));
+}
+
+#[test]
+fn light_orders() {
+    let mut world = World::new(2, 1, limits(0.5, 100.0), true);
+    let wanted = Wanted {
+        version: 1,
+        adapters: [("guides-es".to_owned(), 4)].into(),
+        role: "decode".to_owned(),
+    };
+    world.events[0].push(Event::Wanted([(Arc::from("guide"), wanted)].into()));
+    world.run_for(Duration::from_secs(5));
+    let shard = &world.shards[0];
+    assert!(shard.members().values().all(|member| {
+        member.engine.is_serving(world.now) && member.engine.version() == Some(1)
+    }));
+    assert_eq!(world.load_count, 0);
+}
+
+/// The whole fleet of two years from now, in one process and in virtual time.
+#[test]
+fn full_fleet() {
+    const ENGINE_COUNT: usize = 6_000;
+    const SHARD_COUNT: u32 = 60;
+
+    let mut planned_by_shard = BTreeMap::new();
+    for index in 0..ENGINE_COUNT {
+        *planned_by_shard
+            .entry(shard_of(&name(index), SHARD_COUNT))
+            .or_insert(0) += 1;
+    }
+    assert_eq!(planned_by_shard.len(), SHARD_COUNT as usize);
+    let largest = planned_by_shard.values().max().copied().unwrap();
+    println!("largest of {SHARD_COUNT} shards: {largest} engines");
+
+    // One shard holds them all, which is the planner's worst case.
+    let mut world = World::new(ENGINE_COUNT, 1, limits(0.5, 1_000.0), true);
+    world.load_time = Duration::from_secs(6);
+    world.run_for(Duration::from_secs(3));
+    let begun = world.now;
+    world.want(2);
+    let clock = Instant::now();
+    while !world.all_at(2) {
+        world.step();
+        assert!(world.now < begun + Duration::from_secs(60));
+    }
+    let rollout = world.now - begun;
+    println!(
+        "{ENGINE_COUNT} engines: rollout {:.1} s, least serving {}, {} ms of processor in all",
+        rollout.as_secs_f64(),
+        world.least_serving,
+        clock.elapsed().as_millis(),
+    );
+    assert!(rollout <= Duration::from_secs(21), "{rollout:?}");
+    assert!(world.least_serving >= ENGINE_COUNT / 2);
+}
