Check that the page brings nothing from outside

Cause: the page's key must not leak to other sites. Change: a test of the policy header and of the text of the page.

--- a/tests/table_server.rs
+++ b/tests/table_server.rs
@@ -333,6 +333,27 @@
     assert_eq!(page.status, StatusCode::OK);
 }
 
+#[tokio::test]
+async fn self_contained_page() {
+    let running = start().await;
+    let page = running.ask(Method::GET, "/", "").await;
+    let policy = page.headers[header::CONTENT_SECURITY_POLICY]
+        .to_str()
+        .unwrap();
+    assert!(policy.starts_with("default-src 'none'"));
+    let text = String::from_utf8(page.body.to_vec()).unwrap();
+    for outside in [
+        "http://",
+        "https://",
+        "src=",
+        "@import",
+        "url(",
+        "innerHTML",
+    ] {
+        assert!(!text.contains(outside), "{outside}");
+    }
+}
+
 #[tokio::test]
 async fn csv_round_trip() {
     let running = start().await;
