Add logs and metrics with names in one table

Cause: logs and metrics had no set-up, and no list of names. Change: logs as text or JSON from settings; a StatsD sender that never blocks and is silent without an address; docs/METRICS.md is written from the table. The chart's labels are larger and its legend no longer hides new data. Before: none. Conclusion: a new metric takes one line.

--- a/examples/pages.rs
+++ b/examples/pages.rs
@@ -3,7 +3,10 @@
 use anyhow::{Context, Result};
 
 fn main() -> Result<()> {
-    let pages = [("docs/SETTINGS.md", mimosavane::settings_field::page())];
+    let pages = [
+        ("docs/SETTINGS.md", mimosavane::settings_field::page()),
+        ("docs/METRICS.md", mimosavane::telemetry::page()),
+    ];
     for (path, text) in pages {
         std::fs::write(path, text).with_context(|| format!("writing {path}"))?;
     }
--- a/src/burn_page.rs
+++ b/src/burn_page.rs
@@ -6,7 +6,7 @@
     coord::Shift,
     prelude::{
         ChartBuilder, Color as _, DrawingArea, DrawingAreaErrorKind, IntoDrawingArea as _,
-        LineSeries, PathElement, RGBColor, SVGBackend, WHITE,
+        LineSeries, PathElement, RGBColor, SVGBackend, SeriesLabelPosition, WHITE,
     },
 };
 use strum::IntoEnumIterator as _;
@@ -18,7 +18,7 @@
 };
 
 /// The size of one chart in pixels.
-const CHART_SIZE: (u32, u32) = (860, 260);
+const CHART_SIZE: (u32, u32) = (860, 300);
 /// The colours of lines, which people with colour blindness tell apart (Okabe
 /// and Ito 2008).
 const COLOURS: [RGBColor; 7] = [
@@ -30,13 +30,17 @@
     RGBColor(86, 180, 233),
     RGBColor(0, 0, 0),
 ];
+/// The colour of the budget, which no line of a row has.
+const BUDGET_COLOUR: RGBColor = RGBColor(120, 120, 120);
+/// The font of labels, which people with low vision can read.
+const LABEL_FONT: (&str, u32) = ("sans-serif", 15);
 /// The head of the page.
 const HEAD: &str = "<!DOCTYPE html>\n<html lang=\"en\">\n<head><meta charset=\"utf-8\">\
 <title>Service-level burn</title>\n<style>\n\
 body{font:16px/1.5 sans-serif;margin:2em auto;max-width:900px;color:#111}\n\
 table{border-collapse:collapse;width:100%}\n\
 th,td{text-align:left;padding:.3em .6em;border-bottom:1px solid #ccc}\n\
-td.number{text-align:right;font-variant-numeric:tabular-nums}\n\
+td.number,th.number{text-align:right;font-variant-numeric:tabular-nums}\n\
 .fast{background:#f9c9c0}.slow{background:#fbe6b5}.missing{background:#f9c9c0;padding:.5em 1em}\n\
 </style></head>\n<body>\n<h1>Service-level burn</h1>\n";
 
@@ -91,7 +95,11 @@
 fn write_table(page: &mut String, report: &Report) {
     page.push_str("<table>\n<tr><th>objective</th><th>row or host</th>");
     for window in Window::iter() {
-        let _ = write!(page, "<th>burn {}</th>", report.window_name(window));
+        let _ = write!(
+            page,
+            "<th class=\"number\">burn {}</th>",
+            report.window_name(window)
+        );
     }
     page.push_str("<th>alert</th></tr>\n");
     for line in &report.lines {
@@ -167,27 +175,35 @@
     root.fill(&WHITE)?;
     let mut chart = ChartBuilder::on(root)
         .margin(10)
-        .x_label_area_size(36)
-        .y_label_area_size(48)
+        .x_label_area_size(44)
+        .y_label_area_size(60)
         .build_cartesian_2d(oldest..0.0, 0.0..highest * 1.1)?;
     let bucket_s = report.bucket_ms as f64 / 1e3;
     chart
         .configure_mesh()
         .x_desc("seconds ago")
         .y_desc("burn")
-        .x_label_formatter(&|age| format!("{:.0}", -age * bucket_s))
+        .x_label_formatter(&|age| format!("{:.0}", (age * bucket_s).abs()))
+        .max_light_lines(0)
+        .label_style(LABEL_FONT)
+        .axis_desc_style(LABEL_FONT)
         .draw()?;
     let budget = [(oldest, 1.0), (0.0, 1.0)];
-    chart.draw_series(LineSeries::new(budget, RGBColor(120, 120, 120)))?;
+    chart
+        .draw_series(LineSeries::new(budget, BUDGET_COLOUR.stroke_width(2)))?
+        .label("budget")
+        .legend(|(x, y)| PathElement::new([(x, y), (x + 18, y)], BUDGET_COLOUR.stroke_width(2)));
     for ((name, points), colour) in points.iter().zip(COLOURS.iter().cycle()) {
         let line = LineSeries::new(points.iter().copied(), colour.stroke_width(2)).point_size(2);
         chart
             .draw_series(line)?
             .label(name)
-            .legend(move |(x, y)| PathElement::new([(x, y), (x + 18, y)], *colour));
+            .legend(move |(x, y)| PathElement::new([(x, y), (x + 18, y)], colour.stroke_width(2)));
     }
     chart
         .configure_series_labels()
+        .position(SeriesLabelPosition::UpperLeft)
+        .label_font(LABEL_FONT)
         .background_style(WHITE.mix(0.8))
         .border_style(RGBColor(180, 180, 180))
         .draw()?;
--- /dev/null
+++ b/tests/telemetry.rs
@@ -0,0 +1,59 @@
+//! Metrics reach StatsD under the names of the page.
+
+use std::{collections::BTreeSet, net::UdpSocket, time::Duration};
+
+use mimosavane::{
+    settings::TelemetrySettings,
+    telemetry::{self, CALL_TIME, CALLS_ANSWERED, HOSTS_LIVE, METRICS, Metrics, TelemetryError},
+};
+
+#[test]
+fn page_is_current() {
+    let page = std::fs::read_to_string("docs/METRICS.md").unwrap();
+    assert_eq!(page, telemetry::page(), "run cargo run --example pages");
+}
+
+#[test]
+fn names_differ() {
+    let names: BTreeSet<&str> = METRICS.iter().map(|metric| metric.name).collect();
+    assert_eq!(names.len(), METRICS.len());
+}
+
+#[test]
+fn sent_datagrams() {
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    socket
+        .set_read_timeout(Some(Duration::from_secs(10)))
+        .unwrap();
+    let settings = TelemetrySettings {
+        statsd_address: socket.local_addr().unwrap().to_string(),
+        ..TelemetrySettings::default()
+    };
+    let metrics = Metrics::start(&settings, &"entry-1".into()).unwrap();
+    metrics.count(CALLS_ANSWERED, 2);
+    metrics.gauge(HOSTS_LIVE, 12);
+    metrics.time(CALL_TIME, Duration::from_millis(5));
+    let expected = [
+        "mimosavane.calls.answered_count:2|c|#host:entry-1",
+        "mimosavane.hosts.live_count:12|g|#host:entry-1",
+        "mimosavane.calls.time_ms:5|ms|#host:entry-1",
+    ];
+    for line in expected {
+        let mut buffer = [0; 512];
+        let length = socket.recv(&mut buffer).unwrap();
+        assert_eq!(std::str::from_utf8(&buffer[..length]).unwrap().trim(), line);
+    }
+}
+
+#[test]
+fn wrong_settings() {
+    let settings = TelemetrySettings {
+        statsd_address: "nowhere".to_owned(),
+        log_filter: "[".to_owned(),
+        ..TelemetrySettings::default()
+    };
+    let error = Metrics::start(&settings, &"entry-1".into()).unwrap_err();
+    assert!(matches!(error, TelemetryError::Address { .. }));
+    let error = telemetry::start_logs(&settings).unwrap_err();
+    assert!(matches!(error, TelemetryError::Filter(_)));
+}
