Test signed datagrams against forgery and replay

Cause: nothing showed that a forged or repeated datagram is refused. Change: tests for forgery, every flipped bit, replay, earlier incarnations, malformed messages, sizes, and real sockets. Binding now waits until the socket is writable. Before: the first heartbeat after binding was not sent (would block, seen in the socket test). Conclusion: a host's first probe no longer waits for the next interval.

--- a/src/datagram.rs
+++ b/src/datagram.rs
@@ -321,6 +321,8 @@
     /// Fails where the system does not give the address.
     pub async fn bind(own: SocketAddr, key: Key) -> std::io::Result<(Self, Receiver)> {
         let socket = Arc::new(UdpSocket::bind(own).await?);
+        // Without this, the first datagrams would be held for not sendable.
+        socket.writable().await?;
         let own = socket.local_addr()?;
         let transport = Self {
             socket: socket.clone(),
--- /dev/null
+++ b/tests/datagram.rs
@@ -0,0 +1,194 @@
+//! Forged, repeated and outdated datagrams are refused.
+
+use std::net::SocketAddr;
+
+use mimosavane::{
+    datagram::{Key, MAX_DATAGRAM_BYTES, Opener, Refusal, Sealer, SendError, Transport},
+    gossip::{Body, Heartbeat, Update},
+    proto::peer,
+};
+use prost::Message as _;
+
+fn receiver() -> SocketAddr {
+    ([10, 0, 0, 2], 9080).into()
+}
+
+fn heartbeat(incarnation: u64) -> Heartbeat {
+    Heartbeat {
+        from: "entry-1".into(),
+        incarnation,
+        body: Body::Probe { probe: 7 },
+        updates: Vec::new(),
+        table_revision: 3,
+        served: Vec::new(),
+        notices: Vec::new(),
+    }
+}
+
+fn key() -> Key {
+    Key::derive("the secret of the fleet")
+}
+
+#[test]
+fn forged() {
+    let mut opener = Opener::new(key(), receiver());
+    let other = Key::derive("another secret");
+    let bytes = Sealer::new(other).seal(&heartbeat(1), receiver()).unwrap();
+    assert_eq!(opener.open(&bytes), Err(Refusal::ForgedDatagram));
+}
+
+#[test]
+fn any_bit_flipped() {
+    let bytes = Sealer::new(key()).seal(&heartbeat(1), receiver()).unwrap();
+    for bit in 0..bytes.len() * 8 {
+        let mut changed = bytes.clone();
+        changed[bit / 8] ^= 1 << (bit % 8);
+        let mut opener = Opener::new(key(), receiver());
+        assert_eq!(opener.open(&changed), Err(Refusal::ForgedDatagram));
+    }
+    for length in 0..bytes.len() {
+        let mut opener = Opener::new(key(), receiver());
+        assert!(opener.open(&bytes[..length]).is_err());
+    }
+}
+
+#[test]
+fn another_receiver() {
+    let elsewhere = ([10, 0, 0, 3], 9080).into();
+    let bytes = Sealer::new(key()).seal(&heartbeat(1), elsewhere).unwrap();
+    let mut opener = Opener::new(key(), receiver());
+    assert_eq!(opener.open(&bytes), Err(Refusal::ForgedDatagram));
+}
+
+#[test]
+fn replayed() {
+    let mut sealer = Sealer::new(key());
+    let mut opener = Opener::new(key(), receiver());
+    let sealed: Vec<_> = (0..200)
+        .map(|_| sealer.seal(&heartbeat(1), receiver()).unwrap())
+        .collect();
+    assert!(opener.open(&sealed[1]).is_ok());
+    assert!(opener.open(&sealed[0]).is_ok(), "reordered");
+    let seen = opener.open(&sealed[0]);
+    assert!(matches!(seen, Err(Refusal::ReplayedDatagram { .. })));
+    assert!(opener.open(&sealed[199]).is_ok());
+    assert!(opener.open(&sealed[136]).is_ok(), "within the window");
+    let late = opener.open(&sealed[135]);
+    assert!(matches!(late, Err(Refusal::ReplayedDatagram { .. })));
+}
+
+#[test]
+fn old_incarnation() {
+    let mut opener = Opener::new(key(), receiver());
+    let mut old = Sealer::new(key());
+    let mut new = Sealer::new(key());
+    let first = old.seal(&heartbeat(1), receiver()).unwrap();
+    let held_back = old.seal(&heartbeat(1), receiver()).unwrap();
+    assert!(opener.open(&first).is_ok());
+    let restarted = new.seal(&heartbeat(2), receiver()).unwrap();
+    assert!(opener.open(&restarted).is_ok(), "it counts anew");
+    let refused = opener.open(&held_back);
+    assert!(matches!(
+        refused,
+        Err(Refusal::OldIncarnation { newest: 2, .. })
+    ));
+    let again = opener.open(&restarted);
+    assert!(matches!(again, Err(Refusal::ReplayedDatagram { .. })));
+}
+
+/// Signs bytes that are no heartbeat, as a host with a fault would.
+fn signed(bytes: &[u8]) -> Vec<u8> {
+    let key = blake3::derive_key(
+        "mimosavane 2026 heartbeat datagram v1",
+        b"the secret of the fleet",
+    );
+    let mut hasher = blake3::Hasher::new_keyed(&key);
+    hasher.update(receiver().to_string().as_bytes());
+    hasher.update(&[0]);
+    hasher.update(bytes);
+    [bytes, hasher.finalize().as_bytes()].concat()
+}
+
+#[test]
+fn malformed() {
+    let mut opener = Opener::new(key(), receiver());
+    let undecodable = opener.open(&signed(&[0xff; 20]));
+    assert!(matches!(
+        undecodable,
+        Err(Refusal::UndecodableDatagram { .. })
+    ));
+    let nameless = peer::Heartbeat {
+        kind: 1,
+        ..Default::default()
+    };
+    let unknown_kind = peer::Heartbeat {
+        from: "entry-1".to_owned(),
+        kind: 99,
+        ..Default::default()
+    };
+    let update = peer::MemberUpdate {
+        host: "entry-2".to_owned(),
+        state: 1,
+        address: "nowhere".to_owned(),
+        ..Default::default()
+    };
+    let bad_address = peer::Heartbeat {
+        from: "entry-1".to_owned(),
+        kind: 1,
+        updates: vec![update],
+        ..Default::default()
+    };
+    for message in [nameless, unknown_kind, bad_address] {
+        let refused = opener.open(&signed(&message.encode_to_vec()));
+        assert!(
+            matches!(refused, Err(Refusal::MalformedDatagram { .. })),
+            "{refused:?}"
+        );
+    }
+}
+
+#[test]
+fn sizes() {
+    let mut opener = Opener::new(key(), receiver());
+    let truncated = opener.open(&[0; 31]);
+    assert!(matches!(truncated, Err(Refusal::TruncatedDatagram { .. })));
+    let oversized = opener.open(&[0; MAX_DATAGRAM_BYTES + 1]);
+    assert!(matches!(oversized, Err(Refusal::OversizedDatagram { .. })));
+    let mut long = heartbeat(1);
+    let update = Update {
+        host: "h".repeat(64).into(),
+        incarnation: 1,
+        state: mimosavane::blackboard::HostState::Suspect,
+        place: None,
+    };
+    long.updates = vec![update; 30];
+    let error = Sealer::new(key()).seal(&long, receiver()).unwrap_err();
+    assert!(matches!(error, SendError::TooLong { .. }));
+}
+
+#[test]
+fn random_bytes() {
+    bolero::check!()
+        .with_iterations(1_000)
+        .for_each(|bytes: &[u8]| {
+            let mut opener = Opener::new(key(), receiver());
+            assert!(opener.open(bytes).is_err());
+            let _ = opener.open(&signed(bytes));
+        });
+}
+
+#[tokio::test]
+async fn over_sockets() {
+    let own = ([127, 0, 0, 1], 0).into();
+    let (mut first, _) = Transport::bind(own, key()).await.unwrap();
+    let (second, mut receiver) = Transport::bind(own, key()).await.unwrap();
+    let to = second.local_address().unwrap();
+    first.send(&heartbeat(1), to).unwrap();
+    let (opened, source) = receiver.receive().await.unwrap();
+    assert_eq!(opened.unwrap(), heartbeat(1));
+    assert_eq!(source, first.local_address().unwrap());
+    let (mut forger, _) = Transport::bind(own, Key::derive("other")).await.unwrap();
+    forger.send(&heartbeat(1), to).unwrap();
+    let (opened, _) = receiver.receive().await.unwrap();
+    assert_eq!(opened, Err(Refusal::ForgedDatagram));
+}
