Test membership under flapping, lost domains and random faults

Cause: only single faults were tested. Before: not run. Conclusion: a running host is not held for dead 15 s after all is mended, in 60 random schedules.

--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -4,12 +4,15 @@
     pub mod fleet;
 }
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
+use bolero::TypeGenerator;
 use mimosavane::{
     blackboard::HostState,
     datagram::Refusal,
-    membership::{Action, Event},
+    flap,
+    ids::{HostId, Incarnation},
+    membership::{Action, Event, Listing},
 };
 use support::fleet::Fleet;
 
@@ -153,3 +156,174 @@
     });
     assert_eq!(told.count(), 11);
 }
+
+#[test]
+fn flapping_host() {
+    let mut fleet = settled(12, 3, 15);
+    for _ in 0..6 {
+        fleet.nodes[7].running = false;
+        fleet.run_for(Duration::from_secs(8));
+        fleet.restart(7);
+        fleet.run_for(Duration::from_secs(4));
+    }
+    assert!(fleet.count("damped", |id| id == "entry-0007") > 0);
+    assert_eq!(fleet.count("damped", |id| id != "entry-0007"), 0);
+    let live = fleet.nodes[0].board.hosts.live();
+    assert!(live.into_iter().all(|host| &*host.id != "entry-0007"));
+    let end = fleet.now + flap::MAX_DAMPED_TIME + Duration::from_secs(5);
+    assert!(fleet.run_until(end, |fleet| fleet.all_see(HostState::Alive, 0..12)));
+}
+
+#[test]
+fn one_way_link() {
+    let mut fleet = settled(12, 3, 16);
+    fleet.severed.insert((1, 2));
+    fleet.severed.insert((4, 2));
+    fleet.run_for(2 * MINUTE);
+    assert_eq!(fleet.count("dead", |_| true), 0, "relays reach it");
+}
+
+#[test]
+fn domain_lost() {
+    let mut fleet = settled(36, 2, 17);
+    let lost: Vec<usize> = (0..36)
+        .filter(|index| &*fleet.nodes[*index].own.failure_domain == "region-1-2")
+        .collect();
+    for index in &lost {
+        fleet.nodes[*index].running = false;
+    }
+    let end = fleet.now + Duration::from_secs(30);
+    assert!(fleet.run_until(end, |fleet| fleet.all_see(HostState::Dead, lost.clone())));
+}
+
+#[test]
+fn list_settles_doubt() {
+    let mut fleet = settled(12, 4, 18);
+    fleet.cut = |a, b| (&*a.region == "region-1") != (&*b.region == "region-1");
+    fleet.run_for(MINUTE);
+    assert_eq!(fleet.view(0, 1), Some(HostState::Unreachable));
+    for (index, listing) in [(1, Listing::Absent), (2, Listing::Absent)] {
+        let own = &fleet.nodes[index].own;
+        let event = Event::HostListed {
+            host: own.id.clone(),
+            peer_address: own.peer_address,
+            listing,
+        };
+        fleet.tell(0, event);
+    }
+    fleet.run_for(Duration::from_secs(1));
+    assert_eq!(fleet.view(0, 1), Some(HostState::Dead));
+    assert_eq!(fleet.view(0, 2), Some(HostState::Alive), "it answers");
+}
+
+#[test]
+fn name_taken_over() {
+    let mut fleet = settled(12, 3, 19);
+    let mut own = fleet.nodes[11].own.clone();
+    own.incarnation += 50_000;
+    own.id = fleet.nodes[10].own.id.clone();
+    let update = mimosavane::gossip::Update::of(&own);
+    let heartbeat = mimosavane::gossip::Heartbeat {
+        from: own.id.clone(),
+        incarnation: own.incarnation,
+        body: mimosavane::gossip::Body::Gossip,
+        updates: vec![update],
+        table_revision: 0,
+        served: Vec::new(),
+        notices: Vec::new(),
+    };
+    let source = own.peer_address;
+    fleet.tell(10, Event::Received { heartbeat, source });
+    fleet.run_for(Duration::from_secs(1));
+    let told = |action: &Action| matches!(action, Action::Superseded { .. });
+    assert!(fleet.nodes[10].actions.iter().any(told));
+}
+
+/// What happens to a fleet of eight hosts in two regions.
+#[derive(Clone, Debug, TypeGenerator)]
+enum Fault {
+    Crash(u8),
+    Restart(u8),
+    Pause(u8, u16),
+    Sever(u8, u8),
+    Mend,
+    Lossy(bool),
+    Calm(u8),
+}
+
+const HOST_COUNT: usize = 8;
+/// How long after all is mended a running host may still be held for dead.
+const HEAL_BOUND: Duration = Duration::from_secs(15);
+
+fn cause(fleet: &mut Fleet, fault: &Fault) {
+    let index = |number: &u8| usize::from(*number) % HOST_COUNT;
+    match fault {
+        Fault::Crash(number) => fleet.nodes[index(number)].running = false,
+        Fault::Restart(number) => fleet.restart(index(number)),
+        Fault::Pause(number, time_ms) => {
+            let until = fleet.now + Duration::from_millis(u64::from(*time_ms % 20_000));
+            fleet.nodes[index(number)].paused_until = until;
+        }
+        Fault::Sever(from, to) => {
+            fleet.severed.insert((index(from), index(to)));
+        }
+        Fault::Mend => fleet.severed.clear(),
+        Fault::Lossy(lossy) => fleet.loss_ratio = if *lossy { 0.2 } else { 0.0 },
+        Fault::Calm(seconds) => fleet.run_for(Duration::from_secs(u64::from(seconds % 8))),
+    }
+}
+
+/// Checks that no host's incarnation goes back in the eyes of another.
+fn check_incarnations(
+    fleet: &Fleet,
+    seen: &mut BTreeMap<(usize, Incarnation, HostId), Incarnation>,
+) {
+    for (viewer, node) in fleet.nodes.iter().enumerate() {
+        for host in node.board.hosts.members.values() {
+            let life = (viewer, node.own.incarnation, host.id.clone());
+            let newest = seen.entry(life).or_default();
+            assert!(
+                host.incarnation >= *newest,
+                "{viewer} saw {} go back",
+                host.id
+            );
+            *newest = host.incarnation;
+        }
+    }
+}
+
+#[test]
+fn random_faults() {
+    bolero::check!()
+        .with_type::<Vec<Fault>>()
+        .with_iterations(60)
+        .for_each(|faults| {
+            let mut fleet = Fleet::start(HOST_COUNT, 2, 20);
+            fleet.run_for(Duration::from_secs(5));
+            let mut seen = BTreeMap::new();
+            for fault in faults.iter().take(24) {
+                cause(&mut fleet, fault);
+                fleet.run_for(Duration::from_secs(1));
+                check_incarnations(&fleet, &mut seen);
+            }
+            fleet.severed.clear();
+            fleet.loss_ratio = 0.0;
+            for index in 0..HOST_COUNT {
+                fleet.nodes[index].paused_until = Duration::ZERO;
+                if !fleet.nodes[index].running {
+                    fleet.restart(index);
+                }
+            }
+            fleet.run_for(HEAL_BOUND);
+            for viewer in 0..HOST_COUNT {
+                for index in 0..HOST_COUNT {
+                    let state = fleet.view(viewer, index);
+                    let held = matches!(state, Some(HostState::Alive | HostState::Damped));
+                    assert!(held, "{viewer} sees {index} as {state:?}");
+                }
+            }
+            let end = fleet.now + flap::MAX_DAMPED_TIME;
+            assert!(fleet.run_until(end, |fleet| fleet.all_see(HostState::Alive, 0..HOST_COUNT)));
+            check_incarnations(&fleet, &mut seen);
+        });
+}
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cmp::Reverse,
-    collections::{BTreeMap, BinaryHeap},
+    collections::{BTreeMap, BTreeSet, BinaryHeap},
     net::{IpAddr, Ipv4Addr, SocketAddr},
     time::Duration,
 };
@@ -59,6 +59,8 @@
     pub delay_ms: std::ops::Range<u64>,
     /// Says whether the link between two hosts is cut.
     pub cut: fn(&Host, &Host) -> bool,
+    /// Pairs of hosts of which the first does not reach the second.
+    pub severed: BTreeSet<(usize, usize)>,
     pub config: fn(&mut Config),
     flights: BinaryHeap<Reverse<Flight>>,
     addresses: BTreeMap<SocketAddr, usize>,
@@ -95,6 +97,7 @@
             loss_ratio: 0.0,
             delay_ms: 1..4,
             cut: |_, _| false,
+            severed: BTreeSet::new(),
             config: |_| {},
             flights: BinaryHeap::new(),
             addresses: BTreeMap::new(),
@@ -179,7 +182,8 @@
         {
             let flight = self.flights.pop().expect("peeked").0;
             let (from, to) = (&self.nodes[flight.from].own, &self.nodes[flight.to].own);
-            let cut = (self.cut)(from, to);
+            let severed = self.severed.contains(&(flight.from, flight.to));
+            let cut = severed || (self.cut)(from, to);
             let source = from.peer_address;
             let node = &mut self.nodes[flight.to];
             if cut || !node.running {
