--- a/src/bin/mimosavane.rs
+++ b/src/bin/mimosavane.rs
@@ -7,6 +7,8 @@
 use mimosavane::{
     cli::{self, Format},
     demo::{self, Options, fault::Fault},
+    settings::TelemetrySettings,
+    telemetry,
 };
 
 fn main() -> ExitCode {
@@ -51,6 +53,11 @@
         seed: matches.get_one("seed").copied().unwrap_or_default(),
         duration: Duration::from_secs(matches.get_one("duration-s").copied().unwrap_or_default()),
     };
+    let telemetry = TelemetrySettings {
+        log_filter: std::env::var("RUST_LOG").unwrap_or_else(|_| "warn".to_owned()),
+        ..TelemetrySettings::default()
+    };
+    telemetry::start_logs(&telemetry).context("starting the log")?;
     let runtime = tokio::runtime::Runtime::new().context("starting the demo's threads")?;
     let report = runtime
         .block_on(demo::run(&options))
--- a/src/blackboard.rs
+++ b/src/blackboard.rs
@@ -33,6 +33,9 @@
     pub served: Arc<Served>,
     /// Whether the platform's store answers, written by its client.
     pub store: StoreCondition,
+    /// Whether this host knows enough to take requests, written by the control
+    /// thread.
+    pub ready: bool,
     /// Whether this host is stopping, written by the drain controller.
     pub draining: bool,
     /// Whether this host takes no new requests any more, written by the drain
--- a/src/demo/caller.rs
+++ b/src/demo/caller.rs
@@ -1,9 +1,9 @@
 //! Callers of the plain services, who never repeat an order in doubt.
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use hyper::Method;
-use rand::{Rng as _, SeedableRng as _};
+use rand::SeedableRng as _;
 use serde::Serialize;
 
 use super::{
@@ -13,7 +13,10 @@
 use crate::{
     controller::Rng,
     entry::problem::OUTCOME_HEADER,
-    standin::client::{Answer, CallError, Client},
+    standin::{
+        balancer::Balancer,
+        client::{Answer, CallError, Client},
+    },
 };
 
 /// The time between two calls of one caller.
@@ -37,6 +40,17 @@
     Unknown,
 }
 
+/// Why a caller got no answer.
+#[derive(Debug, thiserror::Error)]
+enum NoAnswer {
+    /// The balancer knows no ready host, so that nothing was sent.
+    #[error("no host is ready")]
+    NoHost,
+    /// The call failed.
+    #[error(transparent)]
+    Call(#[from] CallError),
+}
+
 /// What a caller saw.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct Tally {
@@ -46,6 +60,8 @@
     pub lookups_refused: u64,
     /// What was told of each order.
     pub orders: BTreeMap<String, Told>,
+    /// Why calls were refused, by the problem's name.
+    pub refusals: BTreeMap<String, u64>,
     /// Answers that belong to another request.
     pub wrong_answers: u64,
 }
@@ -53,7 +69,7 @@
 /// A caller that looks up and orders until its stop time.
 #[derive(Debug)]
 pub struct Caller {
-    entries: Vec<SocketAddr>,
+    balancer: Arc<Balancer>,
     client: Client,
     rng: Rng,
     number: u64,
@@ -62,9 +78,9 @@
 
 impl Caller {
     /// Makes the caller with `number`, which goes into its orders' names.
-    pub fn new(entries: Vec<SocketAddr>, number: u64, seed: u64) -> Self {
+    pub fn new(balancer: Arc<Balancer>, number: u64, seed: u64) -> Self {
         Self {
-            entries,
+            balancer,
             client: Client::new(CALL_TIMEOUT),
             rng: Rng::seed_from_u64(seed ^ number),
             number,
@@ -111,9 +127,14 @@
         self.tally.orders.insert(name, told);
     }
 
-    fn judge(&mut self, name: &str, answer: &Result<Answer, CallError>) -> Told {
-        let Ok(answer) = answer else {
-            return Told::Unknown;
+    fn judge(&mut self, name: &str, answer: &Result<Answer, NoAnswer>) -> Told {
+        let answer = match answer {
+            Ok(answer) => answer,
+            Err(error @ NoAnswer::NoHost) => {
+                *self.tally.refusals.entry(error.to_string()).or_default() += 1;
+                return Told::NotRun;
+            }
+            Err(NoAnswer::Call(_)) => return Told::Unknown,
         };
         let outcome = answer.headers.get(OUTCOME_HEADER);
         if outcome.is_some_and(|outcome| outcome == "not-run") {
@@ -136,14 +157,28 @@
         path: &str,
         headers: &[(&str, &str)],
         body: &str,
-    ) -> Result<Answer, CallError> {
-        let place = self.rng.random_range(0..self.entries.len());
+    ) -> Result<Answer, NoAnswer> {
+        let entry = self.balancer.pick(&mut self.rng).ok_or(NoAnswer::NoHost)?;
         let bearer = format!("Bearer {}", row_token(CALLER_ROW));
         let mut all = vec![("authorization", bearer.as_str())];
         all.extend_from_slice(headers);
         let path = format!("/v1/pools/{SERVICE_POOL}{path}");
-        self.client
-            .send(method, self.entries[place], &path, &all, body.to_owned())
+        let sent = self
+            .client
+            .send(method, entry, &path, &all, body.to_owned());
+        let answer = sent
             .await
+            .inspect_err(|error| tracing::debug!(%error, "no answer"))?;
+        if !answer.status.is_success() {
+            *self.tally.refusals.entry(problem(&answer)).or_default() += 1;
+        }
+        Ok(answer)
     }
 }
+
+/// Names the problem of a refusal.
+fn problem(answer: &Answer) -> String {
+    let details = serde_json::from_slice::<serde_json::Value>(&answer.body).unwrap_or_default();
+    let kind = details["type"].as_str().unwrap_or("no problem details");
+    format!("{} {kind}", answer.status.as_u16())
+}
--- a/src/demo/cluster.rs
+++ b/src/demo/cluster.rs
@@ -4,7 +4,7 @@
     collections::BTreeMap,
     io,
     net::{Ipv4Addr, SocketAddr, TcpListener},
-    sync::{Mutex, PoisonError},
+    sync::{Arc, Mutex, PoisonError},
     time::Duration,
 };
 
@@ -21,6 +21,7 @@
     platform_api::Listed,
     settings::{Settings, SettingsError},
     standin::{
+        balancer::Balancer,
         engine::{self, Engine},
         host_list::HostList,
         service::Service,
@@ -54,6 +55,12 @@
 /// How long a connection may make no progress, where a token takes a millisecond.
 const SILENCE_TIMEOUT_MS: u64 = 1_000;
 
+/// How often a restart is tried.
+const MAX_RESTART_TRIES: u32 = 40;
+
+/// The time between two such tries.
+const RESTART_DELAY: Duration = Duration::from_millis(50);
+
 /// The rows of the demo with their weights.
 pub const ROWS: [(&str, f64); 3] = [("guides", 2.0), ("summaries", 1.0), ("menus", 1.0)];
 
@@ -89,6 +96,8 @@
     pub list: HostList,
     /// The engines.
     pub engines: Vec<Engine>,
+    /// The platform's balancer before the hosts.
+    pub balancer: Arc<Balancer>,
     /// The plain services.
     pub services: Vec<Service>,
     hosts: Mutex<Vec<Option<Running>>>,
@@ -123,7 +132,9 @@
         for settings in &settings {
             hosts.push(Some(start_host(settings.clone()).await?));
         }
+        let addresses = settings.iter().map(|settings| settings.host.http_address);
         Ok(Self {
+            balancer: Balancer::start(addresses.collect()),
             table,
             list,
             engines,
@@ -133,14 +144,6 @@
         })
     }
 
-    /// Returns where the hosts answer callers, as the balancer knows them.
-    pub fn entries(&self) -> Vec<SocketAddr> {
-        self.settings
-            .iter()
-            .map(|settings| settings.host.http_address)
-            .collect()
-    }
-
     /// Returns what the running hosts share with their threads.
     pub fn shared(&self) -> Vec<Shared> {
         let hosts = self.hosts.lock().unwrap_or_else(PoisonError::into_inner);
@@ -191,7 +194,16 @@
     ///
     /// Fails where the host cannot be started.
     pub async fn restart(&self, place: usize) -> Result<(), ClusterError> {
-        let started = start_host(self.settings[place].clone()).await?;
+        let mut started = start_host(self.settings[place].clone()).await;
+        for _ in 0..MAX_RESTART_TRIES {
+            if started.is_ok() {
+                break;
+            }
+            // The threads of the earlier life still close its sockets.
+            tokio::time::sleep(RESTART_DELAY).await;
+            started = start_host(self.settings[place].clone()).await;
+        }
+        let started = started?;
         let mut hosts = self.hosts.lock().unwrap_or_else(PoisonError::into_inner);
         hosts[place] = Some(started);
         Ok(())
--- a/src/demo/fault.rs
+++ b/src/demo/fault.rs
@@ -1,6 +1,6 @@
 //! The faults that a demo can cause.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use strum::IntoEnumIterator as _;
 
@@ -13,6 +13,15 @@
 /// How long a paused host stands still.
 const PAUSED_TIME: Duration = Duration::from_millis(3_000);
 
+/// The longest that a fresh host is waited for.
+const READY_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// The time between two looks at a fresh host.
+const READY_INTERVAL: Duration = Duration::from_millis(20);
+
+/// How long the balancer takes to see that a host is ready.
+const BALANCER_TIME: Duration = Duration::from_millis(200);
+
 /// How long the table service is down.
 const DOWN_TIME: Duration = Duration::from_millis(2_500);
 
@@ -108,6 +117,7 @@
                 for place in (0..HOST_COUNT).chain(0..HOST_COUNT) {
                     cluster.stop(place).await;
                     restart(cluster, place).await;
+                    wait_ready(cluster, place).await;
                 }
             }
         }
@@ -120,6 +130,21 @@
     }
 }
 
+/// Waits until the host takes requests, as whoever replaces hosts does before
+/// the next one.
+async fn wait_ready(cluster: &Cluster, place: usize) {
+    let started_at = Instant::now();
+    while started_at.elapsed() < READY_TIMEOUT {
+        let host = cluster.host(place);
+        if host.is_some_and(|host| host.snapshot.load().ready) {
+            break;
+        }
+        tokio::time::sleep(READY_INTERVAL).await;
+    }
+    tracing::info!(place, elapsed = ?started_at.elapsed(), "a host is ready");
+    tokio::time::sleep(BALANCER_TIME).await;
+}
+
 async fn kill_host(cluster: &Cluster) {
     cluster.kill(0).await;
     tokio::time::sleep(KILLED_TIME).await;
--- a/src/demo/mod.rs
+++ b/src/demo/mod.rs
@@ -115,7 +115,7 @@
             let config = trainer::Config {
                 row: (*row).into(),
                 token: row_token(row),
-                entries: cluster.entries(),
+                balancer: cluster.balancer.clone(),
                 group_count: 8,
                 samples_per_group: 4,
                 max_tokens: 256,
@@ -136,7 +136,7 @@
 ) -> Vec<JoinHandle<caller::Tally>> {
     (0..CALLER_COUNT)
         .map(|number| {
-            let caller = Caller::new(cluster.entries(), number, options.seed);
+            let caller = Caller::new(cluster.balancer.clone(), number, options.seed);
             tokio::spawn(caller.run(stop.clone()))
         })
         .collect()
--- a/src/demo/report.rs
+++ b/src/demo/report.rs
@@ -56,6 +56,9 @@
         self.callers.lookups_answered += tally.lookups_answered;
         self.callers.lookups_refused += tally.lookups_refused;
         self.callers.wrong_answers += tally.wrong_answers;
+        for (problem, count) in tally.refusals {
+            *self.callers.refusals.entry(problem).or_default() += count;
+        }
         self.callers.orders.extend(tally.orders);
     }
 
@@ -147,8 +150,8 @@
             calls.lookups_answered,
             calls.lookups_refused,
         ) + &format!(
-            "\nedits: {} accepted, {} conflicts, {} failed",
-            self.edits.accepted, self.edits.conflicts, self.edits.failed
+            "\nrefusals: {:?}\nedits: {} accepted, {} conflicts, {} failed",
+            calls.refusals, self.edits.accepted, self.edits.conflicts, self.edits.failed
         )
     }
 
--- a/src/entry/api.rs
+++ b/src/entry/api.rs
@@ -71,7 +71,7 @@
             )
             .at("/v1/drain", post(handler_service(super::operators::stop)))
             .at("/{*path}", handler_service(unknown))
-            .enclosed_fn(close_when_draining)
+            .enclosed_fn(watch_request)
             .serve()
             .disable_signal()
             .worker_threads(worker_count)
@@ -93,13 +93,14 @@
     }
 }
 
-/// Has clients leave a host that is stopping, so that none reuses a connection
-/// in the moment that it is closed.
-async fn close_when_draining<S, E>(service: &S, ctx: Context<'_>) -> Result<WebResponse, E>
+/// Counts each request as open work, and has clients leave a host that is
+/// stopping, so that none reuses a connection in the moment that it is closed.
+async fn watch_request<S, E>(service: &S, ctx: Context<'_>) -> Result<WebResponse, E>
 where
     S: for<'r> Service<Context<'r>, Response = WebResponse, Error = E>,
 {
     let snapshot = ctx.state().snapshot.clone();
+    let _open = ctx.state().open_work.hold();
     let mut response = service.call(ctx).await?;
     if snapshot.load().draining {
         let close = HeaderValue::from_static("close");
@@ -117,8 +118,11 @@
     if board.draining {
         return Problem::Draining.respond("this host is stopping", None);
     }
-    if board.rows.revision == 0 {
-        return Problem::NotReady.respond("the table is not known here yet", Some(NOT_READY_DELAY));
+    if !board.ready {
+        return Problem::NotReady.respond(
+            "this host does not know the fleet yet",
+            Some(NOT_READY_DELAY),
+        );
     }
     text("ready\n")
 }
--- a/src/entry/calls.rs
+++ b/src/entry/calls.rs
@@ -14,6 +14,7 @@
 
 use super::{
     api::{self, Answer, Context},
+    open_work::Held,
     problem::Problem,
 };
 use crate::{
@@ -35,7 +36,7 @@
         return Err(Problem::Unauthorized.refuse("this needs a row's key", None));
     };
     let shared = ctx.state();
-    let _open = shared.open_work.hold();
+    let open = shared.open_work.hold();
     let parts = api::parts(ctx);
     let caller = call::Caller {
         row,
@@ -57,11 +58,15 @@
         .map_err(|error| Problem::Malformed.refuse(error.to_string(), None))?;
     *request.headers_mut() = ctx.req().headers().clone();
     let response = call::serve(&shared.calls, request, &caller).await;
-    Ok(response.map(|payload| ResponseBody::boxed(Outgoing(payload))))
+    Ok(response.map(|payload| ResponseBody::boxed(Outgoing(payload, open))))
 }
 
-/// The body of a response in the terms of the server's library.
-struct Outgoing(Payload);
+/// The body of a response in the terms of the server's library; it counts as
+/// open work until it has been sent.
+struct Outgoing(
+    Payload,
+    #[expect(dead_code, reason = "held for its drop")] Held,
+);
 
 impl Body for Outgoing {
     type Data = Bytes;
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -47,6 +47,9 @@
 /// The shortest time between two rounds, in which inputs gather.
 const GATHER: Duration = Duration::from_millis(2);
 
+/// How long a fresh host waits for others before it serves alone.
+const JOIN_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// What ends the wait of a queued generation.
 ///
 /// A generation that starts must have left by the time in it.
@@ -407,10 +410,20 @@
         for action in round!(self, dispatch, dispatch) {
             self.act_on_dispatch(action);
         }
+        self.board.ready = self.board.ready || self.is_ready();
         self.shared.snapshot.store(Arc::new(self.board.clone()));
         self.keep_decisions();
     }
 
+    /// Says whether this host knows the table, the upstreams and the others, so
+    /// that it refuses nothing that an older host would take.
+    fn is_ready(&self) -> bool {
+        let has_list = !self.shared.settings.platform.host_list_url.is_empty();
+        let knows_upstreams = !has_list || !self.board.upstreams.members.is_empty();
+        let knows_hosts = self.members.is_joined() || self.shared.clock.now() > JOIN_TIMEOUT;
+        self.board.rows.revision > 0 && knows_upstreams && knows_hosts
+    }
+
     fn keep_decisions(&mut self) {
         for decision in &self.decisions {
             tracing::debug!(kind = %decision.kind, what = %decision.what, subjects = ?decision.subjects, "decided");
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -240,7 +240,7 @@
         if let Some(runtime) = &self.runtime {
             runtime.block_on(wait(&self.shared, requested));
         }
-        self.server.stop(true);
+        // Nothing is open any more but idle connections.
         self.kill();
     }
 }
--- a/src/entry/trainers.rs
+++ b/src/entry/trainers.rs
@@ -90,10 +90,11 @@
     if board.refusing {
         return Err(Problem::Draining.refuse("this host is stopping", Some(RETRY_DELAY)));
     }
-    if board.rows.revision == 0 {
-        return Err(
-            Problem::NotReady.refuse("the table is not known here yet", Some(NOT_READY_DELAY))
-        );
+    if !board.ready {
+        return Err(Problem::NotReady.refuse(
+            "this host does not know the fleet yet",
+            Some(NOT_READY_DELAY),
+        ));
     }
     match board.rows.rows.get(trainer) {
         Some(row) if row.enabled => Ok(row.id.clone()),
--- a/src/standin/trainer.rs
+++ b/src/standin/trainer.rs
@@ -2,7 +2,6 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
-    net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, AtomicU64, Ordering},
@@ -11,10 +10,14 @@
 };
 
 use hyper::StatusCode;
-use rand::{Rng as _, SeedableRng};
+use rand::SeedableRng as _;
 use serde::Serialize;
 
-use super::{client::Client, engine::true_version};
+use super::{
+    balancer::Balancer,
+    client::{Answer, Client},
+    engine::true_version,
+};
 use crate::{
     controller::Rng,
     ids::{GroupNumber, RowId, SampleIndex, StepNumber, WeightVersion},
@@ -53,8 +56,8 @@
     pub row: RowId,
     /// Its key.
     pub token: String,
-    /// The entry hosts, among which the balancer chooses.
-    pub entries: Vec<SocketAddr>,
+    /// The balancer before the entry hosts.
+    pub balancer: Arc<Balancer>,
     /// Groups a step.
     pub group_count: u32,
     /// Samples a group.
@@ -159,9 +162,11 @@
         change(&mut self.lock());
     }
 
-    fn entry(&mut self) -> SocketAddr {
-        let place = self.rng.random_range(0..self.config.entries.len());
-        self.config.entries[place]
+    /// Posts to a ready host; without one, the call counts as failed.
+    async fn post(&mut self, path: &str, body: &impl Serialize) -> Option<Answer> {
+        let entry = self.config.balancer.pick(&mut self.rng)?;
+        let token = &self.config.token;
+        self.client.post(entry, path, token, body).await.ok()
     }
 
     fn path(&self, step: StepNumber, rest: &str) -> String {
@@ -187,10 +192,8 @@
         let submission = self.submission(step);
         let path = self.path(step, "");
         while !stop.is_set() {
-            let entry = self.entry();
-            let token = self.config.token.clone();
-            let answer = self.client.post(entry, &path, &token, &submission).await;
-            if answer.is_ok_and(|answer| answer.status.is_success()) {
+            let answer = self.post(&path, &submission).await;
+            if answer.is_some_and(|answer| answer.status.is_success()) {
                 return;
             }
             self.note(|tally| tally.retries += 1);
@@ -221,16 +224,13 @@
             max_samples: 64,
             wait_ms: millis(PULL_WAIT),
         };
-        let entry = self.entry();
         let path = self.path(step, "/pull");
-        let token = self.config.token.clone();
-        let answer = self.client.post(entry, &path, &token, &pull).await;
-        match answer {
-            Ok(answer) if answer.status.is_success() => {
+        match self.post(&path, &pull).await {
+            Some(answer) if answer.status.is_success() => {
                 let pulled = serde_json::from_slice::<Pulled>(&answer.body).unwrap_or_default();
                 self.take(pulled, pull.weight_version, holdings);
             }
-            Ok(answer) if answer.status == StatusCode::PRECONDITION_REQUIRED => {
+            Some(answer) if answer.status == StatusCode::PRECONDITION_REQUIRED => {
                 self.note(|tally| tally.retries += 1);
                 self.submit(step, stop).await;
             }
