Hold work back by the part of samples that would come too late

Cause: The gate at dispatch judged by a mean length, and sent all waiting work to the first engine with new weights. A second attempt was cancelled as soon as the first one made progress. Change: The gate compares the row's length distribution with the time to the trainer's next change; the newest version is the one that a quarter of the engines runs. Only the first of two waiting attempts to start displaces the other. Conclusion: Figures of the policies follow from examples/rollout_trial.

--- a/examples/rollout_trial.rs
+++ b/examples/rollout_trial.rs
@@ -35,29 +35,34 @@
             ..Policy::default()
         };
         print(&format!("{name}, off"), &scenario, baseline);
+        let unaware = Scenario {
+            routes_by_speed: false,
+            ..scenario.clone()
+        };
+        print(&format!("{name}, off, load"), &unaware, baseline);
+        print(&format!("{name}, on, load"), &unaware, Policy::default());
         print(&format!("{name}, on"), &scenario, Policy::default());
     }
     println!("gates: a trainer that changes its version within a step");
-    for (seconds, bound) in [(60, 1), (60, 2), (30, 2)] {
+    for (seconds, bound) in [(60, 1), (45, 1), (30, 2)] {
         let mut scenario = Scenario {
             version_interval: Some(Duration::from_secs(seconds)),
+            max_tokens: 1600,
             ..Scenario::default()
         };
         scenario.row.staleness_bound_versions = bound;
-        for gate in [
-            Gate::Open,
-            Gate::FixedMargin { margin_versions: 1 },
-            Gate::Predicted,
-        ] {
+        let name = format!("{seconds} s, bound {bound}");
+        for gate in [Gate::Open, Gate::FixedMargin { margin_versions: 1 }] {
             let policy = Policy {
                 gate,
                 ..Policy::default()
             };
-            print(
-                &format!("{seconds} s, bound {bound}, {gate}"),
-                &scenario,
-                policy,
-            );
+            print(&format!("{name}, {gate}"), &scenario, policy);
+        }
+        for preference in [0.0, 0.5, 1.0] {
+            scenario.row.idle_preference_ratio = preference;
+            let name = format!("{name}, predicted, idle {preference}");
+            print(&name, &scenario, Policy::default());
         }
     }
 }
@@ -80,13 +85,14 @@
         .filter_map(|outcome| outcome.ages.keys().max())
         .max();
     println!(
-        "{name:32} idle {:5.1}%  step p50 {:6.1} s  p99 {:6.1} s  waste {:5.2}%  \
-         stale {:5.0}  hedged {:4.0}  moved {:4.0}  oldest {}",
+        "{name:36} idle {:5.1}%  step p50 {:6.1} s  p99 {:6.1} s  waste {:5.2}%  \
+         stale {:4.0}  refused {:6.0}  hedged {:4.0}  moved {:4.0}  oldest {}",
         100.0 * mean(|one| one.idle.as_secs_f64() / one.duration.as_secs_f64()),
         mean(|one| one.step_wait(0.5).as_secs_f64()),
         mean(|one| one.step_wait(0.99).as_secs_f64()),
         100.0 * mean(Outcome::waste_ratio),
         sum(|one| one.counters.stale_count as f64),
+        sum(|one| one.counters.refused_count as f64),
         sum(|one| one.counters.hedged_count as f64),
         sum(|one| one.counters.moved_count as f64),
         oldest.copied().unwrap_or_default(),
--- a/src/experiment.rs
+++ b/src/experiment.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     attach::{HeldGroup, Pull, Reply},
-    blackboard::{Blackboard, EngineReport},
+    blackboard::Blackboard,
     clock::Timestamp,
     controller::{Controller as _, Rng, Round},
     experiment_engine::Engine,
@@ -31,6 +31,9 @@
 /// How long one pull waits.
 const PULL_WAIT: Duration = Duration::from_secs(2);
 
+/// The time between two reports of an engine's speed.
+const REPORT_INTERVAL: Duration = Duration::from_secs(5);
+
 /// The longest experiment.
 const MAX_DURATION: Duration = Duration::from_secs(20_000);
 
@@ -53,6 +56,8 @@
     pub slowdown_ratio: f64,
     /// How long an engine keeps its speed.
     pub speed_period: Duration,
+    /// Whether requests keep away from engines that report to be slow.
+    pub routes_by_speed: bool,
     /// The part of requests that fall silent.
     pub stuck_request_ratio: f64,
     /// How many steps the trainer takes.
@@ -90,6 +95,7 @@
             slow_engine_ratio: 0.1,
             slowdown_ratio: 5.0,
             speed_period: Duration::from_secs(60),
+            routes_by_speed: true,
             stuck_request_ratio: 0.001,
             steps_count: 12,
             groups_count: 32,
@@ -120,8 +126,6 @@
     pub counters: Counters,
     /// Tokens that engines made.
     pub generated_tokens: u64,
-    /// Slots times turns for which the gate at dispatch kept an engine idle.
-    pub refused_slot_time: Duration,
 }
 
 impl Outcome {
@@ -271,14 +275,16 @@
     }
 
     fn report(&mut self) {
+        let interval = REPORT_INTERVAL.as_millis();
+        let is_due = self.now.as_millis().is_multiple_of(interval) || self.now == TICK;
         let reports = &mut Arc::make_mut(&mut self.board.engines).reports;
         for engine in &self.engines {
-            let report = EngineReport {
-                weight_version: engine.weight_version,
-                at: self.now,
-                ..EngineReport::default()
-            };
-            reports.insert(Arc::clone(&engine.id), report);
+            let report = reports.entry(Arc::clone(&engine.id)).or_default();
+            report.weight_version = engine.weight_version;
+            if is_due {
+                report.at = self.now;
+                report.token_time = engine.token_time;
+            }
         }
     }
 
@@ -353,21 +359,31 @@
         }
     }
 
-    /// Sends an attempt to the least loaded engine that is fresh enough.
+    /// Sends an attempt to an engine that is fresh enough.
     fn dispatch(&mut self, work: Dispatch) {
-        let is_avoided = |engine: &Engine| work.avoid.as_ref() == Some(&engine.id);
         let chosen = (0..self.engines.len())
             .filter(|&place| self.engines[place].weight_version >= work.min_version)
-            .min_by_key(|&place| {
-                let engine = &self.engines[place];
-                (is_avoided(engine), engine.load())
-            });
+            .min_by_key(|&place| self.cost(place, &work));
         let chosen = chosen.unwrap_or_default();
         let length = self.scenario.length(&work);
         let is_stuck = self.rng.random_bool(self.scenario.stuck_request_ratio);
         self.engines[chosen].push(work, length, is_stuck, self.now);
     }
 
+    /// Ranks an engine by the time that it would take, then by its load.
+    fn cost(&self, place: usize, work: &Dispatch) -> (bool, Duration, usize) {
+        let engine = &self.engines[place];
+        let is_avoided = work.avoid.as_ref() == Some(&engine.id);
+        let rounds = (engine.load() / engine.slots_count) as u32 + 1;
+        let report = self.board.engines.reports.get(&engine.id);
+        let reported = report.map_or(Duration::ZERO, |report| report.token_time);
+        let token_time = match self.scenario.routes_by_speed {
+            true => reported,
+            false => self.scenario.token_time,
+        };
+        (is_avoided, token_time * rounds, engine.load())
+    }
+
     fn take(&mut self, call: u64, reply: Reply) {
         if call != self.trainer.attach || !self.trainer.is_pulling {
             return;
--- a/src/length.rs
+++ b/src/length.rs
@@ -42,7 +42,7 @@
 /// The distribution of a row's sample lengths, recent ones weighing more.
 ///
 /// It is a histogram with buckets of equal ratio, so that its size is constant
-/// and its error is below a fifth of the length.
+/// and its error is below a tenth of the length.
 ///
 /// # Examples
 ///
@@ -111,6 +111,16 @@
         round(whole - generated).clamp(1, room)
     }
 
+    /// Returns the part of samples past `generated_tokens` that grow beyond
+    /// `tokens`, or 0 where none is known.
+    pub fn exceeding_ratio(&self, generated_tokens: u32, tokens: u32) -> f64 {
+        let past = self.weight_above(f64::from(generated_tokens));
+        if past == 0.0 {
+            return 0.0;
+        }
+        self.weight_above(f64::from(tokens.max(generated_tokens))) / past
+    }
+
     /// Returns [`Estimator::remaining_tokens`], drawn towards what the other
     /// samples of its group did.
     pub fn remaining_in_group(
@@ -148,6 +158,14 @@
         (weight_sum > 0.0).then(|| length_sum / weight_sum)
     }
 
+    fn weight_above(&self, tokens: f64) -> f64 {
+        let buckets = self.weights.iter().enumerate();
+        buckets
+            .filter(|(place, _)| middle(*place) > tokens)
+            .map(|(_, &weight)| f64::from(weight))
+            .sum()
+    }
+
     fn halve(&mut self) {
         for weight in &mut self.weights {
             *weight /= 2.0;
--- a/src/staleness.rs
+++ b/src/staleness.rs
@@ -20,8 +20,13 @@
 /// How many versions a step is assumed to add before any was seen.
 const DEFAULT_VERSIONS_PER_STEP: f64 = 1.0;
 
-/// Deviations by which a row that weighs only staleness hedges its forecast.
-const CAUTION_DEVIATIONS: f64 = 2.0;
+/// The part of samples that may be expected to come too late, for a row that
+/// weighs only staleness.
+const MIN_LATE_RATIO: f64 = 0.5;
+
+/// The same part for a row that weighs only idle time. It holds back only what
+/// would be refused for certain.
+const MAX_LATE_RATIO: f64 = 0.99;
 
 /// Returns by how many versions a sample is older than the trainer.
 pub fn age_versions(stated: WeightVersion, oldest: WeightVersion) -> WeightVersion {
@@ -88,27 +93,32 @@
         self.version
     }
 
-    /// Returns how many versions the trainer is expected to gain by `at`.
+    /// Returns when the trainer is expected to have gained `versions`, or `None`
+    /// where no such change is in sight.
     ///
     /// A trainer that is overdue waits for samples, so that no change is counted
     /// on before they are there. Without this rule a step could be held back for
     /// a change that only its own samples bring about.
-    pub fn gain_by(&self, at: Timestamp, now: Timestamp, margin: Margin) -> WeightVersion {
-        let Some(interval) = self.interval.filter(|interval| !interval.is_zero()) else {
-            return 0;
-        };
-        if !self.moves_within_step {
-            return 0;
-        }
-        let due = self.due(interval);
-        if now >= due.saturating_add(self.deviation) {
-            return 0;
+    pub fn change_at(&self, versions: WeightVersion, now: Timestamp) -> Option<Timestamp> {
+        let interval = self.interval.filter(|interval| !interval.is_zero())?;
+        let due = self.changed_at.saturating_add(interval);
+        let is_overdue = now >= due.saturating_add(self.deviation);
+        if is_overdue || !self.moves_within_step {
+            return None;
         }
-        let at = margin.apply(at, self.deviation);
-        if at < due {
+        let further = u32::try_from(versions.saturating_sub(1)).unwrap_or(u32::MAX);
+        Some(due.saturating_add(interval.saturating_mul(further)))
+    }
+
+    /// Returns how many versions the trainer is expected to gain by `at`.
+    pub fn gain_by(&self, at: Timestamp, now: Timestamp) -> WeightVersion {
+        let (Some(first), Some(interval)) = (self.change_at(1, now), self.interval) else {
             return 0;
+        };
+        match at.checked_sub(first) {
+            Some(span) => 1 + whole_intervals(span, interval),
+            None => 0,
         }
-        1 + whole_intervals(at - due, interval)
     }
 
     /// Returns the version that the trainer is expected to have when it first
@@ -124,10 +134,6 @@
         reached.max(self.version).max(asked)
     }
 
-    fn due(&self, interval: Duration) -> Timestamp {
-        self.changed_at.saturating_add(interval)
-    }
-
     fn restart(&mut self, step: StepNumber, version: WeightVersion, now: Timestamp) {
         self.version = version;
         self.step = step;
@@ -157,32 +163,6 @@
     }
 }
 
-/// How far a forecast leans towards idle time or towards staleness.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Margin {
-    deviations: f64,
-}
-
-impl Margin {
-    /// Takes the margin from the row's preference: with 0 a completion counts
-    /// as late early on, with 1 only when that is nearly certain.
-    pub fn of(row: &Row) -> Self {
-        let preference = row.idle_preference_ratio.clamp(0.0, 1.0);
-        Self {
-            deviations: CAUTION_DEVIATIONS * (1.0 - 2.0 * preference),
-        }
-    }
-
-    fn apply(self, at: Timestamp, deviation: Duration) -> Timestamp {
-        let shift = deviation.mul_f64(self.deviations.abs());
-        if self.deviations >= 0.0 {
-            at.saturating_add(shift)
-        } else {
-            at.saturating_sub(shift)
-        }
-    }
-}
-
 /// What the gate at dispatch judges by.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Forecast {
@@ -190,10 +170,21 @@
     pub stated: WeightVersion,
     /// The version that it is expected to have when the sample is whole.
     pub expected: WeightVersion,
-    /// The newest version that an engine runs; `None` where none reported.
+    /// The newest version that enough engines run; `None` where none reported.
     pub newest: Option<WeightVersion>,
     /// The bound of the row.
     pub bound_versions: WeightVersion,
+    /// The part of such samples that are expected to come too late, where they
+    /// start on the newest version.
+    pub late_ratio: f64,
+    /// The part from which on they are held back.
+    pub max_late_ratio: f64,
+}
+
+/// Returns the part of late samples from which on a row holds work back.
+pub fn max_late_ratio(row: &Row) -> f64 {
+    let preference = row.idle_preference_ratio.clamp(0.0, 1.0);
+    MIN_LATE_RATIO + (MAX_LATE_RATIO - MIN_LATE_RATIO) * preference
 }
 
 /// What the gate at dispatch decides.
@@ -220,19 +211,28 @@
 /// ```
 /// use mimosavane::staleness::{Forecast, Verdict, judge};
 ///
-/// let forecast = Forecast { stated: 7, expected: 8, newest: Some(7), bound_versions: 1 };
+/// let forecast = Forecast {
+///     stated: 7,
+///     expected: 8,
+///     newest: Some(7),
+///     bound_versions: 1,
+///     late_ratio: 0.1,
+///     max_late_ratio: 0.75,
+/// };
 /// assert_eq!(judge(forecast), Verdict::Dispatch { min_version: 7 });
 /// ```
 pub fn judge(forecast: Forecast) -> Verdict {
     let least = forecast.stated.saturating_sub(forecast.bound_versions);
-    let min_version = forecast
-        .expected
-        .max(forecast.stated)
-        .saturating_sub(forecast.bound_versions);
-    match forecast.newest {
-        Some(newest) if newest < least => Verdict::AwaitWeights,
-        Some(newest) if newest < min_version => Verdict::AwaitChange,
-        _ => Verdict::Dispatch { min_version },
+    let newest = forecast.newest.unwrap_or(WeightVersion::MAX);
+    if newest < least {
+        return Verdict::AwaitWeights;
+    }
+    if forecast.late_ratio > forecast.max_late_ratio {
+        return Verdict::AwaitChange;
+    }
+    let wanted = forecast.expected.saturating_sub(forecast.bound_versions);
+    Verdict::Dispatch {
+        min_version: wanted.min(newest).max(least),
     }
 }
 
@@ -255,13 +255,18 @@
 impl Gate {
     /// Returns the forecast that this gate judges by, given the prediction.
     pub fn adjust(self, predicted: Forecast) -> Forecast {
-        let expected = match self {
-            Self::Predicted => predicted.expected,
-            Self::FixedMargin { margin_versions } => predicted.stated + margin_versions,
-            Self::Open => predicted.stated,
+        let margin = match self {
+            Self::Predicted => return predicted,
+            Self::FixedMargin { margin_versions } => margin_versions,
+            Self::Open => 0,
         };
+        let expected = predicted.stated + margin;
+        let is_late = predicted
+            .newest
+            .is_some_and(|newest| newest + predicted.bound_versions < expected);
         Forecast {
             expected,
+            late_ratio: f64::from(u8::from(is_late)),
             ..predicted
         }
     }
--- a/src/step.rs
+++ b/src/step.rs
@@ -38,6 +38,9 @@
 /// lost answer can be pulled again.
 pub const COMPLETED_LINGER: Duration = Duration::from_secs(60);
 
+/// The newest version is the one that one in so many engines runs or passed.
+const NEWEST_ENGINE_DIVISOR: usize = 4;
+
 /// How many finished steps of a trainer are remembered, so that a late copy of
 /// their submission starts no work.
 const FINISHED_STEP_COUNT: usize = 32;
@@ -389,9 +392,17 @@
     }
 }
 
+/// Returns the newest version that enough engines run to take a step's work.
+///
+/// While a new version spreads, the first engine with it would get all work that
+/// waited for it.
 fn newest_version(board: &Blackboard) -> Option<WeightVersion> {
     let reports = board.engines.reports.values();
-    reports.map(|report| report.weight_version).max()
+    let mut versions: Vec<_> = reports.map(|report| report.weight_version).collect();
+    let last = versions.len().checked_sub(1)?;
+    let place = last / NEWEST_ENGINE_DIVISOR;
+    let (_, newest, _) = versions.select_nth_unstable_by(place, |a, b| b.cmp(a));
+    Some(*newest)
 }
 
 /// Finds the slot of an attempt that runs.
--- a/src/step_attempt.rs
+++ b/src/step_attempt.rs
@@ -34,9 +34,10 @@
         let dispatched_at = attempt.dispatched_at;
         attempt.engine = Some(engine);
         let token_time = attempt.progress(proved, turn.now);
+        // Of two that waited for their engines, the first to start runs on.
         let waiting: Vec<_> = race
             .attempts()
-            .filter(|other| other.number != number && other.started_at.is_none())
+            .filter(|other| is_first && other.number != number && other.started_at.is_none())
             .map(|other| other.number)
             .collect();
         let model = registry.model(&self.spec.trainer);
--- a/src/step_dispatch.rs
+++ b/src/step_dispatch.rs
@@ -8,7 +8,7 @@
     evidence::Proved,
     ids::{RowId, UpstreamId, WeightVersion},
     slot::{Attempt, Phase, Race},
-    staleness::{Forecast, Gate, Margin, Verdict, judge},
+    staleness::{Forecast, Gate, Verdict, is_deliverable, judge, max_late_ratio},
     step_message::{Action, Dispatch},
     step_registry::{Model, Registry, StepKey, Target, Turn},
     step_state::{Place, Step},
@@ -122,42 +122,76 @@
         let norm = norm(model);
         let expected_tokens = self.remaining_tokens(place, &resume, model);
         let duration = norm.startup + norm.token_time * expected_tokens;
+        let whole_at = turn.now.saturating_add(duration);
+        let forecast = Forecast {
+            stated: self.stated_version(),
+            expected: self.expected_version(whole_at, model, turn),
+            newest: turn.newest,
+            bound_versions: self.row.staleness_bound_versions,
+            late_ratio: self.late_ratio(&resume, model, turn),
+            max_late_ratio: max_late_ratio(&self.row),
+        };
         Plan {
             resume,
             expected_tokens,
-            forecast: gate.adjust(self.forecast(duration, model, turn)),
+            forecast: gate.adjust(forecast),
         }
     }
 
-    /// Predicts the trainer's version for a sample that takes `duration`.
-    fn forecast(&self, duration: Duration, model: &Model, turn: &Turn<'_>) -> Forecast {
-        let whole_at = turn.now.saturating_add(duration);
-        let cadence = &model.cadence;
-        let gain = cadence.gain_by(whole_at, turn.now, Margin::of(&self.row));
+    /// Predicts the trainer's version when a sample is whole, or when the step
+    /// is first pulled.
+    fn expected_version(
+        &self,
+        whole_at: Timestamp,
+        model: &Model,
+        turn: &Turn<'_>,
+    ) -> WeightVersion {
         let stated = self.stated_version();
-        let expected = match self.attachment.pulled_at {
-            Some(_) => stated + gain,
-            None => cadence
-                .version_at(self.spec.step, stated)
-                .max(stated + gain),
-        };
-        Forecast {
-            stated,
-            expected,
-            newest: turn.newest,
-            bound_versions: self.row.staleness_bound_versions,
+        let gained = stated + model.cadence.gain_by(whole_at, turn.now);
+        match self.attachment.pulled_at {
+            Some(_) => gained,
+            None => model.cadence.version_at(self.spec.step, stated).max(gained),
         }
     }
 
+    /// Predicts which part of samples that start now, or resume, come too late.
+    fn late_ratio(&self, resume: &Proved, model: &Model, turn: &Turn<'_>) -> f64 {
+        let Some(newest) = turn.newest else {
+            return 0.0;
+        };
+        let oldest = resume.oldest_version().unwrap_or(newest).min(newest);
+        let last_taken = oldest + self.row.staleness_bound_versions;
+        let at_pull = match self.attachment.pulled_at {
+            Some(_) => self.stated_version(),
+            None => self.expected_version(turn.now, model, turn),
+        };
+        let Some(slack) = last_taken.checked_sub(at_pull) else {
+            return 1.0;
+        };
+        let Some(change_at) = model.cadence.change_at(slack + 1, turn.now) else {
+            return 0.0;
+        };
+        let norm = norm(model);
+        let span = change_at
+            .saturating_sub(turn.now)
+            .saturating_sub(norm.startup);
+        let generated = u32::try_from(resume.tokens.len()).unwrap_or(u32::MAX);
+        let fitting = span.as_secs_f64() / norm.token_time.as_secs_f64();
+        model
+            .lengths
+            .exceeding_ratio(generated, generated.saturating_add(fitting as u32))
+    }
+
     /// Says whether the tokens that an attempt would resume from may stay.
     pub(crate) fn can_resume(&self, plan: &Plan) -> bool {
         let Some(oldest) = plan.resume.oldest_version() else {
             return true;
         };
         let forecast = &plan.forecast;
-        let least = forecast.expected.saturating_sub(forecast.bound_versions);
+        let is_fresh = is_deliverable(forecast.stated, oldest, forecast.bound_versions);
+        let is_late = forecast.late_ratio > forecast.max_late_ratio;
         let is_one_version = forecast.newest.is_none_or(|newest| newest == oldest);
-        oldest >= least && (self.row.mixed_versions || is_one_version)
+        is_fresh && !is_late && (self.row.mixed_versions || is_one_version)
     }
 
     /// Asks the gate, and records when its answer changes.
@@ -167,6 +201,7 @@
             self.verdict = Some(verdict);
             return verdict;
         }
+        registry.counters.refused_count += 1;
         if self.verdict != Some(verdict) {
             self.verdict = Some(verdict);
             registry.counters.deferred_count += 1;
@@ -177,6 +212,8 @@
                     .figure("stated_version_count", plan.forecast.stated as f64)
                     .figure("expected_version_count", plan.forecast.expected as f64)
                     .figure("newest_version_count", newest as f64)
+                    .figure("late_ratio", plan.forecast.late_ratio)
+                    .figure("max_late_ratio", plan.forecast.max_late_ratio)
                     .figure("bound_versions", plan.forecast.bound_versions as f64),
             );
         }
@@ -214,10 +251,7 @@
         let number = registry.next_attempt();
         let slot = self.slot_id(place);
         let prompt = &self.group_of(place).prompt;
-        let priority = match registry.policy.raises_last_slots {
-            true => self.standing(place).priority(),
-            false => priority::PULLED,
-        };
+        let priority = self.priority(place, &plan, registry);
         registry.counters.dispatched_count += 1;
         registry.counters.resumed_tokens += plan.resume.tokens.len() as u64;
         turn.decisions.push(
@@ -249,6 +283,17 @@
         attempt
     }
 
+    fn priority(&self, place: Place, plan: &Plan, registry: &Registry) -> u32 {
+        if !registry.policy.raises_last_slots {
+            return priority::PULLED;
+        }
+        let resumed = match plan.resume.tokens.is_empty() {
+            true => 0,
+            false => priority::RESUMED,
+        };
+        self.standing(place).priority() + resumed
+    }
+
     pub(crate) fn remaining_tokens(&self, place: Place, proved: &Proved, model: &Model) -> u32 {
         let group = self.group_of(place);
         let generated = u32::try_from(proved.tokens.len()).unwrap_or(u32::MAX);
--- a/src/step_registry.rs
+++ b/src/step_registry.rs
@@ -36,6 +36,8 @@
     pub stale_tokens: u64,
     /// Times that the gate at dispatch held a step back.
     pub deferred_count: u64,
+    /// Times that the gate at dispatch refused a slot, once a slot and round.
+    pub refused_count: u64,
     /// Second attempts that were started.
     pub hedged_count: u64,
     /// Attempts that were cancelled to be resumed elsewhere.
--- a/src/straggler.rs
+++ b/src/straggler.rs
@@ -53,6 +53,8 @@
     pub const AHEAD: u32 = 100;
     /// A slot of a step that the trainer pulls.
     pub const PULLED: u32 = 200;
+    /// Added for a sample that resumes, because it waited for an engine before.
+    pub const RESUMED: u32 = 10;
     /// Added for the last open slot of a group.
     pub const LAST_OF_GROUP: u32 = 20;
     /// Added for the last open slots of a step.
--- /dev/null
+++ b/tests/straggler.rs
@@ -0,0 +1,222 @@
+//! The last samples of a step do not wait for slow or silent engines.
+
+mod step_support;
+
+use mimosavane::{
+    Row,
+    experiment::{Scenario, run},
+    length::{Estimator, GroupLengths},
+    step::{Action, Dispatch, Event, Policy},
+    straggler::{Standing, hedge_budget_count},
+};
+use step_support::{Owner, Trainer, at, cancels, dispatches, finished, progressed, proved, spec};
+
+const SAMPLES: u32 = 20;
+
+/// Brings a pulled step of 20 samples to its last one, which has made `tokens`
+/// on `engine-0` at twenty milliseconds each.
+fn tail(tokens: u32) -> (Owner, Trainer, Dispatch) {
+    let mut owner = Owner::new(1, Row::new("guides"));
+    let mut trainer = Trainer::new();
+    let works = dispatches(&owner.submit(at(0.0), &spec(1, SAMPLES)));
+    owner.pull(at(0.0), trainer.pull());
+    for second in 0..=2 {
+        let made = second * 50;
+        let events = works
+            .iter()
+            .map(|work| progressed(work, "engine-0", made, 40));
+        let events: Vec<_> = events.collect();
+        owner.run(at(f64::from(second)), events);
+    }
+    let events: Vec<_> = works[1..].iter().map(|work| finished(work, 40)).collect();
+    owner.run(at(2.0), events);
+    let actions = owner.run(at(2.3), [progressed(&works[0], "engine-0", tokens, 40)]);
+    assert_eq!(trainer.take(&actions), works.len() - 1);
+    (owner, trainer, works[0].clone())
+}
+
+/// Lets the last sample make ten tokens a second.
+fn slow_down(owner: &mut Owner, last: &Dispatch, from: u32) -> Vec<Action> {
+    let mut actions = Vec::new();
+    for second in 1..=8 {
+        let event = progressed(last, "engine-0", from + 10 * second, 40);
+        actions.extend(owner.run(at(2.3 + f64::from(second)), [event]));
+    }
+    actions
+}
+
+#[test]
+fn hedged_tail() {
+    let (mut owner, mut trainer, last) = tail(105);
+    let actions = slow_down(&mut owner, &last, 105);
+    let hedges = dispatches(&actions);
+    assert_eq!(hedges.len(), 1);
+    let hedge = &hedges[0];
+    assert_eq!(hedge.slot, last.slot);
+    assert_eq!(hedge.seed, last.seed, "the race does not favour short ones");
+    assert_eq!(hedge.avoid.as_deref(), Some("engine-0"));
+    assert!(
+        hedge.resume.tokens.len() > 100,
+        "it goes on from the tokens"
+    );
+    assert!(cancels(&actions).is_empty(), "both run");
+
+    let pull = trainer.pull();
+    owner.pull(at(11.0), pull);
+    owner.run(at(11.2), [progressed(hedge, "engine-1", 150, 40)]);
+    let mut whole = finished(hedge, 40);
+    if let Event::Finished { sample, .. } = &mut whole {
+        sample.tokens = proved(200, 40).tokens.into();
+        sample.segments = proved(200, 40).segments.into();
+    }
+    let actions = owner.run(at(12.0), [whole]);
+    assert_eq!(cancels(&actions), [last.attempt], "the loser stops");
+    assert_eq!(trainer.take(&actions), 1);
+    assert!(owner.controller.counters().lost_tokens > 0);
+}
+
+#[test]
+fn late_loser() {
+    let (mut owner, mut trainer, last) = tail(105);
+    let hedges = dispatches(&slow_down(&mut owner, &last, 105));
+    let pull = trainer.pull();
+    owner.pull(at(11.0), pull);
+    let both = [finished(&last, 40), finished(&hedges[0], 40)];
+    let actions = owner.run(at(12.0), both);
+    assert_eq!(trainer.take(&actions), 1);
+    assert_eq!(owner.controller.counters().unexpected_count, 1);
+}
+
+#[test]
+fn steady_tail() {
+    let (mut owner, _, last) = tail(105);
+    for second in 1..=8 {
+        let event = progressed(&last, "engine-0", 105 + 50 * second, 40);
+        let actions = owner.run(at(2.3 + f64::from(second)), [event]);
+        assert!(dispatches(&actions).is_empty(), "it is long, not slow");
+    }
+}
+
+#[test]
+fn silent_engine() {
+    let (mut owner, _, last) = tail(105);
+    let mut row = Row::new("guides");
+    row.idle_preference_ratio = 0.0;
+    owner.set_row(row);
+    let mut actions = Vec::new();
+    for second in 3..=30 {
+        actions.extend(owner.run(at(f64::from(second)), []));
+    }
+    let again = dispatches(&actions);
+    assert_eq!(again[0].slot, last.slot);
+    assert_eq!(again[0].resume.tokens.len(), 105);
+    assert!(cancels(&actions).contains(&last.attempt));
+}
+
+#[test]
+fn waiting_attempt() {
+    let mut owner = Owner::new(1, Row::new("guides"));
+    let mut trainer = Trainer::new();
+    let works = dispatches(&owner.submit(at(0.0), &spec(1, 1)));
+    owner.pull(at(0.0), trainer.pull());
+    let second = dispatches(&owner.run(at(11.0), []));
+    assert_eq!(second.len(), 1, "its engine does not take it up");
+    let actions = owner.run(at(12.0), [progressed(&second[0], "engine-1", 0, 40)]);
+    assert_eq!(cancels(&actions), [works[0].attempt], "the first to start");
+}
+
+#[test]
+fn hedge_budget() {
+    let mut row = Row::new("guides");
+    assert_eq!(hedge_budget_count(&row, 256), 13);
+    row.idle_preference_ratio = 0.0;
+    assert_eq!(hedge_budget_count(&row, 256), 7);
+    row.idle_preference_ratio = 1.0;
+    assert_eq!(hedge_budget_count(&row, 256), 20);
+    assert_eq!(hedge_budget_count(&row, 4), 1);
+}
+
+#[test]
+fn spent_budget() {
+    let (mut owner, _, last) = tail(105);
+    assert_eq!(dispatches(&slow_down(&mut owner, &last, 105)).len(), 1);
+    let second = owner
+        .works
+        .values()
+        .find(|work| work.attempt != last.attempt);
+    let attempt = second.unwrap().attempt;
+    let failure = mimosavane::step::Failure::default();
+    owner.run(at(11.0), [Event::Failed { attempt, failure }]);
+    let later = slow_down(&mut owner, &last, 205);
+    assert!(dispatches(&later).is_empty());
+}
+
+#[test]
+fn last_slots_first() {
+    let early = Standing {
+        is_pulled: true,
+        is_eager: true,
+        group_open_count: 8,
+        step_open_count: 64,
+        step_slot_count: 64,
+    };
+    let last_of_group = Standing {
+        group_open_count: 1,
+        ..early
+    };
+    let tail = Standing {
+        step_open_count: 6,
+        ..early
+    };
+    let ahead = Standing {
+        is_pulled: false,
+        ..last_of_group
+    };
+    assert!(tail.priority() > last_of_group.priority());
+    assert!(last_of_group.priority() > early.priority());
+    assert!(early.priority() > ahead.priority());
+}
+
+#[test]
+fn length_prediction() {
+    let mut lengths = Estimator::default();
+    for _ in 0..90 {
+        lengths.observe(100);
+    }
+    for _ in 0..10 {
+        lengths.observe(1000);
+    }
+    assert!((90..=110).contains(&lengths.quantile_tokens(0.5).unwrap()));
+    assert!((900..=1100).contains(&lengths.quantile_tokens(0.95).unwrap()));
+    let fresh = lengths.remaining_tokens(0, 4096);
+    assert!((150..=230).contains(&fresh), "{fresh}");
+    let long = lengths.remaining_tokens(200, 4096);
+    assert!((700..=900).contains(&long), "{long}");
+    assert_eq!(lengths.remaining_tokens(200, 250), 50);
+    let mut group = GroupLengths::default();
+    (0..6).for_each(|_| group.observe(1000));
+    let drawn = lengths.remaining_in_group(group, 0, 4096);
+    assert!(drawn > 2 * fresh, "its siblings were long: {drawn}");
+    assert!((0.05..0.15).contains(&lengths.exceeding_ratio(0, 200)));
+}
+
+#[test]
+fn policies_compared() {
+    let scenario = Scenario {
+        steps_count: 4,
+        groups_count: 16,
+        steps_ahead_count: 1,
+        routes_by_speed: false,
+        ..Scenario::default()
+    };
+    let off = Policy {
+        mitigates_slow_attempts: false,
+        raises_last_slots: false,
+        ..Policy::default()
+    };
+    let baseline = run(&scenario, off);
+    let outcome = run(&scenario, Policy::default());
+    assert!(outcome.idle < baseline.idle);
+    assert!(outcome.waste_ratio() < 0.05);
+    assert_eq!(run(&scenario, Policy::default()), outcome, "deterministic");
+}
