--- a/src/lib.rs
+++ b/src/lib.rs
@@ -65,6 +65,7 @@
 pub mod routing;
 pub mod row;
 pub mod sample;
+pub mod segment;
 pub mod settings;
 pub mod settings_check;
 pub mod settings_field;
