--- a/src/lib.rs
+++ b/src/lib.rs
@@ -72,6 +72,7 @@
 pub mod row;
 mod row_queue;
 pub mod sample;
+pub mod segment;
 pub mod settings;
 pub mod settings_check;
 pub mod settings_field;
