--- a/src/step.rs
+++ b/src/step.rs
@@ -16,8 +16,8 @@
     controller::{self, Round},
     decision::{Decision, Kind},
     evidence::Proved,
-    handover::Handover,
-    ids::{AttemptNumber, CallNumber, RowId, StepNumber, UpstreamId, WeightVersion},
+    handover::{Handover, Ownership},
+    ids::{AttemptNumber, CallNumber, HostId, RowId, StepNumber, UpstreamId, WeightVersion},
     row::Row,
     sample::Sample,
     slot::Phase,
@@ -28,7 +28,7 @@
 
 pub use crate::{
     step_message::{Action, Dispatch, Event, Failure, SubmitError},
-    step_registry::{Counters, Model, StepKey},
+    step_registry::{Counters, Model, Policy, StepKey},
 };
 
 /// How long a step without a pull is kept.
@@ -56,6 +56,7 @@
 pub struct Controller {
     steps: BTreeMap<StepKey, Step>,
     finished: BTreeMap<RowId, BTreeSet<StepNumber>>,
+    ownership: Ownership,
     registry: Registry,
 }
 
@@ -86,6 +87,22 @@
 }
 
 impl Controller {
+    /// Makes a controller that decides by `policy`.
+    pub fn new(policy: Policy) -> Self {
+        Self {
+            registry: Registry::new(policy),
+            ..Self::default()
+        }
+    }
+
+    /// Lets the controller hand steps over by itself when the fleet changes so
+    /// that another host than `host` owns them.
+    #[must_use]
+    pub fn of_host(mut self, host: impl Into<HostId>) -> Self {
+        self.ownership = Ownership::new(host);
+        self
+    }
+
     /// Returns the steps that this host owns.
     pub fn keys(&self) -> impl Iterator<Item = &StepKey> {
         self.steps.keys()
@@ -130,8 +147,9 @@
     fn submit(&mut self, spec: Arc<StepSpec>, turn: &mut Turn<'_>) -> Result<(), SubmitError> {
         spec.check()?;
         let key = StepKey::of(&spec);
-        if let Some(known) = self.steps.get(&key) {
-            if known.spec == spec {
+        if let Some(known) = self.steps.get_mut(&key) {
+            if known.spec.is_same_work(&spec) {
+                known.attachment.state_version(spec.weight_version);
                 return Ok(());
             }
             let StepKey { trainer, step } = key;
@@ -265,6 +283,9 @@
             }
             return;
         }
+        for key in self.ownership.lost(self.steps.keys(), &turn.board.hosts) {
+            self.hand_over(&key, turn);
+        }
         self.expire(turn);
         let mut running = self.running_by_row();
         for key in self.keys_by_urgency() {
