--- /dev/null
+++ b/src/bin/mimosavane-steward.rs
@@ -0,0 +1,69 @@
+//! Orders engines to load weights and adapters and to change roles.
+
+use std::{path::PathBuf, process::ExitCode, time::Duration};
+
+use anyhow::Context as _;
+use clap::{Arg, Command, value_parser};
+use mimosavane::{
+    settings::Settings,
+    steward,
+    store_client::{Budget, HttpTableService},
+};
+use tokio::signal::unix::{SignalKind, signal};
+
+/// The exit code for wrong usage or input.
+const USAGE_CODE: u8 = 2;
+
+fn command() -> Command {
+    Command::new("mimosavane-steward")
+        .about("Orders engines to load weights and adapters and to change roles")
+        .version(env!("CARGO_PKG_VERSION"))
+        .arg(
+            Arg::new("settings")
+                .value_name("FILE")
+                .required(true)
+                .value_parser(value_parser!(PathBuf))
+                .help("The settings of the host, in YAML"),
+        )
+}
+
+fn main() -> ExitCode {
+    let matches = command().get_matches();
+    let path: Option<&PathBuf> = matches.get_one("settings");
+    let settings = match path.map(|path| Settings::load(path)) {
+        Some(Ok(settings)) => settings,
+        Some(Err(error)) => {
+            eprintln!("mimosavane-steward: {error}");
+            return ExitCode::from(USAGE_CODE);
+        }
+        None => return ExitCode::from(USAGE_CODE),
+    };
+    match serve(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("mimosavane-steward: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+#[tokio::main(flavor = "current_thread")]
+async fn serve(settings: Settings) -> anyhow::Result<()> {
+    let table = HttpTableService::new(
+        settings.platform.table_service_url.clone(),
+        Duration::from_millis(settings.platform.timeout_ms),
+        Budget::from(&settings.platform),
+        rand::random(),
+    )
+    .context("reading the address of the table service")?;
+    let mut terminated = signal(SignalKind::terminate()).context("waiting for signals")?;
+    println!("orders are given by {}", settings.host.id);
+    steward::run(settings, table, async move {
+        tokio::select! {
+            _ = terminated.recv() => {}
+            _ = tokio::signal::ctrl_c() => {}
+        }
+    })
+    .await;
+    Ok(())
+}
--- a/src/lease.rs
+++ b/src/lease.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
     clock::Timestamp,
@@ -26,6 +27,8 @@
     pub order_timeout: Duration,
     /// How often a host that does not hold the lease looks at it.
     pub watch_interval: Duration,
+    /// The time over which hosts that find a lease free spread their claims.
+    pub spread: Duration,
 }
 
 /// A lease as the store keeps it.
@@ -123,6 +126,7 @@
 ///     lease: Duration::from_secs(10),
 ///     order_timeout: Duration::from_secs(2),
 ///     watch_interval: Duration::from_secs(1),
+///     spread: Duration::ZERO,
 /// };
 /// let mut machine = Machine::new("entry-1", 7, terms);
 /// assert_eq!(machine.poll(Duration::ZERO), Some(Action::Read));
@@ -288,16 +292,28 @@
         let Some(seen) = &self.seen else {
             return Some(Action::Read);
         };
-        let Some(found) = &seen.at else {
-            return self.write(1, false, now);
+        let (fence, wait) = match &seen.at {
+            None => (1, Duration::ZERO),
+            Some(found) if found.record.released => (found.record.fence + 1, Duration::ZERO),
+            Some(found) => (
+                found.record.fence + 1,
+                self.terms.lease + self.terms.order_timeout,
+            ),
         };
-        let wait = self.terms.lease + self.terms.order_timeout;
-        let has_lapsed = found.record.released || now >= seen.since + wait;
-        if has_lapsed {
-            let fence = found.record.fence + 1;
-            return self.write(fence, false, now);
+        let due = seen.since + wait + self.delay(fence);
+        // A last look finds the lease that another host took meanwhile.
+        if now < due || seen.checked < due {
+            let look_at = (seen.checked + self.terms.watch_interval).min(due);
+            return (now >= look_at).then_some(Action::Read);
         }
-        (now >= seen.checked + self.terms.watch_interval).then_some(Action::Read)
+        self.write(fence, false, now)
+    }
+
+    /// Returns this host's own part of the spread for one fencing number.
+    fn delay(&self, fence: FenceNumber) -> Duration {
+        let text = format!("{}/{}/{fence}", self.host, self.life);
+        let part = xxh3_64(text.as_bytes()) as f64 / u64::MAX as f64;
+        self.terms.spread.mul_f64(part)
     }
 
     fn write(&mut self, fence: FenceNumber, released: bool, now: Timestamp) -> Option<Action> {
--- /dev/null
+++ b/src/order_client.rs
@@ -0,0 +1,174 @@
+//! Sends orders to engines and asks for their reports.
+//!
+//! An order is written once, under a fencing number that is asked for when the
+//! connection is open, so that the lease is checked just before the send.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderValue, Method, Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper_util::{
+    client::legacy::{Client as PlainClient, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+use serde::de::DeserializeOwned;
+use tokio::time::timeout;
+
+use crate::{
+    connection::{ConnectError, Connection, Pool, Protocol, SendError, Target, UpstreamRequest},
+    engine_api,
+    ids::FenceNumber,
+    order::{End, Order},
+};
+
+/// Why a report or a list could not be had.
+#[derive(Debug, thiserror::Error)]
+pub enum FetchError {
+    /// No connection could be opened.
+    #[error(transparent)]
+    Connect(#[from] ConnectError),
+    /// The request got no answer.
+    #[error(transparent)]
+    Send(#[from] SendError),
+    /// The address of the list is not one.
+    #[error("the address is not usable")]
+    Address(#[from] http::uri::InvalidUri),
+    /// The list could not be reached.
+    #[error("the list cannot be read")]
+    List(#[from] hyper_util::client::legacy::Error),
+    /// The answer broke off.
+    #[error("the answer broke off")]
+    Cut(#[from] hyper::Error),
+    /// The answer was not a success.
+    #[error("the answer has status {0}")]
+    Status(StatusCode),
+    /// The answer is not what was asked for.
+    #[error("the answer cannot be read")]
+    Malformed(#[from] serde_json::Error),
+    /// It took too long.
+    #[error("no answer came in time")]
+    TimedOut,
+}
+
+/// Speaks to engines; clones share their connections.
+#[derive(Clone, Debug)]
+pub struct Client {
+    connections: Pool,
+    plain: PlainClient<HttpConnector, Full<Bytes>>,
+    timeout: Duration,
+}
+
+impl Client {
+    /// Makes a client that waits at most `timeout` for each answer.
+    pub fn new(connections: Pool, timeout: Duration) -> Self {
+        Self {
+            connections,
+            plain: PlainClient::builder(TokioExecutor::new()).build_http(),
+            timeout,
+        }
+    }
+
+    /// Asks an engine for its report.
+    ///
+    /// # Errors
+    ///
+    /// Fails where no whole report arrives in time.
+    pub async fn report(&self, engine: SocketAddr) -> Result<engine_api::Report, FetchError> {
+        timeout(self.timeout, self.fetch_report(engine))
+            .await
+            .map_err(|_| FetchError::TimedOut)?
+    }
+
+    /// Reads the JSON at `url`.
+    ///
+    /// # Errors
+    ///
+    /// Fails where no whole document arrives in time.
+    pub async fn get<T: DeserializeOwned>(&self, url: &str) -> Result<T, FetchError> {
+        let fetched = async {
+            let answer = self.plain.get(url.parse()?).await?;
+            read(answer).await
+        };
+        timeout(self.timeout, fetched)
+            .await
+            .map_err(|_| FetchError::TimedOut)?
+    }
+
+    /// Sends an order once, if `fence` still gives a number just before.
+    pub async fn send(
+        &self,
+        engine: SocketAddr,
+        order: &Order,
+        fence: impl Fn() -> Option<FenceNumber>,
+    ) -> End {
+        let Ok(Ok(connection)) = timeout(self.timeout, self.connections.open(http1(engine))).await
+        else {
+            return End::NotSent;
+        };
+        let Some(fence) = fence() else {
+            return End::NotSent;
+        };
+        let Ok(body) = serde_json::to_vec(&order.message(fence)) else {
+            return End::NotSent;
+        };
+        let request = request(engine, Method::POST, "/v1/orders", body);
+        timeout(self.timeout, exchange(connection, request))
+            .await
+            .unwrap_or(End::Failed)
+    }
+
+    async fn fetch_report(&self, engine: SocketAddr) -> Result<engine_api::Report, FetchError> {
+        let mut connection = self.connections.checkout(http1(engine)).await?;
+        let request = request(engine, Method::GET, "/v1/report", Vec::new());
+        let answer = connection.send(request).await?;
+        let report = read(answer).await?;
+        connection.release();
+        Ok(report)
+    }
+}
+
+fn http1(address: SocketAddr) -> Target {
+    Target {
+        address,
+        protocol: Protocol::Http1,
+    }
+}
+
+fn request(
+    engine: SocketAddr,
+    method: Method,
+    path: &'static str,
+    body: Vec<u8>,
+) -> UpstreamRequest {
+    let mut request = Request::new(Full::new(Bytes::from(body)));
+    *request.method_mut() = method;
+    *request.uri_mut() = http::Uri::from_static(path);
+    let headers = request.headers_mut();
+    headers.insert(
+        header::CONTENT_TYPE,
+        HeaderValue::from_static("application/json"),
+    );
+    if let Ok(host) = HeaderValue::from_str(&engine.to_string()) {
+        headers.insert(header::HOST, host);
+    }
+    request
+}
+
+async fn exchange(mut connection: Connection, request: UpstreamRequest) -> End {
+    match connection.send(request).await {
+        Ok(answer) if answer.status() == StatusCode::CONFLICT => End::Stale,
+        Ok(answer) if answer.status().is_success() => End::Accepted,
+        Ok(_) | Err(SendError::Lost(_)) => End::Failed,
+        Err(SendError::HandedBack(_) | SendError::Refused(_)) => End::NotSent,
+    }
+}
+
+async fn read<T: DeserializeOwned>(answer: Response<Incoming>) -> Result<T, FetchError> {
+    if !answer.status().is_success() {
+        return Err(FetchError::Status(answer.status()));
+    }
+    let body = answer.into_body().collect().await?.to_bytes();
+    Ok(serde_json::from_slice(&body)?)
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -66,6 +66,9 @@
     /// How this host stops.
     #[serde(default)]
     pub drain: DrainSettings,
+    /// How engines are given their orders.
+    #[serde(default)]
+    pub steward: StewardSettings,
     /// Where logs and metrics go.
     #[serde(default)]
     pub telemetry: TelemetrySettings,
@@ -203,6 +206,22 @@
     pub bound_ms: u64,
 }
 
+/// How engines are given their orders; the same on all hosts.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct StewardSettings {
+    /// Into how many groups the engines are divided, each under one lease.
+    pub shard_count: u32,
+    /// How long a lease holds without being renewed.
+    pub lease_ms: u64,
+    /// How long an order may be under way.
+    pub order_timeout_ms: u64,
+    /// The part of each pool that keeps serving while weights are loaded.
+    pub capacity_floor_ratio: f64,
+    /// The loads that the weight store bears over the whole fleet.
+    pub max_rate_loads_per_s: f64,
+}
+
 /// Where logs and metrics go.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -294,6 +313,18 @@
     }
 }
 
+impl Default for StewardSettings {
+    fn default() -> Self {
+        Self {
+            shard_count: 1,
+            lease_ms: 10_000,
+            order_timeout_ms: 2_000,
+            capacity_floor_ratio: 0.75,
+            max_rate_loads_per_s: 10.0,
+        }
+    }
+}
+
 impl Default for TelemetrySettings {
     fn default() -> Self {
         Self {
--- a/src/settings_field.rs
+++ b/src/settings_field.rs
@@ -133,6 +133,11 @@
     field("membership.suspicion_timeout_ms", millis(100), Or("2000"), "How long a suspect may refute before it is held for dead, in a fleet of ten hosts."),
     field("drain.grace_ms", millis(0), Or("3000"), "How long callers may still arrive after readiness is off."),
     field("drain.bound_ms", millis(1), Or("120000"), "How long a planned stop may take in all."),
+    field("steward.shard_count", count(1, 4_096), Or("1"), "Into how many groups the engines are divided, each under one lease; the same on all hosts."),
+    field("steward.lease_ms", millis(1_000), Or("10000"), "How long a lease holds without being renewed."),
+    field("steward.order_timeout_ms", millis(100), Or("2000"), "How long an order to an engine may be under way."),
+    field("steward.capacity_floor_ratio", PART, Or("0.75"), "The part of each pool that keeps serving while weights are loaded."),
+    field("steward.max_rate_loads_per_s", Ratio { min: 0.001, max: 1_000_000.0 }, Or("10.0"), "The loads that the weight store bears over the whole fleet."),
     field("telemetry.log_format", Choice(&["text", "json"]), Or("text"), "The shape of a log line."),
     field("telemetry.log_filter", Text, Or("info"), "The filter of log lines, as the tracing library reads it."),
     field("telemetry.statsd_address", OptionalAddress, Or("''"), "Where StatsD datagrams go; empty sends none."),
@@ -150,6 +155,7 @@
         "membership.probe_interval_ms",
     ),
     ("drain.grace_ms", "drain.bound_ms"),
+    ("steward.order_timeout_ms", "steward.lease_ms"),
 ];
 
 /// Units by the suffix that names them.
--- /dev/null
+++ b/src/steward.rs
@@ -0,0 +1,413 @@
+//! The program that orders engines: I/O around the shards.
+//!
+//! It runs apart from the entry host, so that an order that hangs stalls no
+//! traffic (see docs/design/weights.md).
+
+use std::{
+    collections::BTreeMap,
+    future::Future,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use tokio::{
+    pin,
+    sync::{Semaphore, mpsc},
+    time::{MissedTickBehavior, interval, sleep},
+};
+
+use crate::{
+    blackboard::{UpstreamKind, UpstreamState},
+    call,
+    claim_store::TableClaims,
+    clock::Clock,
+    connection::{self, Pool},
+    ids::{Revision, UpstreamId},
+    lease::{self, Terms, Versioned, Wrote},
+    order::{End, Order, Wanted},
+    order_client::Client,
+    platform_api::Listed,
+    settings::{Settings, StewardSettings},
+    shard::{Action, Event, Shard, shard_of},
+    store::{Record, RecordKey, StoreError, TableService, Transaction},
+    wave::Limits,
+};
+
+/// The table of leases, one record a shard.
+const LEASES: &str = "engine-leases";
+
+/// The table of what engines shall run, one record a pool.
+const WANTED: &str = "weights";
+
+/// The time between two rounds of all shards.
+const ROUND_INTERVAL: Duration = Duration::from_millis(100);
+
+/// The time between two reads of the platform's list.
+const LIST_INTERVAL: Duration = Duration::from_secs(2);
+
+/// The time between two reads of what is wanted.
+const WANTED_INTERVAL: Duration = Duration::from_secs(1);
+
+/// How often a host looks at leases that others hold.
+const WATCH_INTERVAL: Duration = Duration::from_secs(5);
+
+/// The time over which hosts spread their claims to a free lease.
+const CLAIM_SPREAD: Duration = Duration::from_secs(2);
+
+/// The time between two removals of old claims of calls.
+const CLEANUP_INTERVAL: Duration = Duration::from_secs(60);
+
+/// The most requests to engines that are open at once.
+const MAX_OPEN_REQUESTS: usize = 256;
+
+/// Events that wait for the next round.
+const MAX_WAITING_EVENTS: usize = 4096;
+
+/// The shard whose holder removes old claims of calls.
+const CLEANUP_SHARD: usize = 0;
+
+type Told = (usize, Event);
+
+#[derive(Debug)]
+struct Shared<T> {
+    settings: Settings,
+    table: T,
+    clock: Clock,
+    client: Client,
+    shards: Mutex<Vec<Shard>>,
+    addresses: Mutex<BTreeMap<UpstreamId, SocketAddr>>,
+    open_requests: Arc<Semaphore>,
+    events: mpsc::Sender<Told>,
+}
+
+/// Runs until `stop` is done, then gives the leases up.
+pub async fn run<T: TableService>(settings: Settings, table: T, stop: impl Future<Output = ()>) {
+    let (events, mut told) = mpsc::channel(MAX_WAITING_EVENTS);
+    let shared = Arc::new(Shared::new(settings, table, events));
+    let helpers = [
+        tokio::spawn(read_list(shared.clone())),
+        tokio::spawn(read_wanted(shared.clone())),
+        tokio::spawn(remove_claims(shared.clone())),
+    ];
+    let mut rounds = interval(ROUND_INTERVAL);
+    rounds.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    pin!(stop);
+    loop {
+        tokio::select! {
+            _ = rounds.tick() => run_round(&shared, &mut told),
+            () = &mut stop => break,
+        }
+    }
+    for helper in helpers {
+        helper.abort();
+    }
+    release(&shared, &mut told).await;
+}
+
+impl<T: TableService> Shared<T> {
+    fn new(settings: Settings, table: T, events: mpsc::Sender<Told>) -> Self {
+        let steward = &settings.steward;
+        let order_timeout = Duration::from_millis(steward.order_timeout_ms);
+        let terms = Terms {
+            lease: Duration::from_millis(steward.lease_ms),
+            order_timeout,
+            watch_interval: WATCH_INTERVAL,
+            spread: CLAIM_SPREAD,
+        };
+        // The life tells a restarted process from the one before.
+        let life = rand::random();
+        let host = settings.host.id.clone();
+        let shards = (0..steward.shard_count)
+            .map(|_| Shard::new(host.clone(), life, terms, limits(steward, 1.0)))
+            .collect();
+        let connections = Pool::new(connection::Limits {
+            silence_timeout: order_timeout,
+            ..connection::Limits::default()
+        });
+        Self {
+            client: Client::new(connections, order_timeout),
+            settings,
+            table,
+            clock: Clock::start(),
+            shards: Mutex::new(shards),
+            addresses: Mutex::default(),
+            open_requests: Arc::new(Semaphore::new(MAX_OPEN_REQUESTS)),
+            events,
+        }
+    }
+
+    fn shards(&self) -> MutexGuard<'_, Vec<Shard>> {
+        self.shards.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn address(&self, engine: &UpstreamId) -> Option<SocketAddr> {
+        self.addresses
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .get(engine)
+            .copied()
+    }
+
+    /// Tells a shard of something; waits while the rounds are behind.
+    async fn tell(&self, shard: usize, event: Event) {
+        // The receiver is gone only when the program ends.
+        let _ = self.events.send((shard, event)).await;
+    }
+
+    async fn tell_all(&self, event: Event) {
+        let shard_count = self.shards().len();
+        for shard in 0..shard_count {
+            self.tell(shard, event.clone()).await;
+        }
+    }
+}
+
+/// Returns the bounds of a shard that holds `part` of all engines.
+fn limits(steward: &StewardSettings, part: f64) -> Limits {
+    Limits {
+        capacity_floor_ratio: steward.capacity_floor_ratio,
+        max_rate_loads_per_s: steward.max_rate_loads_per_s * part,
+    }
+}
+
+/// Runs all shards once over what they were told, and starts what they ask for.
+fn run_round<T: TableService>(shared: &Arc<Shared<T>>, told: &mut mpsc::Receiver<Told>) {
+    let mut events: BTreeMap<usize, Vec<Event>> = BTreeMap::new();
+    while let Ok((shard, event)) = told.try_recv() {
+        events.entry(shard).or_default().push(event);
+    }
+    let now = shared.clock.now();
+    let mut readers = Vec::new();
+    for (index, shard) in shared.shards().iter_mut().enumerate() {
+        for action in shard.run(events.remove(&index).unwrap_or_default(), now) {
+            match action {
+                Action::Lease(lease::Action::Read) => readers.push(index),
+                Action::Lease(lease::Action::Write { version, record }) => {
+                    tokio::spawn(write_lease(shared.clone(), index, version, record));
+                }
+                Action::Ask { engine } => {
+                    tokio::spawn(ask(shared.clone(), index, engine));
+                }
+                Action::Send { engine, order } => {
+                    tokio::spawn(send(shared.clone(), index, engine, order));
+                }
+            }
+        }
+    }
+    if !readers.is_empty() {
+        tokio::spawn(read_leases(shared.clone(), readers));
+    }
+}
+
+fn lease_name(shard: usize) -> RecordKey {
+    RecordKey::new(LEASES, shard.to_string())
+}
+
+/// Reads all leases at once for the shards that ask.
+async fn read_leases<T: TableService>(shared: Arc<Shared<T>>, readers: Vec<usize>) {
+    let scan = shared.table.scan(LEASES, 0).await.ok();
+    for shard in readers {
+        let name = lease_name(shard);
+        let read = scan.as_ref().and_then(|scan| {
+            let found = scan.records.iter().find(|record| record.name == name);
+            found.map(parse_lease).transpose().ok()
+        });
+        shared
+            .tell(shard, Event::Lease(lease::Event::Read(read)))
+            .await;
+    }
+}
+
+fn parse_lease(record: &Record) -> Result<Versioned, serde_json::Error> {
+    Ok(Versioned {
+        version: record.version,
+        record: serde_json::from_value(record.value.clone())?,
+    })
+}
+
+async fn write_lease<T: TableService>(
+    shared: Arc<Shared<T>>,
+    shard: usize,
+    version: u64,
+    record: lease::Record,
+) {
+    let wrote = commit_lease(&shared.table, shard, version, &record).await;
+    let event = Event::Lease(lease::Event::Wrote(wrote));
+    shared.tell(shard, event).await;
+}
+
+async fn commit_lease(
+    table: &impl TableService,
+    shard: usize,
+    version: u64,
+    record: &lease::Record,
+) -> Wrote {
+    let Ok(value) = serde_json::to_value(record) else {
+        return Wrote::NotApplied;
+    };
+    let transaction = Transaction::default()
+        .at_version(lease_name(shard), version)
+        .put(lease_name(shard), value);
+    match table.commit(transaction).await {
+        Ok(_) => Wrote::Done,
+        Err(StoreError::Refused { .. }) => Wrote::Refused,
+        Err(error) if error.may_be_applied() => Wrote::Unknown,
+        Err(_) => Wrote::NotApplied,
+    }
+}
+
+async fn ask<T: TableService>(shared: Arc<Shared<T>>, shard: usize, engine: UpstreamId) {
+    let Some(address) = shared.address(&engine) else {
+        return;
+    };
+    let Ok(_open) = shared.open_requests.acquire().await else {
+        return;
+    };
+    match shared.client.report(address).await {
+        Ok(report) => {
+            let report = (&report).into();
+            shared.tell(shard, Event::Reported { engine, report }).await;
+        }
+        Err(error) => tracing::debug!(%engine, %error, "no report"),
+    }
+}
+
+async fn send<T: TableService>(
+    shared: Arc<Shared<T>>,
+    shard: usize,
+    engine: UpstreamId,
+    order: Order,
+) {
+    let end = match shared.address(&engine) {
+        Some(address) => {
+            // The wait for a place comes before the check of the lease.
+            let _open = shared.open_requests.acquire().await;
+            let fence = || {
+                let now = shared.clock.now();
+                shared
+                    .shards()
+                    .get(shard)
+                    .and_then(|shard| shard.fence(now))
+            };
+            shared.client.send(address, &order, fence).await
+        }
+        None => End::NotSent,
+    };
+    tracing::info!(%engine, ?order, ?end, "ordered");
+    shared
+        .tell(shard, Event::Ended { engine, order, end })
+        .await;
+}
+
+/// Follows the platform's list of engines.
+async fn read_list<T: TableService>(shared: Arc<Shared<T>>) {
+    let url = shared.settings.platform.host_list_url.clone();
+    loop {
+        match shared.client.get::<Vec<Listed>>(&url).await {
+            Ok(listed) => take_list(&shared, &listed).await,
+            Err(error) => tracing::warn!(%error, "the platform's list cannot be read"),
+        }
+        sleep(LIST_INTERVAL).await;
+    }
+}
+
+async fn take_list<T: TableService>(shared: &Shared<T>, listed: &[Listed]) {
+    let steward = &shared.settings.steward;
+    let mut addresses = BTreeMap::new();
+    let mut members = vec![BTreeMap::new(); shared.shards().len()];
+    for upstream in listed {
+        if upstream.kind != UpstreamKind::Engine || upstream.state != UpstreamState::Live {
+            continue;
+        }
+        addresses.insert(upstream.id.clone(), upstream.address);
+        let shard = shard_of(&upstream.id, steward.shard_count) as usize;
+        if let Some(members) = members.get_mut(shard) {
+            members.insert(upstream.id.clone(), upstream.pool.clone());
+        }
+    }
+    let engine_count = addresses.len().max(1) as f64;
+    *shared
+        .addresses
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner) = addresses;
+    for (shard, members) in members.into_iter().enumerate() {
+        // The store's rate is divided by engines, which all hosts see alike.
+        let part = members.len() as f64 / engine_count;
+        if let Some(shard) = shared.shards().get_mut(shard) {
+            shard.set_limits(limits(steward, part));
+        }
+        shared.tell(shard, Event::Listed(members)).await;
+    }
+}
+
+/// Follows what the engines of each pool shall run.
+async fn read_wanted<T: TableService>(shared: Arc<Shared<T>>) {
+    let mut revision: Revision = 0;
+    loop {
+        if let Ok(scan) = shared.table.scan(WANTED, revision).await {
+            revision = revision.max(scan.revision);
+            let wanted: BTreeMap<Arc<str>, Wanted> =
+                scan.records.iter().filter_map(parse_wanted).collect();
+            if !wanted.is_empty() {
+                shared.tell_all(Event::Wanted(wanted)).await;
+            }
+        }
+        sleep(WANTED_INTERVAL).await;
+    }
+}
+
+fn parse_wanted(record: &Record) -> Option<(Arc<str>, Wanted)> {
+    match serde_json::from_value(record.value.clone()) {
+        Ok(wanted) => Some((record.name.key.clone(), wanted)),
+        Err(error) => {
+            tracing::warn!(record = %record.name, %error, "not a version to load");
+            None
+        }
+    }
+}
+
+/// Removes claims of calls that are too old to be repeated.
+async fn remove_claims<T: TableService>(shared: Arc<Shared<T>>) {
+    let claims = TableClaims::new(shared.table.clone());
+    loop {
+        sleep(CLEANUP_INTERVAL).await;
+        let now = shared.clock.now();
+        let is_holder = shared
+            .shards()
+            .get(CLEANUP_SHARD)
+            .is_some_and(|shard| shard.fence(now).is_some());
+        if is_holder && let Err(error) = call::remove_expired(&claims).await {
+            tracing::warn!(%error, "old claims cannot be removed");
+        }
+    }
+}
+
+/// Ends what is under way, and gives the leases up.
+async fn release<T: TableService>(shared: &Arc<Shared<T>>, told: &mut mpsc::Receiver<Told>) {
+    let order_timeout = Duration::from_millis(shared.settings.steward.order_timeout_ms);
+    let all_requests = u32::try_from(MAX_OPEN_REQUESTS).unwrap_or(u32::MAX);
+    let requests = shared.open_requests.acquire_many(all_requests);
+    // Requests end by their own timeouts; events are dropped meanwhile.
+    let drained = tokio::time::timeout(order_timeout * 2, async {
+        tokio::select! {
+            permits = requests => permits.is_ok(),
+            () = async { while told.recv().await.is_some() {} } => false,
+        }
+    });
+    if !drained.await.unwrap_or(false) {
+        return;
+    }
+    let now = shared.clock.now();
+    let releases: Vec<(usize, lease::Action)> = shared
+        .shards()
+        .iter_mut()
+        .enumerate()
+        .filter_map(|(index, shard)| Some((index, shard.release(now)?)))
+        .collect();
+    for (index, action) in releases {
+        if let lease::Action::Write { version, record } = action {
+            commit_lease(&shared.table, index, version, &record).await;
+        }
+    }
+}
--- a/tests/wave.rs
+++ b/tests/wave.rs
@@ -1,5 +1,7 @@
 //! Rollouts of weights over fake engines, in virtual time.
 
+#![expect(clippy::unwrap_used, reason = "a step that fails fails the test")]
+
 use std::{
     collections::BTreeMap,
     sync::Arc,
@@ -19,6 +21,7 @@
     lease: Duration::from_secs(10),
     order_timeout: Duration::from_secs(2),
     watch_interval: Duration::from_secs(1),
+    spread: Duration::from_millis(500),
 };
 const STEP: Duration = Duration::from_millis(100);
 
