Order a role or adapter again when it was changed in between

Cause: an engine kept every accepted order, so that a role that was set, changed and set again was not ordered the third time; found while writing a test for holders that take turns. Ruled out: the lease, which moved as it should.

--- a/src/order.rs
+++ b/src/order.rs
@@ -3,10 +3,7 @@
 //! An [`Engine`] converges: what is wanted is ordered until the engine reports
 //! it, and never a version below what it reports (see docs/design/weights.md).
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    time::Duration,
-};
+use std::{collections::BTreeMap, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
@@ -103,7 +100,23 @@
     },
 }
 
+/// What an order changes, of which the last one accepted counts.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Subject {
+    Weights,
+    Adapter(String),
+    Role,
+}
+
 impl Order {
+    fn subject(&self) -> Subject {
+        match self {
+            Self::LoadWeights { .. } => Subject::Weights,
+            Self::LoadAdapter { adapter, .. } => Subject::Adapter(adapter.clone()),
+            Self::SetRole { .. } => Subject::Role,
+        }
+    }
+
     /// Writes the order as engines read it, under a fencing number.
     pub fn message(&self, fence: FenceNumber) -> engine_api::Order {
         let kind: &'static str = self.into();
@@ -174,7 +187,7 @@
 pub struct Engine {
     report: Option<(Report, Timestamp)>,
     loading: Option<Loading>,
-    accepted: BTreeSet<Order>,
+    accepted: BTreeMap<Subject, Order>,
     is_sending: bool,
     /// Whether a load took so long that it is ordered again.
     is_stuck: bool,
@@ -222,6 +235,8 @@
     /// Notes that `order` is about to be sent.
     pub fn sending(&mut self, order: &Order, now: Timestamp) {
         self.is_sending = true;
+        // Until the answer is there, either order may be in force.
+        self.accepted.remove(&order.subject());
         if let Order::LoadWeights { version } = order {
             self.is_stuck = false;
             self.loading = Some(Loading {
@@ -235,10 +250,8 @@
     pub fn ended(&mut self, order: Order, end: End, now: Timestamp) {
         self.is_sending = false;
         match end {
-            // Only a report shows that weights were loaded.
-            End::Accepted if matches!(order, Order::LoadWeights { .. }) => {}
             End::Accepted => {
-                self.accepted.insert(order);
+                self.accepted.insert(order.subject(), order);
             }
             End::Stale | End::NotSent => self.loading = None,
             // A load that may take effect stays noted until a report settles it.
@@ -288,7 +301,7 @@
         });
         adapters
             .chain(role)
-            .find(|order| !self.accepted.contains(order))
+            .find(|order| self.accepted.get(&order.subject()) != Some(order))
             .map(Need::Light)
     }
 
--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -247,3 +247,29 @@
     }
     assert_eq!(world.orders.last().map(|order| order.0), Some(2));
 }
+
+/// A take-over whose answer is lost holds from the moment it was sent.
+#[test]
+fn lost_write_answer() {
+    let terms = Terms {
+        spread: Duration::ZERO,
+        ..TERMS
+    };
+    let mut machine = Machine::new("entry-1", 1, terms);
+    machine.poll(Duration::ZERO);
+    machine.apply(Event::Read(Some(None)), Duration::ZERO);
+    let Some(Action::Write { version, record }) = machine.poll(Duration::ZERO) else {
+        panic!("the lease is free");
+    };
+    let later = Duration::from_secs(3);
+    machine.apply(Event::Wrote(Wrote::Unknown), later);
+    assert_eq!(machine.fence(later), None);
+    assert_eq!(machine.poll(later), Some(Action::Read));
+    let found = Versioned {
+        version: version + 1,
+        record,
+    };
+    machine.apply(Event::Read(Some(Some(found))), later);
+    assert_eq!(machine.fence(later), Some(1));
+    assert_eq!(machine.fence(Duration::from_millis(4_500)), None);
+}
--- a/tests/order.rs
+++ b/tests/order.rs
@@ -130,6 +130,27 @@
     assert_eq!(engine.need(&wanted, at(2)), Some(Need::Light(order)));
 }
 
+#[test]
+fn changed_role() {
+    let mut engine = engine_at(4);
+    for role in ["prefill", "decode", "prefill"] {
+        let wanted = Wanted {
+            role: role.to_owned(),
+            ..wanted()
+        };
+        let order = Order::SetRole {
+            role: role.to_owned(),
+        };
+        assert_eq!(
+            engine.need(&wanted, at(1)),
+            Some(Need::Light(order.clone()))
+        );
+        engine.sending(&order, at(1));
+        engine.ended(order, End::Accepted, at(1));
+        assert_eq!(engine.need(&wanted, at(1)), None);
+    }
+}
+
 #[test]
 fn order_message() {
     let message = LOAD.message(9);
--- a/tests/wave.rs
+++ b/tests/wave.rs
@@ -30,6 +30,7 @@
     report: Report,
     loading: Option<(u64, Timestamp)>,
     fence: u64,
+    role: String,
     checks_fences: bool,
     fail_count: u32,
     refused: u32,
@@ -75,6 +76,7 @@
                     },
                     loading: None,
                     fence: 0,
+                    role: String::new(),
                     checks_fences: checks,
                     fail_count: 0,
                     refused: 0,
@@ -195,10 +197,14 @@
             return End::Stale;
         }
         fake.fence = fake.fence.max(fence);
-        if let Order::LoadWeights { version } = order {
-            fake.loading = Some((*version, until));
-            fake.report.swap = Swap::Loading;
-            self.load_count += 1;
+        match order {
+            Order::LoadWeights { version } => {
+                fake.loading = Some((*version, until));
+                fake.report.swap = Swap::Loading;
+                self.load_count += 1;
+            }
+            Order::LoadAdapter { .. } => {}
+            Order::SetRole { role } => fake.role.clone_from(role),
         }
         End::Accepted
     }
@@ -328,14 +334,54 @@
     }
 }
 
+/// An old read of what is wanted, in the middle of a rollout, sends nobody back.
 #[test]
 fn old_read() {
     let mut world = World::new(4, 1, limits(0.5, 100.0), true);
     world.want(3);
-    world.run_for(Duration::from_secs(30));
+    world.run_for(Duration::from_secs(3));
     world.want(2);
     world.run_for(Duration::from_secs(30));
-    assert!(world.all_at(3));
+    assert!(world.all_at(3), "{:?}", world.versions());
+    assert_eq!(world.load_count, 4);
+}
+
+/// Engines that saw a higher fencing number refuse until a lease reaches it.
+#[test]
+fn higher_fence() {
+    let mut world = World::new(4, 2, limits(0.5, 100.0), true);
+    for fake in world.engines.values_mut() {
+        fake.fence = 3;
+    }
+    world.want(2);
+    world.run_for(Duration::from_secs(120));
+    assert!(world.all_at(2), "{:?}", world.versions());
+}
+
+/// A host that takes the lease again must not believe what it once ordered.
+#[test]
+fn changed_holders() {
+    let mut world = World::new(2, 2, limits(0.5, 100.0), true);
+    let holders = [None, Some(0), Some(1), Some(0)];
+    for (round, paused) in holders.into_iter().enumerate() {
+        world.paused.fill(false);
+        if let Some(paused) = paused {
+            world.paused[paused] = true;
+        }
+        let role = if round % 2 == 0 { "prefill" } else { "decode" };
+        let wanted = Wanted {
+            version: 1,
+            role: role.to_owned(),
+            ..Wanted::default()
+        };
+        for events in &mut world.events {
+            let wanted = [(Arc::from("guide"), wanted.clone())].into();
+            events.push(Event::Wanted(wanted));
+        }
+        world.run_for(Duration::from_secs(40));
+        let roles: Vec<&str> = world.engines.values().map(|fake| &*fake.role).collect();
+        assert_eq!(roles, [role; 2], "round {round}");
+    }
 }
 
 #[test]
