End and record a keyed call whose caller goes away

Cause: a caller that left during the claim or the call left the claim open, and its repeat was told 'unknown' for good. Change: a keyed call runs in a task of its own. Conclusion: an impatient caller gets its answer with the next request.

--- a/examples/call_path.rs
+++ b/examples/call_path.rs
@@ -52,6 +52,7 @@
 const CHUNK: &str = "data: {\"token_ids\":[12345],\"v\":123}\n\n";
 
 /// A claim store that is never asked, since no call here has a key.
+#[derive(Clone)]
 struct NoClaims;
 
 impl ClaimStore for NoClaims {
--- a/src/call.rs
+++ b/src/call.rs
@@ -52,8 +52,8 @@
     pub pool: Arc<str>,
 }
 
-/// What the call path works with; one for the whole process.
-#[derive(Debug)]
+/// What the call path works with; clones share all of it.
+#[derive(Clone, Debug)]
 pub struct Context<S> {
     /// The settings of this host.
     pub settings: Arc<Settings>,
@@ -144,7 +144,7 @@
 ///
 /// The response carries the outcome in its header. Its body may still fail: the
 /// server must then break off the caller's connection.
-pub async fn serve<S: ClaimStore>(
+pub async fn serve<S: ClaimStore + Clone + 'static>(
     context: &Context<S>,
     request: Request<Bytes>,
     caller: &Caller,
@@ -160,7 +160,7 @@
     }
 }
 
-async fn serve_in<S: ClaimStore>(
+async fn serve_in<S: ClaimStore + Clone + 'static>(
     context: &Context<S>,
     request: Request<Bytes>,
     caller: &Caller,
@@ -179,7 +179,16 @@
                 pool: caller.pool.to_string(),
                 key: key.clone(),
             };
-            serve_claimed(context, request, caller, pool, &terms, key).await
+            let context = context.clone();
+            let caller = caller.clone();
+            let pool = pool.clone();
+            // A caller that goes away must not leave its claim open: the call is
+            // ended and recorded all the same, and a repeat gets its answer.
+            let task = tokio::spawn(async move {
+                serve_claimed(&context, request, &caller, &pool, &terms, key).await
+            });
+            task.await
+                .unwrap_or(Err(Failure::new(Outcome::Unknown(Reason::ConnectionLost))))
         }
         _ => run(context, &request, caller, pool, &terms, false).await,
     }
--- a/tests/call.rs
+++ b/tests/call.rs
@@ -275,6 +275,28 @@
     assert_eq!(fake.run_count(), 1);
 }
 
+/// An order whose caller goes away is ended and recorded all the same.
+#[tokio::test]
+async fn caller_gone() {
+    let fake = upstream::spawn(Manner::Late(Duration::from_millis(100))).await;
+    let claims = Claims::default();
+    let first = host(&[fake.address], &claims);
+    let second = host(&[fake.address], &claims);
+    let hasty = Duration::from_millis(50);
+    let call = first.outcome(keyed("k1", "one lunch"));
+    assert!(tokio::time::timeout(hasty, call).await.is_err());
+    let mut answer = second.outcome(keyed("k1", "one lunch")).await;
+    for _ in 0..500 {
+        if answer.0 != 409 {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        answer = second.outcome(keyed("k1", "one lunch")).await;
+    }
+    assert_eq!(answer, (200, "answered".into(), Some("one lunch".into())));
+    assert_eq!(fake.run_count(), 1);
+}
+
 #[tokio::test]
 async fn lost_claim_answer() {
     for fault in [Fault::AnswerLost, Fault::RequestLost] {
