--- a/tests/edit.rs
+++ b/tests/edit.rs
@@ -107,6 +107,20 @@
     assert_eq!(read_table(&store).await.unwrap().revision, 2);
 }
 
+/// Another operator builds on the change before its lost answer is read back.
+#[tokio::test(start_paused = true)]
+async fn overtaken_after_lost_answer() {
+    let store = MemoryTable::default();
+    apply(&store, &weight("c-1", "ana", 0, 1.5)).await.unwrap();
+    store.lose_answers(LoseAnswers::Next(1));
+    let lost = weight("c-2", "ana", 1, 2.0);
+    let next = weight("c-3", "bela", 2, 3.0);
+    let (lost, next) = tokio::join!(apply(&store, &lost), apply(&store, &next));
+    assert_eq!(lost.unwrap().revision, 2);
+    assert_eq!(next.unwrap().revision, 3);
+    assert_eq!(present_weight(&store).await, 3.0);
+}
+
 /// The retry's own condition is refused, which shows that the first held.
 #[tokio::test(start_paused = true)]
 async fn all_answers_lost() {
--- a/tests/table_server.rs
+++ b/tests/table_server.rs
@@ -297,7 +297,8 @@
     );
     stream.write_all(head.as_bytes()).await.unwrap();
     let mut answer = vec![0; 16];
-    stream.read_exact(&mut answer).await.unwrap();
+    let read = tokio::time::timeout(TIMEOUT, stream.read_exact(&mut answer));
+    read.await.unwrap().unwrap();
     assert!(answer.starts_with(b"HTTP/1.1 408"));
     running.add("guides").await;
 }
