--- a/tests/follower.rs
+++ b/tests/follower.rs
@@ -282,10 +282,10 @@
     }
 }
 
-/// Runs a change over `hosts_count` hosts and returns when all had it, and the
-/// most reads of the store in one second from then on.
-fn spread(hosts_count: usize) -> (Duration, usize) {
-    let mut fleet = Fleet::new(hosts_count, TICK, SEED);
+/// Runs a change over the fleet and returns when all hosts had it, and the most
+/// reads of the store in one second from then on.
+fn spread(mut fleet: Fleet) -> (Duration, usize) {
+    let hosts_count = fleet.members.len();
     fleet.run_for(Duration::from_secs(20));
     assert_eq!(fleet.in_force_count(1), hosts_count);
     let accepted_at = fleet.now;
@@ -302,7 +302,7 @@
 fn change_in_force() {
     println!("hosts  in_force_ms  max_reads_per_s");
     for hosts_count in [12, 50, 200, 1_000] {
-        let (taken, max_reads_per_s) = spread(hosts_count);
+        let (taken, max_reads_per_s) = spread(Fleet::new(hosts_count, TICK, SEED));
         println!(
             "{hosts_count:5}  {:11}  {max_reads_per_s:15}",
             taken.as_millis()
@@ -313,6 +313,19 @@
     }
 }
 
+/// Polls alone put a change in force within the bound, though later.
+#[test]
+fn change_without_heartbeats() {
+    let fleet = Fleet::new(1_000, 5 * TICK, SEED).without_heartbeats();
+    let (taken, max_reads_per_s) = spread(fleet);
+    println!(
+        "without heartbeats: {} ms, {max_reads_per_s} reads/s",
+        taken.as_millis()
+    );
+    assert!(taken < Duration::from_secs(19));
+    assert!(max_reads_per_s <= 2_000);
+}
+
 #[test]
 fn store_returns() {
     println!("hosts  max_reads_per_s in outage, on return, on a fresh start");
