Send changes of state before news of joins

Cause: after a fleet joined at once, a leave waited behind news of joins; with pages asked for without news, 300 hosts did not all know it within 3 s. Change: news has a priority; asking for a page carries only the asker. Before: leaving_spreads failed. After: 16 of 16 membership tests and 5 of 5 upstream list tests passed. Conclusion: a joining fleet no longer delays what decisions depend on.

--- a/src/broadcast.rs
+++ b/src/broadcast.rs
@@ -17,34 +17,58 @@
     fn encoded_bytes(&self) -> usize;
 }
 
+/// Which news goes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Priority {
+    /// Changes of what is known, on which decisions depend.
+    High,
+    /// What others can also read from the member list.
+    Low,
+}
+
 /// One piece of news and how often it was sent.
 #[derive(Clone, Debug)]
 struct Item<T> {
     news: T,
+    priority: Priority,
     send_count: u32,
 }
 
+impl<T: News> Item<T> {
+    /// Returns where the item stands in the order of sending.
+    fn rank(&self) -> Rank {
+        (self.priority, self.send_count, self.news.subject().clone())
+    }
+}
+
+/// The order of sending: by priority, then the least sent first.
+type Rank = (Priority, u32, Arc<str>);
+
 /// The news that this host still passes on.
 ///
 /// # Examples
 ///
 /// ```
-/// use mimosavane::{blackboard::HostState, broadcast::Queue, gossip::Update};
+/// use mimosavane::{
+///     blackboard::HostState,
+///     broadcast::{Priority, Queue},
+///     gossip::Update,
+/// };
 ///
 /// let mut queue = Queue::default();
-/// queue.push(Update {
+/// let update = Update {
 ///     host: "entry-1".into(),
 ///     incarnation: 7,
 ///     state: HostState::Suspect,
 ///     place: None,
-/// });
+/// };
+/// queue.push(update, Priority::High);
 /// assert_eq!(queue.take(12, 600).len(), 1);
 /// ```
 #[derive(Clone, Debug)]
 pub struct Queue<T> {
     items: BTreeMap<Arc<str>, Item<T>>,
-    /// The subjects by how often their news was sent.
-    order: BTreeSet<(u32, Arc<str>)>,
+    order: BTreeSet<Rank>,
 }
 
 impl<T> Default for Queue<T> {
@@ -58,16 +82,19 @@
 
 impl<T: News> Queue<T> {
     /// Adds news, in place of older news about the same subject.
-    pub fn push(&mut self, news: T) {
+    pub fn push(&mut self, news: T, priority: Priority) {
         let subject = news.subject().clone();
         let item = Item {
             news,
+            priority,
             send_count: 0,
         };
-        if let Some(old) = self.items.insert(subject.clone(), item) {
-            self.order.remove(&(old.send_count, subject.clone()));
+        self.order.insert(item.rank());
+        if let Some(old) = self.items.insert(subject, item)
+            && (old.priority, old.send_count) != (priority, 0)
+        {
+            self.order.remove(&old.rank());
         }
-        self.order.insert((0, subject));
     }
 
     /// Says whether nothing is left to pass on.
@@ -75,11 +102,11 @@
         self.items.is_empty()
     }
 
-    /// Takes news that fits into `budget_bytes`, the least sent first.
+    /// Takes news that fits into `budget_bytes`, by priority and the least sent first.
     pub fn take(&mut self, member_count: usize, budget_bytes: usize) -> Vec<T> {
         let mut taken = Vec::new();
         let mut left_bytes = budget_bytes;
-        for (_, subject) in &self.order {
+        for (_, _, subject) in &self.order {
             let Some(item) = self.items.get(subject) else {
                 continue;
             };
@@ -101,10 +128,10 @@
         let Some(item) = self.items.get_mut(subject) else {
             return;
         };
-        self.order.remove(&(item.send_count, subject.clone()));
+        self.order.remove(&item.rank());
         item.send_count += 1;
         if item.send_count < limit {
-            self.order.insert((item.send_count, subject.clone()));
+            self.order.insert(item.rank());
         } else {
             self.items.remove(subject);
         }
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     blackboard::{Host, HostState},
-    broadcast::Queue,
+    broadcast::{Priority, Queue},
     clock::Timestamp,
     controller::Round,
     datagram::Refusal,
@@ -387,7 +387,11 @@
             if matches!(transition.to, HostState::Suspect | HostState::Dead) {
                 update.place = None;
             }
-            self.news.push(update);
+            let priority = match transition.from {
+                Some(_) => Priority::High,
+                None => Priority::Low,
+            };
+            self.news.push(update, priority);
         }
     }
 
--- a/src/membership/dissemination.rs
+++ b/src/membership/dissemination.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     blackboard::{Blackboard, HostState, ServedCount},
-    broadcast::News as _,
+    broadcast::{News as _, Priority},
     decision::{Decision, Kind},
     gossip::{Body, Heartbeat, ServedReport, Update, UpstreamNotice},
     ids::{HostId, RowId},
@@ -153,7 +153,7 @@
         }
         self.notice_versions
             .insert(notice.upstream.clone(), notice.version);
-        self.notices.push(notice.clone());
+        self.notices.push(notice.clone(), Priority::High);
         true
     }
 
@@ -177,7 +177,7 @@
         let state = self.own_state();
         self.list.set_own(self.incarnation, state);
         let own = self.own_update();
-        self.news.push(own);
+        self.news.push(own, Priority::High);
     }
 
     /// Returns the state that this host claims for itself.
@@ -250,12 +250,15 @@
             updates.push(self.own_update());
         }
         updates.extend(host.and_then(|host| self.accusation(host)));
-        updates.extend(self.news.take(self.list.live_count(), NEWS_BUDGET_BYTES));
-        let served = self.take_served(turn.round.board);
-        let mut heartbeat = self.heartbeat(body, updates, served, turn);
-        heartbeat.notices = self
-            .notices
-            .take(self.list.live_count(), NOTICE_BUDGET_BYTES);
+        let mut heartbeat = self.heartbeat(body, updates, Vec::new(), turn);
+        // The asking for pages is frequent, so it carries nothing else.
+        if !matches!(heartbeat.body, Body::Sync { .. }) {
+            let live_count = self.list.live_count();
+            let news = self.news.take(live_count, NEWS_BUDGET_BYTES);
+            heartbeat.updates.extend(news);
+            heartbeat.notices = self.notices.take(live_count, NOTICE_BUDGET_BYTES);
+            heartbeat.served = self.take_served(turn.round.board);
+        }
         turn.actions.push(Action::Send { to, heartbeat });
     }
 
