Put a host's controllers together without I/O

Change: control::Control takes inputs and returns effects, generic over the policy of engines and the ranking of queues; the entry thread only carries the effects out. Ledger and quota are in the round, with an exchange between hosts over gRPC.

--- /dev/null
+++ b/src/control.rs
@@ -0,0 +1,592 @@
+//! All controllers of one host, put together without I/O.
+//!
+//! The entry host's control thread and the replay of traces run the same
+//! [`Control`]: inputs go in, effects come out (see docs/ARCHITECTURE.md).
+
+use std::{collections::BTreeMap, mem, net::SocketAddr, sync::Arc, time::Duration};
+
+use rand::SeedableRng as _;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::{
+    allowance::Kind,
+    attach::Reply,
+    blackboard::{Blackboard, UpstreamKind},
+    cache_index::BlockHash,
+    clock::Timestamp,
+    controller::{Controller as _, Rng, Round},
+    decision::{Decision, Ring},
+    dispatch::{self, Dispatcher},
+    drain, engine_watch,
+    fairness::{Class, Ranking, Ticket},
+    follower,
+    gossip::Heartbeat,
+    handover::Handover,
+    ids::{AttemptNumber, CallNumber, HostId, Incarnation, RowId, TokenId, UpstreamId},
+    ledger, membership, quota, rendezvous,
+    routing::{self, Policy},
+    settings::Settings,
+    step, upstream_list,
+};
+
+/// The pool that trainers' samples are generated in.
+pub const MODEL_POOL: &str = "base";
+
+/// When to choose again where no engine may take an attempt.
+const NO_ENGINE_DELAY: Duration = Duration::from_millis(200);
+
+/// How long a fresh host waits for others before it serves alone.
+const JOIN_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// The time between two looks at what the dispatcher served.
+const LOAD_INTERVAL: Duration = Duration::from_millis(500);
+
+/// A message between the controllers of two hosts beside heartbeats.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Exchange {
+    /// Between ledgers.
+    Ledger(ledger::Message),
+    /// Between quotas.
+    Quota(quota::Message),
+}
+
+/// What happened outside.
+#[derive(Debug)]
+pub enum Input {
+    /// Something for the step controller.
+    Step(step::Event),
+    /// Something for the dispatcher.
+    Dispatch(dispatch::Event),
+    /// An engine reported or failed to.
+    Engine(engine_watch::Event),
+    /// The store or a peer answered about the table.
+    Table(follower::Event),
+    /// A heartbeat arrived, or the platform listed a host.
+    Member(membership::Event),
+    /// Something showed the state of an upstream.
+    Upstreams(upstream_list::Event),
+    /// A peer's controller said something.
+    Exchange {
+        /// The peer.
+        from: HostId,
+        /// What it said.
+        message: Exchange,
+    },
+    /// A traffic thread decided something.
+    Decided(Decision),
+    /// Stop gracefully.
+    Drain(drain::Requester),
+}
+
+/// What the code around the controllers shall do.
+#[derive(Debug)]
+pub enum Effect {
+    /// Send a heartbeat.
+    Send {
+        /// Where to.
+        to: SocketAddr,
+        /// What it says.
+        heartbeat: Heartbeat,
+    },
+    /// Send a message to a peer's controller.
+    Tell {
+        /// The peer.
+        to: HostId,
+        /// What to say.
+        message: Exchange,
+    },
+    /// Read the table.
+    Follow(follower::Action),
+    /// Ask an engine for its report.
+    PollEngine {
+        /// The engine.
+        engine: UpstreamId,
+        /// Where it answers, where that is known.
+        address: Option<SocketAddr>,
+    },
+    /// Ask an upstream whether it is leaving.
+    AskUpstream {
+        /// The upstream.
+        upstream: UpstreamId,
+        /// What it is.
+        kind: UpstreamKind,
+        /// Where it answers.
+        address: SocketAddr,
+    },
+    /// Answer a submission.
+    Accept {
+        /// The call.
+        call: CallNumber,
+        /// Whether the step was taken on.
+        result: Result<(), step::SubmitError>,
+    },
+    /// Answer a pull.
+    Reply {
+        /// The call.
+        call: CallNumber,
+        /// The answer.
+        reply: Reply,
+    },
+    /// Start an attempt at the dispatcher of its engine.
+    StartAttempt {
+        /// What to generate.
+        dispatch: Box<step::Dispatch>,
+        /// The engine.
+        engine: UpstreamId,
+        /// The host that queues for the engine, where there is one.
+        dispatcher: Option<HostId>,
+    },
+    /// Stop an attempt.
+    CancelAttempt {
+        /// The attempt.
+        attempt: AttemptNumber,
+    },
+    /// Give a step to its next owner.
+    HandOver(Box<Handover>),
+    /// Do what the dispatcher says about a queued or running request.
+    Dispatch(dispatch::Action),
+    /// End the process.
+    End {
+        /// How the planned stop ended, or `None` where another process runs
+        /// under this host's name.
+        outcome: Option<drain::Outcome>,
+    },
+}
+
+/// The inputs of one round, by controller.
+#[derive(Debug, Default)]
+struct Inboxes {
+    steps: Vec<step::Event>,
+    dispatch: Vec<dispatch::Event>,
+    engines: Vec<engine_watch::Event>,
+    table: Vec<follower::Event>,
+    members: Vec<membership::Event>,
+    upstreams: Vec<upstream_list::Event>,
+    drain: Vec<drain::Event>,
+    ledger: Vec<ledger::Event>,
+    quota: Vec<quota::Event>,
+}
+
+/// All controllers of one host with its blackboard.
+///
+/// The policy of choosing engines and the ranking of the queues vary, so that
+/// baselines run in the same place as the real ones.
+#[derive(Debug)]
+pub struct Control<P, R> {
+    board: Blackboard,
+    rng: Rng,
+    decisions: Vec<Decision>,
+    ring: Ring,
+    inboxes: Inboxes,
+    effects: Vec<Effect>,
+    attempts: BTreeMap<AttemptNumber, UpstreamId>,
+    own: HostId,
+    has_list: bool,
+    next_load_at: Timestamp,
+    router: P,
+    steps: step::Controller,
+    dispatch: Dispatcher<R>,
+    engines: engine_watch::Controller,
+    table: follower::Controller,
+    members: membership::Controller,
+    upstreams: upstream_list::Controller,
+    drain: drain::Controller,
+    ledger: ledger::Controller,
+    quota: quota::Controller,
+}
+
+/// Runs one controller over its inbox.
+macro_rules! round {
+    ($control:ident, $controller:ident, $now:ident) => {{
+        let events = mem::take(&mut $control.inboxes.$controller);
+        let round = Round {
+            board: &mut $control.board,
+            now: $now,
+            rng: &mut $control.rng,
+            decisions: &mut $control.decisions,
+        };
+        $control.$controller.run(events, round)
+    }};
+}
+
+impl<P: Policy, R: Ranking> Control<P, R> {
+    /// Puts the controllers of one life of a host together.
+    pub fn new(settings: &Settings, incarnation: Incarnation, router: P, now: Timestamp) -> Self {
+        let own = settings.host.id.clone();
+        let split = quota::Split {
+            ordinal: settings.host.ordinal,
+            host_count: settings.limits.max_hosts_count,
+            max_run: Duration::from_millis(settings.limits.max_sample_ms),
+        };
+        Self {
+            board: Blackboard::default(),
+            rng: Rng::seed_from_u64(incarnation),
+            decisions: Vec::new(),
+            ring: Ring::default(),
+            inboxes: Inboxes::default(),
+            effects: Vec::new(),
+            attempts: BTreeMap::new(),
+            has_list: !settings.platform.host_list_url.is_empty(),
+            next_load_at: now,
+            router,
+            steps: step::Controller::default(),
+            dispatch: Dispatcher::default(),
+            engines: engine_watch::Controller::new(own.clone()),
+            table: follower::Controller::new(own.clone()),
+            members: membership::Controller::new(membership::Config::from_settings(
+                settings,
+                incarnation,
+            )),
+            upstreams: upstream_list::Controller::new(own.clone()),
+            drain: drain::Controller::new(drain_config(settings)),
+            ledger: ledger::Controller::new(own.clone(), incarnation),
+            quota: quota::Controller::new(own.clone(), split, now),
+            own,
+        }
+    }
+
+    /// Returns the blackboard, to publish or to look at.
+    pub const fn board(&self) -> &Blackboard {
+        &self.board
+    }
+
+    /// Returns the records of what was decided.
+    pub const fn ring(&self) -> &Ring {
+        &self.ring
+    }
+
+    /// Returns the work done and lost on samples.
+    pub fn counters(&self) -> step::Counters {
+        self.steps.counters()
+    }
+
+    /// Takes an input for the next round.
+    pub fn take(&mut self, input: Input) {
+        match input {
+            Input::Step(event) => self.take_step(event),
+            Input::Dispatch(event) => self.inboxes.dispatch.push(event),
+            Input::Engine(event) => self.inboxes.engines.push(event),
+            Input::Table(event) => self.inboxes.table.push(event),
+            Input::Member(event) => self.inboxes.members.push(event),
+            Input::Upstreams(event) => self.inboxes.upstreams.push(event),
+            Input::Exchange { from, message } => self.take_exchange(from, message),
+            Input::Decided(decision) => self.decisions.push(decision),
+            Input::Drain(requester) => {
+                self.inboxes.drain.push(drain::Event::Requested(requester));
+            }
+        }
+    }
+
+    fn take_step(&mut self, event: step::Event) {
+        if let step::Event::Finished { attempt, .. } | step::Event::Failed { attempt, .. } = &event
+            && let Some(engine) = self.attempts.remove(attempt)
+        {
+            self.router.on_done(&engine);
+        }
+        self.inboxes.steps.push(event);
+    }
+
+    fn take_exchange(&mut self, from: HostId, message: Exchange) {
+        match message {
+            Exchange::Ledger(message) => {
+                let received = ledger::Event::Received { from, message };
+                self.inboxes.ledger.push(received);
+            }
+            Exchange::Quota(message) => {
+                let received = quota::Event::Received { from, message };
+                self.inboxes.quota.push(received);
+            }
+        }
+    }
+
+    /// Runs all controllers once; `open_count` is the work that a planned stop
+    /// waits for.
+    pub fn run(&mut self, now: Timestamp, open_count: usize) -> Vec<Effect> {
+        for action in round!(self, members, now) {
+            self.act_on_member(action);
+        }
+        for action in round!(self, upstreams, now) {
+            self.act_on_upstream(action);
+        }
+        self.report_open_work(open_count);
+        for action in round!(self, drain, now) {
+            self.act_on_drain(&action);
+        }
+        let follows = round!(self, table, now);
+        self.effects.extend(follows.into_iter().map(Effect::Follow));
+        for action in round!(self, engines, now) {
+            self.act_on_engine(action);
+        }
+        self.router.refresh(&self.board);
+        for action in round!(self, steps, now) {
+            self.act_on_step(action, now);
+        }
+        self.run_shares(now);
+        let dispatched = round!(self, dispatch, now);
+        self.effects
+            .extend(dispatched.into_iter().map(Effect::Dispatch));
+        self.board.ready = self.board.ready || self.is_ready(now);
+        self.keep_decisions();
+        mem::take(&mut self.effects)
+    }
+
+    /// Gives the dispatcher its corrections and its part of the limits.
+    fn run_shares(&mut self, now: Timestamp) {
+        let is_due = now >= self.next_load_at;
+        if is_due {
+            self.next_load_at = now + LOAD_INTERVAL;
+            self.report_loads();
+        }
+        for action in round!(self, ledger, now) {
+            let ledger::Action::Send { to, message } = action;
+            let message = Exchange::Ledger(Arc::unwrap_or_clone(message));
+            self.effects.push(Effect::Tell { to, message });
+        }
+        for action in round!(self, quota, now) {
+            let quota::Action::Send { to, message } = action;
+            let message = Exchange::Quota(message);
+            self.effects.push(Effect::Tell { to, message });
+        }
+        if is_due {
+            self.dispatch.set_corrections(self.ledger.corrections());
+            let allowances = self.quota.allowances(&self.board.rows, now);
+            self.dispatch.set_allowances(allowances);
+        }
+    }
+
+    fn report_loads(&mut self) {
+        let loads = self.dispatch.loads();
+        for (row, load) in &loads {
+            let used = u64::from(load.running_count);
+            let usage = quota::Event::Usage {
+                row: RowId::clone(row),
+                kind: Kind::RunningSamples,
+                used,
+                wanted: used + u64::from(load.backlog_tokens > 0.0),
+            };
+            self.inboxes.quota.push(usage);
+        }
+        self.inboxes.ledger.push(ledger::Event::Loads(loads));
+    }
+
+    /// Says whether this host knows the table, the upstreams and the others, so
+    /// that it refuses nothing that an older host would take.
+    fn is_ready(&self, now: Timestamp) -> bool {
+        let knows_upstreams = !self.has_list || !self.board.upstreams.members.is_empty();
+        let knows_hosts = self.members.is_joined() || now > JOIN_TIMEOUT;
+        self.board.rows.revision > 0 && knows_upstreams && knows_hosts
+    }
+
+    fn keep_decisions(&mut self) {
+        let own = &self.own;
+        let records = self.decisions.drain(..).map(|mut decision| {
+            decision.host.clone_from(own);
+            decision
+        });
+        self.ring.extend(records);
+    }
+
+    fn act_on_member(&mut self, action: membership::Action) {
+        match action {
+            membership::Action::Send { to, heartbeat } => {
+                self.effects.push(Effect::Send { to, heartbeat });
+            }
+            membership::Action::PeerRevision { host, revision } => {
+                let announced = follower::Event::PeerAnnounced { host, revision };
+                self.inboxes.table.push(announced);
+            }
+            // The ledger exchanges its own messages over its tree.
+            membership::Action::PeerServed { .. } => {}
+            membership::Action::PeerNotice(notice) => {
+                let noticed = upstream_list::Event::PeerNotice(notice);
+                self.inboxes.upstreams.push(noticed);
+            }
+            membership::Action::Superseded { incarnation } => {
+                tracing::error!(incarnation, "another process runs under this host's name");
+                self.effects.push(Effect::End { outcome: None });
+            }
+        }
+    }
+
+    fn act_on_upstream(&mut self, action: upstream_list::Action) {
+        match action {
+            upstream_list::Action::Ask { upstream, address } => {
+                let known = self.board.upstreams.members.get(&upstream);
+                if let Some(kind) = known.map(|known| known.kind) {
+                    self.effects.push(Effect::AskUpstream {
+                        upstream,
+                        kind,
+                        address,
+                    });
+                }
+            }
+            upstream_list::Action::Notify(notice) => {
+                let noticed = membership::Event::Noticed(notice);
+                self.inboxes.members.push(noticed);
+            }
+        }
+    }
+
+    /// Tells a stop that is under way what it still waits for.
+    fn report_open_work(&mut self, open_count: usize) {
+        if !self.board.draining {
+            return;
+        }
+        let open = drain::OpenWork {
+            accepting: !self.board.refusing,
+            request_count: open_count,
+            ..drain::OpenWork::default()
+        };
+        self.inboxes.drain.push(drain::Event::Open(open));
+    }
+
+    fn act_on_drain(&mut self, action: &drain::Action) {
+        match action {
+            drain::Action::AnnounceLeaving => {
+                self.inboxes.members.push(membership::Event::Leave);
+            }
+            drain::Action::Exit { outcome, .. } => {
+                let outcome = Some(*outcome);
+                self.effects.push(Effect::End { outcome });
+            }
+            // The blackboard tells the traffic threads of these, and the step
+            // controller hands over by itself.
+            drain::Action::StopReadiness
+            | drain::Action::StopAccepting
+            | drain::Action::HandOver(_) => {}
+        }
+    }
+
+    fn act_on_engine(&mut self, action: engine_watch::Action) {
+        let engine_watch::Action::Poll { engine } = action;
+        let known = self.board.upstreams.members.get(&engine);
+        let address = known.map(|known| known.address);
+        self.effects.push(Effect::PollEngine { engine, address });
+    }
+
+    fn act_on_step(&mut self, action: step::Action, now: Timestamp) {
+        match action {
+            step::Action::Accept { call, result } => {
+                self.effects.push(Effect::Accept { call, result });
+            }
+            step::Action::Reply { call, reply } => {
+                self.effects.push(Effect::Reply { call, reply });
+            }
+            step::Action::Dispatch(dispatch) => self.start_attempt(dispatch, now),
+            step::Action::Cancel { attempt } => {
+                if let Some(engine) = self.attempts.remove(&attempt) {
+                    self.router.on_done(&engine);
+                }
+                self.effects.push(Effect::CancelAttempt { attempt });
+            }
+            step::Action::HandOver(handover) => self.effects.push(Effect::HandOver(handover)),
+        }
+    }
+
+    /// Chooses the engine of an attempt and the host that queues for it.
+    fn start_attempt(&mut self, dispatch: Box<step::Dispatch>, now: Timestamp) {
+        let exclude = dispatch.avoid.as_slice();
+        let chosen = self
+            .choose_engine(&dispatch, exclude, now)
+            .or_else(|| self.choose_engine(&dispatch, &[], now));
+        let Some(engine) = chosen else {
+            self.inboxes.steps.push(no_engine(dispatch.attempt));
+            return;
+        };
+        self.router.on_sent(&engine);
+        self.attempts.insert(dispatch.attempt, engine.clone());
+        let live = self.board.hosts.live().map(|host| &host.id);
+        let dispatcher = rendezvous::engine_dispatcher(&engine, live).cloned();
+        self.effects.push(Effect::StartAttempt {
+            dispatch,
+            engine,
+            dispatcher,
+        });
+    }
+
+    fn choose_engine(
+        &mut self,
+        dispatch: &step::Dispatch,
+        exclude: &[UpstreamId],
+        now: Timestamp,
+    ) -> Option<UpstreamId> {
+        let prefix = prefix_hashes(&dispatch.prompt_tokens);
+        let request = routing::Request {
+            row: &dispatch.slot.trainer,
+            pool: MODEL_POOL,
+            class: Class::Rollout,
+            prefix: &prefix,
+            prompt_tokens: u32::try_from(dispatch.prompt_tokens.len()).unwrap_or(u32::MAX),
+            predicted_tokens: dispatch.expected_tokens,
+            min_version: dispatch.min_version,
+            exclude,
+        };
+        self.router
+            .choose(&self.board, &request, now, &mut self.rng)
+    }
+
+    /// Counts what a host was asked to queue, for the figures of a replay.
+    pub fn waiting_count(&self, engine: &UpstreamId) -> usize {
+        self.dispatch.waiting_count(engine)
+    }
+}
+
+/// Makes the entry of the dispatcher's queue for an attempt.
+pub fn queue_entry(
+    dispatch: &step::Dispatch,
+    engine: &UpstreamId,
+    ticket: Ticket,
+    deadline: Timestamp,
+) -> dispatch::Request {
+    let count = |tokens: &[TokenId]| u32::try_from(tokens.len()).unwrap_or(u32::MAX);
+    let resumed_tokens = count(&dispatch.resume.tokens);
+    dispatch::Request {
+        ticket,
+        engine: engine.clone(),
+        row: dispatch.slot.trainer.clone(),
+        class: Class::Rollout,
+        priority: dispatch.priority,
+        prompt_tokens: count(&dispatch.prompt_tokens) + resumed_tokens,
+        predicted_tokens: dispatch
+            .expected_tokens
+            .saturating_sub(resumed_tokens)
+            .max(1),
+        deadline,
+    }
+}
+
+fn drain_config(settings: &Settings) -> drain::Config {
+    drain::Config {
+        own: settings.host.id.clone(),
+        grace: Duration::from_millis(settings.drain.grace_ms),
+        bound: Duration::from_millis(settings.drain.bound_ms),
+    }
+}
+
+/// Says that no engine may take an attempt now.
+fn no_engine(attempt: AttemptNumber) -> step::Event {
+    step::Event::Failed {
+        attempt,
+        failure: step::Failure {
+            not_run: true,
+            retry_after: NO_ENGINE_DELAY,
+            proved: None,
+        },
+    }
+}
+
+/// Hashes the blocks of a prompt, each with all before it.
+fn prefix_hashes(tokens: &[TokenId]) -> Vec<BlockHash> {
+    let mut last = 0;
+    tokens
+        .chunks_exact(routing::BLOCK_TOKENS as usize)
+        .map(|block| {
+            let bytes = block
+                .iter()
+                .flat_map(|token| token.to_le_bytes())
+                .collect::<Vec<_>>();
+            last = xxh3_64_with_seed(&bytes, last);
+            last
+        })
+        .collect()
+}
--- a/src/demo/cluster.rs
+++ b/src/demo/cluster.rs
@@ -294,6 +294,8 @@
         );
         let mut settings = Settings::parse(&text)?;
         settings.seed_peers = peers.clone();
+        settings.host.ordinal = u32::try_from(place).unwrap_or(0);
+        settings.limits.max_hosts_count = HOST_COUNT as u32;
         settings.drain.grace_ms = GRACE_MS;
         settings.limits.silence_timeout_ms = SILENCE_TIMEOUT_MS;
         settings.keys.fleet = FLEET_SECRET.to_owned();
--- a/src/entry/effects.rs
+++ b/src/entry/effects.rs
@@ -5,15 +5,15 @@
 use tokio::{sync::mpsc, task::AbortHandle};
 use tokio_stream::StreamExt as _;
 
-use super::{Host, Shared, control::Input, engine_client::EngineError, generate, messages, owners};
+use super::{Host, Shared, engine_client::EngineError, generate, messages, owners, thread::Input};
 use crate::{
-    blackboard::{Blackboard, EngineReport, UpstreamKind},
+    blackboard::{EngineReport, UpstreamKind},
+    control::{self, Exchange},
     engine_api::Report,
     engine_watch, follower,
     handover::Handover,
     ids::{AttemptNumber, HostId, Revision, UpstreamId},
     proto::peer::{self, generate_event::Event},
-    rendezvous,
     row::Row,
     step::{self, Dispatch, Failure},
     upstream_list,
@@ -25,37 +25,37 @@
 /// When to try again after a dispatcher failed.
 const DISPATCHER_RETRY: Duration = Duration::from_millis(100);
 
-/// A running attempt at a sample.
-#[derive(Debug)]
-pub struct Attempt {
-    /// The engine that it was sent to.
-    pub engine: UpstreamId,
-    /// Ends it when aborted.
-    pub task: AbortHandle,
-}
-
-/// Starts an attempt at the dispatcher of `engine`.
+/// Starts an attempt at the dispatcher of `engine`; aborting it ends it.
 pub fn start_attempt(
     shared: &Shared,
-    board: &Blackboard,
     dispatch: &Dispatch,
     engine: UpstreamId,
-) -> Attempt {
-    let hosts = board.hosts.live().map(|host| &host.id).collect::<Vec<_>>();
-    let dispatcher = rendezvous::engine_dispatcher(&engine, hosts.iter().copied()).cloned();
+    dispatcher: Option<HostId>,
+) -> AbortHandle {
     let request = messages::generate_request(dispatch, &engine);
     let attempt = dispatch.attempt;
     let host = shared.clone();
-    let chosen = engine.clone();
-    let task = shared.open_work.spawn(async move {
-        let failure = drive(&host, request, dispatcher, chosen).await;
+    shared.open_work.spawn(async move {
+        let failure = drive(&host, request, dispatcher, engine).await;
         if let Some(failure) = failure {
-            host.control
-                .tell(Input::Step(step::Event::Failed { attempt, failure }))
-                .await;
+            let failed = step::Event::Failed { attempt, failure };
+            host.control.tell(Input::step(failed)).await;
+        }
+    })
+}
+
+/// Sends a message to a peer's controller; one that is lost is sent anew by it.
+pub fn tell(shared: &Shared, to: HostId, message: Exchange) {
+    let host = shared.clone();
+    shared.runtime.spawn(async move {
+        let Ok(mut client) = owners::peer_client(&host, &to) else {
+            return;
+        };
+        let request = messages::write_exchange(&host.settings.host.id, message);
+        if let Err(status) = client.exchange(request).await {
+            tracing::debug!(%to, %status, "a message to a peer was lost");
         }
     });
-    Attempt { engine, task }
 }
 
 /// Follows an attempt to its end; returns the failure where there was no end.
@@ -125,7 +125,7 @@
                 engine: engine.clone(),
                 proved: messages::read_progress(progress),
             };
-            host.control.tell(Input::Step(progressed)).await;
+            host.control.tell(Input::step(progressed)).await;
             None
         }
         Event::Sample(sample) => {
@@ -133,7 +133,7 @@
                 attempt,
                 sample: messages::read_sample(sample, attempt),
             };
-            host.control.tell(Input::Step(finished)).await;
+            host.control.tell(Input::step(finished)).await;
             Some(None)
         }
         Event::Failure(failure) => Some(Some(messages::read_failure(&failure))),
@@ -187,18 +187,14 @@
             Err(EngineError::Connect(_)) => upstream_list::Event::ConnectionRefused { upstream },
             Err(_) => return,
         };
-        host.control.tell(Input::Upstreams(event)).await;
+        host.control
+            .tell(Input::Control(control::Input::Upstreams(event)))
+            .await;
     });
 }
 
 /// Asks an engine for its report.
-pub fn poll_engine(shared: &Shared, board: &Blackboard, action: engine_watch::Action) {
-    let engine_watch::Action::Poll { engine } = action;
-    let address = board
-        .upstreams
-        .members
-        .get(&engine)
-        .map(|known| known.address);
+pub fn poll_engine(shared: &Shared, engine: UpstreamId, address: Option<SocketAddr>) {
     let host = shared.clone();
     shared.runtime.spawn(async move {
         let event = match address {
@@ -214,7 +210,9 @@
             },
             None => engine_watch::Event::Failed { engine },
         };
-        host.control.tell(Input::Engine(event)).await;
+        host.control
+            .tell(Input::Control(control::Input::Engine(event)))
+            .await;
     });
 }
 
@@ -243,7 +241,9 @@
                 above_revision,
             } => fetch_rows(&host, peer, above_revision).await,
         };
-        host.control.tell(Input::Table(event)).await;
+        host.control
+            .tell(Input::Control(control::Input::Table(event)))
+            .await;
     });
 }
 
--- a/src/entry/generate.rs
+++ b/src/entry/generate.rs
@@ -12,9 +12,9 @@
 
 use super::{
     Host,
-    control::{Input, Turn},
     engine_client::EngineError,
     messages,
+    thread::{Input, Turn},
 };
 use crate::{
     dispatch,
@@ -90,7 +90,7 @@
     let result = queue_and_stream(host, &request, ticket, &mut evidence, &events).await;
     let tokens = evidence.token_count();
     host.control
-        .tell(Input::Dispatch(dispatch::Event::Finished {
+        .tell(Input::dispatch(dispatch::Event::Finished {
             ticket,
             tokens,
         }))
@@ -197,7 +197,7 @@
         },
         () = events.closed() => {
             host.control
-                .tell(Input::Dispatch(dispatch::Event::Cancelled { ticket, tokens: 0 }))
+                .tell(Input::dispatch(dispatch::Event::Cancelled { ticket, tokens: 0 }))
                 .await;
             Err(GenerateError::Abandoned)
         }
@@ -247,7 +247,7 @@
 async fn report_progress(host: &Host, ticket: Ticket, evidence: &Evidence, events: &Events) {
     let tokens = evidence.token_count();
     host.control
-        .tell(Input::Dispatch(dispatch::Event::Progress {
+        .tell(Input::dispatch(dispatch::Event::Progress {
             ticket,
             tokens,
         }))
--- a/src/entry/messages.rs
+++ b/src/entry/messages.rs
@@ -3,12 +3,16 @@
 use std::{sync::Arc, time::Duration};
 
 use crate::{
+    allowance::Kind,
     attach::{HeldGroup, Pull, Reply},
+    control::Exchange,
     engine_api::CompletionChunk,
     evidence::{Chunk, Proved, Segment},
     handover::{Handover, Partial},
     ids::Slot,
+    ledger,
     proto::peer,
+    quota,
     sample::{self, FinishReason, Sample},
     spec::{PromptGroup, StepSpec},
     step::{Dispatch, Failure},
@@ -279,3 +283,135 @@
         owner: owner.to_owned(),
     }
 }
+
+/// Writes a message to a peer's controller.
+pub fn write_exchange(from: &str, message: Exchange) -> peer::ExchangeRequest {
+    use peer::exchange_request::Message;
+
+    let message = match message {
+        Exchange::Ledger(ledger::Message::Report {
+            level,
+            incarnation,
+            sequence,
+            counts,
+        }) => Message::LedgerReport(peer::LedgerReport {
+            level,
+            incarnation,
+            sequence,
+            counts: write_counts(counts),
+        }),
+        Exchange::Ledger(ledger::Message::Totals {
+            root,
+            incarnation,
+            sequence,
+            counts,
+        }) => Message::LedgerTotals(peer::LedgerTotals {
+            root: root.to_string(),
+            incarnation,
+            sequence,
+            counts: write_counts(counts),
+        }),
+        Exchange::Quota(quota::Message::Ask {
+            nonce,
+            row,
+            kind,
+            amount,
+            renews,
+        }) => Message::QuotaAsk(peer::QuotaAsk {
+            nonce,
+            row: row.to_string(),
+            kind: write_kind(kind).into(),
+            amount,
+            renews,
+        }),
+        Exchange::Quota(quota::Message::Grant {
+            nonce,
+            loan,
+            amount,
+        }) => Message::QuotaGrant(peer::QuotaGrant {
+            nonce,
+            loan,
+            amount,
+        }),
+        Exchange::Quota(quota::Message::Return { loan }) => {
+            Message::QuotaReturn(peer::QuotaReturn { loan })
+        }
+    };
+    peer::ExchangeRequest {
+        from: from.to_owned(),
+        message: Some(message),
+    }
+}
+
+/// Reads a message from a peer's controller; one that says nothing is dropped.
+pub fn read_exchange(message: peer::exchange_request::Message) -> Option<Exchange> {
+    use peer::exchange_request::Message;
+
+    Some(match message {
+        Message::LedgerReport(report) => Exchange::Ledger(ledger::Message::Report {
+            level: report.level,
+            incarnation: report.incarnation,
+            sequence: report.sequence,
+            counts: read_counts(report.counts),
+        }),
+        Message::LedgerTotals(totals) => Exchange::Ledger(ledger::Message::Totals {
+            root: totals.root.into(),
+            incarnation: totals.incarnation,
+            sequence: totals.sequence,
+            counts: read_counts(totals.counts),
+        }),
+        Message::QuotaAsk(ask) => Exchange::Quota(quota::Message::Ask {
+            nonce: ask.nonce,
+            kind: read_kind(ask.kind())?,
+            row: ask.row.into(),
+            amount: ask.amount,
+            renews: ask.renews,
+        }),
+        Message::QuotaGrant(grant) => Exchange::Quota(quota::Message::Grant {
+            nonce: grant.nonce,
+            loan: grant.loan,
+            amount: grant.amount,
+        }),
+        Message::QuotaReturn(returned) => {
+            let loan = returned.loan;
+            Exchange::Quota(quota::Message::Return { loan })
+        }
+    })
+}
+
+fn write_counts(counts: ledger::Counts) -> Vec<peer::RowCount> {
+    let counts = counts.into_iter().map(|(row, count)| peer::RowCount {
+        row: row.to_string(),
+        served_tokens: count.served_tokens,
+        backlog_tokens: count.backlog_tokens,
+    });
+    counts.collect()
+}
+
+fn read_counts(counts: Vec<peer::RowCount>) -> ledger::Counts {
+    let counts = counts.into_iter().map(|count| {
+        let read = ledger::Count {
+            served_tokens: count.served_tokens,
+            backlog_tokens: count.backlog_tokens,
+        };
+        (count.row.into(), read)
+    });
+    counts.collect()
+}
+
+const fn write_kind(kind: Kind) -> peer::LimitKind {
+    match kind {
+        Kind::RunningSamples => peer::LimitKind::RunningSamples,
+        Kind::TokenRate => peer::LimitKind::TokenRate,
+        Kind::CallRate => peer::LimitKind::CallRate,
+    }
+}
+
+const fn read_kind(kind: peer::LimitKind) -> Option<Kind> {
+    match kind {
+        peer::LimitKind::RunningSamples => Some(Kind::RunningSamples),
+        peer::LimitKind::TokenRate => Some(Kind::TokenRate),
+        peer::LimitKind::CallRate => Some(Kind::CallRate),
+        peer::LimitKind::Unspecified => None,
+    }
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -30,7 +30,7 @@
     call,
     claim_store::TableClaims,
     clock::Clock,
-    connection,
+    connection, control,
     controller::Rng,
     datagram::{Key, Receiver, Transport},
     decision::Decision,
@@ -47,7 +47,6 @@
 mod api;
 mod body;
 mod calls;
-pub mod control;
 mod effects;
 pub mod engine_client;
 mod generate;
@@ -58,12 +57,13 @@
 pub mod peer_client;
 mod peer_server;
 pub mod problem;
+pub mod thread;
 mod trainers;
 
-use control::{Input, Sender};
 use engine_client::EngineClient;
 use open_work::OpenWork;
 use peer_client::Peers;
+use thread::{Input, Sender};
 
 /// Records of traffic threads that may wait for the control thread.
 const DECISION_COUNT: usize = 1024;
@@ -205,7 +205,7 @@
         runtime.spawn(receive(shared.clone(), receiver));
         runtime.spawn(pass_records(shared.clone(), records));
         runtime.spawn(read_list(shared.clone()));
-        let control = control::start(shared.clone(), inputs, transport)?;
+        let control = thread::start(shared.clone(), inputs, transport)?;
         let server = api::Server::start(shared.clone(), http, HTTP_WORKER_COUNT)?;
         tracing::info!(host = %shared.settings.host.id, http = %shared.settings.host.http_address, "started");
         Ok(Self {
@@ -248,7 +248,7 @@
 async fn wait(shared: &Shared, requested: impl Future<Output = drain::Requester>) {
     tokio::select! {
         requester = requested => {
-            shared.control.tell(Input::Drain(requester)).await;
+            shared.control.tell(Input::Control(control::Input::Drain(requester))).await;
             shared.wait_end().await;
         }
         () = shared.wait_end() => {}
@@ -361,13 +361,19 @@
                 continue;
             }
         };
-        shared.control.tell(Input::Member(event)).await;
+        shared
+            .control
+            .tell(Input::Control(control::Input::Member(event)))
+            .await;
     }
 }
 
 async fn pass_records(shared: Shared, mut records: mpsc::Receiver<Decision>) {
     while let Some(record) = records.recv().await {
-        shared.control.tell(Input::Decided(record)).await;
+        shared
+            .control
+            .tell(Input::Control(control::Input::Decided(record)))
+            .await;
     }
 }
 
--- a/src/entry/operators.rs
+++ b/src/entry/operators.rs
@@ -6,11 +6,12 @@
 
 use super::{
     api::{self, Answer, Context},
-    control::Input,
     problem::Problem,
+    thread::Input,
 };
 use crate::{
     blackboard::{HostState, StoreCondition, UpstreamState},
+    control,
     decision::Decision,
     drain,
     ids::{HostId, Revision, UpstreamId},
@@ -75,7 +76,11 @@
 async fn try_drain(ctx: &Context<'_>) -> Answer {
     let operator = api::admit_operator(ctx)?;
     let requester = drain::Requester::Operator(operator);
-    let asked = ctx.state().control.send(Input::Drain(requester)).await;
+    let asked = ctx
+        .state()
+        .control
+        .send(Input::Control(control::Input::Drain(requester)))
+        .await;
     asked.map_err(|error| Problem::Overloaded.refuse(error.to_string(), None))?;
     Ok(api::text("draining\n"))
 }
--- a/src/entry/owners.rs
+++ b/src/entry/owners.rs
@@ -11,7 +11,7 @@
 
 use super::{
     Host,
-    control::{ControlError, Input},
+    thread::{ControlError, Input},
 };
 use crate::{
     ids::{HostId, RowId, StepNumber},
--- a/src/entry/peer_server.rs
+++ b/src/entry/peer_server.rs
@@ -7,8 +7,8 @@
 use tokio_stream::{Stream, StreamExt as _, wrappers::ReceiverStream};
 use tonic::{Request, Response, Status, service::Interceptor};
 
-use super::{Shared, control::Input, generate, messages, owners, peer_client};
-use crate::{proto::peer, step};
+use super::{Shared, generate, messages, owners, peer_client, thread::Input};
+use crate::{control, proto::peer, step};
 
 /// Events of one generation that may wait for a slow peer.
 const EVENT_BUFFER_COUNT: usize = 8;
@@ -111,7 +111,7 @@
         request: Request<peer::HandoverRequest>,
     ) -> Result<Response<peer::HandoverReply>, Status> {
         let handover = Box::new(messages::read_handover(request.into_inner()));
-        let received = Input::Step(step::Event::HandedOver(handover));
+        let received = Input::step(step::Event::HandedOver(handover));
         self.shared
             .control
             .send(received)
@@ -120,6 +120,19 @@
         Ok(Response::new(peer::HandoverReply {}))
     }
 
+    async fn exchange(
+        &self,
+        request: Request<peer::ExchangeRequest>,
+    ) -> Result<Response<peer::ExchangeReply>, Status> {
+        let request = request.into_inner();
+        let from = request.from.as_str().into();
+        if let Some(message) = request.message.and_then(messages::read_exchange) {
+            let told = Input::Control(control::Input::Exchange { from, message });
+            self.shared.control.tell(told).await;
+        }
+        Ok(Response::new(peer::ExchangeReply {}))
+    }
+
     async fn fetch_rows(
         &self,
         request: Request<peer::FetchRowsRequest>,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod column;
 pub mod concurrency;
 pub mod connection;
+pub mod control;
 pub mod controller;
 pub mod correction;
 pub mod datagram;
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -88,6 +88,9 @@
         rng: &mut Rng,
     ) -> Option<UpstreamId>;
 
+    /// Takes in what changed on the blackboard; once a round is enough.
+    fn refresh(&mut self, _board: &Blackboard) {}
+
     /// Counts a request that was sent.
     fn on_sent(&mut self, engine: &UpstreamId);
 
@@ -254,6 +257,10 @@
 impl Policy for Router {
     const NAME: &'static str = "locality-and-load";
 
+    fn refresh(&mut self, board: &Blackboard) {
+        Self::refresh(self, board);
+    }
+
     fn choose(
         &mut self,
         board: &Blackboard,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -87,6 +87,10 @@
     pub region: Region,
     /// The failure domain that it stands in.
     pub failure_domain: FailureDomain,
+    /// The number of this host, which no other running host has; it decides
+    /// which part of each row's limits the host may use.
+    #[serde(default)]
+    pub ordinal: u32,
     /// Where callers and trainers reach it.
     pub http_address: SocketAddr,
     /// Where peers reach it, over TCP and UDP.
@@ -167,6 +171,10 @@
     pub silence_timeout_ms: u64,
     /// The part of calls that may be retries.
     pub retry_budget_ratio: f64,
+    /// The most hosts that ever run at once; limits are divided by it.
+    pub max_hosts_count: u32,
+    /// The longest that one sample runs on an engine.
+    pub max_sample_ms: u64,
 }
 
 /// What is known of the plain services of one pool.
@@ -292,6 +300,8 @@
             max_queued_calls: 1024,
             silence_timeout_ms: 5_000,
             retry_budget_ratio: 0.1,
+            max_hosts_count: 1,
+            max_sample_ms: 600_000,
         }
     }
 }
