Judge pace by whole samples, and wait for weights that spread

Cause: In the tail only stragglers report progress, so that their pace became the usual one and they were hedged no more. Two tests passed with their mechanism turned off. Change: The usual pace comes from whole samples. While newer weights spread, a step waits where half a late sample is expected.

--- a/src/slot.rs
+++ b/src/slot.rs
@@ -54,6 +54,14 @@
         token_count(&self.proved).saturating_sub(self.resumed_tokens)
     }
 
+    /// Returns the time that one of its tokens took, now that its sample of
+    /// `tokens` is whole.
+    pub fn mean_token_time(&self, tokens: u32, now: Timestamp) -> Option<Duration> {
+        let made = tokens.saturating_sub(self.resumed_tokens);
+        let span = now.saturating_sub(self.started_at?);
+        (made > 0).then(|| span / made)
+    }
+
     /// Takes in progress at `now`, and returns the time that one token took.
     ///
     /// The latest report counts, also where it is shorter: the engine may have
--- a/src/staleness.rs
+++ b/src/staleness.rs
@@ -28,6 +28,13 @@
 /// would be refused for certain.
 const MAX_LATE_RATIO: f64 = 0.99;
 
+/// How many samples of a step may be expected to come too late while newer
+/// weights spread. A short wait then buys a whole interval.
+const MAX_LATE_COUNT: f64 = 0.5;
+
+/// How long after a change of the trainer its weights are waited for.
+const SPREAD_PATIENCE: Duration = Duration::from_secs(30);
+
 /// Returns by how many versions a sample is older than the trainer.
 pub fn age_versions(stated: WeightVersion, oldest: WeightVersion) -> WeightVersion {
     stated.saturating_sub(oldest)
@@ -110,6 +117,11 @@
         Some(due.saturating_add(interval.saturating_mul(further)))
     }
 
+    /// Says whether the weights of the trainer's last change may still spread.
+    pub fn is_spreading(&self, now: Timestamp) -> bool {
+        now.saturating_sub(self.changed_at) < SPREAD_PATIENCE
+    }
+
     /// Returns how many versions the trainer is expected to gain by `at`.
     pub fn gain_by(&self, at: Timestamp, now: Timestamp) -> WeightVersion {
         let (Some(first), Some(interval)) = (self.change_at(1, now), self.interval) else {
@@ -187,6 +199,13 @@
     MIN_LATE_RATIO + (MAX_LATE_RATIO - MIN_LATE_RATIO) * preference
 }
 
+/// Returns the part of late samples from which on a step with
+/// `unfinished_count` of them waits for weights that spread at the moment.
+pub fn max_late_ratio_in_spread(row: &Row, unfinished_count: u32) -> f64 {
+    let part = MAX_LATE_COUNT / f64::from(unfinished_count.max(1));
+    max_late_ratio(row).min(part)
+}
+
 /// What the gate at dispatch decides.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "kebab-case")]
--- a/src/step_attempt.rs
+++ b/src/step_attempt.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use crate::{
+    clock::Timestamp,
     decision::{Decision, Kind},
     evidence::Proved,
     ids::{AttemptNumber, UpstreamId},
@@ -47,7 +48,7 @@
                 .observe(turn.now.saturating_sub(dispatched_at));
         }
         if let Some(token_time) = token_time {
-            model.token_time.observe(token_time);
+            model.first_token_time.observe(token_time);
         }
         for other in waiting {
             self.drop_attempt(place, other, registry, turn);
@@ -82,7 +83,7 @@
             self.fail(place, number, failure, registry, turn);
             return;
         }
-        self.learn(place, &sample, registry);
+        self.learn(place, number, &sample, registry, turn.now);
         self.end_race(place, number, registry, turn);
         if !self.passes(&sample) {
             self.refuse_stale(place, &sample, registry, turn);
@@ -181,10 +182,25 @@
         turn.actions.push(Action::Cancel { attempt });
     }
 
-    /// Learns the row's lengths from a whole sample.
-    fn learn(&mut self, place: Place, sample: &Sample, registry: &mut Registry) {
+    /// Learns the row's lengths and speed from a whole sample.
+    fn learn(
+        &mut self,
+        place: Place,
+        number: AttemptNumber,
+        sample: &Sample,
+        registry: &mut Registry,
+        now: Timestamp,
+    ) {
         let tokens = sample.token_count();
         self.observe_length(place, tokens);
-        registry.model(&self.spec.trainer).lengths.observe(tokens);
+        let model = registry.model(&self.spec.trainer);
+        model.lengths.observe(tokens);
+        let Phase::Running(race) = &self.slots()[place].phase else {
+            return;
+        };
+        let attempt = race.attempts().find(|attempt| attempt.number == number);
+        if let Some(token_time) = attempt.and_then(|attempt| attempt.mean_token_time(tokens, now)) {
+            model.token_time.observe(token_time);
+        }
     }
 }
--- a/src/step_dispatch.rs
+++ b/src/step_dispatch.rs
@@ -8,7 +8,9 @@
     evidence::Proved,
     ids::{RowId, UpstreamId, WeightVersion},
     slot::{Attempt, Phase, Race},
-    staleness::{Forecast, Gate, Verdict, is_deliverable, judge, max_late_ratio},
+    staleness::{
+        Forecast, Gate, Verdict, is_deliverable, judge, max_late_ratio, max_late_ratio_in_spread,
+    },
     step_message::{Action, Dispatch},
     step_registry::{Model, Registry, StepKey, Target, Turn},
     step_state::{Place, Step},
@@ -129,7 +131,7 @@
             newest: turn.newest,
             bound_versions: self.row.staleness_bound_versions,
             late_ratio: self.late_ratio(&resume, model, turn),
-            max_late_ratio: max_late_ratio(&self.row),
+            max_late_ratio: self.max_late_ratio(model, turn),
         };
         Plan {
             resume,
@@ -154,6 +156,17 @@
         }
     }
 
+    fn max_late_ratio(&self, model: &Model, turn: &Turn<'_>) -> f64 {
+        let is_behind = turn
+            .newest
+            .is_some_and(|newest| newest < self.stated_version());
+        if is_behind && model.cadence.is_spreading(turn.now) {
+            max_late_ratio_in_spread(&self.row, self.counts().unfinished())
+        } else {
+            max_late_ratio(&self.row)
+        }
+    }
+
     /// Predicts which part of samples that start now, or resume, come too late.
     fn late_ratio(&self, resume: &Proved, model: &Model, turn: &Turn<'_>) -> f64 {
         let Some(newest) = turn.newest else {
@@ -305,8 +318,9 @@
 
 /// Returns what attempts of a row usually take.
 pub(crate) fn norm(model: &Model) -> Norm {
+    let first = model.first_token_time.mean_or(DEFAULT_TOKEN_TIME);
     Norm {
-        token_time: model.token_time.mean_or(DEFAULT_TOKEN_TIME),
+        token_time: model.token_time.mean_or(first),
         startup: model.startup.mean_or(DEFAULT_STARTUP),
     }
 }
--- a/src/step_registry.rs
+++ b/src/step_registry.rs
@@ -90,8 +90,11 @@
     pub lengths: Estimator,
     /// When its trainer changes the version.
     pub cadence: Cadence,
-    /// The time that one token takes.
+    /// The time that one token of a whole sample took. In the tail of a step only
+    /// stragglers make progress, so that their pace must not count as usual.
     pub token_time: Average,
+    /// The time that one token took before any sample was whole.
+    pub first_token_time: Average,
     /// The time from dispatch to the first token.
     pub startup: Average,
 }
--- a/src/straggler.rs
+++ b/src/straggler.rs
@@ -189,9 +189,6 @@
 pub fn advise(runner: Runner, standing: Standing, norm: Norm, now: Timestamp) -> Advice {
     let silence = now.saturating_sub(runner.progressed_at);
     let is_started = runner.started_at.is_some();
-    if is_started && silence >= SILENCE_TIMEOUT {
-        return Advice::Resume;
-    }
     let gain = runner.gain(now, norm);
     if !standing.may_hedge() {
         return match is_started && gain >= MIN_MOVE_GAIN {
--- a/tests/straggler.rs
+++ b/tests/straggler.rs
@@ -35,12 +35,12 @@
     (owner, trainer, works[0].clone())
 }
 
-/// Lets the last sample make ten tokens a second.
-fn slow_down(owner: &mut Owner, last: &Dispatch, from: u32) -> Vec<Action> {
+/// Lets the last sample make ten tokens a second for eight seconds.
+fn slow_down(owner: &mut Owner, last: &Dispatch, start: f64, from: u32) -> Vec<Action> {
     let mut actions = Vec::new();
     for second in 1..=8 {
         let event = progressed(last, "engine-0", from + 10 * second, 40);
-        actions.extend(owner.run(at(2.3 + f64::from(second)), [event]));
+        actions.extend(owner.run(at(start + f64::from(second)), [event]));
     }
     actions
 }
@@ -48,7 +48,7 @@
 #[test]
 fn hedged_tail() {
     let (mut owner, mut trainer, last) = tail(105);
-    let actions = slow_down(&mut owner, &last, 105);
+    let actions = slow_down(&mut owner, &last, 2.3, 105);
     let hedges = dispatches(&actions);
     assert_eq!(hedges.len(), 1);
     let hedge = &hedges[0];
@@ -78,7 +78,7 @@
 #[test]
 fn late_loser() {
     let (mut owner, mut trainer, last) = tail(105);
-    let hedges = dispatches(&slow_down(&mut owner, &last, 105));
+    let hedges = dispatches(&slow_down(&mut owner, &last, 2.3, 105));
     let pull = trainer.pull();
     owner.pull(at(11.0), pull);
     let both = [finished(&last, 40), finished(&hedges[0], 40)];
@@ -99,18 +99,23 @@
 
 #[test]
 fn silent_engine() {
-    let (mut owner, _, last) = tail(105);
-    let mut row = Row::new("guides");
-    row.idle_preference_ratio = 0.0;
-    owner.set_row(row);
+    let mut owner = Owner::new(1, Row::new("guides"));
+    let mut trainer = Trainer::new();
+    let works = dispatches(&owner.submit(at(0.0), &spec(1, SAMPLES)));
+    owner.pull(at(0.0), trainer.pull());
     let mut actions = Vec::new();
-    for second in 3..=30 {
-        actions.extend(owner.run(at(f64::from(second)), []));
+    for second in 0..=25 {
+        let silent = usize::from(second > 4);
+        let events = works[silent..]
+            .iter()
+            .map(|work| progressed(work, "engine-0", 10 * second, 40));
+        let events: Vec<_> = events.collect();
+        actions.extend(owner.run(at(f64::from(second)), events));
     }
+    assert_eq!(cancels(&actions), [works[0].attempt]);
     let again = dispatches(&actions);
-    assert_eq!(again[0].slot, last.slot);
-    assert_eq!(again[0].resume.tokens.len(), 105);
-    assert!(cancels(&actions).contains(&last.attempt));
+    assert_eq!(again[0].slot, works[0].slot);
+    assert_eq!(again[0].resume.tokens.len(), 40, "from the last progress");
 }
 
 #[test]
@@ -139,15 +144,11 @@
 #[test]
 fn spent_budget() {
     let (mut owner, _, last) = tail(105);
-    assert_eq!(dispatches(&slow_down(&mut owner, &last, 105)).len(), 1);
-    let second = owner
-        .works
-        .values()
-        .find(|work| work.attempt != last.attempt);
-    let attempt = second.unwrap().attempt;
+    let hedges = dispatches(&slow_down(&mut owner, &last, 2.3, 105));
+    let attempt = hedges[0].attempt;
     let failure = mimosavane::step::Failure::default();
     owner.run(at(11.0), [Event::Failed { attempt, failure }]);
-    let later = slow_down(&mut owner, &last, 205);
+    let later = slow_down(&mut owner, &last, 11.0, 205);
     assert!(dispatches(&later).is_empty());
 }
 
