--- a/tests/straggler.rs
+++ b/tests/straggler.rs
@@ -147,8 +147,8 @@
     let hedges = dispatches(&slow_down(&mut owner, &last, 2.3, 105));
     let attempt = hedges[0].attempt;
     let failure = mimosavane::step::Failure::default();
-    owner.run(at(11.0), [Event::Failed { attempt, failure }]);
-    let later = slow_down(&mut owner, &last, 11.0, 205);
+    let mut later = owner.run(at(11.0), [Event::Failed { attempt, failure }]);
+    later.extend(slow_down(&mut owner, &last, 11.0, 205));
     assert!(dispatches(&later).is_empty());
 }
 
