Read what is wanted less often on hosts without a lease

Cause: a thousand stewards that read once a second would take half of the table service's reads. Conclusion: within the store's budget on paper; not measured at that size.

--- a/src/problem.rs
+++ b/src/problem.rs
@@ -87,9 +87,10 @@
 
 const fn title(outcome: Outcome) -> &'static str {
     match outcome {
-        Outcome::Answered => "The call was answered.",
-        Outcome::NotRun(_) => "The call did not run.",
-        Outcome::Unknown(_) => "It is not known whether the call ran.",
+        Outcome::Answered => "This request was answered.",
+        // An earlier request with the same key may have run all the same.
+        Outcome::NotRun(_) => "This request was not run.",
+        Outcome::Unknown(_) => "It is not known whether this request ran.",
     }
 }
 
--- a/src/steward.rs
+++ b/src/steward.rs
@@ -46,9 +46,13 @@
 /// The time between two reads of the platform's list.
 const LIST_INTERVAL: Duration = Duration::from_secs(2);
 
-/// The time between two reads of what is wanted.
+/// The time between two reads of what is wanted by a host that holds a lease.
 const WANTED_INTERVAL: Duration = Duration::from_secs(1);
 
+/// The time between two reads of it by a host that holds none, so that a large
+/// fleet stays within the store's budget.
+const IDLE_WANTED_INTERVAL: Duration = Duration::from_secs(10);
+
 /// How often a host looks at leases that others hold.
 const WATCH_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -149,6 +153,12 @@
             .copied()
     }
 
+    /// Says whether this host holds the lease of any shard.
+    fn holds_any(&self) -> bool {
+        let now = self.clock.now();
+        self.shards().iter().any(|shard| shard.fence(now).is_some())
+    }
+
     /// Tells a shard of something; waits while the rounds are behind.
     async fn tell(&self, shard: usize, event: Event) {
         // The receiver is gone only when the program ends.
@@ -344,7 +354,15 @@
 /// Follows what the engines of each pool shall run.
 async fn read_wanted<T: TableService>(shared: Arc<Shared<T>>) {
     let mut revision: Revision = 0;
+    let mut read_at = None;
     loop {
+        let now = shared.clock.now();
+        let is_due = read_at.is_none_or(|at| now >= at + IDLE_WANTED_INTERVAL);
+        if !is_due && !shared.holds_any() {
+            sleep(WANTED_INTERVAL).await;
+            continue;
+        }
+        read_at = Some(now);
         if let Ok(scan) = shared.table.scan(WANTED, revision).await {
             revision = revision.max(scan.revision);
             let wanted: BTreeMap<Arc<str>, Wanted> =
