Run mimosavane table from the library

Cause: the command line needs the table's commands with their exit codes. Change: table_command::run, a remove command, dry run for imports, one line a column for a single row, and keys of at least 16 bytes in the tests, as the check of settings asks now. Conclusion: the command line only has to call it.

--- a/src/bin/mimosavane-table.rs
+++ b/src/bin/mimosavane-table.rs
@@ -2,61 +2,60 @@
 
 use std::{net::TcpListener, path::PathBuf, process::ExitCode};
 
-use anyhow::Context as _;
+use anyhow::{Context as _, Result};
 use clap::{Arg, Command, value_parser};
 use mimosavane::{
     settings::Settings,
     table_server::{Server, State},
+    telemetry,
 };
 use tokio::signal::unix::{SignalKind, signal};
 
 /// The threads that answer requests.
 const WORKER_THREADS_COUNT: usize = 2;
 
-/// The exit code for wrong usage or input.
-const USAGE_CODE: u8 = 2;
-
-fn command() -> Command {
-    Command::new("mimosavane-table")
+fn main() -> ExitCode {
+    let matches = Command::new("mimosavane-table")
         .about("Serves the operators' table: an interface in JSON and CSV, and a page")
         .version(env!("CARGO_PKG_VERSION"))
         .arg(
             Arg::new("settings")
+                .long("settings")
                 .value_name("FILE")
-                .required(true)
                 .value_parser(value_parser!(PathBuf))
-                .help("The settings of the host, in YAML"),
+                .required(true)
+                .help("The settings of this host"),
         )
+        .get_matches();
+    let path = matches.get_one::<PathBuf>("settings");
+    match path.map(|path| Settings::load(path)).transpose() {
+        Ok(Some(settings)) => serve(&settings),
+        Ok(None) => ExitCode::from(2),
+        Err(error) => {
+            eprintln!("error: {error}");
+            ExitCode::from(2)
+        }
+    }
 }
 
-fn main() -> ExitCode {
-    let matches = command().get_matches();
-    let path: Option<&PathBuf> = matches.get_one("settings");
-    let settings = match path.map(|path| Settings::load(path)) {
-        Some(Ok(settings)) => settings,
-        Some(Err(error)) => {
-            eprintln!("mimosavane-table: {error}");
-            return ExitCode::from(USAGE_CODE);
-        }
-        None => return ExitCode::from(USAGE_CODE),
-    };
-    match serve(&settings) {
+fn serve(settings: &Settings) -> ExitCode {
+    match run(settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("mimosavane-table: {error:#}");
+            eprintln!("error: {error:#}");
             ExitCode::FAILURE
         }
     }
 }
 
 #[tokio::main(flavor = "current_thread")]
-async fn serve(settings: &Settings) -> anyhow::Result<()> {
+async fn run(settings: &Settings) -> Result<()> {
+    telemetry::start_logs(&settings.telemetry).context("starting the log")?;
     let address = settings.table.http_address;
     let listener = TcpListener::bind(address).with_context(|| format!("listening on {address}"))?;
-    let seed = rand::random();
-    let state = State::new(settings, seed).context("reading the settings")?;
+    let state = State::new(settings, rand::random()).context("reading the settings")?;
     let server = Server::start(state, listener, WORKER_THREADS_COUNT).context("starting")?;
-    println!("the table is served on http://{address}/");
+    tracing::info!(%address, "the table is served");
     let mut terminated = signal(SignalKind::terminate()).context("waiting for signals")?;
     tokio::select! {
         _ = terminated.recv() => {}
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -105,12 +105,12 @@
                         .required(true)
                         .help("The cells to change"),
                 )
-                .arg(
-                    Arg::new("dry-run")
-                        .long("dry-run")
-                        .action(ArgAction::SetTrue)
-                        .help("Checks the change and makes none"),
-                ),
+                .arg(dry_run()),
+        )
+        .subcommand(
+            on_table("remove", "Removes a row")
+                .arg(row())
+                .arg(dry_run()),
         )
         .subcommand(on_table("history", "Shows who changed what and when"))
         .subcommand(on_table(
@@ -119,13 +119,15 @@
         ))
         .subcommand(on_table("export", "Writes the table as CSV"))
         .subcommand(
-            on_table("import", "Reads the table from CSV").arg(
-                Arg::new("file")
-                    .value_name("FILE")
-                    .value_parser(value_parser!(PathBuf))
-                    .required(true)
-                    .help("The CSV file"),
-            ),
+            on_table("import", "Reads the table from CSV")
+                .arg(
+                    Arg::new("file")
+                        .value_name("FILE")
+                        .value_parser(value_parser!(PathBuf))
+                        .required(true)
+                        .help("The CSV file"),
+                )
+                .arg(dry_run()),
         )
 }
 
@@ -205,6 +207,13 @@
         .help("Holds the operator's key; without it the variable MIMOSAVANE_KEY does")
 }
 
+fn dry_run() -> Arg {
+    Arg::new("dry-run")
+        .long("dry-run")
+        .action(ArgAction::SetTrue)
+        .help("Checks the change and makes none")
+}
+
 fn row() -> Arg {
     Arg::new("row")
         .value_name("ROW")
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -96,6 +96,7 @@
 pub mod table;
 pub mod table_api;
 pub mod table_client;
+pub mod table_command;
 pub mod table_csv;
 pub mod table_server;
 pub mod table_view;
--- /dev/null
+++ b/src/table_command.rs
@@ -0,0 +1,181 @@
+//! The command `mimosavane table` (see docs/operators/table.md).
+
+use std::{
+    io,
+    path::{Path, PathBuf},
+    time::Duration,
+};
+
+use clap::ArgMatches;
+use serde::Serialize;
+
+use crate::{
+    cli::{self, Format},
+    column::{CellError, CellFault},
+    table_api::TableBody,
+    table_client::{ClientError, TableClient},
+    table_view,
+};
+
+/// The variable that holds the operator's key where no file is named.
+const KEY_VARIABLE: &str = "MIMOSAVANE_KEY";
+
+/// How long one answer of the table server may take.
+const TIMEOUT: Duration = Duration::from_secs(15);
+
+/// How many changes the history shows.
+const HISTORY_CHANGES_COUNT: usize = 100;
+
+/// Why the command failed.
+#[derive(Debug, thiserror::Error)]
+pub enum CommandError {
+    /// A file could not be read.
+    #[error("{}: {source}", path.display())]
+    Read {
+        /// The file.
+        path: PathBuf,
+        /// What the system said.
+        source: io::Error,
+    },
+    /// No key was given.
+    #[error("no key: name a file by --key-file or set {KEY_VARIABLE}")]
+    NoKey,
+    /// The table is not shown in this format.
+    #[error("the table is shown as text or json, not as {0}")]
+    Format(Format),
+    /// The result could not be written as JSON.
+    #[error("the result cannot be written: {0}")]
+    Json(#[from] serde_json::Error),
+    /// The command line names no known command.
+    #[error("unknown command")]
+    Unknown,
+    /// The table server refused or did not answer.
+    #[error("{}", describe(.0))]
+    Client(#[from] ClientError),
+}
+
+impl CommandError {
+    /// Returns the exit code: 2 for wrong usage or input, 1 for all else.
+    pub fn exit_code(&self) -> u8 {
+        match self {
+            Self::Client(error) if !error.is_usage() => 1,
+            Self::Json(_) => 1,
+            _ => 2,
+        }
+    }
+}
+
+fn describe(error: &ClientError) -> String {
+    match error {
+        ClientError::Refused(problem) => table_view::problem(problem).trim_end().to_owned(),
+        other => other.to_string(),
+    }
+}
+
+/// Runs the command, and returns what it prints.
+///
+/// # Errors
+///
+/// Fails on wrong input, and where the table server refuses or does not answer.
+pub async fn run(matches: &ArgMatches) -> Result<String, CommandError> {
+    let (name, matches) = matches.subcommand().ok_or(CommandError::Unknown)?;
+    let format = cli::format_of(matches);
+    if format == Format::Html {
+        return Err(CommandError::Format(format));
+    }
+    let client = client(matches)?;
+    let dry_run = has_flag(matches, "dry-run");
+    match name {
+        "get" => {
+            let row = argument(matches, "row");
+            let table = select(client.get().await?, row)?;
+            let text = row.map_or(table_view::table as fn(&TableBody) -> String, |_| {
+                table_view::rows
+            });
+            show(format, &table, text)
+        }
+        "set" => {
+            let cells = matches.get_many::<String>("cell").into_iter().flatten();
+            let cells: Vec<_> = cells.collect();
+            let row = argument(matches, "row").unwrap_or_default();
+            let accepted = client.set(row, &cells, dry_run).await?;
+            show(format, &accepted, |one| table_view::accepted(one, dry_run))
+        }
+        "remove" => {
+            let row = argument(matches, "row").unwrap_or_default();
+            let accepted = client.remove(row, dry_run).await?;
+            show(format, &accepted, |one| table_view::accepted(one, dry_run))
+        }
+        "history" => {
+            let history = client.history(HISTORY_CHANGES_COUNT).await?;
+            show(format, &history, table_view::history)
+        }
+        "status" => show(format, &client.status().await?, table_view::status),
+        "export" => Ok(client.export().await?),
+        "import" => {
+            let path = matches.get_one::<PathBuf>("file");
+            let text = read(path.ok_or(CommandError::Unknown)?)?;
+            let accepted = client.import(&text, dry_run).await?;
+            show(format, &accepted, |one| table_view::accepted(one, dry_run))
+        }
+        _ => Err(CommandError::Unknown),
+    }
+}
+
+fn show<T: Serialize>(
+    format: Format,
+    result: &T,
+    text: impl Fn(&T) -> String,
+) -> Result<String, CommandError> {
+    match format {
+        Format::Json => Ok(serde_json::to_string_pretty(result)? + "\n"),
+        Format::Text | Format::Html => Ok(text(result)),
+    }
+}
+
+/// Keeps only the row that was asked for.
+fn select(mut table: TableBody, row: Option<&str>) -> Result<TableBody, CommandError> {
+    let Some(row) = row else {
+        return Ok(table);
+    };
+    table.rows.retain(|present| &*present.id == row);
+    if table.rows.is_empty() {
+        let unknown = CellError::new(&row.into(), "id", CellFault::UnknownRow);
+        return Err(ClientError::from(unknown).into());
+    }
+    Ok(table)
+}
+
+fn client(matches: &ArgMatches) -> Result<TableClient, CommandError> {
+    let address = argument(matches, "table").unwrap_or_default();
+    let url = if address.contains("://") {
+        address.to_owned()
+    } else {
+        format!("http://{address}")
+    };
+    Ok(TableClient::new(url, key(matches)?, TIMEOUT))
+}
+
+fn key(matches: &ArgMatches) -> Result<String, CommandError> {
+    match matches.get_one::<PathBuf>("key-file") {
+        Some(path) => Ok(read(path)?.trim().to_owned()),
+        None => std::env::var(KEY_VARIABLE).map_err(|_| CommandError::NoKey),
+    }
+}
+
+fn read(path: &Path) -> Result<String, CommandError> {
+    std::fs::read_to_string(path).map_err(|source| CommandError::Read {
+        path: path.to_owned(),
+        source,
+    })
+}
+
+fn argument<'a>(matches: &'a ArgMatches, name: &str) -> Option<&'a str> {
+    let value = matches.try_get_one::<String>(name).ok().flatten();
+    value.map(String::as_str)
+}
+
+fn has_flag(matches: &ArgMatches, name: &str) -> bool {
+    let value = matches.try_get_one::<bool>(name).ok().flatten();
+    value.copied().unwrap_or(false)
+}
--- a/src/table_view.rs
+++ b/src/table_view.rs
@@ -57,6 +57,22 @@
     shown
 }
 
+/// Shows each row with one line a column, which fits a narrow terminal.
+pub fn rows(body: &TableBody) -> String {
+    let mut text = String::new();
+    for row in &body.rows {
+        let mut grid = grid(["column", "value", "unit", "meaning"]);
+        let cells = column::cells_of(row);
+        for column in &COLUMNS {
+            let value = cells.get(column.name).map(Value::to_string);
+            let value = value.unwrap_or_default();
+            grid.add_row([column.name, &value, column.unit, column.doc]);
+        }
+        let _ = writeln!(text, "{} (version {})\n{grid}", row.id, row.version);
+    }
+    text
+}
+
 /// Shows what a change did, or would do.
 pub fn accepted(accepted: &Accepted, dry_run: bool) -> String {
     let verb = if dry_run { "would change" } else { "changed" };
--- a/tests/table_server.rs
+++ b/tests/table_server.rs
@@ -22,12 +22,13 @@
     standin::table_service::{LoseAnswers, MemoryTable, TableServiceStandin},
     table_api::{Problem, ProblemKind, TableBody},
     table_client::{ClientError, TableClient},
+    table_command,
     table_server::{Server, State},
     table_view,
 };
 use serde_json::{Value, json};
 
-const OPERATOR: &str = "ana-secret";
+const OPERATOR: &str = "ana-secret-of-16-bytes";
 const TIMEOUT: Duration = Duration::from_secs(10);
 
 /// A table server with the stand-in behind it.
@@ -81,9 +82,9 @@
 keys:
   operators:
     ana: {OPERATOR}
-    bela: bela-secret
+    bela: bela-secret-of-16-bytes
   rows:
-    guides: guides-secret
+    guides: guides-secret-of-16-bytes
 limits:
   request_read_timeout_ms: 300
 ",
@@ -165,7 +166,7 @@
         for (token, kind) in [
             ("", ProblemKind::Unauthorized),
             ("Bearer guess", ProblemKind::Unauthorized),
-            ("Bearer guides-secret", ProblemKind::Forbidden),
+            ("Bearer guides-secret-of-16-bytes", ProblemKind::Forbidden),
         ] {
             let headers = [("authorization", token)];
             let answer = running.ask_with(Method::GET, path, "", &headers).await;
@@ -443,6 +444,51 @@
     assert!(client.get().await.unwrap().rows.is_empty());
 }
 
+#[tokio::test]
+async fn table_commands() {
+    let running = start().await;
+    let key = tempfile::NamedTempFile::new().unwrap();
+    std::fs::write(key.path(), format!("{OPERATOR}\n")).unwrap();
+    let table = running.address.to_string();
+    let run = async |words: &str| {
+        let words = ["mimosavane", "table"].into_iter().chain(words.split(' '));
+        let options = [
+            "--table",
+            &table,
+            "--key-file",
+            key.path().to_str().unwrap(),
+        ];
+        let matches = mimosavane::cli::build().get_matches_from(words.chain(options));
+        table_command::run(matches.subcommand().unwrap().1).await
+    };
+    for (words, expected) in [
+        (
+            "set guides weight_ratio=2 --dry-run",
+            "would change guides weight_ratio: - -> 2.0",
+        ),
+        ("set guides weight_ratio=2", "revision 1"),
+        ("get guides", "| weight_ratio             | 2.0"),
+        ("get", "| guides |    true |          2.0 |"),
+        ("get --format json", "\"weight_ratio\": 2.0"),
+        ("history", "guides weight_ratio: - -> 2.0"),
+        ("export", "guides,1,true,2.0"),
+        ("status", "accepted revision: 1, store: up"),
+        ("remove guides", "changed guides weight_ratio: 2.0 -> -"),
+    ] {
+        let shown = run(words).await.unwrap();
+        assert!(shown.contains(expected), "{words}: {shown}");
+    }
+    for (words, code) in [
+        ("get guides", 2),
+        ("set guides weight_ratio=heavy", 2),
+        ("import /nowhere.csv", 2),
+    ] {
+        assert_eq!(run(words).await.unwrap_err().exit_code(), code, "{words}");
+    }
+    running.standin.table().set_down(true);
+    assert_eq!(run("get").await.unwrap_err().exit_code(), 1);
+}
+
 /// The store loses each answer for a while; the change is accepted once.
 #[tokio::test]
 async fn lost_answers() {
