--- a/src/column.rs
+++ b/src/column.rs
@@ -261,7 +261,7 @@
     pub fn parse(&self, text: &str) -> Result<Value, CellFault> {
         let text = text.trim();
         let value = match self.kind {
-            Kind::Flag => text.to_ascii_lowercase().parse().map(Value::Bool).ok(),
+            Kind::Flag => parse_flag(text),
             Kind::Count { .. } => text.parse::<u64>().map(Value::from).ok(),
             Kind::Ratio { .. } => {
                 let number = text.parse::<f64>().ok().and_then(Number::from_f64);
@@ -285,6 +285,15 @@
     }
 }
 
+/// Reads what people and spreadsheets write for a flag.
+fn parse_flag(text: &str) -> Option<Value> {
+    match text.to_ascii_lowercase().as_str() {
+        "true" | "yes" => Some(Value::Bool(true)),
+        "false" | "no" => Some(Value::Bool(false)),
+        _ => None,
+    }
+}
+
 fn check_flag(found: Value) -> Result<Value, CellFault> {
     if found.is_boolean() {
         Ok(found)
--- a/src/table_view.rs
+++ b/src/table_view.rs
@@ -101,25 +101,37 @@
     value.map_or_else(|| NONE.to_owned(), Value::to_string)
 }
 
-/// Shows accepted changes, one cell a line.
+/// Shows accepted changes, one cell a line; a row that was added or removed
+/// takes one line.
 pub fn history(body: &HistoryBody) -> String {
-    let mut grid = grid(["revision", "when (UTC)", "who", "cell", "change"]);
+    let mut grid = grid(["revision", "when (UTC)", "who", "change", "id"]);
     for record in &body.changes {
-        for cell in &record.cells {
-            grid.add_row(history_line(record, cell));
+        for what in changes_of(record) {
+            grid.add_row([
+                record.revision.to_string(),
+                utc(record.at_unix_ms),
+                record.who.clone(),
+                what,
+                record.change.to_string(),
+            ]);
         }
     }
     format!("{grid}\n")
 }
 
-fn history_line(record: &ChangeRecord, cell: &CellChange) -> [String; 5] {
-    [
-        record.revision.to_string(),
-        utc(record.at_unix_ms),
-        record.who.clone(),
-        cell_change(cell),
-        record.change.to_string(),
-    ]
+fn changes_of(record: &ChangeRecord) -> Vec<String> {
+    let by_row = record.cells.chunk_by(|a, b| a.row == b.row);
+    by_row
+        .flat_map(|cells| {
+            if cells.iter().all(|cell| cell.old.is_none()) {
+                vec![format!("{} added", cells[0].row)]
+            } else if cells.iter().all(|cell| cell.new.is_none()) {
+                vec![format!("{} removed", cells[0].row)]
+            } else {
+                cells.iter().map(cell_change).collect()
+            }
+        })
+        .collect()
 }
 
 /// Shows which hosts have the revision in force.
--- a/tests/table_server.rs
+++ b/tests/table_server.rs
@@ -470,9 +470,14 @@
         ("get guides", "| weight_ratio             | 2.0"),
         ("get", "| guides |    true |          2.0 |"),
         ("get --format json", "\"weight_ratio\": 2.0"),
-        ("history", "guides weight_ratio: - -> 2.0"),
-        ("export", "guides,1,true,2.0"),
-        ("status", "accepted revision: 1, store: up"),
+        ("history", "guides added"),
+        (
+            "set guides enabled=No",
+            "changed guides enabled: true -> false",
+        ),
+        ("history", "guides enabled: true -> false"),
+        ("export", "guides,2,false,2.0"),
+        ("status", "accepted revision: 2, store: up"),
         ("remove guides", "changed guides weight_ratio: 2.0 -> -"),
     ] {
         let shown = run(words).await.unwrap();
