--- a/src/bin/mimosavane.rs
+++ b/src/bin/mimosavane.rs
@@ -1,14 +1,16 @@
 //! The operators' command line.
 
-use std::{process::ExitCode, time::Duration};
+use std::{collections::BTreeMap, path::PathBuf, process::ExitCode, time::Duration};
 
 use anyhow::{Context, Result};
 use clap::ArgMatches;
 use mimosavane::{
     cli::{self, Format},
     demo::{self, Options, fault::Fault},
+    replay,
     settings::TelemetrySettings,
-    telemetry,
+    settings_check, telemetry,
+    trace::Trace,
 };
 
 fn main() -> ExitCode {
@@ -27,6 +29,8 @@
 fn run(matches: &ArgMatches) -> Result<bool> {
     match matches.subcommand() {
         Some(("demo", matches)) => run_demo(matches),
+        Some(("replay", matches)) => run_replay(matches),
+        Some(("check-config", matches)) => check_config(matches),
         _ => Ok(false),
     }
 }
@@ -41,6 +45,43 @@
         .collect()
 }
 
+/// Plays the traces one after the other, and says whether all outcomes held.
+fn run_replay(matches: &ArgMatches) -> Result<bool> {
+    let mut reports = BTreeMap::new();
+    for path in files(matches) {
+        let trace = Trace::load(path).with_context(|| path.display().to_string())?;
+        let name = path.file_name().unwrap_or_default().to_string_lossy();
+        reports.insert(name.into_owned(), replay::play(&trace, true));
+    }
+    if cli::format_of(matches) == Format::Json {
+        println!("{}", serde_json::to_string_pretty(&reports)?);
+    } else {
+        for (name, report) in &reports {
+            println!("{name}\n{}", report.to_text());
+        }
+    }
+    let held = reports.values().filter(|report| report.is_held()).count();
+    eprintln!("{held} of {} traces held", reports.len());
+    Ok(held == reports.len())
+}
+
+/// Prints all mistakes of the settings files, and says whether there are none.
+fn check_config(matches: &ArgMatches) -> Result<bool> {
+    let mut is_valid = true;
+    for path in files(matches) {
+        let text = std::fs::read_to_string(path).with_context(|| path.display().to_string())?;
+        for mistake in settings_check::check(&path.display().to_string(), &text) {
+            is_valid = false;
+            println!("{mistake}");
+        }
+    }
+    Ok(is_valid)
+}
+
+fn files(matches: &ArgMatches) -> impl Iterator<Item = &PathBuf> {
+    matches.get_many::<PathBuf>("file").into_iter().flatten()
+}
+
 fn run_demo(matches: &ArgMatches) -> Result<bool> {
     if matches.get_flag("list-faults") {
         for fault in Fault::all() {
--- a/src/edit.rs
+++ b/src/edit.rs
@@ -95,7 +95,9 @@
 }
 
 /// How one try to commit a change ended.
-enum Attempt {
+#[derive(Debug)]
+pub(crate) enum Attempt {
+    /// The change is in the table.
     Accepted(Accepted),
     /// Another change was accepted since the table was read.
     Overtaken,
@@ -103,7 +105,11 @@
     Unknown,
 }
 
-async fn attempt(store: &impl TableService, change: &Change) -> Result<Attempt, EditError> {
+/// Tries to commit a change once.
+pub(crate) async fn attempt(
+    store: &impl TableService,
+    change: &Change,
+) -> Result<Attempt, EditError> {
     let table = read_table(store).await?;
     let plan = match plan(&table, change) {
         Ok(plan) => plan,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -404,6 +404,32 @@
 const UNNAMED_FILE: &str = "settings";
 
 impl Settings {
+    /// Makes the settings of `host` with all defaults and no platform.
+    pub fn for_host(host: HostSettings) -> Self {
+        Self {
+            host,
+            platform: PlatformSettings {
+                table_service_url: String::new(),
+                host_list_url: String::new(),
+                weight_store_url: String::new(),
+                timeout_ms: defaults::platform_timeout_ms(),
+                table_service_max_reads_per_s: defaults::table_service_max_reads_per_s(),
+                table_service_max_writes_per_s: defaults::table_service_max_writes_per_s(),
+                fence_checking_engines: Vec::new(),
+            },
+            seed_peers: Vec::new(),
+            keys: KeySettings::default(),
+            table: TableSettings::default(),
+            limits: LimitSettings::default(),
+            pools: BTreeMap::new(),
+            membership: MembershipSettings::default(),
+            drain: DrainSettings::default(),
+            steward: StewardSettings::default(),
+            telemetry: TelemetrySettings::default(),
+            objectives: ObjectiveSettings::default(),
+        }
+    }
+
     /// Reads settings from YAML text.
     ///
     /// # Errors
