Keep long samples off engines that lack spreading weights

Cause: The gate judged by the newest version, but let an attempt go to engines that still ran the one before; there its long samples came too late. Change: The oldest useful version is the lowest one whose part of late samples is within the limit.

--- a/src/staleness.rs
+++ b/src/staleness.rs
@@ -184,6 +184,8 @@
     pub expected: WeightVersion,
     /// The newest version that enough engines run; `None` where none reported.
     pub newest: Option<WeightVersion>,
+    /// The oldest version whose samples are expected to be taken.
+    pub min_version: WeightVersion,
     /// The bound of the row.
     pub bound_versions: WeightVersion,
     /// The part of such samples that are expected to come too late, where they
@@ -234,6 +236,7 @@
 ///     stated: 7,
 ///     expected: 8,
 ///     newest: Some(7),
+///     min_version: 7,
 ///     bound_versions: 1,
 ///     late_ratio: 0.1,
 ///     max_late_ratio: 0.75,
@@ -249,9 +252,8 @@
     if forecast.late_ratio > forecast.max_late_ratio {
         return Verdict::AwaitChange;
     }
-    let wanted = forecast.expected.saturating_sub(forecast.bound_versions);
     Verdict::Dispatch {
-        min_version: wanted.min(newest).max(least),
+        min_version: forecast.min_version.min(newest).max(least),
     }
 }
 
@@ -285,6 +287,7 @@
             .is_some_and(|newest| newest + predicted.bound_versions < expected);
         Forecast {
             expected,
+            min_version: expected.saturating_sub(predicted.bound_versions),
             late_ratio: f64::from(u8::from(is_late)),
             ..predicted
         }
--- a/src/step_dispatch.rs
+++ b/src/step_dispatch.rs
@@ -23,6 +23,9 @@
 /// The most slots that one step looks at in one round without starting them.
 const MAX_REFUSALS_PER_ROUND: usize = 64;
 
+/// How many versions below the newest an engine may run to be of use.
+const MAX_OLDER_VERSIONS: usize = 4;
+
 /// How long after its last pull a trainer still counts as waiting.
 const PULL_PATIENCE: Duration = Duration::from_secs(60);
 
@@ -125,13 +128,17 @@
         let expected_tokens = self.remaining_tokens(place, &resume, model);
         let duration = norm.startup + norm.token_time * expected_tokens;
         let whole_at = turn.now.saturating_add(duration);
+        let generated = u32::try_from(resume.tokens.len()).unwrap_or(u32::MAX);
+        let newest = turn.newest.unwrap_or(WeightVersion::MAX);
+        let oldest = resume.oldest_version().unwrap_or(newest).min(newest);
         let forecast = Forecast {
             stated: self.stated_version(),
             expected: self.expected_version(whole_at, model, turn),
             newest: turn.newest,
+            min_version: self.min_version(generated, model, turn),
             bound_versions: self.row.staleness_bound_versions,
-            late_ratio: self.late_ratio(&resume, model, turn),
-            max_late_ratio: self.max_late_ratio(model, turn),
+            late_ratio: self.late_ratio(oldest, generated, model, turn),
+            max_late_ratio: self.max_late_ratio(newest, model, turn),
         };
         Plan {
             resume,
@@ -156,10 +163,30 @@
         }
     }
 
-    fn max_late_ratio(&self, model: &Model, turn: &Turn<'_>) -> f64 {
-        let is_behind = turn
-            .newest
-            .is_some_and(|newest| newest < self.stated_version());
+    /// Returns the oldest version whose samples are expected to be taken.
+    ///
+    /// While weights spread, work keeps away from engines that lack them where
+    /// the time saved would be lost again.
+    fn min_version(&self, generated: u32, model: &Model, turn: &Turn<'_>) -> WeightVersion {
+        let bound = self.row.staleness_bound_versions;
+        let least = self.stated_version().saturating_sub(bound);
+        let mut version = turn.newest.unwrap_or(least);
+        for _ in 0..MAX_OLDER_VERSIONS {
+            if version <= least {
+                break;
+            }
+            let late = self.late_ratio(version - 1, generated, model, turn);
+            if late > self.max_late_ratio(version - 1, model, turn) {
+                break;
+            }
+            version -= 1;
+        }
+        version
+    }
+
+    /// Returns the part of late samples that is too much on engines of `version`.
+    fn max_late_ratio(&self, version: WeightVersion, model: &Model, turn: &Turn<'_>) -> f64 {
+        let is_behind = version < self.stated_version();
         if is_behind && model.cadence.is_spreading(turn.now) {
             max_late_ratio_in_spread(&self.row, self.counts().unfinished())
         } else {
@@ -167,13 +194,16 @@
         }
     }
 
-    /// Predicts which part of samples that start now, or resume, come too late.
-    fn late_ratio(&self, resume: &Proved, model: &Model, turn: &Turn<'_>) -> f64 {
-        let Some(newest) = turn.newest else {
-            return 0.0;
-        };
-        let oldest = resume.oldest_version().unwrap_or(newest).min(newest);
-        let last_taken = oldest + self.row.staleness_bound_versions;
+    /// Predicts which part of samples come too late that start now, or resume
+    /// with `generated` tokens, and whose oldest version is `oldest`.
+    fn late_ratio(
+        &self,
+        oldest: WeightVersion,
+        generated: u32,
+        model: &Model,
+        turn: &Turn<'_>,
+    ) -> f64 {
+        let last_taken = oldest.saturating_add(self.row.staleness_bound_versions);
         let at_pull = match self.attachment.pulled_at {
             Some(_) => self.stated_version(),
             None => self.expected_version(turn.now, model, turn),
@@ -181,14 +211,14 @@
         let Some(slack) = last_taken.checked_sub(at_pull) else {
             return 1.0;
         };
-        let Some(change_at) = model.cadence.change_at(slack + 1, turn.now) else {
+        let further = slack.saturating_add(1);
+        let Some(change_at) = model.cadence.change_at(further, turn.now) else {
             return 0.0;
         };
         let norm = norm(model);
         let span = change_at
             .saturating_sub(turn.now)
             .saturating_sub(norm.startup);
-        let generated = u32::try_from(resume.tokens.len()).unwrap_or(u32::MAX);
         let fitting = span.as_secs_f64() / norm.token_time.as_secs_f64();
         model
             .lengths
--- a/tests/staleness.rs
+++ b/tests/staleness.rs
@@ -166,6 +166,7 @@
         stated: 40,
         expected: 41,
         newest: Some(40),
+        min_version: 40,
         bound_versions: 0,
         late_ratio: 0.9,
         max_late_ratio: 0.75,
