Bound a round of the step controller

Change: At most 512 attempts start in a round, two steps are searched for stragglers, each five times a second, and one answer makes one record.

--- a/src/step.rs
+++ b/src/step.rs
@@ -38,6 +38,12 @@
 /// lost answer can be pulled again.
 pub const COMPLETED_LINGER: Duration = Duration::from_secs(60);
 
+/// The most attempts that are started in one round, which bounds its time.
+const MAX_DISPATCHES_PER_ROUND: usize = 512;
+
+/// The most steps that are searched for stragglers in one round.
+const MAX_WATCHES_PER_ROUND: usize = 2;
+
 /// The newest version is the one that one in so many engines runs or passed.
 const NEWEST_ENGINE_DIVISOR: usize = 4;
 
@@ -75,6 +81,8 @@
             board,
             now: round.now,
             newest: newest_version(board),
+            dispatches_left: MAX_DISPATCHES_PER_ROUND,
+            watches_left: MAX_WATCHES_PER_ROUND,
             rng: round.rng,
             decisions: round.decisions,
             actions: Vec::new(),
--- a/src/step_delivery.rs
+++ b/src/step_delivery.rs
@@ -153,18 +153,8 @@
         registry: &mut Registry,
         turn: &mut Turn<'_>,
     ) {
-        let stated = self.stated_version();
-        for sample in &samples {
-            registry.counters.delivered_count += 1;
-            let age = age_versions(stated, sample.oldest_version());
-            turn.decisions.push(
-                Decision::new(Kind::Sample, turn.now, "delivered")
-                    .about(&*sample.id)
-                    .figure("age_versions", age as f64)
-                    .figure("attach_count", self.attachment.highest as f64)
-                    .figure("sample_tokens", f64::from(sample.token_count())),
-            );
-        }
+        registry.counters.delivered_count += samples.len() as u64;
+        self.record_delivery(&samples, turn);
         let carried = u32::try_from(samples.len()).unwrap_or(u32::MAX);
         let open_slots = self.slot_count() - self.counts().held - carried;
         if open_slots == 0 {
@@ -177,6 +167,24 @@
         turn.actions.push(Action::Reply { call, reply });
     }
 
+    /// Records one answer, so that a large one does not push everything else out
+    /// of the ring.
+    fn record_delivery(&self, samples: &[Arc<Sample>], turn: &mut Turn<'_>) {
+        let Some(oldest) = samples.iter().map(|sample| sample.oldest_version()).min() else {
+            return;
+        };
+        let age = age_versions(self.stated_version(), oldest);
+        let mut decision = Decision::new(Kind::Sample, turn.now, "delivered")
+            .figure("samples_count", samples.len() as f64)
+            .figure("oldest_age_versions", age as f64)
+            .figure("attach_count", self.attachment.highest as f64);
+        decision.subjects = samples
+            .iter()
+            .map(|sample| Arc::clone(&sample.id))
+            .collect();
+        turn.decisions.push(decision);
+    }
+
     fn reply_superseded(&self, call: CallNumber, turn: &mut Turn<'_>) {
         let reply = Reply::Superseded {
             highest_attach: self.attachment.highest,
--- a/src/step_dispatch.rs
+++ b/src/step_dispatch.rs
@@ -17,9 +17,6 @@
     straggler::{DEFAULT_STARTUP, DEFAULT_TOKEN_TIME, Norm, priority},
 };
 
-/// The most attempts that one step starts in one round.
-const MAX_DISPATCHES_PER_ROUND: usize = 256;
-
 /// The most slots that one step looks at in one round without starting them.
 const MAX_REFUSALS_PER_ROUND: usize = 64;
 
@@ -57,14 +54,13 @@
             return;
         }
         let slot_count = self.slots().len();
-        let mut started = 0;
         let mut refused = 0;
         for offset in 0..slot_count {
             let is_limited = is_limited(self.row.max_running_samples, *running);
             if self.counts().open == 0 || is_limited {
                 break;
             }
-            if started == MAX_DISPATCHES_PER_ROUND || refused == MAX_REFUSALS_PER_ROUND {
+            if turn.dispatches_left == 0 || refused == MAX_REFUSALS_PER_ROUND {
                 self.cursor = (self.cursor + offset) % slot_count;
                 break;
             }
@@ -77,7 +73,7 @@
                 Verdict::Dispatch { min_version } => {
                     self.start(place, plan, min_version, registry, turn);
                     *running += 1;
-                    started += 1;
+                    turn.dispatches_left -= 1;
                 }
                 Verdict::AwaitWeights | Verdict::AwaitChange => refused += 1,
             }
--- a/src/step_registry.rs
+++ b/src/step_registry.rs
@@ -122,6 +122,10 @@
     pub(crate) board: &'a Blackboard,
     pub(crate) now: Timestamp,
     pub(crate) newest: Option<WeightVersion>,
+    /// Attempts that this round may start still.
+    pub(crate) dispatches_left: usize,
+    /// Steps that this round may search for stragglers still.
+    pub(crate) watches_left: usize,
     pub(crate) rng: &'a mut Rng,
     pub(crate) decisions: &'a mut Vec<Decision>,
     pub(crate) actions: Vec<Action>,
--- a/src/step_state.rs
+++ b/src/step_state.rs
@@ -81,6 +81,8 @@
     pub completed_at: Option<Timestamp>,
     /// What the gate at dispatch last decided.
     pub verdict: Option<Verdict>,
+    /// When it was last searched for stragglers.
+    pub watched_at: Timestamp,
     /// Where the next search for open slots begins.
     pub cursor: Place,
     groups: Vec<Group>,
@@ -115,6 +117,7 @@
             ready_since: None,
             completed_at: None,
             verdict: None,
+            watched_at: now,
             cursor: 0,
             groups,
             slots: vec![State::default(); first],
--- a/src/step_watch.rs
+++ b/src/step_watch.rs
@@ -17,6 +17,9 @@
     },
 };
 
+/// The time between two searches of one step.
+const WATCH_INTERVAL: Duration = Duration::from_millis(200);
+
 /// A token time above this part of the usual one makes an attempt suspect.
 const SLOW_RATIO: f64 = 1.5;
 
@@ -33,6 +36,12 @@
 impl Step {
     /// Moves silent and slow attempts, and hedges the slowest of the tail.
     pub(crate) fn watch(&mut self, key: &StepKey, registry: &mut Registry, turn: &mut Turn<'_>) {
+        let is_due = turn.now.saturating_sub(self.watched_at) >= WATCH_INTERVAL;
+        if !is_due || turn.watches_left == 0 {
+            return;
+        }
+        turn.watches_left -= 1;
+        self.watched_at = turn.now;
         let norm = norm(registry.model(&key.trainer));
         let is_tail = self.may_hedge();
         let mut candidates = Vec::new();
