--- a/src/demo/cluster.rs
+++ b/src/demo/cluster.rs
@@ -4,6 +4,7 @@
     collections::BTreeMap,
     io,
     net::{Ipv4Addr, SocketAddr, TcpListener},
+    sync::{Arc, Mutex, PoisonError},
     time::Duration,
 };
 
@@ -13,17 +14,20 @@
     blackboard::{UpstreamKind, UpstreamState},
     change::{Change, RowEdit},
     controller::Rng,
+    drain::Requester,
     edit::{self, EditError},
-    entry::{Running, StartError},
+    entry::{Running, Shared, StartError},
     ids::RowId,
     platform_api::Listed,
     settings::{Settings, SettingsError},
     standin::{
+        balancer::Balancer,
         engine::{self, Engine},
         host_list::HostList,
         service::Service,
         table_service::{MemoryTable, TableServiceStandin},
     },
+    store_client::AddressError,
 };
 
 /// Hosts of the service.
@@ -44,6 +48,19 @@
 /// The secret that the hosts share.
 const FLEET_SECRET: &str = "fleet-secret-of-the-demo";
 
+/// How long callers still arrive at a host that stops, here where the balancer
+/// is a client that draws hosts at random.
+const GRACE_MS: u64 = 500;
+
+/// How long a connection may make no progress, where a token takes a millisecond.
+const SILENCE_TIMEOUT_MS: u64 = 1_000;
+
+/// How often a restart is tried.
+const MAX_RESTART_TRIES: u32 = 40;
+
+/// The time between two such tries.
+const RESTART_DELAY: Duration = Duration::from_millis(50);
+
 /// The rows of the demo with their weights.
 pub const ROWS: [(&str, f64); 3] = [("guides", 2.0), ("summaries", 1.0), ("menus", 1.0)];
 
@@ -62,6 +79,9 @@
     /// The settings of a host are not valid.
     #[error(transparent)]
     Settings(#[from] SettingsError),
+    /// The table service's address is not valid.
+    #[error(transparent)]
+    Address(#[from] AddressError),
     /// The table could not be filled.
     #[error(transparent)]
     Edit(#[from] EditError),
@@ -76,10 +96,11 @@
     pub list: HostList,
     /// The engines.
     pub engines: Vec<Engine>,
+    /// The platform's balancer before the hosts.
+    pub balancer: Arc<Balancer>,
     /// The plain services.
     pub services: Vec<Service>,
-    /// The hosts; one that was killed is `None`.
-    pub hosts: Vec<Option<Running>>,
+    hosts: Mutex<Vec<Option<Running>>>,
     settings: Vec<Settings>,
 }
 
@@ -111,32 +132,80 @@
         for settings in &settings {
             hosts.push(Some(start_host(settings.clone()).await?));
         }
+        let addresses = settings.iter().map(|settings| settings.host.http_address);
         Ok(Self {
+            balancer: Balancer::start(addresses.collect()),
             table,
             list,
             engines,
             services,
-            hosts,
+            hosts: Mutex::new(hosts),
             settings,
         })
     }
 
-    /// Returns where the hosts answer callers, as the balancer knows them.
-    pub fn entries(&self) -> Vec<SocketAddr> {
-        self.settings
+    /// Returns what the running hosts share with their threads.
+    pub fn shared(&self) -> Vec<Shared> {
+        let hosts = self.hosts.lock().unwrap_or_else(PoisonError::into_inner);
+        hosts
             .iter()
-            .map(|settings| settings.host.http_address)
+            .flatten()
+            .map(|host| host.shared().clone())
             .collect()
     }
 
+    /// Returns what the host at `place` shares with its threads, while it runs.
+    pub fn host(&self, place: usize) -> Option<Shared> {
+        let hosts = self.hosts.lock().unwrap_or_else(PoisonError::into_inner);
+        hosts[place].as_ref().map(|host| host.shared().clone())
+    }
+
+    /// Returns the address of the table service's stand-in.
+    pub fn table_url(&self) -> &str {
+        &self.settings[0].platform.table_service_url
+    }
+
+    /// Kills the host at `place`, as a crash would.
+    pub async fn kill(&self, place: usize) {
+        let killed = self.take(place);
+        // A host ends threads of its own, which must not hold up the others.
+        let _ = tokio::task::spawn_blocking(move || drop(killed)).await;
+    }
+
+    /// Stops the host at `place` as planned, and waits until it has ended.
+    pub async fn stop(&self, place: usize) {
+        let Some(running) = self.take(place) else {
+            return;
+        };
+        let stopped = tokio::task::spawn_blocking(move || {
+            running.wait(std::future::ready(Requester::Signal));
+        });
+        let _ = stopped.await;
+    }
+
+    fn take(&self, place: usize) -> Option<Running> {
+        let mut hosts = self.hosts.lock().unwrap_or_else(PoisonError::into_inner);
+        hosts[place].take()
+    }
+
     /// Starts the host at `place` anew, with nothing kept.
     ///
     /// # Errors
     ///
     /// Fails where the host cannot be started.
-    pub async fn restart(&mut self, place: usize) -> Result<(), ClusterError> {
-        let settings = self.settings[place].clone();
-        self.hosts[place] = Some(start_host(settings).await?);
+    pub async fn restart(&self, place: usize) -> Result<(), ClusterError> {
+        let mut started = start_host(self.settings[place].clone()).await;
+        for _ in 0..MAX_RESTART_TRIES {
+            if started.is_ok() {
+                break;
+            }
+            // The threads of the earlier life still close its sockets.
+            tokio::time::sleep(RESTART_DELAY).await;
+            started = start_host(self.settings[place].clone()).await;
+        }
+        let started = started?;
+        let mut hosts = self.hosts.lock().unwrap_or_else(PoisonError::into_inner);
+        hosts[place] = Some(started);
         Ok(())
     }
 }
@@ -225,6 +294,10 @@
         );
         let mut settings = Settings::parse(&text)?;
         settings.seed_peers = peers.clone();
+        settings.host.ordinal = u32::try_from(place).unwrap_or(0);
+        settings.limits.max_hosts_count = HOST_COUNT as u32;
+        settings.drain.grace_ms = GRACE_MS;
+        settings.limits.silence_timeout_ms = SILENCE_TIMEOUT_MS;
         settings.keys.fleet = FLEET_SECRET.to_owned();
         settings.keys.rows = row_keys.clone();
         settings
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -66,6 +66,9 @@
     /// How this host stops.
     #[serde(default)]
     pub drain: DrainSettings,
+    /// How engines are given their orders.
+    #[serde(default)]
+    pub steward: StewardSettings,
     /// Where logs and metrics go.
     #[serde(default)]
     pub telemetry: TelemetrySettings,
@@ -84,6 +87,10 @@
     pub region: Region,
     /// The failure domain that it stands in.
     pub failure_domain: FailureDomain,
+    /// The number of this host, which no other running host has; it decides
+    /// which part of each row's limits the host may use.
+    #[serde(default)]
+    pub ordinal: u32,
     /// Where callers and trainers reach it.
     pub http_address: SocketAddr,
     /// Where peers reach it, over TCP and UDP.
@@ -164,6 +171,10 @@
     pub silence_timeout_ms: u64,
     /// The part of calls that may be retries.
     pub retry_budget_ratio: f64,
+    /// The most hosts that ever run at once; limits are divided by it.
+    pub max_hosts_count: u32,
+    /// The longest that one sample runs on an engine.
+    pub max_sample_ms: u64,
 }
 
 /// What is known of the plain services of one pool.
@@ -203,6 +214,22 @@
     pub bound_ms: u64,
 }
 
+/// How engines are given their orders; the same on all hosts.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct StewardSettings {
+    /// Into how many groups the engines are divided, each under one lease.
+    pub shard_count: u32,
+    /// How long a lease holds without being renewed.
+    pub lease_ms: u64,
+    /// How long an order may be under way.
+    pub order_timeout_ms: u64,
+    /// The part of each pool that keeps serving while weights are loaded.
+    pub capacity_floor_ratio: f64,
+    /// The loads that the weight store bears over the whole fleet.
+    pub max_rate_loads_per_s: f64,
+}
+
 /// Where logs and metrics go.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -252,6 +279,8 @@
     pub min_call_success_ratio: f64,
     /// How soon an accepted change must be in force on all hosts.
     pub change_in_force_ms: u64,
+    /// The length of the windows against those of the report's page.
+    pub window_scale_ratio: f64,
 }
 
 impl Default for TableSettings {
@@ -271,6 +300,8 @@
             max_queued_calls: 1024,
             silence_timeout_ms: 5_000,
             retry_budget_ratio: 0.1,
+            max_hosts_count: 1,
+            max_sample_ms: 600_000,
         }
     }
 }
@@ -294,6 +325,18 @@
     }
 }
 
+impl Default for StewardSettings {
+    fn default() -> Self {
+        Self {
+            shard_count: 1,
+            lease_ms: 10_000,
+            order_timeout_ms: 2_000,
+            capacity_floor_ratio: 0.75,
+            max_rate_loads_per_s: 10.0,
+        }
+    }
+}
+
 impl Default for TelemetrySettings {
     fn default() -> Self {
         Self {
@@ -312,6 +355,7 @@
             max_share_error_ratio: 0.05,
             min_call_success_ratio: 0.999,
             change_in_force_ms: 2_000,
+            window_scale_ratio: 1.0,
         }
     }
 }
--- a/src/standin/trainer.rs
+++ b/src/standin/trainer.rs
@@ -2,19 +2,22 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
-    net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::{Duration, Instant},
 };
 
 use hyper::StatusCode;
-use rand::{Rng as _, SeedableRng};
+use rand::SeedableRng as _;
 use serde::Serialize;
 
-use super::{client::Client, engine::true_version};
+use super::{
+    balancer::Balancer,
+    client::{Answer, Client},
+    engine::true_version,
+};
 use crate::{
     controller::Rng,
     ids::{GroupNumber, RowId, SampleIndex, StepNumber, WeightVersion},
@@ -30,6 +33,22 @@
 /// How long one request of a trainer may take.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Tells load to end.
+#[derive(Clone, Debug, Default)]
+pub struct Stop(Arc<AtomicBool>);
+
+impl Stop {
+    /// Ends the load.
+    pub fn set(&self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+
+    /// Says whether the load shall end.
+    pub fn is_set(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
 /// How a trainer behaves.
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -37,8 +56,8 @@
     pub row: RowId,
     /// Its key.
     pub token: String,
-    /// The entry hosts, among which the balancer chooses.
-    pub entries: Vec<SocketAddr>,
+    /// The balancer before the entry hosts.
+    pub balancer: Arc<Balancer>,
     /// Groups a step.
     pub group_count: u32,
     /// Samples a group.
@@ -109,17 +128,17 @@
         self.tally.clone()
     }
 
-    /// Runs steps until `until`, and returns what it saw.
+    /// Runs steps until `stop`, and returns what it saw.
     ///
     /// The next step is submitted before it trains on the last, so that the
     /// service can work ahead.
-    pub async fn run(mut self, until: Instant) -> Tally {
+    pub async fn run(mut self, stop: Stop) -> Tally {
         let start = Instant::now();
         let mut step = 0;
-        self.submit(step, until).await;
-        while Instant::now() < until {
+        self.submit(step, &stop).await;
+        while !stop.is_set() {
             let waited = Instant::now();
-            let is_whole = self.collect(step, until).await;
+            let is_whole = self.collect(step, &stop).await;
             self.note(|tally| {
                 tally.idle_ms += millis(waited.elapsed());
                 tally.whole_steps += u64::from(is_whole);
@@ -127,7 +146,7 @@
             if !is_whole {
                 break;
             }
-            self.submit(step + 1, until).await;
+            self.submit(step + 1, &stop).await;
             tokio::time::sleep(self.config.train_time).await;
             step += 1;
         }
@@ -143,9 +162,11 @@
         change(&mut self.lock());
     }
 
-    fn entry(&mut self) -> SocketAddr {
-        let place = self.rng.random_range(0..self.config.entries.len());
-        self.config.entries[place]
+    /// Posts to a ready host; without one, the call counts as failed.
+    async fn post(&mut self, path: &str, body: &impl Serialize) -> Option<Answer> {
+        let entry = self.config.balancer.pick(&mut self.rng)?;
+        let token = &self.config.token;
+        self.client.post(entry, path, token, body).await.ok()
     }
 
     fn path(&self, step: StepNumber, rest: &str) -> String {
@@ -167,14 +188,12 @@
     }
 
     /// Submits a step at one entry host after the other until one takes it.
-    async fn submit(&mut self, step: StepNumber, until: Instant) {
+    async fn submit(&mut self, step: StepNumber, stop: &Stop) {
         let submission = self.submission(step);
         let path = self.path(step, "");
-        while Instant::now() < until {
-            let entry = self.entry();
-            let token = self.config.token.clone();
-            let answer = self.client.post(entry, &path, &token, &submission).await;
-            if answer.is_ok_and(|answer| answer.status.is_success()) {
+        while !stop.is_set() {
+            let answer = self.post(&path, &submission).await;
+            if answer.is_some_and(|answer| answer.status.is_success()) {
                 return;
             }
             self.note(|tally| tally.retries += 1);
@@ -183,27 +202,21 @@
     }
 
     /// Pulls until the step is whole; returns false where time ran out before.
-    async fn collect(&mut self, step: StepNumber, until: Instant) -> bool {
+    async fn collect(&mut self, step: StepNumber, stop: &Stop) -> bool {
         let needed = self.config.group_count * self.config.samples_per_group;
         let mut holdings = Holdings::new();
         let mut attach = 0;
         while count(&holdings) < needed {
-            if Instant::now() >= until {
+            if stop.is_set() {
                 return false;
             }
             attach += 1;
-            self.pull(step, attach, &mut holdings, until).await;
+            self.pull(step, attach, &mut holdings, stop).await;
         }
         true
     }
 
-    async fn pull(
-        &mut self,
-        step: StepNumber,
-        attach: u64,
-        holdings: &mut Holdings,
-        until: Instant,
-    ) {
+    async fn pull(&mut self, step: StepNumber, attach: u64, holdings: &mut Holdings, stop: &Stop) {
         let pull = Pull {
             attach,
             weight_version: self.version.load(Ordering::Relaxed),
@@ -211,18 +224,15 @@
             max_samples: 64,
             wait_ms: millis(PULL_WAIT),
         };
-        let entry = self.entry();
         let path = self.path(step, "/pull");
-        let token = self.config.token.clone();
-        let answer = self.client.post(entry, &path, &token, &pull).await;
-        match answer {
-            Ok(answer) if answer.status.is_success() => {
+        match self.post(&path, &pull).await {
+            Some(answer) if answer.status.is_success() => {
                 let pulled = serde_json::from_slice::<Pulled>(&answer.body).unwrap_or_default();
                 self.take(pulled, pull.weight_version, holdings);
             }
-            Ok(answer) if answer.status == StatusCode::PRECONDITION_REQUIRED => {
+            Some(answer) if answer.status == StatusCode::PRECONDITION_REQUIRED => {
                 self.note(|tally| tally.retries += 1);
-                self.submit(step, until).await;
+                self.submit(step, stop).await;
             }
             _ => {
                 self.note(|tally| tally.retries += 1);
--- a/tests/follower.rs
+++ b/tests/follower.rs
@@ -4,7 +4,7 @@
 
 use mimosavane::{
     Blackboard, Controller as _,
-    blackboard::TableStanding,
+    blackboard::{HostState, TableStanding},
     controller::{Rng, Round},
     follower::{self, Action, Event, ISOLATION_TIMEOUT, Report},
     ids::Revision,
@@ -33,7 +33,7 @@
         Self {
             follower: follower::Controller::new("host-0000"),
             board: Blackboard {
-                hosts: hosts(4),
+                hosts: hosts(4, HostState::Suspect),
                 ..Blackboard::default()
             },
             rng: Rng::seed_from_u64(SEED),
@@ -186,10 +186,22 @@
     }
 }
 
+#[test]
+fn peer_at_same_revision() {
+    let mut host = Lone::new();
+    host.run([store_answered(5)]);
+    host.board.hosts = hosts(4, HostState::Alive);
+    host.wait(ISOLATION_TIMEOUT);
+    assert_eq!(host.standing(), TableStanding::Current);
+    host.board.hosts = hosts(4, HostState::Dead);
+    host.wait(ISOLATION_TIMEOUT);
+    assert_eq!(host.standing(), TableStanding::Isolated);
+}
+
 #[test]
 fn no_other_host() {
     let mut host = Lone::new();
-    host.board.hosts = hosts(1);
+    host.board.hosts = hosts(1, HostState::Suspect);
     host.run([store_answered(5)]);
     host.wait(Duration::from_secs(3600));
     assert_eq!(host.standing(), TableStanding::Current);
@@ -270,10 +282,10 @@
     }
 }
 
-/// Runs a change over `hosts_count` hosts and returns when all had it, and the
-/// most reads of the store in one second from then on.
-fn spread(hosts_count: usize) -> (Duration, usize) {
-    let mut fleet = Fleet::new(hosts_count, TICK, SEED);
+/// Runs a change over the fleet and returns when all hosts had it, and the most
+/// reads of the store in one second from then on.
+fn spread(mut fleet: Fleet) -> (Duration, usize) {
+    let hosts_count = fleet.members.len();
     fleet.run_for(Duration::from_secs(20));
     assert_eq!(fleet.in_force_count(1), hosts_count);
     let accepted_at = fleet.now;
@@ -290,7 +302,7 @@
 fn change_in_force() {
     println!("hosts  in_force_ms  max_reads_per_s");
     for hosts_count in [12, 50, 200, 1_000] {
-        let (taken, max_reads_per_s) = spread(hosts_count);
+        let (taken, max_reads_per_s) = spread(Fleet::new(hosts_count, TICK, SEED));
         println!(
             "{hosts_count:5}  {:11}  {max_reads_per_s:15}",
             taken.as_millis()
@@ -301,6 +313,19 @@
     }
 }
 
+/// Polls alone put a change in force within the bound, though later.
+#[test]
+fn change_without_heartbeats() {
+    let fleet = Fleet::new(1_000, 5 * TICK, SEED).without_heartbeats();
+    let (taken, max_reads_per_s) = spread(fleet);
+    println!(
+        "without heartbeats: {} ms, {max_reads_per_s} reads/s",
+        taken.as_millis()
+    );
+    assert!(taken < Duration::from_secs(19));
+    assert!(max_reads_per_s <= 2_000);
+}
+
 #[test]
 fn store_returns() {
     println!("hosts  max_reads_per_s in outage, on return, on a fresh start");
@@ -340,7 +365,7 @@
 fn partitioned_host() {
     let mut fleet = Fleet::new(12, TICK, SEED);
     fleet.run_for(Duration::from_secs(5));
-    fleet.members[3].is_cut_off = true;
+    fleet.cut_off(3, true);
     fleet.revision = 2;
     fleet.run_for(ISOLATION_TIMEOUT + Duration::from_secs(3));
     assert_eq!(fleet.in_force_count(2), 11);
@@ -348,7 +373,7 @@
         fleet.members[3].board.rows.standing,
         TableStanding::Isolated
     );
-    fleet.members[3].is_cut_off = false;
+    fleet.cut_off(3, false);
     fleet.run_for(Duration::from_secs(5));
     assert_eq!(fleet.in_force_count(2), 12);
     assert_eq!(fleet.members[3].board.rows.standing, TableStanding::Current);
