--- a/src/decision.rs
+++ b/src/decision.rs
@@ -49,6 +49,8 @@
     Lease,
     /// Work was shed or limited.
     Overload,
+    /// A row's local share was corrected by what the fleet served.
+    Share,
     /// A connection was retired.
     Connection,
     /// The platform's store changed its condition.
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -7,11 +7,13 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
+pub use crate::ledger_message::{Action, Count, Counts, Event, Level, Message};
 use crate::{
     blackboard::{Blackboard, ServedCount},
     clock::Timestamp,
     controller::{self, Round},
     correction::Corrector,
+    decision::{Decision, Kind},
     dispatch::RowLoad,
     ids::{HostId, Incarnation, RowId},
     rendezvous,
@@ -30,73 +32,8 @@
 /// How long a silent child or root is still counted on.
 const SILENCE_TIMEOUT: Duration = Duration::from_secs(4);
 
-/// Numbers the levels of the tree; hosts report at level 0.
-pub type Level = u32;
-
-/// One row's tokens in a report.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Count {
-    /// Tokens served since the counter started.
-    pub served_tokens: u64,
-    /// Tokens that wait right now.
-    pub backlog_tokens: u64,
-}
-
-/// Counts by row.
-pub type Counts = BTreeMap<RowId, Count>;
-
-/// What hosts tell each other about served tokens.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Message {
-    /// Sent up: what the sender counted of the groups below `level`.
-    Report {
-        /// 0 for a host's own counts.
-        level: Level,
-        /// The life of the sender; counters restart with it.
-        incarnation: Incarnation,
-        /// Rises with each report.
-        sequence: u64,
-        /// The counters.
-        counts: Counts,
-    },
-    /// Sent down: the counts of the whole fleet.
-    Totals {
-        /// The host that summed them up.
-        root: HostId,
-        /// Its life; counters restart with it.
-        incarnation: Incarnation,
-        /// Rises with each total.
-        sequence: u64,
-        /// The counters.
-        counts: Counts,
-    },
-}
-
-/// What happened since the last round.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Event {
-    /// A peer sent counts; they may be lost, repeated or late.
-    Received {
-        /// The peer.
-        from: HostId,
-        /// What it sent.
-        message: Message,
-    },
-    /// What this host has served and holds, from its dispatcher.
-    Loads(BTreeMap<RowId, RowLoad>),
-}
-
-/// What the traffic side shall do.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Action {
-    /// Send `message` in a datagram.
-    Send {
-        /// The peer.
-        to: HostId,
-        /// The counts.
-        message: Arc<Message>,
-    },
-}
+/// The time between two records of how the rows stand.
+const RECORD_INTERVAL: Duration = Duration::from_secs(60);
 
 /// What one child last reported at one level.
 #[derive(Debug)]
@@ -192,6 +129,7 @@
     adopted: Option<Adopted>,
     corrector: Corrector,
     reported_at: Option<Timestamp>,
+    recorded_at: Timestamp,
 }
 
 impl Controller {
@@ -206,6 +144,7 @@
             adopted: None,
             corrector: Corrector::default(),
             reported_at: None,
+            recorded_at: Timestamp::ZERO,
         }
     }
 
@@ -389,6 +328,28 @@
         self.adopt(totals, round)
     }
 
+    /// Records now and then how the rows stand, for disputes about shares.
+    fn record(&mut self, round: &mut Round<'_>) {
+        let Some(totals) = &self.adopted else {
+            return;
+        };
+        if round.now.saturating_sub(self.recorded_at) < RECORD_INTERVAL {
+            return;
+        }
+        self.recorded_at = round.now;
+        let factors = self.corrector.factors();
+        for (row, count) in &totals.counts {
+            let factor = factors.get(row).copied().unwrap_or(1.0);
+            round.decisions.push(
+                Decision::new(Kind::Share, round.now, "share corrected")
+                    .about(row.clone())
+                    .figure("served_tokens", count.served_tokens as f64)
+                    .figure("backlog_tokens", count.backlog_tokens as f64)
+                    .figure("correction_ratio", factor),
+            );
+        }
+    }
+
     /// Lets corrections fade when no totals arrive.
     fn fade(&mut self, now: Timestamp) {
         let is_silent = self
@@ -423,6 +384,7 @@
         }
         actions.extend(self.report(&mut round));
         self.fade(round.now);
+        self.record(&mut round);
         actions
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -54,6 +54,7 @@
 mod lane;
 pub mod lease;
 pub mod ledger;
+pub mod ledger_message;
 pub mod length;
 pub mod member;
 pub mod membership;
