--- a/src/step_registry.rs
+++ b/src/step_registry.rs
@@ -36,6 +36,8 @@
     pub stale_tokens: u64,
     /// Times that the gate at dispatch held a step back.
     pub deferred_count: u64,
+    /// Times that the gate at dispatch refused a slot, once a slot and round.
+    pub refused_count: u64,
     /// Second attempts that were started.
     pub hedged_count: u64,
     /// Attempts that were cancelled to be resumed elsewhere.
@@ -88,8 +90,11 @@
     pub lengths: Estimator,
     /// When its trainer changes the version.
     pub cadence: Cadence,
-    /// The time that one token takes.
+    /// The time that one token of a whole sample took. In the tail of a step only
+    /// stragglers make progress, so that their pace must not count as usual.
     pub token_time: Average,
+    /// The time that one token took before any sample was whole.
+    pub first_token_time: Average,
     /// The time from dispatch to the first token.
     pub startup: Average,
 }
--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -14,6 +14,7 @@
     lease: Duration::from_secs(5),
     order_timeout: Duration::from_secs(1),
     watch_interval: Duration::from_millis(500),
+    spread: Duration::from_millis(500),
 };
 const STEP: Duration = Duration::from_millis(100);
 
@@ -204,7 +205,11 @@
 
 #[test]
 fn store_down() {
-    let mut machine = Machine::new("entry-1", 1, TERMS);
+    let terms = Terms {
+        spread: Duration::ZERO,
+        ..TERMS
+    };
+    let mut machine = Machine::new("entry-1", 1, terms);
     machine.poll(Duration::ZERO);
     machine.apply(Event::Read(Some(None)), Duration::ZERO);
     machine.poll(Duration::ZERO);
@@ -229,15 +234,42 @@
     let now = world.now;
     let host = &mut world.hosts[index];
     host.asleep_until = Duration::MAX;
-    if host.answer.take().is_some() {
-        host.machine.apply(Event::Read(None), now);
+    if let Some((_, event)) = host.answer.take() {
+        host.machine.apply(event, now);
     }
     let Some(Action::Write { version, record }) = host.machine.release(now) else {
         panic!("it holds the lease");
     };
     assert!(world.store.write(version, &record));
-    for _ in 0..12 {
+    // Far less than the lease and the order timeout, which are 60 steps.
+    for _ in 0..30 {
         world.step(0.0);
     }
     assert_eq!(world.orders.last().map(|order| order.0), Some(2));
 }
+
+/// A take-over whose answer is lost holds from the moment it was sent.
+#[test]
+fn lost_write_answer() {
+    let terms = Terms {
+        spread: Duration::ZERO,
+        ..TERMS
+    };
+    let mut machine = Machine::new("entry-1", 1, terms);
+    machine.poll(Duration::ZERO);
+    machine.apply(Event::Read(Some(None)), Duration::ZERO);
+    let Some(Action::Write { version, record }) = machine.poll(Duration::ZERO) else {
+        panic!("the lease is free");
+    };
+    let later = Duration::from_secs(3);
+    machine.apply(Event::Wrote(Wrote::Unknown), later);
+    assert_eq!(machine.fence(later), None);
+    assert_eq!(machine.poll(later), Some(Action::Read));
+    let found = Versioned {
+        version: version + 1,
+        record,
+    };
+    machine.apply(Event::Read(Some(Some(found))), later);
+    assert_eq!(machine.fence(later), Some(1));
+    assert_eq!(machine.fence(Duration::from_millis(4_500)), None);
+}
