--- a/src/bin/mimosavane-steward.rs
+++ b/src/bin/mimosavane-steward.rs
@@ -8,6 +8,7 @@
     settings::Settings,
     steward,
     store_client::{Budget, HttpTableService},
+    telemetry,
 };
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -49,6 +50,7 @@
 
 #[tokio::main(flavor = "current_thread")]
 async fn serve(settings: Settings) -> anyhow::Result<()> {
+    telemetry::start_logs(&settings.telemetry).context("starting the log")?;
     let table = HttpTableService::new(
         settings.platform.table_service_url.clone(),
         Duration::from_millis(settings.platform.timeout_ms),
--- a/src/steward.rs
+++ b/src/steward.rs
@@ -243,6 +243,7 @@
     record: lease::Record,
 ) {
     let wrote = commit_lease(&shared.table, shard, version, &record).await;
+    tracing::debug!(shard, fence = record.fence, ?wrote, "lease");
     let event = Event::Lease(lease::Event::Wrote(wrote));
     shared.tell(shard, event).await;
 }
