Give back a grant whose call leaves at that moment

Cause: a call that left the queue between its grant and its next poll kept its place at the upstream for good; found in review. Ruled out: calls that leave before the grant, which were cancelled as they should be. Change: the place in the queue gives an unread grant back when it is dropped. Conclusion: places at upstreams do not leak on this way.

--- a/src/gate.rs
+++ b/src/gate.rs
@@ -166,12 +166,13 @@
                 retry_after,
             }),
             Verdict::Queued => {
-                let _place = Place {
+                let place = Place {
                     gate: self,
                     pool: entry.pool,
                     ticket,
+                    woken,
                 };
-                self.wait(entry, woken).await
+                self.wait(entry, place).await
             }
         }
     }
@@ -229,13 +230,9 @@
         (verdict, ticket, woken)
     }
 
-    async fn wait(
-        &self,
-        entry: Entry<'_>,
-        mut woken: oneshot::Receiver<Verdict>,
-    ) -> Result<Pass, Refused> {
+    async fn wait(&self, entry: Entry<'_>, mut place: Place<'_>) -> Result<Pass, Refused> {
         loop {
-            if let Ok(verdict) = timeout(TICK, &mut woken).await {
+            if let Ok(verdict) = timeout(TICK, &mut place.woken).await {
                 return match verdict {
                     Ok(Verdict::Granted(grant)) => self.pass(entry, grant),
                     Ok(Verdict::Shed {
@@ -329,10 +326,16 @@
     gate: &'a Gate,
     pool: &'a Arc<str>,
     ticket: Ticket,
+    woken: oneshot::Receiver<Verdict>,
 }
 
 impl Drop for Place<'_> {
     fn drop(&mut self) {
+        self.woken.close();
+        // A grant that came while the call left must not be lost.
+        if let Ok(Verdict::Granted(grant)) = self.woken.try_recv() {
+            self.gate.finish(self.pool, &grant, End::Neutral);
+        }
         let mut state = self.gate.state();
         state.waiting.remove(&self.ticket);
         if let Some(pool) = state.pools.get_mut(self.pool) {
--- a/tests/call.rs
+++ b/tests/call.rs
@@ -6,6 +6,7 @@
 
 use std::{
     sync::{Arc, atomic::Ordering},
+    task::Poll,
     time::{Duration, Instant},
 };
 
@@ -16,11 +17,12 @@
     get, host, host_speaking, keyed, post,
     upstream::{self, Frame, Manner},
 };
+use futures_util::poll;
 use http::Request;
 use http_body_util::BodyExt;
 use hyper::{server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
-use mimosavane::{connection::Protocol, decision::Kind};
+use mimosavane::{connection::Protocol, decision::Kind, gate::Entry, retry::Deadline};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
@@ -351,6 +353,31 @@
     assert_eq!(fake.run_count(), 1);
 }
 
+/// A grant that reaches a call in the moment in which it leaves is given on.
+#[tokio::test]
+async fn caller_leaves_queue() {
+    let (host, _fake) = host_before(Manner::Answer).await;
+    let gate = &host.context.gate;
+    let pool = "roll".into();
+    let entry = Entry {
+        pool: &pool,
+        deadline: Deadline::after(gate.now(), Duration::from_secs(60)),
+        idempotent: true,
+        tried: &[],
+    };
+    for _ in 0..10 {
+        let mut passes = Vec::new();
+        let mut waiting = Box::pin(gate.enter(entry));
+        while let Poll::Ready(pass) = poll!(&mut waiting) {
+            passes.push(pass.unwrap());
+            waiting = Box::pin(gate.enter(entry));
+        }
+        assert_eq!(passes.len(), 4);
+        passes.pop();
+        drop(waiting);
+    }
+}
+
 #[tokio::test]
 async fn bad_headers() {
     let (host, fake) = host_before(Manner::Answer).await;
