--- /dev/null
+++ b/tests/support/real_fleet.rs
@@ -0,0 +1,123 @@
+//! Entry hosts on loopback that follow the table of a stand-in.
+
+use std::{
+    net::{SocketAddr, TcpListener},
+    time::{Duration, Instant},
+};
+
+use mimosavane::{
+    blackboard::TableStanding,
+    change::{Change, RowEdit},
+    controller::Rng,
+    edit,
+    entry::Running,
+    ids::Revision,
+    settings::Settings,
+    standin::table_service::{MemoryTable, TableServiceStandin},
+};
+use rand::SeedableRng as _;
+
+/// The time between two looks at the hosts.
+const LOOK_INTERVAL: Duration = Duration::from_millis(2);
+
+/// Hosts with their store, on a runtime of their own.
+pub struct RealFleet {
+    pub store: MemoryTable,
+    pub hosts: Vec<Option<Running>>,
+    settings: Vec<Settings>,
+    runtime: tokio::runtime::Runtime,
+    _standin: TableServiceStandin,
+    changes_count: u64,
+}
+
+fn free_addresses(count: usize) -> Vec<SocketAddr> {
+    let listeners: Vec<_> = (0..count)
+        .map(|_| TcpListener::bind("127.0.0.1:0").expect("a free port"))
+        .collect();
+    let address = |listener: &TcpListener| listener.local_addr().expect("an address");
+    listeners.iter().map(address).collect()
+}
+
+impl RealFleet {
+    pub fn start(hosts_count: usize) -> Self {
+        let runtime = tokio::runtime::Runtime::new().expect("a runtime");
+        let store = MemoryTable::default();
+        let standin = runtime
+            .block_on(TableServiceStandin::start(store.clone()))
+            .expect("a stand-in");
+        let (http, peers) = (free_addresses(hosts_count), free_addresses(hosts_count));
+        let settings = (0..hosts_count).map(|number| {
+            let text = format!(
+                "{{host: {{id: entry-{number}, region: r, failure_domain: f, \
+                 http_address: '{}', peer_address: '{}'}}, \
+                 platform: {{table_service_url: '{}'}}, \
+                 keys: {{fleet: fleet-secret-of-the-test}}}}",
+                http[number],
+                peers[number],
+                standin.url()
+            );
+            let mut settings = Settings::parse(&text).expect("valid settings");
+            settings.seed_peers.clone_from(&peers);
+            settings
+        });
+        let settings: Vec<_> = settings.collect();
+        let mut fleet = Self {
+            store,
+            hosts: (0..hosts_count).map(|_| None).collect(),
+            settings,
+            runtime,
+            _standin: standin,
+            changes_count: 0,
+        };
+        fleet.change();
+        (0..hosts_count).for_each(|number| fleet.start_host(number));
+        fleet
+    }
+
+    pub fn start_host(&mut self, number: usize) {
+        let deadline = Instant::now() + Duration::from_secs(10);
+        let started = loop {
+            match Running::start(self.settings[number].clone()) {
+                Err(_) if Instant::now() < deadline => std::thread::sleep(LOOK_INTERVAL * 25),
+                started => break started.expect("a host"),
+            }
+        };
+        self.hosts[number] = Some(started);
+    }
+
+    pub fn kill_host(&mut self, number: usize) {
+        self.hosts[number] = None;
+    }
+
+    /// Has a change accepted, and returns its revision.
+    pub fn change(&mut self) -> Revision {
+        self.changes_count += 1;
+        let base_version = self.changes_count - 1;
+        let weight_ratio = 1.0 + self.changes_count as f64;
+        let cells = [("weight_ratio".to_owned(), weight_ratio.into())];
+        let edit = RowEdit::set("guides", base_version, cells.into_iter().collect());
+        let change = Change::new(format!("c-{}", self.changes_count), "ana", 0).edit(edit);
+        let mut rng = Rng::seed_from_u64(self.changes_count);
+        let accepted = edit::apply(&self.store, &change, &mut rng);
+        let accepted = self.runtime.block_on(accepted);
+        accepted.expect("an accepted change").revision
+    }
+
+    /// Waits until all running hosts have `revision` in force, and returns how
+    /// long that took; none after `timeout`.
+    pub fn wait_for(&self, revision: Revision, timeout: Duration) -> Option<Duration> {
+        let since = Instant::now();
+        while since.elapsed() < timeout {
+            let has_it = |host: &Running| {
+                let board = host.shared().snapshot.load();
+                let is_current = board.rows.standing == TableStanding::Current;
+                is_current && board.rows.revision >= revision
+            };
+            if self.hosts.iter().flatten().all(has_it) {
+                return Some(since.elapsed());
+            }
+            std::thread::sleep(LOOK_INTERVAL);
+        }
+        None
+    }
+}
--- /dev/null
+++ b/tests/table_fleet.rs
@@ -0,0 +1,57 @@
+//! The table on running entry hosts, over sockets.
+
+use std::time::Duration;
+
+use mimosavane::blackboard::TableStanding;
+
+use support::RealFleet;
+
+#[path = "support/real_fleet.rs"]
+mod support;
+
+const TIMEOUT: Duration = Duration::from_secs(20);
+
+#[test]
+fn change_everywhere() {
+    let mut fleet = RealFleet::start(4);
+    for _ in 0..3 {
+        let revision = fleet.change();
+        assert!(fleet.wait_for(revision, TIMEOUT).is_some());
+    }
+}
+
+/// Two of four hosts are replaced while the store is down, and have the table
+/// from the others.
+#[test]
+fn replaced_in_outage() {
+    let mut fleet = RealFleet::start(4);
+    assert!(fleet.wait_for(1, TIMEOUT).is_some());
+    let revision = fleet.change();
+    assert!(fleet.wait_for(revision, TIMEOUT).is_some());
+    fleet.store.set_down(true);
+    for number in [0, 1] {
+        fleet.kill_host(number);
+        fleet.start_host(number);
+    }
+    assert!(fleet.wait_for(revision, TIMEOUT).is_some());
+    fleet.store.set_down(false);
+    let revision = fleet.change();
+    assert!(fleet.wait_for(revision, TIMEOUT * 2).is_some());
+}
+
+/// All hosts are replaced while the store is down, so that nobody has the table.
+#[test]
+fn nobody_left() {
+    let mut fleet = RealFleet::start(2);
+    assert!(fleet.wait_for(1, TIMEOUT).is_some());
+    fleet.store.set_down(true);
+    (0..2).for_each(|number| fleet.kill_host(number));
+    (0..2).for_each(|number| fleet.start_host(number));
+    std::thread::sleep(Duration::from_secs(2));
+    for host in fleet.hosts.iter().flatten() {
+        let standing = host.shared().snapshot.load().rows.standing;
+        assert_eq!(standing, TableStanding::Empty);
+    }
+    fleet.store.set_down(false);
+    assert!(fleet.wait_for(1, TIMEOUT * 2).is_some());
+}
