Send checks of suspects without news, and test deaf pauses

Cause: with a region of 1,000 hosts cut off, a host sent 29.8 KB/s over 20 s, more than the 28 KB/s allowed; and no test failed without the forgiveness of pauses or the suspicion of whole regions. Change: probes that nobody waits for carry no news; tests deaf_pause and lossy_partition.

--- a/src/membership/dissemination.rs
+++ b/src/membership/dissemination.rs
@@ -8,7 +8,7 @@
     blackboard::{Blackboard, HostState, ServedCount},
     broadcast::{News as _, Priority},
     decision::{Decision, Kind},
-    gossip::{Body, Heartbeat, ServedReport, Update, UpstreamNotice},
+    gossip::{Body, Heartbeat, ProbeId, ServedReport, Update, UpstreamNotice},
     ids::{HostId, RowId},
     prober::Waiter,
 };
@@ -19,6 +19,9 @@
     SERVED_BUDGET_BYTES, SYNC_INTERVAL, Turn,
 };
 
+/// Numbers the probes that nobody waits for.
+const UNTRACKED_PROBE: ProbeId = 0;
+
 impl Controller {
     /// Does what is due by time alone.
     pub(super) fn run_timers(&mut self, turn: &mut Turn<'_>) {
@@ -126,7 +129,9 @@
 
     /// Makes a probe that nobody waits for: any answer shows that the host runs.
     pub(super) fn probe_body(&self) -> Body {
-        Body::Probe { probe: 0 }
+        Body::Probe {
+            probe: UNTRACKED_PROBE,
+        }
     }
 
     /// Picks one of the seeds other than this host.
@@ -251,8 +256,7 @@
         }
         updates.extend(host.and_then(|host| self.accusation(host)));
         let mut heartbeat = self.heartbeat(body, updates, Vec::new(), turn);
-        // The asking for pages is frequent, so it carries nothing else.
-        if !matches!(heartbeat.body, Body::Sync { .. }) {
+        if !is_bare(&heartbeat.body) {
             let live_count = self.list.live_count();
             let news = self.news.take(live_count, NEWS_BUDGET_BYTES);
             heartbeat.updates.extend(news);
@@ -321,6 +325,17 @@
     }
 }
 
+/// Says whether a message is sent so often at times that it carries no news.
+fn is_bare(body: &Body) -> bool {
+    matches!(
+        body,
+        Body::Sync { .. }
+            | Body::Probe {
+                probe: UNTRACKED_PROBE
+            }
+    )
+}
+
 /// Returns the counts that follow the one at `start`.
 fn served_after<'a>(
     board: &'a Blackboard,
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -84,6 +84,37 @@
     assert_eq!(fleet.count("dead", |_| true), before, "it accused nobody");
 }
 
+#[test]
+fn deaf_pause() {
+    let mut fleet = settled(12, 3, 21);
+    let others = || (0..12).filter(|index| *index != 4);
+    for step in 0..20 {
+        fleet.run_for(Duration::from_millis(2_000 + 50 * step));
+        fleet.severed = others().map(|other| (other, 4)).collect();
+        fleet.nodes[4].paused_until = fleet.now + Duration::from_millis(1_500);
+        fleet.run_for(Duration::from_millis(1_500));
+        fleet.severed.clear();
+    }
+    fleet.run_for(Duration::from_secs(2));
+    let accused = |id: &str| id != "entry-0004";
+    assert_eq!(fleet.count("suspect", accused), 0, "the fault was its own");
+}
+
+#[test]
+fn lossy_partition() {
+    for seed in 22..25 {
+        let mut fleet = settled(60, 4, seed);
+        fleet.loss_ratio = 0.3;
+        fleet.cut = |a, b| (&*a.region == "region-1") != (&*b.region == "region-1");
+        fleet.run_for(Duration::from_secs(25));
+        for viewer in (0..60).filter(|index| index % 4 != 1) {
+            for index in (1..60).step_by(4) {
+                assert_eq!(fleet.view(viewer, index), Some(HostState::Unreachable));
+            }
+        }
+    }
+}
+
 #[test]
 fn region_partition() {
     for (count, seed, time) in [(12, 7, HOUR), (100, 8, MINUTE)] {
