Collect decisions and service-level windows from all hosts

Change: /v1/explain, /v1/burn and the table's in-force report; counters of calls, staleness and idle time; an answer ends once all its chunks came.

--- a/src/entry/api.rs
+++ b/src/entry/api.rs
@@ -16,7 +16,7 @@
 };
 
 use super::{Shared, body, problem::Problem};
-use crate::auth::Role;
+use crate::{auth::Role, follower::REPORT_PATH};
 
 /// The time that a sender may take over the head of a request.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
@@ -69,6 +69,11 @@
                 "/v1/explain/{*id}",
                 get(handler_service(super::operators::explain)),
             )
+            .at("/v1/burn", get(handler_service(super::operators::burn)))
+            .at(
+                REPORT_PATH,
+                get(handler_service(super::operators::in_force)),
+            )
             .at("/v1/drain", post(handler_service(super::operators::stop)))
             .at("/{*path}", handler_service(unknown))
             .enclosed_fn(watch_request)
--- a/src/entry/calls.rs
+++ b/src/entry/calls.rs
@@ -15,7 +15,7 @@
 use super::{
     api::{self, Answer, Context},
     open_work::Held,
-    problem::Problem,
+    problem::{OUTCOME_HEADER, Problem},
 };
 use crate::{
     auth::Role,
@@ -26,6 +26,9 @@
 /// Where the path of the upstream begins, behind `/v1/pools/{pool}`.
 const UPSTREAM_PATH_PART: usize = 3;
 
+/// The outcome of a call that got its whole answer.
+const ANSWERED: &str = "answered";
+
 /// Forwards a call.
 pub async fn forward(ctx: &Context<'_>) -> WebResponse {
     api::settle(try_forward(ctx).await)
@@ -58,6 +61,9 @@
         .map_err(|error| Problem::Malformed.refuse(error.to_string(), None))?;
     *request.headers_mut() = ctx.req().headers().clone();
     let response = call::serve(&shared.calls, request, &caller).await;
+    let outcome = response.headers().get(OUTCOME_HEADER);
+    let is_answered = outcome.is_none_or(|outcome| outcome == ANSWERED);
+    shared.burn.count_call(&caller.row, is_answered);
     Ok(response.map(|payload| ResponseBody::boxed(Outgoing(payload, open))))
 }
 
--- a/src/entry/generate.rs
+++ b/src/entry/generate.rs
@@ -148,6 +148,7 @@
     let completion = completion(request, ticket);
     let mut stream = host.engines.complete(engine, &completion).await?;
     let mut reported_at = Instant::now();
+    let mut finish_reason = None;
     loop {
         let chunk = tokio::select! {
             chunk = stream.next() => chunk?,
@@ -157,9 +158,12 @@
         let Some(chunk) = chunk else {
             return Err(EngineError::Truncated.into());
         };
-        let finish_reason = chunk.finish_reason.clone();
+        finish_reason = chunk.finish_reason.clone().or(finish_reason);
         evidence.push(&messages::chunk(chunk))?;
-        if let Some(reason) = finish_reason {
+        // The last chunk may overtake others; they make the answer whole.
+        if evidence.is_ended()
+            && let Some(reason) = finish_reason
+        {
             return Ok(reason);
         }
         if reported_at.elapsed() >= PROGRESS_INTERVAL {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -46,7 +46,9 @@
 
 mod api;
 mod body;
+pub mod burn_meter;
 mod calls;
+pub mod collect;
 mod effects;
 pub mod engine_client;
 mod generate;
@@ -60,6 +62,7 @@
 pub mod thread;
 mod trainers;
 
+use burn_meter::Meter;
 use engine_client::EngineClient;
 use open_work::OpenWork;
 use peer_client::Peers;
@@ -104,6 +107,8 @@
     pub engines: EngineClient,
     /// The way of calls to plain services.
     pub calls: call::Context<TableClaims<HttpTableService>>,
+    /// What the service-level objectives are held against.
+    pub burn: Meter,
     /// The traffic threads.
     pub runtime: Handle,
     /// What a graceful shutdown waits for.
@@ -299,6 +304,7 @@
         claims: TableClaims::new(store.clone()),
     };
     Ok(Host {
+        burn: Meter::new(settings.host.id.clone(), clock),
         clock,
         incarnation,
         snapshot,
--- a/src/entry/operators.rs
+++ b/src/entry/operators.rs
@@ -1,19 +1,17 @@
 //! The handlers that operators call.
 
 use serde::Serialize;
-use tokio::sync::oneshot;
 use xitca_web::http::WebResponse;
 
 use super::{
     api::{self, Answer, Context},
+    collect,
     problem::Problem,
     thread::Input,
 };
 use crate::{
     blackboard::{HostState, StoreCondition, UpstreamState},
-    control,
-    decision::Decision,
-    drain,
+    control, drain, follower,
     ids::{HostId, Revision, UpstreamId},
 };
 
@@ -66,11 +64,28 @@
 async fn try_explain(ctx: &Context<'_>) -> Answer {
     api::admit_operator(ctx)?;
     let id = api::parts(ctx).get(2..).unwrap_or_default().join("/");
-    let (reply, answer) = oneshot::channel();
-    let asked = ctx.state().control.send(Input::Explain { id, reply }).await;
-    asked.map_err(|error| Problem::Overloaded.refuse(error.to_string(), None))?;
-    let records: Vec<Decision> = answer.await.unwrap_or_default();
-    Ok(api::json(&records))
+    Ok(api::json(&collect::account(ctx.state(), id).await))
+}
+
+/// Returns the service-level windows of all hosts.
+pub async fn burn(ctx: &Context<'_>) -> WebResponse {
+    let answer = match api::admit_operator(ctx) {
+        Ok(_) => Ok(api::json(&collect::windows(ctx.state()).await)),
+        Err(refusal) => Err(refusal),
+    };
+    api::settle(answer)
+}
+
+/// Tells which revision of the table is in force here.
+pub async fn in_force(ctx: &Context<'_>) -> WebResponse {
+    let shared = ctx.state();
+    let token = crate::auth::bearer(ctx.req().headers());
+    let is_table_server = token.is_some_and(|token| shared.keys.is_fleet(token));
+    if !is_table_server && api::admit_operator(ctx).is_err() {
+        return Problem::Unauthorized.respond("this needs an operator's key", None);
+    }
+    let board = shared.snapshot.load();
+    api::json(&follower::Report::of(&shared.settings.host.id, &board))
 }
 
 async fn try_drain(ctx: &Context<'_>) -> Answer {
--- a/src/entry/peer_server.rs
+++ b/src/entry/peer_server.rs
@@ -3,11 +3,11 @@
 use std::pin::Pin;
 
 use subtle::ConstantTimeEq as _;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::mpsc;
 use tokio_stream::{Stream, StreamExt as _, wrappers::ReceiverStream};
 use tonic::{Request, Response, Status, service::Interceptor};
 
-use super::{Shared, generate, messages, owners, peer_client, thread::Input};
+use super::{Shared, collect, generate, messages, owners, peer_client, thread::Input};
 use crate::{control, proto::peer, step};
 
 /// Events of one generation that may wait for a slow peer.
@@ -54,17 +54,6 @@
     pub const fn new(shared: Shared) -> Self {
         Self { shared }
     }
-
-    async fn ask<T>(&self, input: Input, answer: oneshot::Receiver<T>) -> Result<T, Status> {
-        self.shared
-            .control
-            .send(input)
-            .await
-            .map_err(|error| Status::unavailable(error.to_string()))?;
-        answer
-            .await
-            .map_err(|_| Status::unavailable("the control thread is gone"))
-    }
 }
 
 #[tonic::async_trait]
@@ -159,15 +148,12 @@
         &self,
         request: Request<peer::ExplainRequest>,
     ) -> Result<Response<peer::ExplainReply>, Status> {
-        let (reply, answer) = oneshot::channel();
-        let id = request.into_inner().id;
-        let records = self.ask(Input::Explain { id, reply }, answer).await?;
+        let records = collect::own_records(&self.shared, request.into_inner().id).await;
+        let records = records.iter().map(serde_json::to_string);
         Ok(Response::new(peer::ExplainReply {
             host: self.shared.settings.host.id.to_string(),
-            records: records
-                .iter()
-                .filter_map(|record| serde_json::to_string(record).ok())
-                .collect(),
+            origin_unix_ms: self.shared.incarnation,
+            records: records.flatten().collect(),
         }))
     }
 
@@ -175,11 +161,10 @@
         &self,
         _request: Request<peer::FetchBurnRequest>,
     ) -> Result<Response<peer::FetchBurnReply>, Status> {
-        let (reply, answer) = oneshot::channel();
-        let windows = self.ask(Input::Burn { reply }, answer).await?;
+        let windows = serde_json::to_string(&self.shared.burn.export());
         Ok(Response::new(peer::FetchBurnReply {
             host: self.shared.settings.host.id.to_string(),
-            windows,
+            windows: windows.map_err(|error| Status::internal(error.to_string()))?,
         }))
     }
 }
--- a/src/entry/thread.rs
+++ b/src/entry/thread.rs
@@ -86,11 +86,6 @@
         /// Where the records go.
         reply: oneshot::Sender<Vec<Decision>>,
     },
-    /// Somebody asks for the service-level windows.
-    Burn {
-        /// Where the windows go, as JSON.
-        reply: oneshot::Sender<String>,
-    },
 }
 
 impl Input {
@@ -251,7 +246,6 @@
                 let records = self.control.ring().find(&id).cloned().collect();
                 let _ = reply.send(records);
             }
-            Input::Burn { reply } => drop(reply),
         }
     }
 
--- a/src/entry/trainers.rs
+++ b/src/entry/trainers.rs
@@ -10,7 +10,7 @@
     problem::Problem,
 };
 use crate::{
-    ids::{RowId, StepNumber},
+    ids::{RowId, StepNumber, WeightVersion},
     proto::peer,
     trainer_api::{Pull, Pulled, Sample, Submission, Submitted},
 };
@@ -51,10 +51,15 @@
     let (trainer, step) = admit_step(ctx)?;
     let mut pull = api::read_json::<Pull>(ctx).await?;
     pull.wait_ms = pull.wait_ms.min(MAX_PULL_WAIT_MS);
+    let version = pull.weight_version;
     let request = pull.into_message(&trainer, step);
+    let asked_at = ctx.state().clock.now();
     let reply = owners::pull(ctx.state(), request).await;
     let reply =
         reply.map_err(|error| Problem::NoUpstream.refuse(error.to_string(), Some(RETRY_DELAY)))?;
+    let waited = ctx.state().clock.now().saturating_sub(asked_at);
+    ctx.state().burn.count_pull(&trainer, waited);
+    count_ages(ctx, &trainer, version, &reply.samples);
     match reply.status() {
         peer::PullStatus::Ok => Ok(api::json(&Pulled {
             samples: reply.samples.into_iter().map(Sample::from).collect(),
@@ -72,6 +77,29 @@
     }
 }
 
+/// Counts how many samples are as old as the row allows.
+fn count_ages(
+    ctx: &Context<'_>,
+    trainer: &RowId,
+    version: WeightVersion,
+    samples: &[peer::Sample],
+) {
+    let board = ctx.state().snapshot.load();
+    let bound = board
+        .rows
+        .rows
+        .get(trainer)
+        .map(|row| row.staleness_bound_versions);
+    let is_at_bound = |sample: &&peer::Sample| {
+        let oldest = sample.segments.iter().map(|part| part.weight_version).min();
+        let age = version.saturating_sub(oldest.unwrap_or_default());
+        bound.is_some_and(|bound| bound > 0 && age >= bound)
+    };
+    let at_bound_count = samples.iter().filter(is_at_bound).count() as u64;
+    let burn = &ctx.state().burn;
+    burn.count_samples(trainer, at_bound_count, samples.len() as u64);
+}
+
 /// Checks the key, the row and the step of a path.
 fn admit_step(ctx: &Context<'_>) -> Result<(RowId, StepNumber), Refusal> {
     let trainer = admit_trainer(ctx)?;
--- a/src/evidence.rs
+++ b/src/evidence.rs
@@ -236,6 +236,11 @@
         self.error.is_some()
     }
 
+    /// Says whether the answer is whole: its last chunk and all before it came.
+    pub const fn is_ended(&self) -> bool {
+        self.is_ended
+    }
+
     /// Returns the boot that the stream began on.
     pub fn boot(&self) -> Option<BootId> {
         self.boot
--- a/src/replay/generation.rs
+++ b/src/replay/generation.rs
@@ -203,7 +203,8 @@
             self.stop_stream(ticket);
             return self.fail(ticket, false, RETRY_AFTER, self.delay());
         }
-        if chunk.is_last {
+        // The last chunk may overtake others; they make the answer whole.
+        if generation.evidence.is_ended() {
             return self.finish(ticket);
         }
         if now.saturating_sub(generation.reported_at) >= PROGRESS_INTERVAL {
