--- a/examples/step_cost.rs
+++ b/examples/step_cost.rs
@@ -43,7 +43,7 @@
     board: Blackboard,
     rng: Rng,
     now: Duration,
-    longest: Duration,
+    rounds: Vec<Duration>,
 }
 
 fn main() -> anyhow::Result<()> {
@@ -62,13 +62,11 @@
         "running: {} MB resident",
         (resident_bytes()? - before) / 1_000_000
     );
-    println!("longest round while dispatching: {:?}", host.longest);
-    host.longest = Duration::ZERO;
-    for _ in 0..10 {
+    host.print_rounds("while dispatching");
+    for _ in 0..100 {
         host.run([]);
     }
-    println!("longest idle round, all running: {:?}", host.longest);
-    host.longest = Duration::ZERO;
+    host.print_rounds("without events, all running");
     for part in works.chunks(64) {
         let events: Vec<_> = part.iter().map(finished).collect();
         host.run(events);
@@ -78,7 +76,7 @@
         "buffered: {} MB resident",
         (resident_bytes()? - before) / 1_000_000
     );
-    println!("longest round with 64 samples: {:?}", host.longest);
+    host.print_rounds("with 64 samples each");
     let started = Instant::now();
     for step in 1..=STEPS {
         let pull = pull(step);
@@ -109,7 +107,7 @@
             board,
             rng: Rng::seed_from_u64(1),
             now: Duration::ZERO,
-            longest: Duration::ZERO,
+            rounds: Vec::new(),
         }
     }
 
@@ -124,7 +122,7 @@
         };
         let started = Instant::now();
         let actions = self.controller.run(events, round);
-        self.longest = self.longest.max(started.elapsed());
+        self.rounds.push(started.elapsed());
         let dispatch = |action| match action {
             Action::Dispatch(dispatch) => Some(*dispatch),
             _ => None,
@@ -133,6 +131,22 @@
     }
 }
 
+impl Host {
+    /// Prints the rounds since the last time; the longest one shows what else
+    /// the machine does.
+    fn print_rounds(&mut self, name: &str) {
+        let mut rounds = std::mem::take(&mut self.rounds);
+        rounds.sort_unstable();
+        let part = |ratio: f64| rounds[((rounds.len() - 1) as f64 * ratio) as usize];
+        println!(
+            "rounds {name}: median {:?}, p99 {:?}, longest {:?}",
+            part(0.5),
+            part(0.99),
+            part(1.0)
+        );
+    }
+}
+
 fn spec(step: u64) -> StepSpec {
     let group = |group| PromptGroup {
         group,
