Decide loans in the round that reports usage

Cause: the control thread ran the limits each round, but usage and allowances only each half second; a host could lend what it had started in between. Change: usage, loans and allowances change in one round, usage is taken in before asks, the lender's margin covers the interval, and a host asks for as much as waits, not for one more. Before/After: ask_before_usage fails on the order of events alone.

--- a/examples/serve_table.rs
+++ b/examples/serve_table.rs
@@ -23,7 +23,10 @@
 };
 use rand::SeedableRng as _;
 
-const OPERATORS: [(&str, &str); 2] = [("ana", "ana-key-for-trying"), ("bela", "bela-key-for-trying")];
+const OPERATORS: [(&str, &str); 2] = [
+    ("ana", "ana-key-for-trying"),
+    ("bela", "bela-key-for-trying"),
+];
 const ROWS: [(&str, f64); 4] = [
     ("guides", 2.0),
     ("menus", 1.0),
--- a/src/control.rs
+++ b/src/control.rs
@@ -331,8 +331,11 @@
     }
 
     /// Gives the dispatcher its corrections and its part of the limits.
+    ///
+    /// Lending rests on the present usage, and what is lent must not be started
+    /// here any more; so usage, loans and allowances change in one round.
     fn run_shares(&mut self, now: Timestamp) {
-        let is_due = now >= self.next_load_at;
+        let is_due = now >= self.next_load_at || !self.inboxes.quota.is_empty();
         if is_due {
             self.next_load_at = now + LOAD_INTERVAL;
             self.report_loads();
@@ -342,16 +345,17 @@
             let message = Exchange::Ledger(Arc::unwrap_or_clone(message));
             self.effects.push(Effect::Tell { to, message });
         }
+        if !is_due {
+            return;
+        }
         for action in round!(self, quota, now) {
             let quota::Action::Send { to, message } = action;
             let message = Exchange::Quota(message);
             self.effects.push(Effect::Tell { to, message });
         }
-        if is_due {
-            self.dispatch.set_corrections(self.ledger.corrections());
-            let allowances = self.quota.allowances(&self.board.rows, now);
-            self.dispatch.set_allowances(allowances);
-        }
+        self.dispatch.set_corrections(self.ledger.corrections());
+        let allowances = self.quota.allowances(&self.board.rows, now);
+        self.dispatch.set_allowances(allowances);
     }
 
     fn report_loads(&mut self) {
@@ -362,7 +366,7 @@
                 row: RowId::clone(row),
                 kind: Kind::RunningSamples,
                 used,
-                wanted: used + u64::from(load.backlog_tokens > 0.0),
+                wanted: used + u64::from(load.waiting_count),
             };
             self.inboxes.quota.push(usage);
         }
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -108,6 +108,8 @@
     pub backlog_tokens: f64,
     /// Requests that run.
     pub running_count: u32,
+    /// Requests that wait.
+    pub waiting_count: u32,
 }
 
 /// The dispatcher that gives each row its share.
@@ -150,6 +152,8 @@
                 load.counted_tokens += lane.queue.counted_tokens_of(row);
                 load.backlog_tokens += lane.queue.backlog_tokens_of(row);
                 load.running_count += lane.queue.running_of(row);
+                let waiting = lane.queue.waiting_of(row);
+                load.waiting_count += u32::try_from(waiting).unwrap_or(u32::MAX);
             }
         }
         loads
--- a/src/quota.rs
+++ b/src/quota.rs
@@ -26,7 +26,7 @@
 
 /// What a lender adds to each wait: clocks drift, and the borrower may send a
 /// start up to [`START_VALIDITY`](crate::dispatch::START_VALIDITY) late.
-const LENDER_MARGIN: Duration = Duration::from_secs(1);
+const LENDER_MARGIN: Duration = Duration::from_secs(2);
 
 /// The time between two asks for the same limit.
 const ASK_INTERVAL: Duration = Duration::from_millis(500);
@@ -144,6 +144,9 @@
 
 /// Keeps one host's part of all limits.
 ///
+/// Each round must carry the present [`Event::Usage`], and nothing may start
+/// between it and the [`Controller::allowances`] that follow from it.
+///
 /// # Examples
 ///
 /// ```
@@ -389,12 +392,7 @@
     /// Asks a few peers for what is wanted beyond the allowance.
     fn borrow(&mut self, round: &mut Round<'_>) -> Vec<Action> {
         let mut actions = Vec::new();
-        let keys: Vec<(Key, Usage)> = self
-            .usage
-            .iter()
-            .map(|(key, usage)| (key.clone(), *usage))
-            .collect();
-        for (key, usage) in keys {
+        for (key, usage) in self.usage.clone() {
             let allowed = self.allowed(&round.board.rows, &key.0, key.1, round.now);
             let missing = usage.wanted.saturating_sub(allowed.unwrap_or(u64::MAX));
             let last = self.last_ask_at.get(&key);
@@ -463,12 +461,10 @@
         mut round: Round<'_>,
     ) -> Vec<Action> {
         self.expire(round.now);
-        let mut actions = Vec::new();
+        let mut received = Vec::new();
         for event in events {
             match event {
-                Event::Received { from, message } => {
-                    actions.extend(self.receive(from, message, &mut round));
-                }
+                Event::Received { from, message } => received.push((from, message)),
                 Event::Usage {
                     row,
                     kind,
@@ -479,6 +475,11 @@
                 }
             }
         }
+        // What is lent depends on the usage of this round.
+        let mut actions = Vec::new();
+        for (from, message) in received {
+            actions.extend(self.receive(from, message, &mut round));
+        }
         actions.extend(self.give_back(&mut round));
         actions.extend(self.renew(&mut round));
         actions.extend(self.borrow(&mut round));
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -313,6 +313,7 @@
     host.run(enqueue(0..3, "guides"));
     let load = host.dispatcher.loads()[&mimosavane::ids::RowId::from("guides")];
     assert_eq!(load.running_count, 1);
+    assert_eq!(load.waiting_count, 2);
     assert!(load.backlog_tokens > 200.0);
     assert!(load.counted_tokens >= 0.0);
 }
--- a/tests/ledger.rs
+++ b/tests/ledger.rs
@@ -107,6 +107,7 @@
                     counted_tokens: self.served[number] * (index + 1) as f64,
                     backlog_tokens: 100.0,
                     running_count: 1,
+                    waiting_count: 1,
                 };
                 let rows = self.board.rows.rows.keys().enumerate();
                 let loads = rows
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -329,6 +329,35 @@
     assert_eq!(allowed(now + LOAN_DURATION), 5);
 }
 
+#[test]
+fn ask_before_usage() {
+    let mut board = board(2, 10);
+    let mut lender = Controller::new(host(0), split(0, 2), Duration::ZERO);
+    let ask = Event::Received {
+        from: host(1),
+        message: Message::Ask {
+            nonce: 1,
+            row: "guides".into(),
+            kind: Kind::RunningSamples,
+            amount: 5,
+            renews: None,
+        },
+    };
+    let usage = Event::Usage {
+        row: "guides".into(),
+        kind: Kind::RunningSamples,
+        used: 5,
+        wanted: 5,
+    };
+    let round = Round {
+        board: &mut board,
+        now: Duration::from_secs(100),
+        rng: &mut Rng::seed_from_u64(1),
+        decisions: &mut Vec::new(),
+    };
+    assert!(lender.run([ask, usage], round).is_empty());
+}
+
 fn board_rows() -> Rows {
     Rows::clone(&board(2, 10).rows)
 }
