--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -52,13 +52,17 @@
 
 #[test]
 fn lossy_network() {
-    for (count, seed) in [(12, 3), (100, 4)] {
+    for (count, seed, loss_ratio) in [(12, 3, 0.1), (12, 26, 0.2), (100, 4, 0.1)] {
         let mut fleet = settled(count, 3, seed);
-        fleet.loss_ratio = 0.1;
+        fleet.loss_ratio = loss_ratio;
         fleet.delay_ms = 1..80;
         fleet.run_for(2 * MINUTE);
-        assert_eq!(fleet.count("dead", |_| true), 0);
-        assert_eq!(fleet.count("unreachable", |_| true), 0);
+        assert_eq!(fleet.count("dead", |_| true), 0, "{count}: {loss_ratio}");
+        assert_eq!(
+            fleet.count("unreachable", |_| true),
+            0,
+            "{count}: {loss_ratio}"
+        );
     }
 }
 
