--- a/src/fairness.rs
+++ b/src/fairness.rs
@@ -7,22 +7,21 @@
 
 use std::{
     cmp::Reverse,
-    collections::{BTreeMap, BTreeSet, HashMap},
+    collections::{BTreeMap, BTreeSet},
     marker::PhantomData,
 };
 
-use xxhash_rust::xxh3::Xxh3Builder;
-
 pub use crate::charge::{
     Class, Cost, Entry, PROMPT_COST_RATIO, REQUEST_COST_TOKENS, Ranking, Ticket, Weighted,
 };
 use crate::{
     ids::RowId,
+    integer_hash::IntegerMap,
     row_queue::{Position, RowState, Sums, Tag},
     share::Shares,
 };
 
-/// How far interactive work may put its row ahead of the rollouts of others.
+/// How far interactive work may get above its part while rollouts wait.
 pub const INTERACTIVE_LEAD_TOKENS: f64 = 2_048.0;
 
 /// The most of an engine that interactive work takes while rollouts wait.
@@ -82,8 +81,8 @@
     backlogged: Sums,
     last_virtual_time: f64,
     interactive_lead_tokens: f64,
-    places: HashMap<Ticket, Place, Xxh3Builder>,
-    running: HashMap<Ticket, Running, Xxh3Builder>,
+    places: IntegerMap<Ticket, Place>,
+    running: IntegerMap<Ticket, Running>,
     next_sequence: u64,
     ranking: PhantomData<R>,
 }
@@ -105,8 +104,8 @@
             backlogged: Sums::default(),
             last_virtual_time: 0.0,
             interactive_lead_tokens: 0.0,
-            places: HashMap::default(),
-            running: HashMap::default(),
+            places: IntegerMap::default(),
+            running: IntegerMap::default(),
             next_sequence: 0,
             ranking: PhantomData,
         }
@@ -344,7 +343,7 @@
             (Some(&(Tag(ahead), row)), Some(&(Tag(behind), other))) => {
                 let lead_tokens = (ahead - behind) * self.rows[row].share;
                 let preferred = R::KEEPS_SHARES
-                    && lead_tokens <= INTERACTIVE_LEAD_TOKENS
+                    && lead_tokens <= self.next_charge_tokens(row)
                     && self.interactive_lead_tokens <= INTERACTIVE_LEAD_TOKENS;
                 if preferred || ahead < behind {
                     Some((Class::Interactive, row))
@@ -355,6 +354,13 @@
         }
     }
 
+    /// Returns the cost of the row's next interactive request, by which its row
+    /// may get ahead of the rollouts of others.
+    fn next_charge_tokens(&self, row: usize) -> f64 {
+        let next = self.rows[row].interactive.values().next();
+        next.map_or(0.0, |entry| entry.cost.charge_tokens())
+    }
+
     /// Keeps how far interactive work is above its part while rollouts wait.
     fn count_class(&mut self, class: Class, charge: f64) {
         match class {
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     blackboard::{Blackboard, Hosts},
-    cache_index::{BlockHash, Index},
+    cache_index::{BlockHash, Index, MAX_ENGINES},
     clock::Timestamp,
     controller::Rng,
     fairness::{Class, PROMPT_COST_RATIO},
@@ -88,6 +88,9 @@
         rng: &mut Rng,
     ) -> Option<UpstreamId>;
 
+    /// Takes in what changed on the blackboard; once a round is enough.
+    fn refresh(&mut self, _board: &Blackboard) {}
+
     /// Counts a request that was sent.
     fn on_sent(&mut self, engine: &UpstreamId);
 
@@ -230,7 +233,9 @@
             .filter(|_| request.class == Class::Interactive);
         let count = subset.map_or(pool.len(), Vec::len);
         let place = |at: usize| subset.map_or(at, |subset| subset[at] as usize);
-        for (engine, matched) in self.caches.holders(request.prefix).take(HOLDER_CANDIDATES) {
+        let start = rng.random_range(0..MAX_ENGINES);
+        let holders = self.caches.holders(request.prefix, start);
+        for (engine, matched) in holders.take(HOLDER_CANDIDATES) {
             if let Some(place) = self.targets.place(engine) {
                 candidates.push(place, matched as f32 / request.prefix.len() as f32);
             }
@@ -252,6 +257,10 @@
 impl Policy for Router {
     const NAME: &'static str = "locality-and-load";
 
+    fn refresh(&mut self, board: &Blackboard) {
+        Self::refresh(self, board);
+    }
+
     fn choose(
         &mut self,
         board: &Blackboard,
--- a/src/straggler.rs
+++ b/src/straggler.rs
@@ -53,6 +53,8 @@
     pub const AHEAD: u32 = 100;
     /// A slot of a step that the trainer pulls.
     pub const PULLED: u32 = 200;
+    /// Added for a sample that resumes, because it waited for an engine before.
+    pub const RESUMED: u32 = 10;
     /// Added for the last open slot of a group.
     pub const LAST_OF_GROUP: u32 = 20;
     /// Added for the last open slots of a step.
@@ -187,9 +189,6 @@
 pub fn advise(runner: Runner, standing: Standing, norm: Norm, now: Timestamp) -> Advice {
     let silence = now.saturating_sub(runner.progressed_at);
     let is_started = runner.started_at.is_some();
-    if is_started && silence >= SILENCE_TIMEOUT {
-        return Advice::Resume;
-    }
     let gain = runner.gain(now, norm);
     if !standing.may_hedge() {
         return match is_started && gain >= MIN_MOVE_GAIN {
