Run stewards in the demo, record it, and ask hosts from the command line

Cause: the demo swapped weights by hand, had no lease-lapse or two-editors, and could not be explained afterwards; status, explain, drain, report and table were not wired.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -7,6 +7,8 @@
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 
+use crate::settings::TelemetrySettings;
+
 /// How a command shows its result.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, strum::Display, strum::EnumString)]
 #[strum(serialize_all = "kebab-case")]
@@ -247,6 +249,15 @@
         .help("How to show the result")
 }
 
+/// Returns where the command line's own log goes: to the error output, quietly
+/// unless the variable `RUST_LOG` asks for more.
+pub fn telemetry() -> TelemetrySettings {
+    TelemetrySettings {
+        log_filter: std::env::var("RUST_LOG").unwrap_or_else(|_| "warn".to_owned()),
+        ..TelemetrySettings::default()
+    }
+}
+
 /// Returns the format that was asked for.
 pub fn format_of(matches: &ArgMatches) -> Format {
     matches
--- a/src/control.rs
+++ b/src/control.rs
@@ -11,7 +11,7 @@
 use crate::{
     allowance::Kind,
     attach::Reply,
-    blackboard::{Blackboard, UpstreamKind},
+    blackboard::{Blackboard, TableStanding, UpstreamKind},
     cache_index::BlockHash,
     clock::Timestamp,
     controller::{Controller as _, Rng, Round},
@@ -325,7 +325,8 @@
         let dispatched = round!(self, dispatch, now);
         self.effects
             .extend(dispatched.into_iter().map(Effect::Dispatch));
-        self.board.ready = self.board.ready || self.is_ready(now);
+        let is_current = self.board.rows.standing == TableStanding::Current;
+        self.board.ready = is_current && (self.board.ready || self.is_ready(now));
         self.keep_decisions();
         mem::take(&mut self.effects)
     }
--- a/src/decision.rs
+++ b/src/decision.rs
@@ -128,13 +128,15 @@
         self
     }
 
-    /// Says whether the record is about `id`, or about something below it.
+    /// Says whether the record is about `id`, or about something below it; all
+    /// records are below the empty id.
     pub fn mentions(&self, id: &str) -> bool {
-        self.subjects.iter().any(|subject| {
-            subject
-                .strip_prefix(id)
-                .is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
-        })
+        id.is_empty()
+            || self.subjects.iter().any(|subject| {
+                subject
+                    .strip_prefix(id)
+                    .is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
+            })
     }
 }
 
--- a/src/demo/cluster.rs
+++ b/src/demo/cluster.rs
@@ -4,12 +4,16 @@
     collections::BTreeMap,
     io,
     net::{Ipv4Addr, SocketAddr, TcpListener},
-    sync::{Arc, Mutex, PoisonError},
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
 use rand::{Rng as _, SeedableRng as _};
 
+use super::steward::{Steward, StewardError};
 use crate::{
     blackboard::{UpstreamKind, UpstreamState},
     change::{Change, RowEdit},
@@ -33,6 +37,15 @@
 /// Hosts of the service.
 pub const HOST_COUNT: usize = 4;
 
+/// Stewards, of which one holds the lease.
+const STEWARD_COUNT: usize = 2;
+
+/// How long the lease holds.
+const LEASE_MS: u64 = 1_500;
+
+/// How long an order may be under way.
+const ORDER_TIMEOUT_MS: u64 = 500;
+
 /// Model engines.
 pub const ENGINE_COUNT: usize = 6;
 
@@ -79,6 +92,9 @@
     /// The settings of a host are not valid.
     #[error(transparent)]
     Settings(#[from] SettingsError),
+    /// A steward could not be started.
+    #[error(transparent)]
+    Steward(#[from] StewardError),
     /// The table service's address is not valid.
     #[error(transparent)]
     Address(#[from] AddressError),
@@ -100,6 +116,9 @@
     pub balancer: Arc<Balancer>,
     /// The plain services.
     pub services: Vec<Service>,
+    /// The stewards, one of which holds the lease.
+    pub stewards: Vec<Steward>,
+    editors_hastened: AtomicBool,
     hosts: Mutex<Vec<Option<Running>>>,
     settings: Vec<Settings>,
 }
@@ -132,6 +151,10 @@
         for settings in &settings {
             hosts.push(Some(start_host(settings.clone()).await?));
         }
+        let mut stewards = Vec::new();
+        for (settings, number) in settings.iter().zip(0..).take(STEWARD_COUNT) {
+            stewards.push(Steward::start(settings.clone(), seed ^ number)?);
+        }
         let addresses = settings.iter().map(|settings| settings.host.http_address);
         Ok(Self {
             balancer: Balancer::start(addresses.collect()),
@@ -139,11 +162,23 @@
             list,
             engines,
             services,
+            stewards,
+            editors_hastened: AtomicBool::new(false),
             hosts: Mutex::new(hosts),
             settings,
         })
     }
 
+    /// Has the operators edit without a pause from now on.
+    pub fn hasten_edits(&self) {
+        self.editors_hastened.store(true, Ordering::Relaxed);
+    }
+
+    /// Says whether the operators edit without a pause.
+    pub fn are_edits_hastened(&self) -> bool {
+        self.editors_hastened.load(Ordering::Relaxed)
+    }
+
     /// Returns what the running hosts share with their threads.
     pub fn shared(&self) -> Vec<Shared> {
         let hosts = self.hosts.lock().unwrap_or_else(PoisonError::into_inner);
@@ -260,7 +295,8 @@
     }
 }
 
-fn domain(place: usize) -> String {
+/// Returns the failure domain of the part at `place`.
+pub fn domain(place: usize) -> String {
     format!("domain-{}", place % 3 + 1)
 }
 
@@ -296,6 +332,10 @@
         settings.seed_peers = peers.clone();
         settings.host.ordinal = u32::try_from(place).unwrap_or(0);
         settings.limits.max_hosts_count = HOST_COUNT as u32;
+        settings.steward.lease_ms = LEASE_MS;
+        settings.steward.order_timeout_ms = ORDER_TIMEOUT_MS;
+        settings.steward.capacity_floor_ratio = 0.5;
+        settings.steward.max_rate_loads_per_s = 100.0;
         settings.drain.grace_ms = GRACE_MS;
         settings.limits.silence_timeout_ms = SILENCE_TIMEOUT_MS;
         settings.keys.fleet = FLEET_SECRET.to_owned();
--- a/src/demo/editor.rs
+++ b/src/demo/editor.rs
@@ -88,7 +88,11 @@
         let mut number = 0;
         while !stop.is_set() {
             if Instant::now() >= next_edit_at {
-                next_edit_at = Instant::now() + EDIT_INTERVAL;
+                let pause = match cluster.are_edits_hastened() {
+                    true => WATCH_INTERVAL,
+                    false => EDIT_INTERVAL,
+                };
+                next_edit_at = Instant::now() + pause;
                 number += 1;
                 self.edit_twice(number, cluster).await;
             }
--- a/src/demo/fault.rs
+++ b/src/demo/fault.rs
@@ -22,6 +22,9 @@
 /// How long the balancer takes to see that a host is ready.
 const BALANCER_TIME: Duration = Duration::from_millis(200);
 
+/// How long a steward stands still, past the end of its lease.
+const FROZEN_TIME: Duration = Duration::from_millis(3_000);
+
 /// How long the table service is down.
 const DOWN_TIME: Duration = Duration::from_millis(2_500);
 
@@ -66,6 +69,10 @@
     SilentConnections,
     /// All hosts are replaced one after the other, twice.
     RollingReplace,
+    /// Lease holders are paused past the end of their leases.
+    LeaseLapse,
+    /// More operators edit the same row at the same time.
+    TwoEditors,
 }
 
 impl Fault {
@@ -84,6 +91,8 @@
             Self::StoreDown => "the table service is down for a while",
             Self::StoreLostAnswer => "the table service applies writes and their answers are lost",
             Self::SilentConnections => "open connections to upstreams go silent, new ones work",
+            Self::LeaseLapse => "the holder of the engines' lease stops renewing and comes back",
+            Self::TwoEditors => "two operators edit one row at the same moment, again and again",
             Self::RollingReplace => "all hosts are replaced one after the other, twice",
         }
     }
@@ -113,6 +122,13 @@
                     service.silence_connections();
                 }
             }
+            Self::LeaseLapse => {
+                for steward in &cluster.stewards {
+                    steward.freeze(FROZEN_TIME);
+                    tokio::time::sleep(FROZEN_TIME).await;
+                }
+            }
+            Self::TwoEditors => cluster.hasten_edits(),
             Self::RollingReplace => {
                 for place in (0..HOST_COUNT).chain(0..HOST_COUNT) {
                     cluster.stop(place).await;
--- a/src/demo/mod.rs
+++ b/src/demo/mod.rs
@@ -13,7 +13,12 @@
 use futures_util::future::join_all;
 use tokio::task::JoinHandle;
 
-use crate::standin::trainer::{self, Trainer};
+use crate::{
+    control::MODEL_POOL,
+    standin::trainer::{self, Trainer},
+    store::{RecordKey, TableService as _, Transaction},
+    trace::Trace,
+};
 
 pub use crate::standin::trainer::Stop;
 
@@ -21,7 +26,9 @@
 pub mod cluster;
 pub mod editor;
 pub mod fault;
+mod recording;
 pub mod report;
+pub mod steward;
 
 use caller::Caller;
 use cluster::{Cluster, ClusterError, ROWS, row_token};
@@ -29,6 +36,18 @@
 use fault::Fault;
 use report::Report;
 
+/// Groups a step.
+const GROUP_COUNT: u32 = 8;
+
+/// Samples a group.
+const SAMPLES_PER_GROUP: u32 = 4;
+
+/// The most tokens of one sample.
+const MAX_TOKENS: u32 = 256;
+
+/// How long a trainer trains on a whole step.
+const TRAIN_TIME: Duration = Duration::from_millis(300);
+
 /// Callers of plain services.
 const CALLER_COUNT: u64 = 4;
 
@@ -42,9 +61,12 @@
 const PROGRESS_INTERVAL: Duration = Duration::from_secs(2);
 
 /// The time between two versions of the weights.
-const WEIGHT_INTERVAL: Duration = Duration::from_millis(1_500);
+const WEIGHT_INTERVAL: Duration = Duration::from_millis(2_500);
+
+/// The table of what engines shall run.
+const WANTED_TABLE: &str = "weights";
 
-/// The time between the swaps of two engines.
+/// The time between the swaps of two engines, as a recording states it.
 const SWAP_INTERVAL: Duration = Duration::from_millis(30);
 
 /// What a demo shall do.
@@ -58,12 +80,12 @@
     pub faults: Vec<Fault>,
 }
 
-/// Runs a demo, and returns what it saw.
+/// Runs a demo, and returns what it saw with a trace that replay accepts.
 ///
 /// # Errors
 ///
 /// Fails where a part cannot be started.
-pub async fn run(options: &Options) -> Result<Report, ClusterError> {
+pub async fn run(options: &Options) -> Result<(Report, Trace), ClusterError> {
     let cluster = Cluster::start(options.seed).await?;
     tokio::time::sleep(WARM_UP).await;
     let stop = Stop::default();
@@ -91,7 +113,8 @@
     for service in &cluster.services {
         report.add_runs(service.runs());
     }
-    Ok(report)
+    let recording = recording::write(&cluster, options, &report).await;
+    Ok((report, recording))
 }
 
 /// Causes the faults in the middle of the load, then ends the load.
@@ -116,10 +139,10 @@
                 row: (*row).into(),
                 token: row_token(row),
                 balancer: cluster.balancer.clone(),
-                group_count: 8,
-                samples_per_group: 4,
-                max_tokens: 256,
-                train_time: Duration::from_millis(300),
+                group_count: GROUP_COUNT,
+                samples_per_group: SAMPLES_PER_GROUP,
+                max_tokens: MAX_TOKENS,
+                train_time: TRAIN_TIME,
                 staleness_bound_versions: 2,
                 seed: options.seed + place as u64,
             };
@@ -142,14 +165,17 @@
         .collect()
 }
 
-/// Brings out new weights, and has the engines swap one after the other.
+/// Brings out new weights, which the stewards have the engines load.
 async fn publish_weights(cluster: &Cluster, version: &AtomicU64, stop: &Stop) {
     while !stop.is_set() {
         tokio::time::sleep(WEIGHT_INTERVAL).await;
-        let next = version.fetch_add(1, Ordering::Relaxed) + 1;
-        for engine in &cluster.engines {
-            engine.swap(next);
-            tokio::time::sleep(SWAP_INTERVAL).await;
+        let next = version.load(Ordering::Relaxed) + 1;
+        let wanted = serde_json::json!({ "version": next });
+        let record = RecordKey::new(WANTED_TABLE, MODEL_POOL);
+        let transaction = Transaction::default().put(record, wanted);
+        match cluster.table.table().commit(transaction).await {
+            Ok(_) => version.store(next, Ordering::Relaxed),
+            Err(error) => tracing::debug!(%error, "new weights are not out yet"),
         }
     }
 }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -285,7 +285,7 @@
     let store = HttpTableService::new(
         settings.platform.table_service_url.clone(),
         Duration::from_millis(settings.platform.timeout_ms),
-        Budget::default(),
+        Budget::from(&settings.platform),
         incarnation,
     )?;
     let limits = gate::Limits {
--- a/src/entry/thread.rs
+++ b/src/entry/thread.rs
@@ -292,8 +292,11 @@
     fn round(&mut self) {
         let now = self.shared.clock.now();
         let effects = self.control.run(now, self.shared.open_work.count());
-        let board = Arc::new(self.control.board().clone());
-        self.shared.snapshot.store(board);
+        let mut board = self.control.board().clone();
+        board.store = self.shared.store.condition();
+        let live_hosts_count = u32::try_from(board.hosts.live().count()).unwrap_or(u32::MAX);
+        self.shared.store.set_live_hosts(live_hosts_count);
+        self.shared.snapshot.store(Arc::new(board));
         for effect in effects {
             self.act(effect);
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -50,6 +50,7 @@
 pub mod gate;
 pub mod gossip;
 pub mod handover;
+pub mod host_command;
 pub mod ids;
 pub mod integer_hash;
 mod lane;
@@ -112,6 +113,7 @@
 pub mod terms;
 pub mod trace;
 pub mod trainer_api;
+pub mod trial_command;
 pub mod upstream_list;
 pub mod wave;
 
--- a/src/replay/fault.rs
+++ b/src/replay/fault.rs
@@ -44,7 +44,6 @@
                 cells,
             } => self.run_edit(Editor::new(editor, change, row, base_version, cells)),
             Event::Call { .. } => self.call(event),
-            Event::Decision(_) => {}
             Event::HostKill { .. }
             | Event::HostPause { .. }
             | Event::HostDrain { .. }
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -163,6 +163,11 @@
         self.listener.address
     }
 
+    /// Returns how it behaves.
+    pub fn config(&self) -> &Config {
+        &self.shared.config
+    }
+
     /// Returns the weights that it runs.
     pub fn weight_version(&self) -> WeightVersion {
         self.shared.state().version
--- a/src/trace.rs
+++ b/src/trace.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     blackboard::UpstreamState,
+    burn::HostWindows,
     clock::Timestamp,
     decision::Decision,
     ids::{
@@ -326,8 +327,6 @@
         #[serde(default)]
         host_dies: bool,
     },
-    /// A record of the run that wrote the trace, which replay passes over.
-    Decision(Decision),
 }
 
 /// What the platform's list says of one upstream.
@@ -486,6 +485,28 @@
     pub header: Header,
     /// The events in the order of their times.
     pub events: Vec<Timed>,
+    /// What the hosts said that wrote the trace; replay passes over it.
+    pub records: Vec<Record>,
+}
+
+/// What a host of the run that wrote the trace said.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Record {
+    /// When it was said.
+    pub at_ms: u64,
+    /// A decision, for `mimosavane explain`.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub decision: Option<Decision>,
+    /// Service-level windows, for `mimosavane report burn`.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub burn: Option<HostWindows>,
+}
+
+/// One line behind the header.
+enum Entry {
+    Event(Timed),
+    Record(Record),
 }
 
 impl Trace {
@@ -514,11 +535,20 @@
         if header.format != FORMAT {
             return Err(line_error(number, "format", "not a format that is known"));
         }
-        let mut events = lines
-            .map(|(line, number)| parse_event(line, number))
-            .collect::<Result<Vec<_>, _>>()?;
+        let mut events = Vec::new();
+        let mut records = Vec::new();
+        for (line, number) in lines {
+            match parse_entry(line, number)? {
+                Entry::Event(timed) => events.push(timed),
+                Entry::Record(record) => records.push(record),
+            }
+        }
         events.sort_by_key(|timed| timed.at);
-        Ok(Self { header, events })
+        Ok(Self {
+            header,
+            events,
+            records,
+        })
     }
 
     /// Writes the trace as text.
@@ -533,6 +563,10 @@
             text.push_str(&serde_json::to_string(&event_line(timed)?)?);
             text.push('\n');
         }
+        for record in &self.records {
+            text.push_str(&serde_json::to_string(record)?);
+            text.push('\n');
+        }
         Ok(text)
     }
 }
@@ -560,10 +594,17 @@
     })
 }
 
-fn parse_event(line: &str, number: usize) -> Result<Timed, TraceError> {
-    let Value::Object(mut fields) = parse_line(line, number)? else {
+fn parse_entry(line: &str, number: usize) -> Result<Entry, TraceError> {
+    let Value::Object(fields) = parse_line(line, number)? else {
         return Err(line_error(number, "event", "a line is a JSON object"));
     };
+    if fields.contains_key("decision") || fields.contains_key("burn") {
+        return decode(Value::Object(fields), number).map(Entry::Record);
+    }
+    parse_event(fields, number).map(Entry::Event)
+}
+
+fn parse_event(mut fields: Map<String, Value>, number: usize) -> Result<Timed, TraceError> {
     let at_ms = fields
         .remove("at_ms")
         .and_then(|value| value.as_u64())
--- a/tests/support/real_fleet.rs
+++ b/tests/support/real_fleet.rs
@@ -17,6 +17,9 @@
 };
 use rand::SeedableRng as _;
 
+/// The key of the operator.
+pub const OPERATOR_KEY: &str = "operator-key-of-the-test";
+
 /// The time between two looks at the hosts.
 const LOOK_INTERVAL: Duration = Duration::from_millis(2);
 
@@ -51,7 +54,8 @@
                 "{{host: {{id: entry-{number}, region: r, failure_domain: f, \
                  http_address: '{}', peer_address: '{}'}}, \
                  platform: {{table_service_url: '{}'}}, \
-                 keys: {{fleet: fleet-secret-of-the-test}}}}",
+                 keys: {{fleet: fleet-secret-of-the-test, \
+                 operators: {{ana: {OPERATOR_KEY}}}}}}}",
                 http[number],
                 peers[number],
                 standin.url()
@@ -89,6 +93,11 @@
         self.hosts[number] = None;
     }
 
+    /// Returns the settings of a host.
+    pub fn settings(&self, number: usize) -> &Settings {
+        &self.settings[number]
+    }
+
     /// Has a change accepted, and returns its revision.
     pub fn change(&mut self) -> Revision {
         self.changes_count += 1;
--- a/tests/table_fleet.rs
+++ b/tests/table_fleet.rs
@@ -1,10 +1,17 @@
 //! The table on running entry hosts, over sockets.
 
-use std::time::Duration;
+use std::{
+    net::TcpListener,
+    time::{Duration, Instant},
+};
 
-use mimosavane::blackboard::TableStanding;
+use mimosavane::{
+    blackboard::TableStanding,
+    table_client::TableClient,
+    table_server::{Server, State},
+};
 
-use support::RealFleet;
+use support::{OPERATOR_KEY, RealFleet};
 
 #[path = "support/real_fleet.rs"]
 mod support;
@@ -55,3 +62,27 @@
     fleet.store.set_down(false);
     assert!(fleet.wait_for(1, TIMEOUT * 2).is_some());
 }
+
+#[test]
+fn status_of_hosts() {
+    let mut fleet = RealFleet::start(3);
+    let revision = fleet.change();
+    assert!(fleet.wait_for(revision, TIMEOUT).is_some());
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let url = format!("http://{}", listener.local_addr().unwrap());
+    let state = State::new(fleet.settings(0), 7).unwrap();
+    let server = Server::start(state, listener, 1).unwrap();
+    let client = TableClient::new(url, OPERATOR_KEY, TIMEOUT);
+    let runtime = tokio::runtime::Runtime::new().unwrap();
+    // Hosts hear of each other by heartbeats, one after the other.
+    let deadline = Instant::now() + TIMEOUT;
+    loop {
+        let status = runtime.block_on(client.status()).unwrap();
+        if status.in_force_hosts_count == 3 {
+            break;
+        }
+        assert!(Instant::now() < deadline, "{status:?}");
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    server.stop().unwrap();
+}
