Keep attempts away from engines that run slow for this owner

Cause: Moved samples went back to the slow engines that their move had emptied. Change: The owner remembers the pace of its attempts on each engine for 30 s and names the slow ones with each attempt.

--- a/src/experiment.rs
+++ b/src/experiment.rs
@@ -373,7 +373,7 @@
     /// Ranks an engine by the time that it would take, then by its load.
     fn cost(&self, place: usize, work: &Dispatch) -> (bool, Duration, usize) {
         let engine = &self.engines[place];
-        let is_avoided = work.avoid.as_ref() == Some(&engine.id);
+        let is_avoided = work.avoid.contains(&engine.id);
         let rounds = (engine.load() / engine.slots_count) as u32 + 1;
         let report = self.board.engines.reports.get(&engine.id);
         let reported = report.map_or(Duration::ZERO, |report| report.token_time);
--- a/src/step.rs
+++ b/src/step.rs
@@ -81,6 +81,7 @@
             board,
             now: round.now,
             newest: newest_version(board),
+            slow_engines: self.registry.slow_engines(round.now),
             dispatches_left: MAX_DISPATCHES_PER_ROUND,
             watches_left: MAX_WATCHES_PER_ROUND,
             rng: round.rng,
--- a/src/step_attempt.rs
+++ b/src/step_attempt.rs
@@ -33,7 +33,7 @@
         };
         let is_first = attempt.started_at.is_none();
         let dispatched_at = attempt.dispatched_at;
-        attempt.engine = Some(engine);
+        attempt.engine = Some(Arc::clone(&engine));
         let token_time = attempt.progress(proved, turn.now);
         // Of two that waited for their engines, the first to start runs on.
         let waiting: Vec<_> = race
@@ -49,6 +49,7 @@
         }
         if let Some(token_time) = token_time {
             model.first_token_time.observe(token_time);
+            registry.paces.observe(&engine, token_time, turn.now);
         }
         for other in waiting {
             self.drop_attempt(place, other, registry, turn);
--- a/src/step_dispatch.rs
+++ b/src/step_dispatch.rs
@@ -302,6 +302,8 @@
                 .figure("resumed_tokens", plan.resume.tokens.len() as f64)
                 .figure("priority_ratio", f64::from(priority)),
         );
+        let mut engines = turn.slow_engines.clone();
+        engines.extend(avoid.filter(|engine| !turn.slow_engines.contains(engine)));
         let attempt = Attempt::new(number, plan.resume.clone(), turn.now);
         let seed = self.spec.sample_seed(slot.group, slot.index);
         turn.actions.push(Action::Dispatch(Box::new(Dispatch {
@@ -315,7 +317,7 @@
             mixed_versions: self.row.mixed_versions,
             seed,
             expected_tokens: plan.expected_tokens,
-            avoid,
+            avoid: engines,
         })));
         let key = StepKey::of(&self.spec);
         registry.attempts.insert(number, Target { key, place });
--- a/src/step_message.rs
+++ b/src/step_message.rs
@@ -155,6 +155,6 @@
     pub seed: u64,
     /// Tokens that it is expected to make.
     pub expected_tokens: u32,
-    /// An engine to keep away from where another one will do.
-    pub avoid: Option<UpstreamId>,
+    /// Engines to keep away from where another one will do.
+    pub avoid: Vec<UpstreamId>,
 }
--- a/src/step_registry.rs
+++ b/src/step_registry.rs
@@ -9,12 +9,13 @@
     clock::Timestamp,
     controller::Rng,
     decision::Decision,
-    ids::{AttemptNumber, RowId, StepNumber, WeightVersion},
+    ids::{AttemptNumber, RowId, StepNumber, UpstreamId, WeightVersion},
     length::{Average, Estimator},
     spec::StepSpec,
     staleness::{Cadence, Gate},
     step_message::Action,
     step_state::Place,
+    straggler::Paces,
 };
 
 /// The first delay before a failed slot is dispatched again.
@@ -113,6 +114,7 @@
     pub(crate) attempts: BTreeMap<AttemptNumber, Target>,
     pub(crate) counters: Counters,
     pub(crate) policy: Policy,
+    pub(crate) paces: Paces,
     salt: Option<u32>,
     last_attempt: u32,
 }
@@ -122,6 +124,8 @@
     pub(crate) board: &'a Blackboard,
     pub(crate) now: Timestamp,
     pub(crate) newest: Option<WeightVersion>,
+    /// Engines that are slow at the moment.
+    pub(crate) slow_engines: Vec<UpstreamId>,
     /// Attempts that this round may start still.
     pub(crate) dispatches_left: usize,
     /// Steps that this round may search for stragglers still.
@@ -144,6 +148,14 @@
         self.salt.get_or_insert_with(|| rng.next_u32());
     }
 
+    /// Returns the engines that attempts keep away from.
+    pub(crate) fn slow_engines(&mut self, now: Timestamp) -> Vec<UpstreamId> {
+        match self.policy.mitigates_slow_attempts {
+            true => self.paces.slow(now),
+            false => Vec::new(),
+        }
+    }
+
     pub(crate) fn next_attempt(&mut self) -> AttemptNumber {
         self.last_attempt = self.last_attempt.wrapping_add(1);
         let salt = u64::from(self.salt.unwrap_or_default());
--- a/src/straggler.rs
+++ b/src/straggler.rs
@@ -2,9 +2,9 @@
 //!
 //! See docs/design/stragglers.md.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use crate::{clock::Timestamp, row::Row};
+use crate::{clock::Timestamp, ids::UpstreamId, row::Row};
 
 /// The part of a step's slots that counts as its tail.
 pub const TAIL_RATIO: f64 = 0.1;
@@ -41,6 +41,15 @@
 /// The idle preference from which on a row hedges ahead of its trainer.
 const EAGER_PREFERENCE_RATIO: f64 = 0.5;
 
+/// How long the pace of an engine is remembered without news.
+const PACE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// An engine above this part of the median token time is slow.
+const SLOW_ENGINE_RATIO: f64 = 2.0;
+
+/// The most engines that an attempt keeps away from.
+const MAX_SLOW_ENGINES: usize = 64;
+
 /// The time of one token before any was seen.
 pub const DEFAULT_TOKEN_TIME: Duration = Duration::from_millis(20);
 
@@ -170,6 +179,54 @@
     pub startup: Duration,
 }
 
+/// How fast each engine was of late, by the progress of this host's attempts.
+///
+/// The engines' own reports lag, and moved attempts would go back to the slow
+/// engines that their move has emptied.
+#[derive(Clone, Debug, Default)]
+pub struct Paces {
+    engines: BTreeMap<UpstreamId, Pace>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Pace {
+    token_time: Duration,
+    at: Timestamp,
+}
+
+impl Paces {
+    /// Takes in the time that one token took on `engine`.
+    pub fn observe(&mut self, engine: &UpstreamId, token_time: Duration, now: Timestamp) {
+        let pace = self.engines.entry(Arc::clone(engine)).or_insert(Pace {
+            token_time,
+            at: now,
+        });
+        let mean = pace.token_time.mul_f64(1.0 - PACE_SMOOTHING_RATIO);
+        pace.token_time = mean + token_time.mul_f64(PACE_SMOOTHING_RATIO);
+        pace.at = now;
+    }
+
+    /// Returns engines that are much slower than the median one, and forgets
+    /// engines that were not heard of for long.
+    pub fn slow(&mut self, now: Timestamp) -> Vec<UpstreamId> {
+        self.engines
+            .retain(|_, pace| now.saturating_sub(pace.at) < PACE_TIMEOUT);
+        let mut times: Vec<_> = self.engines.values().map(|pace| pace.token_time).collect();
+        if times.is_empty() {
+            return Vec::new();
+        }
+        let middle = (times.len() - 1) / 2;
+        let (_, median, _) = times.select_nth_unstable(middle);
+        let limit = median.mul_f64(SLOW_ENGINE_RATIO);
+        self.engines
+            .iter()
+            .filter(|(_, pace)| pace.token_time > limit)
+            .map(|(engine, _)| Arc::clone(engine))
+            .take(MAX_SLOW_ENGINES)
+            .collect()
+    }
+}
+
 /// What to do about one attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
--- a/tests/step.rs
+++ b/tests/step.rs
@@ -444,7 +444,7 @@
     owner.run(at(1.0), events);
     let again = dispatches(&owner.run(at(2.0), []));
     assert_eq!(again[0].resume, proved(30, 40), "what was cut stays cut");
-    assert_eq!(again[0].avoid.as_deref(), Some("engine-0"));
+    assert_eq!(again[0].avoid, ["engine-0".into()]);
 }
 
 #[test]
--- a/tests/straggler.rs
+++ b/tests/straggler.rs
@@ -54,7 +54,7 @@
     let hedge = &hedges[0];
     assert_eq!(hedge.slot, last.slot);
     assert_eq!(hedge.seed, last.seed, "the race does not favour short ones");
-    assert_eq!(hedge.avoid.as_deref(), Some("engine-0"));
+    assert_eq!(hedge.avoid, ["engine-0".into()]);
     assert!(
         hedge.resume.tokens.len() > 100,
         "it goes on from the tokens"
@@ -130,6 +130,29 @@
     assert_eq!(cancels(&actions), [works[0].attempt], "the first to start");
 }
 
+#[test]
+fn slow_engine() {
+    let mut row = Row::new("guides");
+    row.max_running_samples = 3;
+    let mut owner = Owner::new(1, row);
+    let works = dispatches(&owner.submit(at(0.0), &spec(1, 4)));
+    for second in 0..=5 {
+        let events = [
+            progressed(&works[0], "engine-0", 50 * second, 40),
+            progressed(&works[1], "engine-1", 50 * second, 40),
+            progressed(&works[2], "engine-2", 10 * second, 40),
+        ];
+        owner.run(at(f64::from(second)), events);
+    }
+    let next = dispatches(&owner.finish(at(5.1), &works[0], 40));
+    assert_eq!(next[0].avoid, ["engine-2".into()]);
+    let later = dispatches(&owner.finish(at(50.0), &works[1], 40));
+    assert!(
+        later.iter().all(|work| work.avoid.is_empty()),
+        "tried again"
+    );
+}
+
 #[test]
 fn hedge_budget() {
     let mut row = Row::new("guides");
