Charge a resumed attempt for its own tokens only

Cause: the count told to the dispatcher held the resumed tokens too, so a row whose request was preempted and resumed paid twice for them. Before/After: not measured; the entry server has no test of charges yet. Conclusion: shares count each generated token once.

--- a/src/entry/generate.rs
+++ b/src/entry/generate.rs
@@ -88,7 +88,7 @@
     let ticket = host.next_ticket();
     let mut evidence = start_evidence(&request);
     let result = queue_and_stream(host, &request, ticket, &mut evidence, &events).await;
-    let tokens = evidence.token_count();
+    let tokens = generated_count(&request, &evidence);
     host.control
         .tell(Input::dispatch(dispatch::Event::Finished {
             ticket,
@@ -164,7 +164,8 @@
         }
         if reported_at.elapsed() >= PROGRESS_INTERVAL {
             reported_at = Instant::now();
-            report_progress(host, ticket, evidence, events).await;
+            let tokens = generated_count(request, evidence);
+            report_progress(host, ticket, tokens, evidence, events).await;
         }
     }
 }
@@ -244,8 +245,20 @@
     }
 }
 
-async fn report_progress(host: &Host, ticket: Ticket, evidence: &Evidence, events: &Events) {
-    let tokens = evidence.token_count();
+/// Returns the tokens that this attempt made; resumed ones were charged to the
+/// row when they were made.
+fn generated_count(request: &peer::GenerateRequest, evidence: &Evidence) -> u32 {
+    let resumed_tokens = messages::count(&request.resume_tokens);
+    evidence.token_count().saturating_sub(resumed_tokens)
+}
+
+async fn report_progress(
+    host: &Host,
+    ticket: Ticket,
+    tokens: u32,
+    evidence: &Evidence,
+    events: &Events,
+) {
     host.control
         .tell(Input::dispatch(dispatch::Event::Progress {
             ticket,
