--- a/src/settings_field.rs
+++ b/src/settings_field.rs
@@ -162,6 +162,7 @@
         "membership.probe_interval_ms",
     ),
     ("drain.grace_ms", "drain.bound_ms"),
+    ("host.ordinal", "limits.max_hosts_count"),
     ("steward.order_timeout_ms", "steward.lease_ms"),
 ];
 
