--- a/src/demo/report.rs
+++ b/src/demo/report.rs
@@ -9,6 +9,7 @@
     Options,
     caller::{self, Told},
     editor,
+    fault::Fault,
 };
 use crate::standin::trainer;
 
@@ -116,6 +117,11 @@
                 self.callers.wrong_answers,
                 "wrong",
             ),
+            Promise {
+                promise: "a planned stop refuses no call",
+                held: !self.is_only_rolling() || self.refused_calls() == 0,
+                figure: format!("{} refused", self.refused_calls()),
+            },
             Promise {
                 promise: "an accepted change is in force on all hosts",
                 held: self.edits.not_in_force == 0 && self.edits.accepted > 0,
@@ -132,6 +138,16 @@
         ]
     }
 
+    /// Says whether planned stops were all that happened.
+    fn is_only_rolling(&self) -> bool {
+        let rolling = Fault::RollingReplace.to_string();
+        self.faults.iter().all(|fault| *fault == rolling)
+    }
+
+    fn refused_calls(&self) -> u64 {
+        self.callers.refusals.values().sum()
+    }
+
     fn told(&self, told: Told) -> usize {
         self.callers
             .orders
--- a/src/entry/burn_meter.rs
+++ b/src/entry/burn_meter.rs
@@ -31,10 +31,11 @@
 }
 
 impl Meter {
-    /// Makes the counters of `host`.
-    pub fn new(host: HostId, clock: Clock) -> Self {
+    /// Makes the counters of `host`, whose windows are shortened by
+    /// `window_scale_ratio`.
+    pub fn new(host: HostId, clock: Clock, window_scale_ratio: f64) -> Self {
         let state = State {
-            recorder: Recorder::new(1.0),
+            recorder: Recorder::new(window_scale_ratio),
             pulled_at: BTreeMap::new(),
         };
         Self {
--- a/src/entry/collect.rs
+++ b/src/entry/collect.rs
@@ -2,7 +2,7 @@
 
 use std::{future::Future, time::Duration};
 
-use futures_util::future::join_all;
+use futures_util::{StreamExt as _, stream};
 use serde::{Deserialize, Serialize};
 use tokio::{sync::oneshot, time::timeout};
 
@@ -19,6 +19,9 @@
 /// How long a host may take to answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Hosts that are asked at once.
+const MAX_ASKED_COUNT: usize = 32;
+
 /// The windows of the hosts that answered, and who did not.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Windows {
@@ -64,7 +67,8 @@
             })
         })
     });
-    let (mut answers, missing) = split(join_all(asked).await);
+    let asked = stream::iter(asked).buffer_unordered(MAX_ASKED_COUNT);
+    let (mut answers, missing) = split(host, asked.collect().await);
     answers.push(Answer {
         host: host.settings.host.id.clone(),
         origin_unix_ms: host.incarnation,
@@ -90,12 +94,13 @@
             Ok(serde_json::from_str::<HostWindows>(&reply.windows)?)
         })
     });
-    let (mut hosts, missing) = split(join_all(asked).await);
+    let asked = stream::iter(asked).buffer_unordered(MAX_ASKED_COUNT);
+    let (mut hosts, missing) = split(host, asked.collect().await);
     hosts.push(host.burn.export());
     Windows { hosts, missing }
 }
 
-/// Returns the other hosts that are not known to be gone.
+/// Returns the other hosts that are not held for dead.
 fn peers(host: &Host) -> Vec<HostId> {
     let board = host.snapshot.load();
     let members = board.hosts.members.values();
@@ -119,9 +124,19 @@
         })
 }
 
-fn split<T>(answers: Vec<Result<T, Missing>>) -> (Vec<T>, Vec<Missing>) {
+/// Parts the answers from what is missing, hosts that are held for dead among
+/// it, since what they knew is in no answer.
+fn split<T>(host: &Host, answers: Vec<Result<T, Missing>>) -> (Vec<T>, Vec<Missing>) {
     let mut found = Vec::new();
-    let mut missing = Vec::new();
+    let board = host.snapshot.load();
+    let members = board.hosts.members.values();
+    let dead = members.filter(|member| member.state == HostState::Dead);
+    let mut missing = dead
+        .map(|member| Missing {
+            host: member.id.clone(),
+            reason: "held for dead".into(),
+        })
+        .collect::<Vec<_>>();
     for answer in answers {
         match answer {
             Ok(answer) => found.push(answer),
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -304,7 +304,11 @@
         claims: TableClaims::new(store.clone()),
     };
     Ok(Host {
-        burn: Meter::new(settings.host.id.clone(), clock),
+        burn: Meter::new(
+            settings.host.id.clone(),
+            clock,
+            settings.objectives.window_scale_ratio,
+        ),
         clock,
         incarnation,
         snapshot,
