--- a/src/control.rs
+++ b/src/control.rs
@@ -3,15 +3,14 @@
 //! The entry host's control thread and the replay of traces run the same
 //! [`Control`]: inputs go in, effects come out (see docs/ARCHITECTURE.md).
 
-use std::{collections::BTreeMap, mem, net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, mem, sync::Arc, time::Duration};
 
 use rand::SeedableRng as _;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
     allowance::Kind,
-    attach::Reply,
-    blackboard::{Blackboard, TableStanding, UpstreamKind},
+    blackboard::{Blackboard, TableStanding},
     cache_index::BlockHash,
     clock::Timestamp,
     controller::{Controller as _, Rng, Round},
@@ -20,15 +19,15 @@
     drain, engine_watch,
     fairness::{Class, Ranking, Ticket},
     follower,
-    gossip::Heartbeat,
-    handover::Handover,
-    ids::{AttemptNumber, CallNumber, HostId, Incarnation, RowId, TokenId, UpstreamId},
+    ids::{AttemptNumber, HostId, Incarnation, RowId, TokenId, UpstreamId},
     ledger, membership, quota, rendezvous,
     routing::{self, Policy},
     settings::Settings,
     step, upstream_list,
 };
 
+pub use crate::control_message::{Effect, Exchange, Input};
+
 /// The pool that trainers' samples are generated in.
 pub const MODEL_POOL: &str = "base";
 
@@ -41,118 +40,6 @@
 /// The time between two looks at what the dispatcher served.
 const LOAD_INTERVAL: Duration = Duration::from_millis(500);
 
-/// A message between the controllers of two hosts beside heartbeats.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Exchange {
-    /// Between ledgers.
-    Ledger(ledger::Message),
-    /// Between quotas.
-    Quota(quota::Message),
-}
-
-/// What happened outside.
-#[derive(Debug)]
-pub enum Input {
-    /// Something for the step controller.
-    Step(step::Event),
-    /// Something for the dispatcher.
-    Dispatch(dispatch::Event),
-    /// An engine reported or failed to.
-    Engine(engine_watch::Event),
-    /// The store or a peer answered about the table.
-    Table(follower::Event),
-    /// A heartbeat arrived, or the platform listed a host.
-    Member(membership::Event),
-    /// Something showed the state of an upstream.
-    Upstreams(upstream_list::Event),
-    /// A peer's controller said something.
-    Exchange {
-        /// The peer.
-        from: HostId,
-        /// What it said.
-        message: Exchange,
-    },
-    /// A traffic thread decided something.
-    Decided(Decision),
-    /// Stop gracefully.
-    Drain(drain::Requester),
-}
-
-/// What the code around the controllers shall do.
-#[derive(Debug)]
-pub enum Effect {
-    /// Send a heartbeat.
-    Send {
-        /// Where to.
-        to: SocketAddr,
-        /// What it says.
-        heartbeat: Heartbeat,
-    },
-    /// Send a message to a peer's controller.
-    Tell {
-        /// The peer.
-        to: HostId,
-        /// What to say.
-        message: Exchange,
-    },
-    /// Read the table.
-    Follow(follower::Action),
-    /// Ask an engine for its report.
-    PollEngine {
-        /// The engine.
-        engine: UpstreamId,
-        /// Where it answers, where that is known.
-        address: Option<SocketAddr>,
-    },
-    /// Ask an upstream whether it is leaving.
-    AskUpstream {
-        /// The upstream.
-        upstream: UpstreamId,
-        /// What it is.
-        kind: UpstreamKind,
-        /// Where it answers.
-        address: SocketAddr,
-    },
-    /// Answer a submission.
-    Accept {
-        /// The call.
-        call: CallNumber,
-        /// Whether the step was taken on.
-        result: Result<(), step::SubmitError>,
-    },
-    /// Answer a pull.
-    Reply {
-        /// The call.
-        call: CallNumber,
-        /// The answer.
-        reply: Reply,
-    },
-    /// Start an attempt at the dispatcher of its engine.
-    StartAttempt {
-        /// What to generate.
-        dispatch: Box<step::Dispatch>,
-        /// The engine.
-        engine: UpstreamId,
-        /// The host that queues for the engine, where there is one.
-        dispatcher: Option<HostId>,
-    },
-    /// Stop an attempt.
-    CancelAttempt {
-        /// The attempt.
-        attempt: AttemptNumber,
-    },
-    /// Give a step to its next owner.
-    HandOver(Box<Handover>),
-    /// Do what the dispatcher says about a queued or running request.
-    Dispatch(dispatch::Action),
-    /// End the process.
-    End {
-        /// How the planned stop ended, or `None` where another process runs
-        /// under this host's name.
-        outcome: Option<drain::Outcome>,
-    },
-}
-
 /// The inputs of one round, by controller.
 #[derive(Debug, Default)]
 struct Inboxes {
@@ -220,7 +107,8 @@
         };
         Self {
             board: Blackboard::default(),
-            rng: Rng::seed_from_u64(incarnation),
+            // Two hosts that start in the same moment draw different numbers.
+            rng: Rng::seed_from_u64(xxh3_64_with_seed(own.as_bytes(), incarnation)),
             decisions: Vec::new(),
             ring: Ring::default(),
             inboxes: Inboxes::default(),
--- a/src/replay/mod.rs
+++ b/src/replay/mod.rs
@@ -21,6 +21,7 @@
 mod engine;
 mod fault;
 mod generation;
+mod route;
 mod table;
 mod tally;
 mod trainer;
@@ -165,12 +166,10 @@
     }
 }
 
+/// Shows at most three decimals, and none where they are zero.
 fn show(value: f64) -> String {
-    if value.fract() == 0.0 {
-        format!("{value:.0}")
-    } else {
-        format!("{value:.3}")
-    }
+    let text = format!("{value:.3}");
+    text.trim_end_matches('0').trim_end_matches('.').to_owned()
 }
 
 /// Plays `trace` with the real policies, and beside them with the baselines.
--- /dev/null
+++ b/src/replay/route.rs
@@ -0,0 +1,112 @@
+//! The way of a trainer's requests to the owner of its step.
+
+use std::time::Duration;
+
+use rand::Rng as _;
+
+use super::{
+    trainer::Request,
+    world::{OpenCall, PEER_TIMEOUT, Task, World},
+};
+use crate::{
+    control::Input,
+    fairness::Ranking,
+    ids::{HostId, RowId, StepNumber},
+    rendezvous,
+    routing::Policy,
+    step,
+};
+
+/// Hosts that are tried for one request of a trainer.
+const MAX_TRIED_HOSTS: usize = 3;
+
+impl<P: Policy, R: Ranking> World<'_, P, R> {
+    /// Sends a trainer's request over the balancer to the owner of the step.
+    pub(super) fn route(&mut self, trainer: Option<RowId>, request: Request) {
+        let (row, step) = match &request {
+            Request::Submit(spec) => (spec.trainer.clone(), spec.step),
+            Request::Pull(pull) => (pull.trainer.clone(), pull.step),
+        };
+        let refused = Task::Refused(row.clone(), step);
+        let Some(entry) = self.pick_entry() else {
+            return self.after(PEER_TIMEOUT, refused);
+        };
+        let mut waited = self.delay();
+        for owner in self.owners(&entry, &row, step) {
+            let is_here = owner == entry;
+            let answers = self
+                .nodes
+                .get(&owner)
+                .is_some_and(|node| node.is_running(self.now));
+            if is_here || answers && self.reaches(&entry, &owner) {
+                let hop = if is_here {
+                    Duration::ZERO
+                } else {
+                    self.delay()
+                };
+                return self.after(waited + hop, Task::Request(owner, trainer, request));
+            }
+            waited += PEER_TIMEOUT;
+        }
+        self.after(waited, refused);
+    }
+
+    /// Draws a host that the balancer holds for ready.
+    fn pick_entry(&mut self) -> Option<HostId> {
+        let ready = self
+            .nodes
+            .iter()
+            .filter(|(_, node)| node.is_running(self.now))
+            .filter(|(_, node)| {
+                node.control.as_ref().is_some_and(|control| {
+                    let board = control.board();
+                    board.ready && !board.draining
+                })
+            })
+            .map(|(id, _)| id.clone())
+            .collect::<Vec<_>>();
+        if ready.is_empty() {
+            return None;
+        }
+        let place = self.rng.random_range(0..ready.len());
+        ready.get(place).cloned()
+    }
+
+    /// Returns the hosts that `entry` tries for a step, the owner first.
+    pub(super) fn owners(&self, entry: &HostId, row: &RowId, step: StepNumber) -> Vec<HostId> {
+        let Some(control) = self.nodes.get(entry).and_then(|node| node.control.as_ref()) else {
+            return Vec::new();
+        };
+        let live = control.board().hosts.live().map(|host| host.id.clone());
+        let mut left = live.collect::<Vec<_>>();
+        let mut ranked = Vec::new();
+        while ranked.len() < MAX_TRIED_HOSTS {
+            let Some(owner) = rendezvous::step_owner(row, step, &left).cloned() else {
+                break;
+            };
+            left.retain(|host| *host != owner);
+            ranked.push(owner);
+        }
+        ranked
+    }
+
+    pub(super) fn take_request(&mut self, host: &HostId, trainer: Option<RowId>, request: Request) {
+        let call = self.number();
+        let Some(node) = self.nodes.get_mut(host) else {
+            return;
+        };
+        let (step, event) = match request {
+            Request::Submit(spec) => (spec.step, step::Event::Submitted { call, spec }),
+            Request::Pull(pull) => (pull.step, step::Event::Pulled { call, pull }),
+        };
+        let open = OpenCall {
+            host: host.clone(),
+            trainer,
+            step,
+        };
+        if node.control.is_some() {
+            node.inbox.push(Input::Step(event));
+            self.calls.insert(call, open);
+        }
+    }
+}
--- a/src/replay/world.rs
+++ b/src/replay/world.rs
@@ -27,7 +27,7 @@
     edit,
     fairness::{Ranking, Ticket},
     ids::{CallNumber, HostId, RowId, StepNumber, UpstreamId, WeightVersion},
-    membership, rendezvous,
+    membership,
     routing::Policy,
     settings::Settings,
     standin::table_service::MemoryTable,
@@ -48,9 +48,6 @@
 /// The time between two reads of the platform's list.
 const LIST_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Hosts that are tried for one request of a trainer.
-const MAX_TRIED_HOSTS: usize = 3;
-
 /// Chooses the policy of one host.
 pub type MakePolicy<P> = fn(&HostId) -> P;
 
@@ -431,95 +428,6 @@
         }
     }
 
-    /// Sends a trainer's request over the balancer to the owner of the step.
-    pub(super) fn route(&mut self, trainer: Option<RowId>, request: Request) {
-        let (row, step) = match &request {
-            Request::Submit(spec) => (spec.trainer.clone(), spec.step),
-            Request::Pull(pull) => (pull.trainer.clone(), pull.step),
-        };
-        let refused = Task::Refused(row.clone(), step);
-        let Some(entry) = self.pick_entry() else {
-            return self.after(PEER_TIMEOUT, refused);
-        };
-        let mut waited = self.delay();
-        for owner in self.owners(&entry, &row, step) {
-            let is_here = owner == entry;
-            let answers = self
-                .nodes
-                .get(&owner)
-                .is_some_and(|node| node.is_running(self.now));
-            if is_here || answers && self.reaches(&entry, &owner) {
-                let hop = if is_here {
-                    Duration::ZERO
-                } else {
-                    self.delay()
-                };
-                return self.after(waited + hop, Task::Request(owner, trainer, request));
-            }
-            waited += PEER_TIMEOUT;
-        }
-        self.after(waited, refused);
-    }
-
-    /// Draws a host that the balancer holds for ready.
-    fn pick_entry(&mut self) -> Option<HostId> {
-        let ready = self
-            .nodes
-            .iter()
-            .filter(|(_, node)| node.is_running(self.now))
-            .filter(|(_, node)| {
-                node.control.as_ref().is_some_and(|control| {
-                    let board = control.board();
-                    board.ready && !board.draining
-                })
-            })
-            .map(|(id, _)| id.clone())
-            .collect::<Vec<_>>();
-        if ready.is_empty() {
-            return None;
-        }
-        let place = self.rng.random_range(0..ready.len());
-        ready.get(place).cloned()
-    }
-
-    /// Returns the hosts that `entry` tries for a step, the owner first.
-    pub(super) fn owners(&self, entry: &HostId, row: &RowId, step: StepNumber) -> Vec<HostId> {
-        let Some(control) = self.nodes.get(entry).and_then(|node| node.control.as_ref()) else {
-            return Vec::new();
-        };
-        let live = control.board().hosts.live().map(|host| host.id.clone());
-        let mut left = live.collect::<Vec<_>>();
-        let mut ranked = Vec::new();
-        while ranked.len() < MAX_TRIED_HOSTS {
-            let Some(owner) = rendezvous::step_owner(row, step, &left).cloned() else {
-                break;
-            };
-            left.retain(|host| *host != owner);
-            ranked.push(owner);
-        }
-        ranked
-    }
-
-    fn take_request(&mut self, host: &HostId, trainer: Option<RowId>, request: Request) {
-        let call = self.number();
-        let Some(node) = self.nodes.get_mut(host) else {
-            return;
-        };
-        let (step, event) = match request {
-            Request::Submit(spec) => (spec.step, step::Event::Submitted { call, spec }),
-            Request::Pull(pull) => (pull.step, step::Event::Pulled { call, pull }),
-        };
-        let open = OpenCall {
-            host: host.clone(),
-            trainer,
-            step,
-        };
-        if node.control.is_some() {
-            node.inbox.push(Input::Step(event));
-            self.calls.insert(call, open);
-        }
-    }
-
     /// Passes a datagram between hosts, or loses it.
     pub(super) fn pass_datagram(
         &mut self,
