Let the step controller know its host again

Cause: When the controllers moved into one module, the step controller lost the name of its host, so that it handed no step over when the fleet changed. Change: Name the host where the controllers are put together.

--- a/src/control.rs
+++ b/src/control.rs
@@ -229,7 +229,7 @@
             has_list: !settings.platform.host_list_url.is_empty(),
             next_load_at: now,
             router,
-            steps: step::Controller::default(),
+            steps: step::Controller::default().of_host(own.clone()),
             dispatch: Dispatcher::default(),
             engines: engine_watch::Controller::new(own.clone()),
             table: follower::Controller::new(own.clone()),
