Measure slopes of control by role

Cause: the costs at 1,000 hosts were not known from measured slopes. Change: mimosavane-capacity drives the real controllers in virtual time over several sizes, and prints figure, value at full size, bound and verdict. Before/After: no command; one command with a line for each role.

--- a/src/bin/mimosavane-bench/fixture.rs
+++ b/src/bin/mimosavane-bench/fixture.rs
@@ -319,6 +319,11 @@
 impl WholeStep {
     /// Makes the step by submitting it and finishing all of its attempts.
     pub fn new() -> Self {
+        Self::with_samples(SAMPLE_COUNT)
+    }
+
+    /// Makes a step of so many samples, a multiple of 64.
+    pub fn with_samples(sample_count: u32) -> Self {
         let mut step = Self {
             controller: step::Controller::default(),
             board: Blackboard {
@@ -331,7 +336,7 @@
             rng: Rng::seed_from_u64(1),
             attach: 0,
         };
-        let groups = (0..SAMPLE_COUNT / 64).map(|group| PromptGroup {
+        let groups = (0..sample_count / 64).map(|group| PromptGroup {
             group,
             prompt_tokens: [1, 2, 3].into(),
             sample_count: 64,
--- /dev/null
+++ b/src/bin/mimosavane-capacity/fleet.rs
@@ -0,0 +1,282 @@
+//! A fleet of control threads in virtual time, whose messages are counted.
+
+use std::{
+    collections::BTreeMap,
+    mem,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use mimosavane::{
+    Row,
+    blackboard::{EngineReport, UpstreamKind},
+    charge::Weighted,
+    control::{Control, Effect, Input, MODEL_POOL},
+    engine_watch,
+    entry::messages,
+    follower,
+    gossip::Heartbeat,
+    ids::HostId,
+    membership,
+    proto::peer,
+    routing::Router,
+    settings::{HostSettings, Settings},
+    upstream_list,
+};
+use prost::Message as _;
+
+use super::allocation;
+
+/// The longest time between two rounds of a host.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Rows of the table.
+const ROW_COUNT: usize = 11;
+
+/// Engines for each host.
+pub const ENGINES_PER_HOST: usize = 6;
+
+/// What the tag and the number of a datagram add, at most.
+const SEAL_BYTES: usize = 48;
+
+/// What was spent and sent so far, over all hosts.
+#[derive(Clone, Debug, Default)]
+pub struct Spent {
+    pub time: Duration,
+    pub datagrams_count: usize,
+    pub datagram_bytes: usize,
+    pub exchanges_count: usize,
+    pub exchange_bytes: usize,
+    pub polls_count: usize,
+    pub reads_count: usize,
+}
+
+struct Node {
+    control: Control<Router, Weighted>,
+    inbox: Vec<Input>,
+    started_at: Duration,
+}
+
+/// The hosts and what is under way between them.
+pub struct Fleet {
+    pub now: Duration,
+    pub spent: Spent,
+    pub store_is_up: bool,
+    nodes: Vec<Node>,
+    settings: Vec<Settings>,
+    by_id: BTreeMap<HostId, usize>,
+    by_address: BTreeMap<SocketAddr, usize>,
+    rows: Vec<Row>,
+}
+
+fn address(network: u8, number: usize) -> SocketAddr {
+    let [.., high, low] = (number as u32 + 1).to_be_bytes();
+    SocketAddr::from(([127, network, high, low], 9_080))
+}
+
+fn settings(number: usize, host_count: usize) -> Settings {
+    let mut settings = Settings::for_host(HostSettings {
+        id: format!("entry-{number:04}").into(),
+        region: format!("region-{}", number % 7).into(),
+        failure_domain: format!("domain-{}", number % 19).into(),
+        ordinal: number as u32,
+        http_address: address(2, number),
+        peer_address: address(3, number),
+    });
+    settings.seed_peers = (0..host_count.min(12))
+        .map(|seed| address(3, seed))
+        .collect();
+    settings.limits.max_hosts_count = host_count as u32;
+    settings
+}
+
+fn listed(number: usize) -> upstream_list::Listed {
+    upstream_list::Listed {
+        id: format!("engine-{number:04}").into(),
+        kind: UpstreamKind::Engine,
+        pool: MODEL_POOL.into(),
+        address: address(1, number),
+        failure_domain: format!("domain-{}", number % 19).into(),
+        leaving: false,
+        checks_fences: true,
+    }
+}
+
+impl Fleet {
+    /// Makes the fleet, all hosts fresh.
+    pub fn new(host_count: usize) -> Self {
+        let settings: Vec<_> = (0..host_count)
+            .map(|number| settings(number, host_count))
+            .collect();
+        let mut fleet = Self {
+            now: Duration::ZERO,
+            spent: Spent::default(),
+            store_is_up: true,
+            nodes: Vec::new(),
+            by_id: settings
+                .iter()
+                .map(|host| host.host.id.clone())
+                .zip(0..)
+                .collect(),
+            by_address: (0..host_count)
+                .map(|number| (address(3, number), number))
+                .collect(),
+            rows: (0..ROW_COUNT)
+                .map(|number| Row::new(format!("row-{number:02}")))
+                .collect(),
+            settings,
+        };
+        fleet.restart();
+        fleet
+    }
+
+    /// Gives all hosts a new life at once.
+    pub fn restart(&mut self) {
+        let life = self.now.as_millis() as u64 + 1;
+        self.nodes = self
+            .settings
+            .iter()
+            .map(|settings| Node {
+                control: Control::new(
+                    settings,
+                    life,
+                    Router::new(settings.host.id.clone()),
+                    Duration::ZERO,
+                ),
+                inbox: Vec::new(),
+                started_at: self.now,
+            })
+            .collect();
+    }
+
+    /// Returns the hosts that know all others.
+    pub fn joined_count(&self) -> usize {
+        let all = self.nodes.len();
+        let is_joined = |node: &&Node| node.control.board().hosts.live().count() == all;
+        self.nodes.iter().filter(is_joined).count()
+    }
+
+    /// Runs for a while and returns the most reads of the store in a second.
+    pub fn run_for(&mut self, time: Duration) -> usize {
+        let end = self.now + time;
+        let mut max_reads = 0;
+        while self.now < end {
+            let before = self.spent.reads_count;
+            self.run_second();
+            max_reads = max_reads.max(self.spent.reads_count - before);
+        }
+        max_reads
+    }
+
+    fn run_second(&mut self) {
+        let end = self.now + Duration::from_secs(1);
+        let engine_count = self.nodes.len() * ENGINES_PER_HOST;
+        for node in &mut self.nodes {
+            // Hosts share no names, as in processes of their own.
+            let list = upstream_list::Event::List((0..engine_count).map(listed).collect());
+            node.inbox.push(Input::Upstreams(list));
+        }
+        while self.now < end {
+            self.now += TICK;
+            let effects = self.run_hosts();
+            for (from, effect) in effects {
+                self.act(from, effect);
+            }
+        }
+    }
+
+    fn run_hosts(&mut self) -> Vec<(usize, Effect)> {
+        let mut effects = Vec::new();
+        for (number, node) in self.nodes.iter_mut().enumerate() {
+            let age = self.now - node.started_at;
+            let inputs = mem::take(&mut node.inbox);
+            let clock = Instant::now();
+            for input in inputs {
+                node.control.take(input);
+            }
+            let caused = node.control.run(age, 0);
+            self.spent.time += clock.elapsed();
+            effects.extend(caused.into_iter().map(|effect| (number, effect)));
+        }
+        effects
+    }
+
+    fn act(&mut self, from: usize, effect: Effect) {
+        match effect {
+            Effect::Send { to, heartbeat } => self.send(from, to, heartbeat),
+            Effect::Tell { to, message } => {
+                let from = self.settings[from].host.id.clone();
+                let request = messages::write_exchange(&from, message.clone());
+                self.spent.exchanges_count += 1;
+                self.spent.exchange_bytes += request.encoded_len();
+                if let Some(target) = self.by_id.get(&to) {
+                    let input = Input::Exchange { from, message };
+                    self.nodes[*target].inbox.push(input);
+                }
+            }
+            Effect::Follow(action) => self.follow(from, action),
+            Effect::PollEngine { engine, .. } => {
+                self.spent.polls_count += 1;
+                let report = EngineReport {
+                    boot: 1,
+                    weight_version: 5,
+                    running: 30,
+                    slots: 64,
+                    token_time: Duration::from_millis(25),
+                    ..EngineReport::default()
+                };
+                let reported = engine_watch::Event::Reported { engine, report };
+                self.nodes[from].inbox.push(Input::Engine(reported));
+            }
+            _ => {}
+        }
+    }
+
+    fn send(&mut self, from: usize, to: SocketAddr, heartbeat: Heartbeat) {
+        self.spent.datagrams_count += 1;
+        let length = peer::Heartbeat::from(&heartbeat).encoded_len();
+        self.spent.datagram_bytes += length + SEAL_BYTES;
+        if let Some(target) = self.by_address.get(&to) {
+            let source = address(3, from);
+            let received = membership::Event::Received { heartbeat, source };
+            self.nodes[*target].inbox.push(Input::Member(received));
+        }
+    }
+
+    fn follow(&mut self, from: usize, action: follower::Action) {
+        let event = match action {
+            follower::Action::PollStore { above_revision } => {
+                self.spent.reads_count += 1;
+                if self.store_is_up {
+                    follower::Event::StoreAnswered {
+                        revision: 1,
+                        rows: (above_revision < 1).then(|| self.rows.clone()),
+                    }
+                } else {
+                    follower::Event::StoreFailed
+                }
+            }
+            follower::Action::FetchFromPeer { host, .. } => {
+                let target = self.by_id.get(&host).map(|target| &self.nodes[*target]);
+                let rows = target.map(|node| node.control.board().rows.clone());
+                rows.map_or(follower::Event::PeerFailed { host: host.clone() }, |rows| {
+                    follower::Event::PeerAnswered {
+                        host,
+                        revision: rows.revision,
+                        rows: rows.rows.values().map(|row| Row::clone(row)).collect(),
+                    }
+                })
+            }
+        };
+        self.nodes[from].inbox.push(Input::Table(event));
+    }
+
+    /// Returns the bytes that one host holds, the harness aside.
+    pub fn state_bytes(mut self) -> f64 {
+        let count = self.nodes.len() as f64;
+        let before = allocation::live_bytes();
+        let nodes = mem::take(&mut self.nodes);
+        drop(nodes);
+        (before - allocation::live_bytes()) as f64 / count
+    }
+}
--- /dev/null
+++ b/src/bin/mimosavane-capacity/rollout.rs
@@ -0,0 +1,150 @@
+//! A rollout of weights over fake engines in virtual time.
+
+use std::{
+    collections::BTreeMap,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use mimosavane::{
+    ids::UpstreamId,
+    lease::{self, Terms, Versioned, Wrote},
+    order::{End, Order, Report, Swap, Wanted},
+    shard::{Action, Event, Shard},
+    wave::Limits,
+};
+
+const TERMS: Terms = Terms {
+    lease: Duration::from_secs(10),
+    order_timeout: Duration::from_secs(2),
+    watch_interval: Duration::from_secs(1),
+    spread: Duration::from_millis(500),
+};
+
+/// The part of the engines that keeps serving.
+const FLOOR_RATIO: f64 = 0.5;
+
+const ROUND: Duration = Duration::from_millis(100);
+const LOAD_TIME: Duration = Duration::from_secs(6);
+const WARM_UP: Duration = Duration::from_secs(5);
+const MAX_TIME: Duration = Duration::from_secs(120);
+
+/// What one rollout took.
+pub struct Rollout {
+    /// Time of the planner.
+    pub processor: Duration,
+    /// Virtual time until all engines ran the version.
+    pub time: Duration,
+}
+
+struct World {
+    now: Duration,
+    store: Option<Versioned>,
+    engines: BTreeMap<UpstreamId, (Report, Option<(u64, Duration)>)>,
+    events: Vec<Event>,
+}
+
+/// Rolls a version out over so many engines of one shard.
+pub fn run(engine_count: usize, max_rate_loads_per_s: f64) -> Rollout {
+    let limits = Limits {
+        capacity_floor_ratio: FLOOR_RATIO,
+        max_rate_loads_per_s,
+    };
+    let report = Report {
+        boot: 1,
+        version: 1,
+        swap: Swap::Idle,
+    };
+    let engines: BTreeMap<UpstreamId, _> = (0..engine_count)
+        .map(|number| (format!("engine-{number:04}").into(), (report, None)))
+        .collect();
+    let listed = engines.keys().map(|id| (id.clone(), Arc::from("base")));
+    let mut world = World {
+        now: Duration::ZERO,
+        store: None,
+        events: vec![Event::Listed(listed.collect())],
+        engines,
+    };
+    let mut shard = Shard::new("entry-0", 1, TERMS, limits);
+    while world.now < WARM_UP {
+        world.step(&mut shard);
+    }
+    let begun = world.now;
+    let wanted = Wanted {
+        version: 2,
+        ..Wanted::default()
+    };
+    world
+        .events
+        .push(Event::Wanted([(Arc::from("base"), wanted)].into()));
+    let mut processor = Duration::ZERO;
+    while !world.is_done() && world.now < begun + MAX_TIME {
+        processor += world.step(&mut shard);
+    }
+    Rollout {
+        processor,
+        time: world.now - begun,
+    }
+}
+
+impl World {
+    fn is_done(&self) -> bool {
+        self.engines
+            .values()
+            .all(|(report, _)| report.version == 2 && report.swap == Swap::Idle)
+    }
+
+    fn step(&mut self, shard: &mut Shard) -> Duration {
+        self.now += ROUND;
+        for (report, loading) in self.engines.values_mut() {
+            if let Some((version, until)) = *loading
+                && self.now >= until
+            {
+                *loading = None;
+                report.version = version;
+                report.swap = Swap::Idle;
+            }
+        }
+        let events = std::mem::take(&mut self.events);
+        let clock = Instant::now();
+        let actions = shard.run(events, self.now);
+        let spent = clock.elapsed();
+        for action in actions {
+            self.act(action);
+        }
+        spent
+    }
+
+    fn act(&mut self, action: Action) {
+        let event = match action {
+            Action::Lease(lease::Action::Read) => {
+                Event::Lease(lease::Event::Read(Some(self.store.clone())))
+            }
+            Action::Lease(lease::Action::Write { version, record }) => {
+                self.store = Some(Versioned {
+                    version: version + 1,
+                    record,
+                });
+                Event::Lease(lease::Event::Wrote(Wrote::Done))
+            }
+            Action::Ask { engine } => {
+                let report = self.engines[&engine].0;
+                Event::Reported { engine, report }
+            }
+            Action::Send { engine, order } => {
+                if let Order::LoadWeights { version } = order
+                    && let Some((report, loading)) = self.engines.get_mut(&engine)
+                {
+                    *loading = Some((version, self.now + LOAD_TIME));
+                    report.swap = Swap::Loading;
+                }
+                Event::Ended {
+                    engine,
+                    order,
+                    end: End::Accepted,
+                }
+            }
+        };
+        self.events.push(event);
+    }
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -50,7 +50,7 @@
 mod effects;
 pub mod engine_client;
 mod generate;
-mod messages;
+pub mod messages;
 pub mod open_work;
 mod operators;
 mod owners;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod burn_report;
 pub mod cache_index;
 pub mod call;
+pub mod capacity;
 pub mod change;
 pub mod charge;
 pub mod claim;
