--- a/src/entry/thread.rs
+++ b/src/entry/thread.rs
@@ -86,11 +86,6 @@
         /// Where the records go.
         reply: oneshot::Sender<Vec<Decision>>,
     },
-    /// Somebody asks for the service-level windows.
-    Burn {
-        /// Where the windows go, as JSON.
-        reply: oneshot::Sender<String>,
-    },
 }
 
 impl Input {
@@ -251,7 +246,6 @@
                 let records = self.control.ring().find(&id).cloned().collect();
                 let _ = reply.send(records);
             }
-            Input::Burn { reply } => drop(reply),
         }
     }
 
@@ -298,8 +292,11 @@
     fn round(&mut self) {
         let now = self.shared.clock.now();
         let effects = self.control.run(now, self.shared.open_work.count());
-        let board = Arc::new(self.control.board().clone());
-        self.shared.snapshot.store(board);
+        let mut board = self.control.board().clone();
+        board.store = self.shared.store.condition();
+        let live_hosts_count = u32::try_from(board.hosts.live().count()).unwrap_or(u32::MAX);
+        self.shared.store.set_live_hosts(live_hosts_count);
+        self.shared.snapshot.store(Arc::new(board));
         for effect in effects {
             self.act(effect);
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -51,6 +51,7 @@
 pub mod gate;
 pub mod gossip;
 pub mod handover;
+pub mod host_command;
 pub mod ids;
 pub mod integer_hash;
 mod lane;
@@ -113,6 +114,7 @@
 pub mod terms;
 pub mod trace;
 pub mod trainer_api;
+pub mod trial_command;
 pub mod upstream_list;
 pub mod wave;
 
