--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -52,7 +52,7 @@
 mod effects;
 pub mod engine_client;
 mod generate;
-mod messages;
+pub mod messages;
 pub mod open_work;
 mod operators;
 mod owners;
