--- a/src/bin/mimosavane-entry.rs
+++ b/src/bin/mimosavane-entry.rs
@@ -7,7 +7,7 @@
 
 use anyhow::{Context, Result};
 use clap::{Arg, Command, value_parser};
-use mimosavane::{drain::Requester, entry::Running, settings::Settings};
+use mimosavane::{drain::Requester, entry::Running, settings::Settings, telemetry};
 use tokio::signal::unix::{SignalKind, signal};
 
 fn main() -> ExitCode {
@@ -35,6 +35,7 @@
 
 fn run(path: &Path) -> Result<()> {
     let settings = Settings::load(path).context("reading the settings")?;
+    telemetry::start_logs(&settings.telemetry).context("starting the log")?;
     let running = Running::start(settings).context("starting the host")?;
     running.wait(stop_signal());
     Ok(())
--- a/src/entry/calls.rs
+++ b/src/entry/calls.rs
@@ -6,7 +6,7 @@
 };
 
 use bytes::Bytes;
-use http::Request;
+use http::{HeaderValue, Request};
 use xitca_web::{
     body::{Body, Frame, ResponseBody, SizeHint},
     http::WebResponse,
@@ -21,6 +21,7 @@
     auth::Role,
     call::{self, Payload},
     relay::Cut,
+    telemetry::{self, Metric},
 };
 
 /// Where the path of the upstream begins, behind `/v1/pools/{pool}`.
@@ -60,13 +61,26 @@
         .body(body)
         .map_err(|error| Problem::Malformed.refuse(error.to_string(), None))?;
     *request.headers_mut() = ctx.req().headers().clone();
+    let arrived_at = shared.clock.now();
     let response = call::serve(&shared.calls, request, &caller).await;
     let outcome = response.headers().get(OUTCOME_HEADER);
     let is_answered = outcome.is_none_or(|outcome| outcome == ANSWERED);
     shared.burn.count_call(&caller.row, is_answered);
+    shared.metrics.count(metric_of(outcome), 1);
+    let took = shared.clock.now().saturating_sub(arrived_at);
+    shared.metrics.time(telemetry::CALL_TIME, took);
     Ok(response.map(|payload| ResponseBody::boxed(Outgoing(payload, open))))
 }
 
+/// Returns the metric that counts an outcome.
+fn metric_of(outcome: Option<&HeaderValue>) -> Metric {
+    match outcome.and_then(|outcome| outcome.to_str().ok()) {
+        Some("not-run") => telemetry::CALLS_NOT_RUN,
+        Some("unknown") => telemetry::CALLS_UNKNOWN,
+        _ => telemetry::CALLS_ANSWERED,
+    }
+}
+
 /// The body of a response in the terms of the server's library; it counts as
 /// open work until it has been sent.
 struct Outgoing(
--- a/src/entry/generate.rs
+++ b/src/entry/generate.rs
@@ -22,6 +22,7 @@
     evidence::{Evidence, EvidenceError, Proved},
     fairness::{Class, Ticket},
     proto::peer::{self, generate_event::Event},
+    telemetry,
 };
 
 /// The time between two reports of progress to the step's owner.
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -42,6 +42,7 @@
     proto::peer::peer_server::PeerServer,
     settings::Settings,
     store_client::{AddressError, Budget, HttpTableService},
+    telemetry::{self, Metrics, TelemetryError},
 };
 
 mod api;
@@ -83,6 +84,9 @@
     /// The table service's address is not valid.
     #[error(transparent)]
     Address(#[from] AddressError),
+    /// Metrics cannot be sent.
+    #[error(transparent)]
+    Telemetry(#[from] TelemetryError),
 }
 
 /// What all threads of a host share.
@@ -109,6 +113,8 @@
     pub calls: call::Context<TableClaims<HttpTableService>>,
     /// What the service-level objectives are held against.
     pub burn: Meter,
+    /// Where metrics go.
+    pub metrics: Metrics,
     /// The traffic threads.
     pub runtime: Handle,
     /// What a graceful shutdown waits for.
@@ -277,7 +283,7 @@
     control: Sender,
     decisions: mpsc::Sender<Decision>,
     runtime: Handle,
-) -> Result<Host, AddressError> {
+) -> Result<Host, StartError> {
     let incarnation = incarnation();
     let clock = Clock::start();
     let snapshot = Arc::new(ArcSwap::from_pointee(Blackboard::default()));
@@ -303,7 +309,9 @@
         }),
         claims: TableClaims::new(store.clone()),
     };
+    let metrics = Metrics::start(&settings.telemetry, &settings.host.id)?;
     Ok(Host {
+        metrics,
         burn: Meter::new(
             settings.host.id.clone(),
             clock,
@@ -365,7 +373,10 @@
     loop {
         let event = match receiver.receive().await {
             Ok((Ok(heartbeat), source)) => membership::Event::Received { heartbeat, source },
-            Ok((Err(refusal), source)) => membership::Event::Refused { refusal, source },
+            Ok((Err(refusal), source)) => {
+                shared.metrics.count(telemetry::DATAGRAMS_REFUSED, 1);
+                membership::Event::Refused { refusal, source }
+            }
             Err(error) => {
                 tracing::debug!(%error, "a datagram was not received");
                 continue;
--- a/src/entry/thread.rs
+++ b/src/entry/thread.rs
@@ -22,7 +22,7 @@
     platform_api::Listed,
     proto::peer,
     routing::Router,
-    step, upstream_list,
+    step, telemetry, upstream_list,
 };
 
 /// Inputs that may wait for the control thread.
@@ -37,6 +37,9 @@
 /// The shortest time between two rounds, in which inputs gather.
 const GATHER: Duration = Duration::from_millis(2);
 
+/// The time between two reports of this host's levels.
+const METRICS_INTERVAL: Duration = Duration::from_secs(1);
+
 /// What ends the wait of a queued generation.
 ///
 /// A generation that starts must have left by the time in it.
@@ -179,6 +182,7 @@
     control: Control<Router, Weighted>,
     transport: Transport,
     next_call: CallNumber,
+    next_metrics_at: Timestamp,
     submits: HashMap<CallNumber, oneshot::Sender<peer::SubmitReply>>,
     pulls: HashMap<CallNumber, oneshot::Sender<peer::PullReply>>,
     turns: HashMap<Ticket, Turn>,
@@ -194,6 +198,7 @@
             control,
             transport,
             next_call: 0,
+            next_metrics_at: Timestamp::ZERO,
             submits: HashMap::new(),
             pulls: HashMap::new(),
             turns: HashMap::new(),
@@ -292,6 +297,8 @@
     fn round(&mut self) {
         let now = self.shared.clock.now();
         let effects = self.control.run(now, self.shared.open_work.count());
+        let took = self.shared.clock.now().saturating_sub(now);
+        self.report_metrics(now, took);
         let mut board = self.control.board().clone();
         board.store = self.shared.store.condition();
         let live_hosts_count = u32::try_from(board.hosts.live().count()).unwrap_or(u32::MAX);
@@ -302,6 +309,25 @@
         }
     }
 
+    /// Sends the levels of this host, at a rate that costs next to nothing.
+    fn report_metrics(&mut self, now: Timestamp, round_time: Duration) {
+        if now < self.next_metrics_at {
+            return;
+        }
+        self.next_metrics_at = now + METRICS_INTERVAL;
+        let metrics = &self.shared.metrics;
+        let board = self.control.board();
+        let live_count = board.hosts.live().count();
+        let gone_count = board.hosts.members.len() - live_count;
+        metrics.time(telemetry::CONTROL_ROUND_TIME, round_time);
+        metrics.gauge(telemetry::HOSTS_LIVE, live_count as u64);
+        metrics.gauge(telemetry::HOSTS_GONE, gone_count as u64);
+        metrics.gauge(telemetry::TABLE_REVISION, board.rows.revision);
+        metrics.gauge(telemetry::QUEUED_SAMPLES, self.turns.len() as u64);
+        let open_count = self.shared.open_work.count();
+        metrics.gauge(telemetry::OPEN_REQUESTS, open_count as u64);
+    }
+
     fn act(&mut self, effect: Effect) {
         match effect {
             Effect::Send { to, heartbeat } => {
--- a/src/entry/trainers.rs
+++ b/src/entry/trainers.rs
@@ -12,6 +12,7 @@
 use crate::{
     ids::{RowId, StepNumber, WeightVersion},
     proto::peer,
+    telemetry,
     trainer_api::{Pull, Pulled, Sample, Submission, Submitted},
 };
 
@@ -96,6 +97,8 @@
         bound.is_some_and(|bound| bound > 0 && age >= bound)
     };
     let at_bound_count = samples.iter().filter(is_at_bound).count() as u64;
+    let metrics = &ctx.state().metrics;
+    metrics.count(telemetry::SAMPLES_DELIVERED, samples.len() as u64);
     let burn = &ctx.state().burn;
     burn.count_samples(trainer, at_bound_count, samples.len() as u64);
 }
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -68,12 +68,8 @@
     CALLS_ANSWERED, "calls.answered_count", Counter, "Calls that got a whole answer.";
     CALLS_NOT_RUN, "calls.not_run_count", Counter, "Calls that were refused before they ran.";
     CALLS_UNKNOWN, "calls.unknown_count", Counter, "Calls of which nobody knows whether they ran.";
-    CALLS_RETRIED, "calls.retried_count", Counter, "Calls that were sent again.";
-    CALL_TIME, "calls.time_ms", Timer, "Time from a call's arrival to the end of its answer.";
-    CONNECTIONS_RETIRED, "connections.retired_count", Counter, "Connections that went silent and were retired.";
+    CALL_TIME, "calls.time_ms", Timer, "Time from a call's arrival to the head of its answer.";
     SAMPLES_DELIVERED, "samples.delivered_count", Counter, "Samples that a trainer was given.";
-    SAMPLES_REFUSED, "samples.refused_count", Counter, "Samples that were too old or not proved.";
-    SAMPLE_TIME, "samples.time_ms", Timer, "Time from a sample's submission to its delivery.";
     TOKENS_SERVED, "tokens.served_count", Counter, "Tokens that engines generated for samples.";
     QUEUED_SAMPLES, "queue.samples_count", Gauge, "Samples that wait for an engine here.";
     OPEN_REQUESTS, "requests.open_count", Gauge, "Requests that have no whole answer yet.";
@@ -81,9 +77,6 @@
     HOSTS_GONE, "hosts.gone_count", Gauge, "Hosts that are dead, out of reach or damped.";
     DATAGRAMS_REFUSED, "datagrams.refused_count", Counter, "Datagrams that were forged, repeated or malformed.";
     TABLE_REVISION, "table.revision_count", Gauge, "The revision of the table in force here.";
-    STORE_READS, "store.read_count", Counter, "Reads of the platform's table service.";
-    STORE_WRITES, "store.write_count", Counter, "Writes to the platform's table service.";
-    STORE_FAILURES, "store.failure_count", Counter, "Requests to the table service that failed.";
     CONTROL_ROUND_TIME, "control.round_time_ms", Timer, "Time that one round of all controllers took.";
 }
 
