Let engine reports wait for the next round of control

Cause: each of some 34 engine reports a second brought a round over the whole fleet, and idle rounds came 20 times a second. Change: reports and messages between ledgers wait for the next tick; the tick is 100 ms; the capacity run does the same and takes the list in as often as a host reads it.

--- a/src/bin/mimosavane-capacity/fleet.rs
+++ b/src/bin/mimosavane-capacity/fleet.rs
@@ -11,7 +11,7 @@
     Row,
     blackboard::{EngineReport, UpstreamKind},
     charge::Weighted,
-    control::{Control, Effect, Input, MODEL_POOL},
+    control::{Control, Effect, Input, MODEL_POOL, TICK},
     engine_watch,
     entry::messages,
     follower,
@@ -27,8 +27,17 @@
 
 use super::allocation;
 
-/// The longest time between two rounds of a host.
-const TICK: Duration = Duration::from_millis(50);
+/// The step of virtual time, in which a message arrives.
+const STEP: Duration = Duration::from_millis(50);
+
+/// Steps between two rounds of a host without inputs.
+const STEPS_PER_TICK: u64 = TICK.as_millis() as u64 / STEP.as_millis() as u64;
+
+/// The size of an entry of the platform's list, about.
+const LIST_ENTRY_BYTES: usize = 100;
+
+/// What a host spends on reading that list.
+const LIST_RATE_BYTES_PER_S: u64 = 4_096;
 
 /// Rows of the table.
 const ROW_COUNT: usize = 11;
@@ -67,6 +76,7 @@
     by_id: BTreeMap<HostId, usize>,
     by_address: BTreeMap<SocketAddr, usize>,
     rows: Vec<Row>,
+    step_count: u64,
 }
 
 fn address(network: u8, number: usize) -> SocketAddr {
@@ -110,6 +120,7 @@
             .collect();
         let mut fleet = Self {
             now: Duration::ZERO,
+            step_count: 0,
             spent: Spent::default(),
             store_is_up: true,
             nodes: Vec::new(),
@@ -171,13 +182,17 @@
     fn run_second(&mut self) {
         let end = self.now + Duration::from_secs(1);
         let engine_count = self.nodes.len() * ENGINES_PER_HOST;
-        for node in &mut self.nodes {
+        let list_bytes = (engine_count * LIST_ENTRY_BYTES) as u64;
+        let seconds = self.now.as_secs();
+        let is_list_due = seconds.is_multiple_of((list_bytes / LIST_RATE_BYTES_PER_S).max(1));
+        for node in self.nodes.iter_mut().filter(|_| is_list_due) {
             // Hosts share no names, as in processes of their own.
             let list = upstream_list::Event::List((0..engine_count).map(listed).collect());
             node.inbox.push(Input::Upstreams(list));
         }
         while self.now < end {
-            self.now += TICK;
+            self.now += STEP;
+            self.step_count += 1;
             let effects = self.run_hosts();
             for (from, effect) in effects {
                 self.act(from, effect);
@@ -187,7 +202,13 @@
 
     fn run_hosts(&mut self) -> Vec<(usize, Effect)> {
         let mut effects = Vec::new();
+        let is_tick = self.step_count.is_multiple_of(STEPS_PER_TICK);
         for (number, node) in self.nodes.iter_mut().enumerate() {
+            // Engine reports wait for the next tick, as in the entry host.
+            let can_wait = |input: &Input| matches!(input, Input::Engine(_));
+            if !is_tick && node.inbox.iter().all(can_wait) {
+                continue;
+            }
             let age = self.now - node.started_at;
             let inputs = mem::take(&mut node.inbox);
             let clock = Instant::now();
--- a/src/bin/mimosavane-capacity/measure.rs
+++ b/src/bin/mimosavane-capacity/measure.rs
@@ -35,7 +35,7 @@
 const CHOICE_COUNT: u32 = 1_000;
 
 /// Rounds of a control thread without traffic.
-const ROUNDS_PER_S: f64 = 20.0;
+const ROUNDS_PER_S: f64 = 10.0;
 
 /// Keyed calls a second that the store's budget is worked out for: a tenth of
 /// all requests.
--- a/src/control.rs
+++ b/src/control.rs
@@ -31,6 +31,9 @@
 /// The pool that trainers' samples are generated in.
 pub const MODEL_POOL: &str = "base";
 
+/// The longest time between two rounds; inputs bring the next one forward.
+pub const TICK: Duration = Duration::from_millis(100);
+
 /// When to choose again where no engine may take an attempt.
 const NO_ENGINE_DELAY: Duration = Duration::from_millis(200);
 
--- a/src/entry/thread.rs
+++ b/src/entry/thread.rs
@@ -5,7 +5,7 @@
 use tokio::{
     sync::{mpsc, oneshot},
     task::AbortHandle,
-    time::{sleep, timeout},
+    time::{Instant, sleep, timeout_at},
 };
 
 use super::{Shared, effects, messages};
@@ -13,7 +13,7 @@
     blackboard::UpstreamState,
     charge::Weighted,
     clock::Timestamp,
-    control::{self, Control, Effect},
+    control::{self, Control, Effect, TICK},
     datagram::Transport,
     decision::Decision,
     dispatch,
@@ -31,9 +31,6 @@
 /// The most inputs that one round takes in.
 const BATCH_COUNT: usize = 1024;
 
-/// The longest time between two rounds.
-const TICK: Duration = Duration::from_millis(50);
-
 /// The shortest time between two rounds, in which inputs gather.
 const GATHER: Duration = Duration::from_millis(2);
 
@@ -92,6 +89,19 @@
 }
 
 impl Input {
+    /// Says whether the input needs no round of its own: engines report all the
+    /// time, and a round looks at the whole fleet.
+    const fn can_wait(&self) -> bool {
+        matches!(
+            self,
+            Self::Control(
+                control::Input::Engine(_)
+                    | control::Input::Exchange { .. }
+                    | control::Input::Decided(_)
+            )
+        )
+    }
+
     /// Tells the step controller something.
     pub const fn step(event: step::Event) -> Self {
         Self::Control(control::Input::Step(event))
@@ -209,10 +219,12 @@
 
     async fn run(mut self, mut inputs: mpsc::Receiver<Input>) {
         let mut batch = Vec::with_capacity(BATCH_COUNT);
+        let mut next_tick = Instant::now() + TICK;
         while !self.shared.is_ended() {
             let wait = inputs.recv_many(&mut batch, BATCH_COUNT);
-            match timeout(TICK, wait).await {
+            match timeout_at(next_tick, wait).await {
                 Ok(0) => return,
+                Ok(_) if batch.len() < BATCH_COUNT && batch.iter().all(Input::can_wait) => continue,
                 Ok(_) => gather(&mut inputs, &mut batch).await,
                 Err(_) => {}
             }
@@ -221,6 +233,7 @@
                 self.take(input);
             }
             self.round();
+            next_tick = Instant::now() + TICK;
         }
     }
 
--- a/src/replay/world.rs
+++ b/src/replay/world.rs
@@ -40,7 +40,7 @@
 pub const TICK: Duration = Duration::from_millis(10);
 
 /// Ticks between two rounds of a host without inputs.
-const IDLE_ROUND_TICKS: u64 = 5;
+const IDLE_ROUND_TICKS: u64 = 10;
 
 /// How long a host waits for a peer that does not answer.
 pub const PEER_TIMEOUT: Duration = Duration::from_secs(1);
