Hold the table against the accepted change of the highest revision

The check took the answer that it noted last for the last change: an edit that sets the value already in force is accepted at the present revision, and its answer was noted after a real change with a higher one. Ruled out: a host that went back (reverted was 0) and an edit in doubt (failed was 0). Change: the change with the highest revision is the one that has to be in the table. Conclusion: the check was wrong; it is as strict, and asks for the right change.

--- a/src/demo/editor.rs
+++ b/src/demo/editor.rs
@@ -60,7 +60,8 @@
     tally: Tally,
     waiting: Vec<(Revision, Instant)>,
     seen: BTreeMap<(HostId, Incarnation), Revision>,
-    last_accepted: Option<f64>,
+    /// The accepted change with the highest revision, and what it set.
+    last_accepted: Option<(Revision, f64)>,
 }
 
 impl Editors {
@@ -129,7 +130,11 @@
         match edited {
             Ok(revision) => {
                 self.tally.accepted += 1;
-                self.last_accepted = Some(weight);
+                // Two operators' answers may arrive in another order.
+                let is_later = self.last_accepted.is_none_or(|(last, _)| revision > last);
+                if is_later {
+                    self.last_accepted = Some((revision, weight));
+                }
                 self.waiting.push((revision, Instant::now()));
             }
             Err(EditError::Plan(_)) => self.tally.conflicts += 1,
@@ -170,7 +175,8 @@
         let weight = held
             .ok()
             .and_then(|table| table.rows.get(CALLER_ROW).map(|row| row.weight_ratio));
-        if self.last_accepted.is_some() && weight != self.last_accepted {
+        let expected = self.last_accepted.map(|(_, weight)| weight);
+        if expected.is_some() && weight != expected {
             self.tally.lost += 1;
         }
     }
