--- a/src/control.rs
+++ b/src/control.rs
@@ -42,7 +42,7 @@
 
 /// The time over which engine reports gather. Taking one in copies the section
 /// of all engines, since traffic threads still hold the last one.
-const ENGINES_INTERVAL: Duration = Duration::from_millis(250);
+const ENGINES_INTERVAL: Duration = Duration::from_millis(500);
 
 /// The time between two looks at what the dispatcher served.
 const LOAD_INTERVAL: Duration = Duration::from_millis(500);
--- a/src/engine_watch.rs
+++ b/src/engine_watch.rs
@@ -20,7 +20,7 @@
 };
 
 /// The time between two reports of an engine that this host dispatches for.
-const OWN_INTERVAL: Duration = Duration::from_millis(250);
+const OWN_INTERVAL: Duration = Duration::from_millis(500);
 
 /// The time between two polls of engines that other hosts dispatch for.
 const FOREIGN_INTERVAL: Duration = Duration::from_millis(100);
