Show shares, ages and promises in the demo's report

Cause: the JSON of the demo named no promise, and the table showed neither shares against weights nor the age of samples. Change: both are there; the JSON says whether all promises held.

--- a/src/demo/report.rs
+++ b/src/demo/report.rs
@@ -8,6 +8,7 @@
 use super::{
     Options,
     caller::{self, Told},
+    cluster::ROWS,
     editor,
     fault::Fault,
 };
@@ -30,6 +31,18 @@
     pub runs: BTreeMap<String, u32>,
 }
 
+/// The report as a document for programs.
+#[derive(Clone, Debug, Serialize)]
+pub struct Document<'a> {
+    /// Whether all promises held.
+    pub held: bool,
+    /// The promises with what was counted.
+    pub promises: Vec<Promise>,
+    /// What was seen.
+    #[serde(flatten)]
+    pub report: &'a Report,
+}
+
 /// One promise with what was counted against it.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Promise {
@@ -194,6 +207,15 @@
             .count() as u64
     }
 
+    /// Returns the report as a document for programs.
+    pub fn document(&self) -> Document<'_> {
+        Document {
+            held: self.is_held(),
+            promises: self.promises(),
+            report: self,
+        }
+    }
+
     /// Says whether all promises held.
     pub fn is_held(&self) -> bool {
         self.promises().iter().all(|promise| promise.held)
@@ -210,14 +232,32 @@
             promises.add_row([promise.promise, held, &promise.figure]);
         }
         let mut rows = Table::new();
-        rows.load_preset(UTF8_FULL_CONDENSED)
-            .set_header(["row", "steps", "samples", "tokens", "idle", "retries"]);
+        rows.load_preset(UTF8_FULL_CONDENSED).set_header([
+            "row",
+            "steps",
+            "samples",
+            "tokens",
+            "of tokens",
+            "of weight",
+            "age",
+            "idle",
+            "retries",
+        ]);
+        let tokens = self
+            .trainers
+            .values()
+            .map(|tally| tally.tokens)
+            .sum::<u64>();
+        let weights = ROWS.iter().map(|(_, weight)| weight).sum::<f64>();
         for (row, tally) in &self.trainers {
             rows.add_row([
                 row.clone(),
                 tally.whole_steps.to_string(),
                 tally.samples.to_string(),
                 tally.tokens.to_string(),
+                percent(tally.tokens as f64, tokens as f64),
+                percent(weight_of(row), weights),
+                format!("{:.2}", mean_age(tally)),
                 format!("{} %", 100 * tally.idle_ms / tally.elapsed_ms.max(1)),
                 tally.retries.to_string(),
             ]);
@@ -225,3 +265,20 @@
         format!("{rows}\n{}\n{promises}\n", self.calls_text())
     }
 }
+
+/// Returns the weight of a row of the demo.
+fn weight_of(row: &str) -> f64 {
+    let known = ROWS.iter().find(|(name, _)| *name == row);
+    known.map_or(0.0, |(_, weight)| *weight)
+}
+
+fn percent(part: f64, whole: f64) -> String {
+    format!("{:.0} %", 100.0 * part / whole.max(f64::MIN_POSITIVE))
+}
+
+/// Returns the mean age of a trainer's samples, in versions.
+fn mean_age(tally: &trainer::Tally) -> f64 {
+    let ages = tally.samples_by_age_versions.iter();
+    let sum = ages.map(|(age, count)| age * count).sum::<u64>();
+    sum as f64 / tally.samples.max(1) as f64
+}
--- a/src/trial_command.rs
+++ b/src/trial_command.rs
@@ -92,7 +92,7 @@
         std::fs::write(path, recording.to_text()?).map_err(|source| file_error(path, source))?;
     }
     let text = match cli::format_of(matches) {
-        Format::Json => serde_json::to_string_pretty(&report)? + "\n",
+        Format::Json => serde_json::to_string_pretty(&report.document())? + "\n",
         Format::Text | Format::Html => report.to_text(),
     };
     Ok(Output {
