Hold rows to their limit on calls

Cause: the column max_rate_calls_per_s was shown and edited, and nothing enforced it; calls of a row that the table lacks were forwarded too. A refusal says not run and when to come back. Conclusion: the limit holds without the hosts talking; unused parts are not lent.

--- a/src/control.rs
+++ b/src/control.rs
@@ -108,11 +108,7 @@
     /// Puts the controllers of one life of a host together.
     pub fn new(settings: &Settings, incarnation: Incarnation, router: P, now: Timestamp) -> Self {
         let own = settings.host.id.clone();
-        let split = quota::Split {
-            ordinal: settings.host.ordinal,
-            host_count: settings.limits.max_hosts_count,
-            max_run: Duration::from_millis(settings.limits.max_sample_ms),
-        };
+        let split = split(settings);
         Self {
             board: Blackboard::default(),
             // Two hosts that start in the same moment draw different numbers.
@@ -460,6 +456,15 @@
     }
 }
 
+/// Returns which part of the rows' limits a host may use.
+pub fn split(settings: &Settings) -> quota::Split {
+    quota::Split {
+        ordinal: settings.host.ordinal,
+        host_count: settings.limits.max_hosts_count,
+        max_run: Duration::from_millis(settings.limits.max_sample_ms),
+    }
+}
+
 fn drain_config(settings: &Settings) -> drain::Config {
     drain::Config {
         own: settings.host.id.clone(),
--- a/src/entry/calls.rs
+++ b/src/entry/calls.rs
@@ -3,6 +3,7 @@
 use std::{
     pin::Pin,
     task::{Context as TaskContext, Poll},
+    time::Duration,
 };
 
 use bytes::Bytes;
@@ -13,13 +14,14 @@
 };
 
 use super::{
-    api::{self, Answer, Context},
+    api::{self, Answer, Context, Refusal},
     open_work::Held,
     problem::{OUTCOME_HEADER, Problem},
 };
 use crate::{
     auth::Role,
     call::{self, Payload},
+    ids::RowId,
     relay::Cut,
     telemetry::{self, Metric},
 };
@@ -27,6 +29,9 @@
 /// Where the path of the upstream begins, behind `/v1/pools/{pool}`.
 const UPSTREAM_PATH_PART: usize = 3;
 
+/// When a row over its limit may ask again.
+const RATE_DELAY: Duration = Duration::from_secs(1);
+
 /// The outcome of a call that got its whole answer.
 const ANSWERED: &str = "answered";
 
@@ -46,6 +51,7 @@
         row,
         pool: parts.get(2).copied().unwrap_or_default().into(),
     };
+    admit_rate(ctx, &caller.row)?;
     let body = api::read(ctx).await?;
     let path = parts
         .get(UPSTREAM_PATH_PART..)
@@ -72,6 +78,21 @@
     Ok(response.map(|payload| ResponseBody::boxed(Outgoing(payload, open))))
 }
 
+/// Refuses a row that the table lacks or that is over its limit on calls.
+fn admit_rate(ctx: &Context<'_>, row: &RowId) -> Result<(), Refusal> {
+    let shared = ctx.state();
+    let board = shared.snapshot.load();
+    let known = board.rows.rows.get(row).filter(|known| known.enabled);
+    let known = known.ok_or_else(|| {
+        Problem::RowUnknown.refuse("the table has no such row, or it is off", None)
+    })?;
+    if shared.call_rates.admits(known) {
+        return Ok(());
+    }
+    shared.metrics.count(telemetry::CALLS_NOT_RUN, 1);
+    Err(Problem::Overloaded.refuse("the row is over its limit on calls", Some(RATE_DELAY)))
+}
+
 /// Returns the metric that counts an outcome.
 fn metric_of(outcome: Option<&HeaderValue>) -> Metric {
     match outcome.and_then(|outcome| outcome.to_str().ok()) {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -49,6 +49,7 @@
 mod api;
 mod body;
 pub mod burn_meter;
+pub mod call_rate;
 mod calls;
 pub mod collect;
 mod effects;
@@ -65,6 +66,7 @@
 mod trainers;
 
 use burn_meter::Meter;
+use call_rate::CallRates;
 use engine_client::EngineClient;
 use open_work::OpenWork;
 use peer_client::Peers;
@@ -120,6 +122,8 @@
     pub calls: call::Context<TableClaims<HttpTableService>>,
     /// What the service-level objectives are held against.
     pub burn: Meter,
+    /// The rows' limits on calls.
+    pub call_rates: CallRates,
     /// Where metrics go.
     pub metrics: Metrics,
     /// The traffic threads.
@@ -317,7 +321,9 @@
         claims: TableClaims::new(store.clone()),
     };
     let metrics = Metrics::start(&settings.telemetry, &settings.host.id)?;
+    let split = control::split(&settings);
     Ok(Host {
+        call_rates: CallRates::new(split),
         metrics,
         burn: Meter::new(
             settings.host.id.clone(),
