Exit with 2 where the load tool cannot run

Cause: every error of mimosavane-load ended in 1, which says that a bound was missed. Change: 2 for wrong usage and errors, as in the other commands. Conclusion: the exit codes agree.

--- a/src/bin/mimosavane-load.rs
+++ b/src/bin/mimosavane-load.rs
@@ -38,25 +38,32 @@
         .help(help)
 }
 
-fn main() -> anyhow::Result<ExitCode> {
+/// The exit code of wrong usage or input.
+const WRONG_USAGE: u8 = 2;
+
+fn main() -> ExitCode {
     let matches = command().get_matches();
-    let report = measure(&options(&matches)).context("measuring")?;
-    if matches
-        .get_one::<String>("format")
-        .is_some_and(|format| format == "json")
-    {
-        println!(
-            "{}",
-            serde_json::to_string(&report).context("showing the figures")?
-        );
+    match run(&matches) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("error: {error:#}");
+            ExitCode::from(WRONG_USAGE)
+        }
+    }
+}
+
+/// Measures, prints the report, and says whether all bounds hold.
+fn run(matches: &ArgMatches) -> anyhow::Result<bool> {
+    let report = measure(&options(matches)).context("measuring")?;
+    let format = matches.get_one::<String>("format");
+    if format.is_some_and(|format| format == "json") {
+        let json = serde_json::to_string(&report).context("showing the figures")?;
+        println!("{json}");
     } else {
         print!("{}", report.text());
     }
-    Ok(if report.holds() {
-        ExitCode::SUCCESS
-    } else {
-        ExitCode::FAILURE
-    })
+    Ok(report.holds())
 }
 
 fn options(matches: &ArgMatches) -> Options {
