Use one piece for milliseconds and for the fakes' tokens

Cause: reading the whole change showed four copies of the same conversion to milliseconds, two of the rule by which fake tokens carry their version, and two methods that nothing calls (Peers::retain, Sender::record). Change: clock::millis serves all; the replay's engine takes the stand-in's rule; the two methods are gone. Conclusion: two problem modules and the key reading of table_command and host_command are left as twins; connections to hosts that are gone are still never closed.

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -34,3 +34,8 @@
         self.origin.elapsed()
     }
 }
+
+/// Returns `duration` in whole milliseconds, for messages and records.
+pub fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/src/entry/burn_meter.rs
+++ b/src/entry/burn_meter.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     burn::{HostWindows, Objective, Recorder, Tally},
-    clock::{Clock, Timestamp},
+    clock::{Clock, Timestamp, millis},
     ids::{HostId, RowId},
 };
 
@@ -96,7 +96,3 @@
         self.lock().recorder.export(self.host.clone(), now)
     }
 }
-
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
--- a/src/entry/generate.rs
+++ b/src/entry/generate.rs
@@ -17,6 +17,7 @@
     thread::{Input, Turn},
 };
 use crate::{
+    clock::millis,
     dispatch,
     engine_api::CompletionRequest,
     evidence::{Evidence, EvidenceError, Proved},
@@ -106,7 +107,7 @@
             tracing::debug!(ticket, %error, "a generation gave no sample");
             Event::Failure(peer::GenerateFailure {
                 not_run: error.is_not_run() && request.resume_tokens.is_empty(),
-                retry_after_ms: messages::millis(error.retry_after()),
+                retry_after_ms: millis(error.retry_after()),
                 reason: error.to_string(),
             })
         }
--- a/src/entry/messages.rs
+++ b/src/entry/messages.rs
@@ -5,6 +5,7 @@
 use crate::{
     allowance::Kind,
     attach::{HeldGroup, Pull, Reply},
+    clock::millis,
     control::Exchange,
     engine_api::CompletionChunk,
     evidence::{Chunk, Proved, Segment},
@@ -22,11 +23,6 @@
 /// sees no progress.
 const ATTEMPT_TIMEOUT: Duration = Duration::from_secs(600);
 
-/// Returns `duration` in whole milliseconds.
-pub fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
-
 /// Returns how many tokens there are.
 pub fn count(tokens: &[u32]) -> u32 {
     u32::try_from(tokens.len()).unwrap_or(u32::MAX)
--- a/src/entry/peer_client.rs
+++ b/src/entry/peer_client.rs
@@ -107,12 +107,4 @@
         clients.insert(address, Arc::new(client.clone()));
         Ok(client)
     }
-
-    /// Closes the connections to peers that are not in `kept`.
-    pub fn retain(&self, kept: impl Fn(&SocketAddr) -> bool) {
-        self.clients
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .retain(|address, _| kept(address));
-    }
 }
--- a/src/entry/problem.rs
+++ b/src/entry/problem.rs
@@ -9,6 +9,8 @@
 use serde::{Deserialize, Serialize};
 use xitca_web::body::ResponseBody;
 
+use crate::clock::millis;
+
 /// The header that carries the outcome beside the body.
 pub const OUTCOME_HEADER: &str = "x-mimosavane-outcome";
 
@@ -149,7 +151,3 @@
         response
     }
 }
-
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
--- a/src/entry/thread.rs
+++ b/src/entry/thread.rs
@@ -151,13 +151,6 @@
     pub async fn tell(&self, input: Input) {
         let _ = self.send(input).await;
     }
-
-    /// Hands over a record where there is room; records never hold up traffic.
-    pub fn record(&self, decision: Decision) {
-        let _ = self
-            .inputs
-            .try_send(Input::Control(control::Input::Decided(decision)));
-    }
 }
 
 /// Runs the controllers of a host on one thread.
--- a/src/replay/engine.rs
+++ b/src/replay/engine.rs
@@ -10,20 +10,13 @@
     evidence::Chunk,
     fairness::Ticket,
     ids::{BootId, TokenId, WeightVersion},
+    standin::engine::VERSION_FACTOR,
     trace::EnginePart,
 };
 
 /// Tokens a chunk.
 const CHUNK_TOKENS: u32 = 8;
 
-/// Tokens below this are free for the payload; above it stands the version.
-const VERSION_FACTOR: TokenId = 1 << 16;
-
-/// Returns the version that truly made `token`.
-pub fn true_version(token: TokenId) -> WeightVersion {
-    WeightVersion::from(token / VERSION_FACTOR)
-}
-
 /// One generation.
 #[derive(Debug)]
 struct Stream {
--- a/src/replay/trainer.rs
+++ b/src/replay/trainer.rs
@@ -6,13 +6,13 @@
     time::Duration,
 };
 
-use super::engine::true_version;
 use crate::{
     attach::{HeldGroup, Pull},
     clock::Timestamp,
     ids::{AttachNumber, GroupNumber, RowId, SampleIndex, StepNumber, TokenId, WeightVersion},
     sample::Sample,
     spec::{PromptGroup, StepSpec},
+    standin::engine::true_version,
 };
 
 /// The longest wait of one pull.
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -28,7 +28,7 @@
 };
 
 /// Tokens below this are free for the payload; above it stands the version.
-const VERSION_FACTOR: u32 = 1 << 16;
+pub(crate) const VERSION_FACTOR: u32 = 1 << 16;
 
 /// How many chunks may wait for a slow reader.
 const CHUNK_BUFFER_COUNT: usize = 16;
--- a/src/standin/trainer.rs
+++ b/src/standin/trainer.rs
@@ -19,6 +19,7 @@
     engine::true_version,
 };
 use crate::{
+    clock::millis,
     controller::Rng,
     ids::{GroupNumber, RowId, SampleIndex, StepNumber, WeightVersion},
     trainer_api::{Group, Held, Pull, Pulled, Sample, Segment, Submission},
@@ -304,7 +305,3 @@
         })
         .collect()
 }
-
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
