--- /dev/null
+++ b/src/batch/scheduler.rs
@@ -0,0 +1,796 @@
+//! Decides which item of which batch job runs on which engine.
+//!
+//! One host, the coordinator, runs it for all jobs of the fleet, so that each
+//! engine's places are counted in one place. It keeps nothing that cannot be
+//! read back from the store: a new coordinator lists what the old one did not
+//! (see docs/design/platform.md, "Batch jobs").
+
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    time::Duration,
+};
+
+use crate::{
+    batch::{
+        job::{EventNumber, ItemId, ItemResult, ItemState, Job, JobId, ModelId, Output},
+        weights::{Division, EngineWeights, Load, ModelNeed},
+    },
+    clock::Timestamp,
+    ids::{UpstreamId, WeightVersion},
+};
+
+/// Numbers the runs of one coordinator.
+pub type RunNumber = u64;
+
+/// How long a run may make no event before it goes on elsewhere. A load of
+/// weights, which pauses all runs, takes 0.9 s on the deployment sheets.
+const STALL_TIMEOUT: Duration = Duration::from_millis(1_600);
+
+/// How long an engine that failed gets no work; doubles with each failure in a
+/// row.
+const MIN_AVOIDANCE: Duration = Duration::from_millis(250);
+
+/// The longest time for which a failing engine gets no work.
+const MAX_AVOIDANCE: Duration = Duration::from_secs(4);
+
+/// How long an engine that said that it is full or busy gets no work.
+const BUSY_PAUSE: Duration = Duration::from_millis(120);
+
+/// How long a load of weights takes, from the deployment sheets.
+const LOAD_DURATION: Duration = Duration::from_millis(900);
+
+/// How long a load may stay unconfirmed before the engine counts as not loading.
+const LOAD_TIMEOUT: Duration = Duration::from_secs(4);
+
+/// The part of an engine's memory for tokens that runs may fill by estimate.
+const MEMORY_RATIO: f64 = 0.9;
+
+/// The part of the smoothed event interval that a new one replaces.
+const INTERVAL_GAIN_RATIO: f64 = 0.1;
+
+/// How many outputs of unfinished items of ended jobs are kept for jobs that
+/// submit these items again.
+const MAX_CARRIED_COUNT: usize = 512;
+
+/// How much past its time an item is given up, as clocks differ.
+const TTL_MARGIN: Duration = Duration::from_millis(500);
+
+/// An engine as the directory describes it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EngineSpec {
+    /// Its name.
+    pub id: UpstreamId,
+    /// The Unix time of its start, in milliseconds; tells restarts apart.
+    pub started_at_ms: u64,
+    /// The service that it belongs to.
+    pub service: std::sync::Arc<str>,
+    /// How many requests it runs at once.
+    pub slot_count: usize,
+    /// How many tokens its memory holds.
+    pub memory_tokens: u64,
+    /// Whether it is leaving.
+    pub is_draining: bool,
+    /// The weights that it says it holds.
+    pub versions: BTreeMap<ModelId, WeightVersion>,
+}
+
+/// How a run ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum RunEnd {
+    /// The engine said that the output is whole.
+    Completed,
+    /// The engine failed at it.
+    Failed,
+    /// The engine said that it can never be done.
+    Impossible,
+    /// The engine certainly did not run it, as it is full or busy.
+    NotRun,
+    /// The engine has weights that do not serve the job.
+    WrongVersion,
+    /// Another engine has the address.
+    WrongEngine,
+    /// The stream broke off, or could not be opened.
+    Broken,
+}
+
+/// What to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Run an item on an engine.
+    Start {
+        /// Numbers the run.
+        run: RunNumber,
+        /// The job.
+        job: JobId,
+        /// The position of the item in its job.
+        item_index: usize,
+        /// The engine.
+        engine: UpstreamId,
+        /// The last event that is there already.
+        last_event: EventNumber,
+    },
+    /// Stop a run and close its connection.
+    Cancel {
+        /// The run.
+        run: RunNumber,
+    },
+    /// Order an engine to load weights.
+    Order(Load),
+}
+
+#[derive(Clone, Debug)]
+struct Engine {
+    spec: EngineSpec,
+    run_count: usize,
+    run_tokens: u64,
+    avoid_until: Timestamp,
+    failure_count: u32,
+    /// Until when it loads, and the weights that it will have.
+    loading: Option<Loading>,
+    /// Whether it is gone from the directory.
+    is_gone: bool,
+    event_interval: Option<Duration>,
+}
+
+#[derive(Clone, Debug)]
+struct Loading {
+    load: Load,
+    started_at: Timestamp,
+    done_at: Option<Timestamp>,
+}
+
+#[derive(Clone, Debug)]
+struct ItemRun {
+    output: Output,
+    run: Option<RunNumber>,
+    failed_count: u32,
+    is_done: bool,
+}
+
+#[derive(Clone, Debug)]
+struct JobRun {
+    job: Job,
+    items: Vec<ItemRun>,
+    /// Items that wait for an engine, the most urgent first.
+    queue: VecDeque<usize>,
+    /// Results that are not listed yet.
+    finished: Vec<ItemResult>,
+    opened_at: Timestamp,
+    /// How old the job was when this coordinator took it up.
+    age: Duration,
+}
+
+#[derive(Clone, Debug)]
+struct Run {
+    job: JobId,
+    item_index: usize,
+    engine: UpstreamId,
+    tokens: u64,
+    last_event_at: Timestamp,
+    event_count: u64,
+}
+
+/// The items and engines of the whole fleet.
+#[derive(Clone, Debug, Default)]
+pub struct Scheduler {
+    engines: BTreeMap<UpstreamId, Engine>,
+    jobs: BTreeMap<JobId, JobRun>,
+    runs: BTreeMap<RunNumber, Run>,
+    named: BTreeMap<ModelId, WeightVersion>,
+    division: Division,
+    carried: BTreeMap<ItemId, Output>,
+    carried_order: VecDeque<ItemId>,
+    next_run: RunNumber,
+}
+
+impl Scheduler {
+    /// Takes in which engines there are.
+    pub fn set_engines(&mut self, specs: Vec<EngineSpec>) {
+        let present: BTreeSet<UpstreamId> = specs.iter().map(|spec| spec.id.clone()).collect();
+        for (id, engine) in &mut self.engines {
+            engine.is_gone = !present.contains(id);
+        }
+        for spec in specs {
+            match self.engines.get_mut(&spec.id) {
+                Some(engine) if engine.spec.started_at_ms == spec.started_at_ms => {
+                    engine.update(spec);
+                }
+                Some(engine) => {
+                    engine.spec = spec;
+                    engine.loading = None;
+                    engine.avoid_until = Duration::ZERO;
+                    engine.failure_count = 0;
+                }
+                None => {
+                    self.engines.insert(spec.id.clone(), Engine::new(spec));
+                }
+            }
+        }
+        self.engines
+            .retain(|_, engine| !engine.is_gone || engine.run_count > 0);
+    }
+
+    /// Takes in the newest version that a trainer named.
+    pub fn name_version(&mut self, model: ModelId, version: WeightVersion) {
+        let named = self.named.entry(model).or_default();
+        *named = version.max(*named);
+    }
+
+    /// Takes up `job`, of which `listed` are done already and which was accepted
+    /// `age` ago.
+    pub fn open(&mut self, job: Job, listed: &BTreeSet<ItemId>, age: Duration, now: Timestamp) {
+        if self.jobs.contains_key(&job.id) {
+            return;
+        }
+        let mut items = Vec::with_capacity(job.items.len());
+        for item in &job.items {
+            let carried = self
+                .carried
+                .get(&item.id)
+                .filter(|output| output.versions.iter().all(|v| *v >= job.head.min_version))
+                .filter(|output| !job.head.single_version || output.versions.len() <= 1);
+            items.push(ItemRun {
+                output: carried.cloned().unwrap_or_default(),
+                run: None,
+                failed_count: 0,
+                is_done: listed.contains(&item.id),
+            });
+        }
+        let mut order: Vec<usize> = (0..items.len()).filter(|i| !items[*i].is_done).collect();
+        order.sort_by_key(|index| {
+            let item = &job.items[*index];
+            (
+                !self.carried.contains_key(&item.id),
+                Reverse(item.length_hint_tokens),
+            )
+        });
+        self.jobs.insert(
+            job.id.clone(),
+            JobRun {
+                job,
+                items,
+                queue: order.into(),
+                finished: Vec::new(),
+                opened_at: now,
+                age,
+            },
+        );
+    }
+
+    /// Returns whether the job is open here.
+    pub fn is_open(&self, job: &JobId) -> bool {
+        self.jobs.contains_key(job)
+    }
+
+    /// Returns the job, if it is open here.
+    pub fn job(&self, job: &JobId) -> Option<&Job> {
+        self.jobs.get(job).map(|run| &run.job)
+    }
+
+    /// Drops `job`, and returns how its runs are cancelled.
+    ///
+    /// What its unfinished items have made is kept, since the trainer may submit
+    /// them again.
+    pub fn end(&mut self, job: &JobId) -> Vec<Action> {
+        let Some(ended) = self.jobs.remove(job) else {
+            return Vec::new();
+        };
+        for (item, run) in ended.job.items.iter().zip(ended.items) {
+            if run.output.last_event > 0 && !run.is_done {
+                self.carry(item.id.clone(), run.output);
+            }
+        }
+        let runs: Vec<RunNumber> = self
+            .runs
+            .iter()
+            .filter(|(_, run)| run.job == *job)
+            .map(|(number, _)| *number)
+            .collect();
+        runs.into_iter()
+            .map(|run| {
+                self.release(run);
+                Action::Cancel { run }
+            })
+            .collect()
+    }
+
+    fn carry(&mut self, item: ItemId, output: Output) {
+        if self.carried.insert(item.clone(), output).is_none() {
+            self.carried_order.push_back(item);
+        }
+        if self.carried_order.len() > MAX_CARRIED_COUNT
+            && let Some(oldest) = self.carried_order.pop_front()
+        {
+            self.carried.remove(&oldest);
+        }
+    }
+
+    /// Takes in that an engine answered `run` under `version`, and says whether
+    /// its output is usable.
+    pub fn answered(&mut self, run: RunNumber, version: WeightVersion, now: Timestamp) -> bool {
+        let Some(state) = self.runs.get_mut(&run) else {
+            return false;
+        };
+        state.last_event_at = now;
+        let Some(job) = self.jobs.get(&state.job) else {
+            return false;
+        };
+        if let Some(engine) = self.engines.get_mut(&state.engine) {
+            engine.holds(&job.job.head.model, version);
+        }
+        job.items[state.item_index]
+            .output
+            .admits(&job.job.head, version)
+    }
+
+    /// Takes in an event of `run`, and says whether it was the next one and its
+    /// version serves the job.
+    pub fn event(
+        &mut self,
+        run: RunNumber,
+        number: EventNumber,
+        data: &str,
+        version: WeightVersion,
+        now: Timestamp,
+    ) -> bool {
+        let Some(state) = self.runs.get_mut(&run) else {
+            return false;
+        };
+        let Some(job) = self.jobs.get_mut(&state.job) else {
+            return false;
+        };
+        let item = &mut job.items[state.item_index];
+        if !item.output.admits(&job.job.head, version) || !item.output.push(number, data, version) {
+            return false;
+        }
+        if let Some(engine) = self.engines.get_mut(&state.engine) {
+            if state.event_count > 0 {
+                engine.observe_interval(now.saturating_sub(state.last_event_at));
+            }
+            engine.failure_count = 0;
+        }
+        state.event_count += 1;
+        state.last_event_at = now;
+        true
+    }
+
+    /// Takes in how `run` ended.
+    pub fn ended(&mut self, run: RunNumber, end: RunEnd, now: Timestamp) {
+        let Some(state) = self.release(run) else {
+            return;
+        };
+        if let Some(engine) = self.engines.get_mut(&state.engine) {
+            engine.judge(end, now);
+        }
+        let Some(job) = self.jobs.get_mut(&state.job) else {
+            return;
+        };
+        let max_attempts = job.job.head.max_attempts.max(1);
+        let item = &mut job.items[state.item_index];
+        match end {
+            RunEnd::Completed => job.finish(state.item_index, ItemState::Completed),
+            RunEnd::Impossible => job.finish(state.item_index, ItemState::Failed),
+            RunEnd::Failed => {
+                item.failed_count += 1;
+                if item.failed_count >= max_attempts {
+                    job.finish(state.item_index, ItemState::Failed);
+                } else {
+                    job.queue.push_front(state.item_index);
+                }
+            }
+            RunEnd::NotRun | RunEnd::WrongVersion | RunEnd::WrongEngine | RunEnd::Broken => {
+                job.queue.push_front(state.item_index);
+            }
+        }
+    }
+
+    /// Takes in that the order to load `load` was accepted at `now`; none where
+    /// it was refused or nothing is known of it.
+    pub fn ordered(&mut self, load: &Load, accepted: Option<OrderState>, now: Timestamp) {
+        let loading_count = self
+            .engines
+            .values()
+            .filter(|e| e.loading.is_some())
+            .count();
+        let allowed = ((self.engines.len() as f64) * 0.2).round().max(1.0);
+        let stretch = (loading_count as f64 / allowed).max(1.0);
+        let Some(engine) = self.engines.get_mut(&load.engine) else {
+            return;
+        };
+        match accepted {
+            Some(OrderState::Loading) => {
+                if let Some(loading) = &mut engine.loading {
+                    loading.done_at = Some(now + LOAD_DURATION.mul_f64(stretch));
+                }
+            }
+            Some(OrderState::Holds) => {
+                engine.loading = None;
+                engine.holds(&load.model, load.version);
+            }
+            None => {
+                engine.loading = None;
+                engine.avoid_orders(now);
+            }
+        }
+    }
+
+    /// Returns results of `job` that are not listed yet.
+    pub fn finished(&self, job: &JobId) -> &[ItemResult] {
+        self.jobs.get(job).map_or(&[], |job| &job.finished)
+    }
+
+    /// Returns the jobs that have results to list.
+    pub fn unlisted(&self) -> Vec<JobId> {
+        self.jobs
+            .iter()
+            .filter(|(_, job)| !job.finished.is_empty())
+            .map(|(id, _)| id.clone())
+            .collect()
+    }
+
+    /// Takes in that the first `count` results of [`Scheduler::finished`] are
+    /// listed, and says whether that was all of the job.
+    pub fn listed(&mut self, job: &JobId, count: usize) -> bool {
+        let Some(run) = self.jobs.get_mut(job) else {
+            return false;
+        };
+        run.finished.drain(..count.min(run.finished.len()));
+        run.finished.is_empty() && run.items.iter().all(|item| item.is_done)
+    }
+
+    /// Drops results that another coordinator has listed.
+    pub fn listed_elsewhere(&mut self, job: &JobId, listed: &BTreeSet<ItemId>) -> Vec<Action> {
+        let Some(run) = self.jobs.get_mut(job) else {
+            return Vec::new();
+        };
+        run.finished.retain(|result| !listed.contains(&result.id));
+        let mut cancelled = Vec::new();
+        for (index, item) in run.job.items.iter().enumerate() {
+            if listed.contains(&item.id) && !run.items[index].is_done {
+                run.items[index].is_done = true;
+                run.queue.retain(|queued| *queued != index);
+                cancelled.extend(run.items[index].run);
+            }
+        }
+        cancelled
+            .into_iter()
+            .map(|run| {
+                self.release(run);
+                Action::Cancel { run }
+            })
+            .collect()
+    }
+
+    /// Returns what to do at `now`; orders only where `may_order`.
+    pub fn poll(&mut self, now: Timestamp, may_order: bool) -> Vec<Action> {
+        let mut actions = self.stop_stalled(now);
+        self.give_up(now);
+        self.finish_loads(now);
+        self.dispatch(now, &mut actions);
+        if may_order {
+            self.order(now, &mut actions);
+        }
+        actions
+    }
+
+    /// Drops all that this coordinator does, since another one took over.
+    pub fn reset(&mut self) -> Vec<Action> {
+        let runs: Vec<RunNumber> = self.runs.keys().copied().collect();
+        let next_run = self.next_run;
+        *self = Self {
+            next_run,
+            named: std::mem::take(&mut self.named),
+            ..Self::default()
+        };
+        runs.into_iter().map(|run| Action::Cancel { run }).collect()
+    }
+
+    fn stop_stalled(&mut self, now: Timestamp) -> Vec<Action> {
+        let stalled: Vec<RunNumber> = self
+            .runs
+            .iter()
+            .filter(|(_, run)| now.saturating_sub(run.last_event_at) >= STALL_TIMEOUT)
+            .map(|(number, _)| *number)
+            .collect();
+        stalled
+            .into_iter()
+            .map(|run| {
+                self.ended(run, RunEnd::Broken, now);
+                Action::Cancel { run }
+            })
+            .collect()
+    }
+
+    /// Lists items as failed whose time is up.
+    fn give_up(&mut self, now: Timestamp) {
+        let mut overdue = Vec::new();
+        for (id, job) in &self.jobs {
+            let age = job.age + now.saturating_sub(job.opened_at);
+            if age >= job.job.head.item_ttl + TTL_MARGIN {
+                overdue.push(id.clone());
+            }
+        }
+        for id in overdue {
+            let Some(job) = self.jobs.get_mut(&id) else {
+                continue;
+            };
+            let open: Vec<usize> = (0..job.items.len())
+                .filter(|index| !job.items[*index].is_done)
+                .collect();
+            let mut runs = Vec::new();
+            for index in open {
+                runs.extend(job.items[index].run.take());
+                job.finish(index, ItemState::Failed);
+            }
+            job.queue.clear();
+            for run in runs {
+                self.release(run);
+            }
+        }
+    }
+
+    fn finish_loads(&mut self, now: Timestamp) {
+        for engine in self.engines.values_mut() {
+            let Some(loading) = &engine.loading else {
+                continue;
+            };
+            if loading.done_at.is_some_and(|done_at| done_at <= now) {
+                let load = loading.load.clone();
+                engine.loading = None;
+                engine.holds(&load.model, load.version);
+            } else if now.saturating_sub(loading.started_at) >= LOAD_TIMEOUT {
+                engine.loading = None;
+            }
+        }
+    }
+
+    fn dispatch(&mut self, now: Timestamp, actions: &mut Vec<Action>) {
+        let mut order: Vec<(Duration, JobId)> = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| !job.queue.is_empty())
+            .map(|(id, job)| {
+                let age = job.age + now.saturating_sub(job.opened_at);
+                (job.job.head.due.saturating_sub(age), id.clone())
+            })
+            .collect();
+        order.sort();
+        for (_, id) in order {
+            self.dispatch_job(&id, now, actions);
+        }
+    }
+
+    fn dispatch_job(&mut self, id: &JobId, now: Timestamp, actions: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        while let Some(&item_index) = job.queue.front() {
+            let item = &job.job.items[item_index];
+            let state = &mut job.items[item_index];
+            let tokens = item.memory_tokens();
+            let head = &job.job.head;
+            let engine = self
+                .engines
+                .values_mut()
+                .filter(|engine| engine.is_usable(&head.service, tokens, now))
+                .filter(|engine| {
+                    let version = engine.version(&head.model);
+                    state.output.admits(head, version)
+                })
+                .min_by(|a, b| a.load_ratio().total_cmp(&b.load_ratio()));
+            let Some(engine) = engine else {
+                // What another engine has made under one version cannot go on
+                // under another.
+                if head.single_version && !state.output.versions.is_empty() {
+                    let is_lost = self.engines.values().all(|engine| {
+                        engine.is_gone || !state.output.admits(head, engine.version(&head.model))
+                    });
+                    if is_lost {
+                        state.output = Output::default();
+                        continue;
+                    }
+                }
+                return;
+            };
+            job.queue.pop_front();
+            self.next_run += 1;
+            let run = self.next_run;
+            state.run = Some(run);
+            engine.run_count += 1;
+            engine.run_tokens += tokens;
+            self.runs.insert(
+                run,
+                Run {
+                    job: id.clone(),
+                    item_index,
+                    engine: engine.spec.id.clone(),
+                    tokens,
+                    last_event_at: now,
+                    event_count: 0,
+                },
+            );
+            actions.push(Action::Start {
+                run,
+                job: id.clone(),
+                item_index,
+                engine: engine.spec.id.clone(),
+                last_event: state.output.last_event,
+            });
+        }
+    }
+
+    fn order(&mut self, now: Timestamp, actions: &mut Vec<Action>) {
+        let needs = self.needs();
+        let engines: Vec<EngineWeights> = self
+            .engines
+            .values()
+            .filter(|engine| !engine.is_gone && !engine.spec.is_draining)
+            .filter(|engine| !engine.spec.versions.is_empty())
+            .map(|engine| EngineWeights {
+                id: engine.spec.id.clone(),
+                versions: engine.spec.versions.clone(),
+                is_loading: engine.loading.is_some(),
+                is_orderable: engine.avoid_until <= now,
+                run_count: engine.run_count,
+            })
+            .collect();
+        self.division.balance(&engines, &needs);
+        for load in self.division.loads(&engines, &needs) {
+            if let Some(engine) = self.engines.get_mut(&load.engine) {
+                engine.loading = Some(Loading {
+                    load: load.clone(),
+                    started_at: now,
+                    done_at: None,
+                });
+                actions.push(Action::Order(load));
+            }
+        }
+    }
+
+    fn needs(&self) -> BTreeMap<ModelId, ModelNeed> {
+        let mut needs: BTreeMap<ModelId, ModelNeed> = BTreeMap::new();
+        for engine in self.engines.values() {
+            for model in engine.spec.versions.keys() {
+                needs.entry(model.clone()).or_default();
+            }
+        }
+        for (model, version) in &self.named {
+            if let Some(need) = needs.get_mut(model) {
+                need.named = *version;
+            }
+        }
+        for job in self.jobs.values() {
+            let Some(need) = needs.get_mut(&job.job.head.model) else {
+                continue;
+            };
+            need.min_version = need.min_version.max(job.job.head.min_version);
+            need.waiting_count += job.queue.len();
+        }
+        needs
+    }
+
+    /// Takes `run` off its engine and item.
+    fn release(&mut self, run: RunNumber) -> Option<Run> {
+        let state = self.runs.remove(&run)?;
+        if let Some(engine) = self.engines.get_mut(&state.engine) {
+            engine.run_count = engine.run_count.saturating_sub(1);
+            engine.run_tokens = engine.run_tokens.saturating_sub(state.tokens);
+        }
+        if let Some(job) = self.jobs.get_mut(&state.job)
+            && let Some(item) = job.items.get_mut(state.item_index)
+            && item.run == Some(run)
+        {
+            item.run = None;
+        }
+        Some(state)
+    }
+}
+
+/// How an engine answered an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum OrderState {
+    /// It is loading.
+    Loading,
+    /// It has what was ordered.
+    Holds,
+}
+
+impl JobRun {
+    fn finish(&mut self, item_index: usize, state: ItemState) {
+        let item = &mut self.items[item_index];
+        if item.is_done {
+            return;
+        }
+        item.is_done = true;
+        item.run = None;
+        let output = std::mem::take(&mut item.output);
+        self.finished.push(ItemResult {
+            id: self.job.items[item_index].id.clone(),
+            state,
+            text: output.text,
+            versions: output.versions,
+        });
+    }
+}
+
+impl Engine {
+    const fn new(spec: EngineSpec) -> Self {
+        Self {
+            spec,
+            run_count: 0,
+            run_tokens: 0,
+            avoid_until: Duration::ZERO,
+            failure_count: 0,
+            loading: None,
+            is_gone: false,
+            event_interval: None,
+        }
+    }
+
+    /// Takes in what the directory says now; versions never go back by it, as it
+    /// lags behind the answers.
+    fn update(&mut self, spec: EngineSpec) {
+        let mut versions = std::mem::take(&mut self.spec.versions);
+        for (model, version) in &spec.versions {
+            let known = versions.entry(model.clone()).or_default();
+            *known = (*version).max(*known);
+        }
+        self.spec = EngineSpec { versions, ..spec };
+    }
+
+    fn version(&self, model: &ModelId) -> WeightVersion {
+        self.spec.versions.get(model).copied().unwrap_or(0)
+    }
+
+    fn holds(&mut self, model: &ModelId, version: WeightVersion) {
+        self.spec.versions.insert(model.clone(), version);
+    }
+
+    fn is_usable(&self, service: &str, tokens: u64, now: Timestamp) -> bool {
+        let memory = (self.spec.memory_tokens as f64 * MEMORY_RATIO) as u64;
+        !self.is_gone
+            && !self.spec.is_draining
+            && self.loading.is_none()
+            && self.avoid_until <= now
+            && *self.spec.service == *service
+            && self.run_count < self.spec.slot_count
+            && (self.run_count == 0 || self.run_tokens + tokens <= memory)
+    }
+
+    /// Orders engines by what one more run costs there: a slow one counts as
+    /// fuller.
+    fn load_ratio(&self) -> f64 {
+        let interval = self.event_interval.map_or(0.04, |i| i.as_secs_f64());
+        (self.run_count + 1) as f64 / self.spec.slot_count.max(1) as f64 + interval * 10.0
+    }
+
+    fn observe_interval(&mut self, interval: Duration) {
+        self.event_interval = Some(match self.event_interval {
+            None => interval,
+            Some(known) => {
+                known.mul_f64(1.0 - INTERVAL_GAIN_RATIO) + interval.mul_f64(INTERVAL_GAIN_RATIO)
+            }
+        });
+    }
+
+    fn judge(&mut self, end: RunEnd, now: Timestamp) {
+        match end {
+            RunEnd::Completed | RunEnd::Impossible => self.failure_count = 0,
+            RunEnd::NotRun | RunEnd::WrongVersion => {
+                self.avoid_until = self.avoid_until.max(now + BUSY_PAUSE);
+            }
+            RunEnd::Failed | RunEnd::Broken | RunEnd::WrongEngine => {
+                let pause = MIN_AVOIDANCE.saturating_mul(1 << self.failure_count.min(6));
+                self.avoid_until = self.avoid_until.max(now + pause.min(MAX_AVOIDANCE));
+                self.failure_count += 1;
+            }
+        }
+    }
+
+    fn avoid_orders(&mut self, now: Timestamp) {
+        self.avoid_until = self.avoid_until.max(now + MIN_AVOIDANCE);
+    }
+}
--- a/src/bin/mimosavane-entry.rs
+++ b/src/bin/mimosavane-entry.rs
@@ -7,9 +7,23 @@
 
 use anyhow::{Context, Result};
 use clap::{Arg, Command, value_parser};
-use mimosavane::{drain::Requester, entry::Running, settings::Settings, telemetry};
+use mimosavane::{
+    drain::Requester,
+    entry::Running,
+    ingress::{
+        host::{Host, HostSettings},
+        log,
+        metrics::Exposition,
+    },
+    platform::{PlatformWire, boot, store::PlatformStore},
+    settings::Settings,
+    telemetry::{self, Metrics},
+};
 use tokio::signal::unix::{SignalKind, signal};
 
+/// What is logged where the environment does not say.
+const DEFAULT_LOG_FILTER: &str = "info";
+
 fn main() -> ExitCode {
     let matches = Command::new("mimosavane-entry")
         .about("Serves callers, trainers and peers")
@@ -19,13 +33,15 @@
                 .long("settings")
                 .value_name("FILE")
                 .value_parser(value_parser!(PathBuf))
-                .required(true)
-                .help("The settings of this host"),
+                .help("The settings of this host; on the users' platform it finds its own"),
         )
         .get_matches();
-    let path = matches.get_one::<PathBuf>("settings");
-    match path.map(PathBuf::as_path).map(run).transpose() {
-        Ok(_) => ExitCode::SUCCESS,
+    let result = match matches.get_one::<PathBuf>("settings") {
+        Some(path) => run(path),
+        None => run_on_platform(),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("error: {error:#}");
             ExitCode::from(2)
@@ -41,6 +57,36 @@
     Ok(())
 }
 
+fn run_on_platform() -> Result<()> {
+    let path = boot::path().with_context(|| {
+        format!(
+            "give --settings FILE, or the platform's file in {}",
+            boot::PATH_VARIABLE
+        )
+    })?;
+    let settings = boot::load(&path).context("reading the settings")?;
+    let log = log::start(DEFAULT_LOG_FILTER).context("starting the log")?;
+    // A machine has one core, so that a second thread would only add wake-ups.
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .context("starting the runtime")?;
+    runtime.block_on(serve(settings, log))
+}
+
+async fn serve(settings: HostSettings, log: log::Log) -> Result<()> {
+    let exposition = Exposition::default();
+    let metrics = Metrics::to_sink(exposition.clone());
+    let store_address = settings.store_address;
+    let host = Host::<_, PlatformWire>::with_store(settings, metrics, exposition, |pool| {
+        PlatformStore::new(pool, store_address)
+    });
+    tokio::select! {
+        result = host.run(async { drop(stop_signal().await) }) => result.context("listening"),
+        () = log.report_drops() => Ok(()),
+    }
+}
+
 /// Waits for the platform to ask for a stop.
 async fn stop_signal() -> Requester {
     match signal(SignalKind::terminate()) {
--- /dev/null
+++ b/src/ingress/calls.rs
@@ -0,0 +1,436 @@
+//! Requests that are passed on to an upstream and answered by it.
+
+use std::{rc::Rc, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http::{Response, StatusCode, header, request, response};
+use http_body_util::{BodyExt as _, Either, Full, Limited, StreamBody};
+use hyper::body::{Body as _, Frame, Incoming};
+use tokio::{sync::mpsc, task::spawn_local, time::timeout};
+use tokio_stream::wrappers::ReceiverStream;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{
+    clock::{Timestamp, millis},
+    connection::{ConnectError, Connection, Protocol, SendError, Target, UpstreamRequest},
+    ids::UpstreamId,
+    ingress::{
+        directory::Upstream,
+        host::Host,
+        routes::{Route, RouteKind},
+        server::{Reply, StreamCut, refusal, reply},
+        wire::{Addressee, AnswerHead, ClientHead, Wire},
+    },
+    rows::RowStore,
+    telemetry::{CALL_TIME, CALLS_ANSWERED, CALLS_NOT_RUN, CALLS_UNKNOWN},
+    terms,
+};
+
+/// How many times its latency objective an idempotent call waits for one upstream
+/// before it goes to another one.
+const STALL_RATIO: f64 = 2.0;
+
+/// The shortest such wait.
+const MIN_STALL: Duration = Duration::from_millis(250);
+
+/// When a client may ask again whose call found all upstreams full or gone: about
+/// the time in which one call of the sheets is served.
+const RETRY_AFTER: Duration = Duration::from_millis(60);
+
+/// The longest answer that is taken from an upstream.
+const MAX_ANSWER_BYTES: usize = 64 << 20;
+
+/// How many pieces of a stream wait for a client that reads slowly.
+const STREAM_PIECES_COUNT: usize = 16;
+
+/// One request of a client.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// Its head.
+    pub parts: request::Parts,
+    /// Its body.
+    pub body: Bytes,
+    /// The route that it takes.
+    pub route: Arc<Route>,
+    /// What it says about itself.
+    pub head: ClientHead,
+    /// When it arrived.
+    pub arrived_at: Timestamp,
+}
+
+/// What is known after one upstream was tried.
+#[derive(Debug)]
+enum Tried {
+    /// It answered.
+    Answered(Reply),
+    /// It certainly did not run the call.
+    NotRun(&'static str),
+    /// It may have run the call.
+    Unknown(&'static str),
+}
+
+impl Call {
+    /// Returns when the call must be answered.
+    fn deadline(&self) -> Timestamp {
+        let patience = self.head.patience.unwrap_or(self.route.timeout);
+        self.arrived_at + patience.min(self.route.timeout)
+    }
+
+    fn id(&self) -> Option<&str> {
+        self.head.attempt_id.as_deref()
+    }
+
+    fn is_idempotent(&self) -> bool {
+        match self.route.kind {
+            RouteKind::Idempotent => true,
+            RouteKind::Streaming => self.route.is_resumable,
+            RouteKind::NonIdempotent | RouteKind::Batch => false,
+        }
+    }
+
+    /// Returns how the client's attempt falls into the shares of a split route.
+    fn point(&self) -> f64 {
+        let hash = xxh3_64(self.id().unwrap_or_default().as_bytes());
+        (hash >> 11) as f64 / (1_u64 << 53) as f64
+    }
+}
+
+/// Passes `call` on, and returns the answer.
+pub async fn pass<S: RowStore, W: Wire>(host: &Rc<Host<S, W>>, call: &Call) -> Reply {
+    let deadline = call.deadline();
+    let mut tried: Vec<UpstreamId> = Vec::new();
+    let mut may_have_run = false;
+    let mut reason = "no-upstream";
+    let service = call.route.service(call.point()).cloned();
+    while (tried.len() as u32) < call.route.max_attempts {
+        let now = host.now();
+        let Some(service) = &service else { break };
+        let chosen = host.beliefs.borrow_mut().directory.choose(
+            service,
+            &host.settings.failure_domain,
+            &tried,
+            now,
+        );
+        let Some(upstream) = chosen else { break };
+        if now >= deadline {
+            reason = "deadline";
+            break;
+        }
+        tried.push(upstream.id.clone());
+        let is_last = tried.len() as u32 >= call.route.max_attempts;
+        let result = attempt(host, call, &upstream, deadline, is_last).await;
+        match result {
+            Tried::Answered(response) => {
+                log(
+                    host,
+                    call,
+                    &upstream,
+                    "answered",
+                    response.status(),
+                    tried.len(),
+                );
+                host.metrics.count(CALLS_ANSWERED, 1);
+                host.metrics
+                    .time(CALL_TIME, host.now().saturating_sub(call.arrived_at));
+                return response;
+            }
+            Tried::NotRun(why) => {
+                reason = why;
+                log(
+                    host,
+                    call,
+                    &upstream,
+                    why,
+                    StatusCode::SERVICE_UNAVAILABLE,
+                    tried.len(),
+                );
+            }
+            Tried::Unknown(why) => {
+                reason = why;
+                may_have_run = true;
+                log(
+                    host,
+                    call,
+                    &upstream,
+                    why,
+                    StatusCode::BAD_GATEWAY,
+                    tried.len(),
+                );
+                if !call.is_idempotent() {
+                    break;
+                }
+            }
+        }
+    }
+    finish(host, call, may_have_run, reason, tried.len())
+}
+
+/// Answers a call that no upstream answered.
+fn finish<S: RowStore, W: Wire>(
+    host: &Rc<Host<S, W>>,
+    call: &Call,
+    may_have_run: bool,
+    reason: &str,
+    tried_count: usize,
+) -> Reply {
+    let is_late = host.now() >= call.deadline();
+    let status = match (may_have_run, is_late) {
+        (false, _) => StatusCode::SERVICE_UNAVAILABLE,
+        (true, true) => StatusCode::GATEWAY_TIMEOUT,
+        (true, false) => StatusCode::BAD_GATEWAY,
+    };
+    tracing::info!(
+        event = "call.failed",
+        id = call.id(),
+        route = &*call.route.name,
+        reason,
+        status = status.as_u16(),
+        tried_count,
+        may_have_run,
+        held_ms = millis(host.now().saturating_sub(call.arrived_at)),
+    );
+    if may_have_run {
+        host.metrics.count(CALLS_UNKNOWN, 1);
+        reply(status, Bytes::new())
+    } else {
+        host.metrics.count(CALLS_NOT_RUN, 1);
+        refusal(RETRY_AFTER)
+    }
+}
+
+fn log<S: RowStore, W: Wire>(
+    host: &Rc<Host<S, W>>,
+    call: &Call,
+    upstream: &Upstream,
+    outcome: &str,
+    status: StatusCode,
+    attempt_count: usize,
+) {
+    tracing::info!(
+        event = "call.attempt",
+        id = call.id(),
+        route = &*call.route.name,
+        upstream = &*upstream.id,
+        outcome,
+        status = status.as_u16(),
+        attempt_count,
+        held_ms = millis(host.now().saturating_sub(call.arrived_at)),
+    );
+}
+
+/// Counts a call as open at its upstream until it is over.
+struct OpenCall<'a, S: RowStore, W: Wire> {
+    host: &'a Rc<Host<S, W>>,
+    upstream: &'a UpstreamId,
+    failed: Option<bool>,
+}
+
+impl<S: RowStore, W: Wire> Drop for OpenCall<'_, S, W> {
+    fn drop(&mut self) {
+        let now = self.host.now();
+        self.host
+            .beliefs
+            .borrow_mut()
+            .directory
+            .closed(self.upstream, self.failed, now);
+    }
+}
+
+async fn attempt<S: RowStore, W: Wire>(
+    host: &Rc<Host<S, W>>,
+    call: &Call,
+    upstream: &Upstream,
+    deadline: Timestamp,
+    is_last: bool,
+) -> Tried {
+    host.beliefs.borrow_mut().directory.opened(&upstream.id);
+    let mut open = OpenCall {
+        host,
+        upstream: &upstream.id,
+        failed: None,
+    };
+    let remaining = deadline.saturating_sub(host.now());
+    let stall = call
+        .route
+        .target_latency
+        .mul_f64(STALL_RATIO)
+        .max(MIN_STALL);
+    let limit = if call.is_idempotent() && !is_last {
+        stall.min(remaining)
+    } else {
+        remaining
+    };
+    let result = match timeout(limit, exchange(host, call, upstream)).await {
+        Ok(result) => result,
+        Err(_) => Tried::Unknown("silent"),
+    };
+    open.failed = match &result {
+        Tried::Answered(_) => Some(false),
+        // A full upstream is not a broken one.
+        Tried::NotRun("full") => None,
+        Tried::NotRun(_) | Tried::Unknown(_) => Some(true),
+    };
+    result
+}
+
+async fn exchange<S: RowStore, W: Wire>(
+    host: &Rc<Host<S, W>>,
+    call: &Call,
+    upstream: &Upstream,
+) -> Tried {
+    let to = Addressee {
+        id: &upstream.id,
+        address: upstream.address,
+    };
+    let patience = call.head.patience.unwrap_or(call.route.timeout);
+    let held = host.now().saturating_sub(call.arrived_at);
+    let request = W::call_request(
+        &call.parts,
+        call.body.clone(),
+        to,
+        patience.saturating_sub(held),
+    );
+    let (connection, answer) = match send(host, upstream, request).await {
+        Ok(sent) => sent,
+        Err(Unsent::NotRun(reason)) => return Tried::NotRun(reason),
+        Err(Unsent::Unknown(reason)) => return Tried::Unknown(reason),
+    };
+    let (parts, body) = answer.into_parts();
+    let head = W::answer_head(&parts);
+    if let Some(tried) = objection(call, &parts, &head) {
+        if matches!(tried, Tried::NotRun(_)) && body.size_hint().exact().is_some() {
+            drain(connection, body).await;
+        }
+        return tried;
+    }
+    if call.route.kind == RouteKind::Streaming && parts.status.is_success() {
+        return Tried::Answered(stream(parts, body, connection));
+    }
+    match Limited::new(body, MAX_ANSWER_BYTES).collect().await {
+        Ok(body) => {
+            connection.release();
+            let mut response = Response::new(Either::Left(Full::new(body.to_bytes())));
+            *response.status_mut() = parts.status;
+            *response.headers_mut() = terms::end_to_end(&parts.headers);
+            Tried::Answered(response)
+        }
+        Err(_) => Tried::Unknown("answer-torn"),
+    }
+}
+
+/// Reads the rest of an answer that is not passed on, so that its connection can
+/// be kept.
+async fn drain(connection: Connection, body: Incoming) {
+    if Limited::new(body, MAX_ANSWER_BYTES).collect().await.is_ok() {
+        connection.release();
+    }
+}
+
+/// Says why the answer is not one to this call.
+fn objection(call: &Call, parts: &response::Parts, head: &AnswerHead) -> Option<Tried> {
+    // An answer that names another attempt came too late for the one before.
+    if let (Some(answered), Some(asked)) = (head.attempt_id.as_deref(), call.id())
+        && answered != asked
+    {
+        return Some(Tried::Unknown("answer-mismatched"));
+    }
+    if head.is_not_run {
+        return Some(Tried::NotRun(if head.is_misdirected {
+            "misdirected"
+        } else {
+            "full"
+        }));
+    }
+    if parts.headers.contains_key(header::CONTENT_ENCODING) {
+        return Some(Tried::Unknown("answer-encoded"));
+    }
+    if parts.status.is_success() && !head.is_signed {
+        return Some(Tried::Unknown("answer-unsigned"));
+    }
+    // An idempotent call that failed at one upstream may succeed at another.
+    if parts.status.is_server_error() && call.is_idempotent() {
+        return Some(Tried::Unknown("upstream-failed"));
+    }
+    None
+}
+
+/// Passes a stream on as it arrives.
+fn stream(parts: response::Parts, body: Incoming, connection: Connection) -> Reply {
+    let (sender, receiver) = mpsc::channel(STREAM_PIECES_COUNT);
+    spawn_local(async move {
+        let mut body = body;
+        loop {
+            let frame = tokio::select! {
+                frame = body.frame() => frame,
+                // The client left, and the upstream must not work on.
+                () = sender.closed() => return,
+            };
+            let piece = match frame {
+                None => break,
+                Some(Ok(frame)) => match frame.into_data() {
+                    Ok(data) => Ok(Frame::data(data)),
+                    Err(_) => continue,
+                },
+                Some(Err(_)) => Err(StreamCut),
+            };
+            let is_cut = piece.is_err();
+            if sender.send(piece).await.is_err() || is_cut {
+                return;
+            }
+        }
+        connection.release();
+    });
+    let mut response = Response::new(Either::Right(StreamBody::new(ReceiverStream::new(
+        receiver,
+    ))));
+    *response.status_mut() = parts.status;
+    *response.headers_mut() = terms::end_to_end(&parts.headers);
+    response
+}
+
+/// Why there is no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unsent {
+    /// Nothing of the request was sent.
+    NotRun(&'static str),
+    /// It may have run.
+    Unknown(&'static str),
+}
+
+/// Sends `request` to `upstream`, once, and returns the head of its answer.
+///
+/// # Errors
+///
+/// Says whether the request may have run.
+pub async fn send<S: RowStore, W: Wire>(
+    host: &Rc<Host<S, W>>,
+    upstream: &Upstream,
+    request: UpstreamRequest,
+) -> Result<(Connection, Response<Incoming>), Unsent> {
+    let target = Target {
+        address: upstream.address,
+        protocol: Protocol::Http1,
+    };
+    let mut connection = host.pool.checkout(target).await.map_err(unconnected)?;
+    let mut request = request;
+    loop {
+        let was_kept = connection.is_reused();
+        match connection.send(request).await {
+            Ok(answer) => return Ok((connection, answer)),
+            Err(SendError::HandedBack(back)) if was_kept => {
+                request = *back;
+                connection = host.pool.open(target).await.map_err(unconnected)?;
+            }
+            Err(SendError::HandedBack(_)) => return Err(Unsent::NotRun("closed-before-send")),
+            Err(SendError::Refused(_)) => return Err(Unsent::NotRun("refused")),
+            Err(SendError::Lost(_)) => return Err(Unsent::Unknown("connection-lost")),
+        }
+    }
+}
+
+fn unconnected(error: ConnectError) -> Unsent {
+    match error {
+        ConnectError::TimedOut(_) => Unsent::NotRun("connect-timed-out"),
+        _ => Unsent::NotRun("connect-failed"),
+    }
+}
--- /dev/null
+++ b/src/ingress/coordinator.rs
@@ -0,0 +1,705 @@
+//! The one host that runs all batch jobs and orders engines, under a lease.
+//!
+//! Every host tries to become it. Nothing depends on there being only one but
+//! the orders to engines, which the lease keeps apart: results are listed under
+//! conditions of the store, so that two coordinators waste work and list each
+//! item once (see docs/design/platform.md, "Coordinator").
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::{BTreeMap, BTreeSet, HashMap},
+    rc::Rc,
+    time::Duration,
+};
+
+use tokio::{
+    sync::Notify,
+    task::{AbortHandle, spawn_local},
+    time::{sleep, timeout},
+};
+
+use crate::{
+    batch::{
+        job::{ItemId, Job, JobHead, JobId},
+        layout::{self, Tally},
+        scheduler::{Action, EngineSpec, RunEnd, RunNumber, Scheduler},
+        weights::Load,
+    },
+    clock::{Timestamp, millis},
+    ids::FenceNumber,
+    ingress::{
+        host::Host,
+        orders::{self, ORDER_TIMEOUT, OrderCounts, OrderRight},
+        runs::{self, Run},
+        wire::Wire,
+    },
+    lease::{self, Machine, Terms, Versioned, Wrote},
+    rows::{RowError, RowName, RowPage, RowRange, RowStamp, RowStore, RowTransaction, StoredRow},
+};
+
+/// The table, partition and key of the lease.
+const LEASES: &str = "leases";
+const LEASE_PARTITION: &str = "fleet";
+const LEASE_KEY: &str = "coordinator";
+
+/// The lease's times. A holder that is killed is followed after lease, order
+/// timeout and spread; renewals come three times in a lease, so that one slow
+/// answer of the store, 240 ms on the sheets, does not lose it.
+const LEASE_TERMS: Terms = Terms {
+    lease: Duration::from_millis(1_500),
+    order_timeout: ORDER_TIMEOUT,
+    watch_interval: Duration::from_millis(400),
+    spread: Duration::from_millis(200),
+};
+
+/// How much longer than the platform asks a new holder waits before its first
+/// order, as an order of the last holder may be on its way.
+const ORDER_QUIET_MARGIN: Duration = Duration::from_millis(300);
+
+/// How often the lease is looked at.
+const LEASE_TICK: Duration = Duration::from_millis(100);
+
+/// How often the scheduler runs where nothing wakes it.
+const SCHEDULER_TICK: Duration = Duration::from_millis(100);
+
+/// How long results gather before they are listed in one transaction.
+const LISTING_GATHER: Duration = Duration::from_millis(80);
+
+/// The pause after the store failed.
+const STORE_PAUSE: Duration = Duration::from_millis(150);
+
+/// How long the feed of open jobs waits for a change.
+const FEED_WAIT: Duration = Duration::from_millis(1_500);
+
+/// How long a planned stop waits for the lease to be given up.
+const RELEASE_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Runs batch jobs while it holds the lease.
+#[derive(Debug)]
+pub struct Coordinator<S, W> {
+    host: Rc<Host<S, W>>,
+    scheduler: RefCell<Scheduler>,
+    lease: RefCell<Machine>,
+    life: u64,
+    /// Whether this host runs the jobs.
+    is_leading: Cell<bool>,
+    /// From when on orders may be given.
+    order_from: Cell<Timestamp>,
+    runs: RefCell<HashMap<RunNumber, AbortHandle>>,
+    counts: RefCell<OrderCounts>,
+    tallies: RefCell<BTreeMap<JobId, (Tally, RowStamp)>>,
+    listing: RefCell<BTreeSet<JobId>>,
+    following: RefCell<Option<AbortHandle>>,
+    wake: Notify,
+}
+
+impl<S: RowStore, W: Wire> OrderRight for Coordinator<S, W> {
+    fn fence(&self) -> Option<FenceNumber> {
+        let now = self.host.now();
+        if now < self.order_from.get() || self.host.is_stopping.get() {
+            return None;
+        }
+        self.lease.borrow().fence(now)
+    }
+}
+
+impl<S: RowStore, W: Wire> Coordinator<S, W> {
+    /// Makes a coordinator that does not lead yet.
+    pub fn new(host: Rc<Host<S, W>>) -> Rc<Self> {
+        let life = rand::random();
+        let machine = Machine::new(host.settings.host.clone(), life, LEASE_TERMS);
+        Rc::new(Self {
+            host,
+            scheduler: RefCell::default(),
+            lease: RefCell::new(machine),
+            life,
+            is_leading: Cell::new(false),
+            order_from: Cell::new(Duration::MAX),
+            runs: RefCell::default(),
+            counts: RefCell::default(),
+            tallies: RefCell::default(),
+            listing: RefCell::default(),
+            following: RefCell::default(),
+            wake: Notify::new(),
+        })
+    }
+
+    /// Competes for the lease, and runs jobs while it is held.
+    pub async fn run(self: Rc<Self>) {
+        spawn_local(self.clone().schedule());
+        loop {
+            if !self.host.is_stopping.get() {
+                self.keep_lease().await;
+            }
+            sleep(LEASE_TICK).await;
+        }
+    }
+
+    /// Gives the lease up, so that another host goes on at once.
+    ///
+    /// Runs that are under way go on, and are listed if they end before the new
+    /// coordinator's.
+    pub async fn hand_over(&self) {
+        let action = self.lease.borrow_mut().release(self.host.now());
+        if let Some(action) = action {
+            let released = timeout(RELEASE_TIMEOUT, self.ask(action)).await.is_ok();
+            tracing::info!(event = "lease.released", released);
+        }
+        if let Some(task) = self.following.borrow_mut().take() {
+            task.abort();
+        }
+    }
+
+    async fn keep_lease(self: &Rc<Self>) {
+        let action = self.lease.borrow_mut().poll(self.host.now());
+        let Some(action) = action else {
+            return;
+        };
+        let (event, found) = self.ask(action).await;
+        let now = self.host.now();
+        self.lease.borrow_mut().apply(event, now);
+        let is_held = self.lease.borrow().is_held(now);
+        if is_held && !self.is_leading.get() {
+            self.lead(now);
+        }
+        let is_other = found.is_some_and(|record| {
+            record.holder != self.host.settings.host || record.life != self.life
+        });
+        if is_other && self.is_leading.get() && !is_held {
+            self.follow_other();
+        }
+    }
+
+    /// Carries out what the lease asks of the store.
+    async fn ask(&self, action: lease::Action) -> (lease::Event, Option<lease::Record>) {
+        let name = RowName::new(LEASES, LEASE_PARTITION, LEASE_KEY);
+        match action {
+            lease::Action::Read => {
+                let range = RowRange {
+                    table: LEASES,
+                    partition: LEASE_PARTITION.to_owned(),
+                    from: String::new(),
+                    to: String::new(),
+                    limit_count: 1,
+                };
+                let found = self.host.store.read(&range).await.and_then(lease_row);
+                match found {
+                    Ok(found) => {
+                        let record = found.as_ref().map(|found| found.record.clone());
+                        (lease::Event::Read(Some(found)), record)
+                    }
+                    Err(error) => {
+                        tracing::debug!(event = "lease.not_read", %error);
+                        (lease::Event::Read(None), None)
+                    }
+                }
+            }
+            lease::Action::Write { version, record } => {
+                let value = match layout::encode(&record) {
+                    Ok(value) => value,
+                    Err(error) => {
+                        tracing::error!(event = "lease.not_encoded", %error);
+                        return (lease::Event::Wrote(Wrote::NotApplied), None);
+                    }
+                };
+                let transaction = RowTransaction::default()
+                    .expect(name.clone(), version)
+                    .put(name, value);
+                let wrote = match self.host.store.commit(&transaction).await {
+                    Ok(applied) => Wrote::DoneAt(applied.stamp),
+                    Err(RowError::Conflict { .. }) => Wrote::Refused,
+                    Err(RowError::NotApplied { .. }) => Wrote::NotApplied,
+                    Err(_) => Wrote::Unknown,
+                };
+                (lease::Event::Wrote(wrote), None)
+            }
+        }
+    }
+
+    fn lead(self: &Rc<Self>, now: Timestamp) {
+        let fence = self.lease.borrow().fence(now).unwrap_or_default();
+        // The first holder ever follows nobody.
+        let quiet = if fence <= 1 {
+            Duration::ZERO
+        } else {
+            self.host.settings.order_quiet + ORDER_QUIET_MARGIN
+        };
+        self.order_from.set(now + quiet);
+        self.is_leading.set(true);
+        tracing::info!(event = "lease.taken", fence, quiet_ms = millis(quiet));
+        let following = spawn_local(self.clone().follow_jobs());
+        *self.following.borrow_mut() = Some(following.abort_handle());
+        self.wake.notify_one();
+    }
+
+    /// Drops everything, since another host runs the jobs now.
+    fn follow_other(&self) {
+        tracing::info!(event = "lease.lost");
+        self.is_leading.set(false);
+        self.order_from.set(Duration::MAX);
+        if let Some(task) = self.following.borrow_mut().take() {
+            task.abort();
+        }
+        let actions = self.scheduler.borrow_mut().reset();
+        self.cancel(&actions);
+        self.counts.borrow_mut().clear();
+        self.tallies.borrow_mut().clear();
+    }
+
+    /// Runs the scheduler whenever something changed.
+    async fn schedule(self: Rc<Self>) {
+        loop {
+            let changed = self.host.changed.notified();
+            let woken = self.wake.notified();
+            tokio::select! {
+                () = changed => {}
+                () = woken => {}
+                () = sleep(SCHEDULER_TICK) => {}
+            }
+            if self.is_leading.get() {
+                self.round();
+            }
+        }
+    }
+
+    fn round(self: &Rc<Self>) {
+        let now = self.host.now();
+        let may_order = self.fence().is_some();
+        let actions = {
+            let mut scheduler = self.scheduler.borrow_mut();
+            scheduler.set_engines(self.engines());
+            for (model, version) in &self.host.beliefs.borrow().named {
+                scheduler.name_version(model.clone(), *version);
+            }
+            if self.host.is_stopping.get() {
+                Vec::new()
+            } else {
+                scheduler.poll(now, may_order)
+            }
+        };
+        self.cancel(&actions);
+        for action in actions {
+            match action {
+                Action::Start {
+                    run,
+                    job,
+                    item_index,
+                    engine,
+                    last_event,
+                } => self.start(run, &job, item_index, &engine, last_event),
+                Action::Order(load) => {
+                    spawn_local(self.clone().order(load));
+                }
+                Action::Cancel { .. } => {}
+            }
+        }
+        for job in self.scheduler.borrow().unlisted() {
+            if self.listing.borrow_mut().insert(job.clone()) {
+                spawn_local(self.clone().list(job));
+            }
+        }
+    }
+
+    fn engines(&self) -> Vec<EngineSpec> {
+        let beliefs = self.host.beliefs.borrow();
+        let Some(configuration) = &beliefs.configuration else {
+            return Vec::new();
+        };
+        beliefs
+            .directory
+            .upstreams()
+            .filter_map(|upstream| {
+                let service = configuration.services.get(&upstream.service)?;
+                let slot_count = service.engine_slot_count?;
+                Some(EngineSpec {
+                    id: upstream.id.clone(),
+                    started_at_ms: upstream.started_at_ms,
+                    service: upstream.service.clone(),
+                    slot_count,
+                    memory_tokens: service.engine_memory_tokens,
+                    is_draining: upstream.is_draining,
+                    versions: upstream.versions.clone(),
+                })
+            })
+            .collect()
+    }
+
+    fn cancel(&self, actions: &[Action]) {
+        let mut runs = self.runs.borrow_mut();
+        for action in actions {
+            if let Action::Cancel { run } = action
+                && let Some(task) = runs.remove(run)
+            {
+                task.abort();
+            }
+        }
+    }
+
+    fn start(
+        self: &Rc<Self>,
+        number: RunNumber,
+        job: &JobId,
+        item_index: usize,
+        engine: &str,
+        last_event: u64,
+    ) {
+        let now = self.host.now();
+        let upstream = self
+            .host
+            .beliefs
+            .borrow()
+            .directory
+            .get(&engine.into())
+            .cloned();
+        let found = self.scheduler.borrow().job(job).and_then(|job| {
+            let item = job.items.get(item_index)?.clone();
+            Some((job.head.authority.clone(), item))
+        });
+        let (Some(upstream), Some((authority, item))) = (upstream, found) else {
+            self.scheduler
+                .borrow_mut()
+                .ended(number, RunEnd::WrongEngine, now);
+            return;
+        };
+        let run = Run {
+            number,
+            authority,
+            item,
+            upstream,
+            last_event,
+        };
+        let this = self.clone();
+        let job = job.clone();
+        let task = spawn_local(async move {
+            let end = runs::run(&this.host, &this.scheduler, &run).await;
+            let now = this.host.now();
+            if end != RunEnd::Completed {
+                tracing::info!(
+                    event = "run.ended",
+                    job = &*job,
+                    item = &*run.item.id,
+                    upstream = &*run.upstream.id,
+                    run = run.number,
+                    outcome = %end,
+                    last_event = run.last_event,
+                );
+            }
+            this.runs.borrow_mut().remove(&run.number);
+            this.scheduler.borrow_mut().ended(run.number, end, now);
+            this.wake.notify_one();
+        });
+        self.runs.borrow_mut().insert(number, task.abort_handle());
+    }
+
+    async fn order(self: Rc<Self>, load: Load) {
+        let upstream = self
+            .host
+            .beliefs
+            .borrow()
+            .directory
+            .get(&load.engine)
+            .cloned();
+        let state = match upstream {
+            Some(upstream) => {
+                orders::give(&self.host, &*self, &upstream, &load, &self.counts).await
+            }
+            None => None,
+        };
+        let now = self.host.now();
+        self.scheduler.borrow_mut().ordered(&load, state, now);
+        self.wake.notify_one();
+    }
+
+    /// Lists what a job has finished, until nothing is left.
+    async fn list(self: Rc<Self>, job: JobId) {
+        sleep(LISTING_GATHER).await;
+        let mut pending: Option<layout::Listing> = None;
+        loop {
+            let listing = match pending.take() {
+                Some(listing) => listing,
+                None => match self.next_listing(&job) {
+                    Some(listing) => listing,
+                    None => break,
+                },
+            };
+            match self.host.store.commit(&listing.transaction).await {
+                Ok(applied) => self.listed(&job, &listing, applied.stamp).await,
+                Err(RowError::Conflict { current }) => {
+                    let own =
+                        tally_row(&current).filter(|(tally, _)| tally.nonce == listing.tally.nonce);
+                    match own {
+                        // An earlier try was carried out and its answer was lost.
+                        Some((_, stamp)) => self.listed(&job, &listing, stamp).await,
+                        None => self.relearn(&job).await,
+                    }
+                }
+                Err(error) => {
+                    tracing::info!(event = "job.not_listed", job = &*job, %error);
+                    // The same write again holds only if the first one did not.
+                    pending = Some(listing);
+                    sleep(STORE_PAUSE).await;
+                }
+            }
+        }
+        self.listing.borrow_mut().remove(&job);
+    }
+
+    fn next_listing(&self, job: &JobId) -> Option<layout::Listing> {
+        let (tally, stamp) = self.tallies.borrow().get(job).cloned()?;
+        let scheduler = self.scheduler.borrow();
+        let finished = scheduler.finished(job);
+        if finished.is_empty() {
+            return None;
+        }
+        match layout::listing(job, &tally, stamp, finished, rand::random()) {
+            Ok(listing) => Some(listing),
+            Err(error) => {
+                tracing::error!(event = "job.not_encoded", job = &**job, %error);
+                None
+            }
+        }
+    }
+
+    async fn listed(&self, job: &JobId, listing: &layout::Listing, stamp: RowStamp) {
+        self.tallies
+            .borrow_mut()
+            .insert(job.clone(), (listing.tally.clone(), stamp));
+        let is_whole = self.scheduler.borrow_mut().listed(job, listing.taken_count);
+        tracing::info!(
+            event = "job.listed",
+            job = &**job,
+            listed_count = listing.tally.listed_count,
+            taken_count = listing.taken_count,
+            is_whole,
+            stamp,
+        );
+    }
+
+    /// Reads a job's listing anew, as another coordinator wrote to it.
+    async fn relearn(&self, job: &JobId) {
+        match self.load(job).await {
+            Ok(Some(loaded)) => {
+                tracing::info!(
+                    event = "job.relearned",
+                    job = &**job,
+                    listed_count = loaded.tally.listed_count,
+                );
+                self.tallies
+                    .borrow_mut()
+                    .insert(job.clone(), (loaded.tally, loaded.stamp));
+                let actions = self
+                    .scheduler
+                    .borrow_mut()
+                    .listed_elsewhere(job, &loaded.listed);
+                self.cancel(&actions);
+            }
+            Ok(None) => self.drop_job(job),
+            Err(error) => {
+                tracing::info!(event = "job.not_read", job = &**job, %error);
+                sleep(STORE_PAUSE).await;
+            }
+        }
+    }
+
+    fn drop_job(&self, job: &JobId) {
+        let actions = self.scheduler.borrow_mut().end(job);
+        self.cancel(&actions);
+        self.tallies.borrow_mut().remove(job);
+    }
+
+    /// Takes up all open jobs, and then those that come.
+    async fn follow_jobs(self: Rc<Self>) {
+        let mut stamp = None;
+        loop {
+            let result = match stamp {
+                None => self.take_all().await,
+                Some(after) => self.take_changes(after).await,
+            };
+            match result {
+                Ok(next) => stamp = Some(next),
+                Err(RowError::HistoryGone) => stamp = None,
+                Err(error) => {
+                    tracing::debug!(event = "jobs.not_followed", %error);
+                    sleep(STORE_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    async fn take_all(self: &Rc<Self>) -> Result<RowStamp, RowError> {
+        // Changes from here on come by the feed.
+        let start = self
+            .host
+            .store
+            .read(&RowRange {
+                table: LEASES,
+                partition: LEASE_PARTITION.to_owned(),
+                from: String::new(),
+                to: String::new(),
+                limit_count: 1,
+            })
+            .await?;
+        let mut after = String::new();
+        loop {
+            let jobs = self.host.store.partitions(layout::OPEN, &after).await?;
+            let Some(last) = jobs.last() else {
+                break;
+            };
+            after.clone_from(last);
+            for job in &jobs {
+                self.take_up(&job.as_str().into()).await?;
+            }
+        }
+        Ok(start.stamp)
+    }
+
+    async fn take_changes(self: &Rc<Self>, after: RowStamp) -> Result<RowStamp, RowError> {
+        let page = self
+            .host
+            .store
+            .changes(layout::OPEN, after, FEED_WAIT)
+            .await?;
+        for row in page.rows.iter().filter(|row| !row.is_removed) {
+            let job = row.partition.as_str().into();
+            if row.key == layout::END_KEY {
+                self.end(&job);
+            } else {
+                self.take_up(&job).await?;
+            }
+        }
+        Ok(page.stamp)
+    }
+
+    async fn take_up(self: &Rc<Self>, job: &JobId) -> Result<(), RowError> {
+        if self.scheduler.borrow().is_open(job) {
+            return Ok(());
+        }
+        let Some(loaded) = self.load(job).await? else {
+            return Ok(());
+        };
+        if loaded.is_ended {
+            self.end(job);
+            return Ok(());
+        }
+        let now = self.host.now();
+        let store_time = self.host.store_time().unwrap_or_default();
+        let age = layout::age(&loaded.job.head, store_time);
+        tracing::info!(
+            event = "job.taken_up",
+            job = &**job,
+            model = &*loaded.job.head.model,
+            step = loaded.job.head.step,
+            item_count = loaded.job.items.len(),
+            listed_count = loaded.tally.listed_count,
+            age_ms = millis(age),
+        );
+        self.tallies
+            .borrow_mut()
+            .insert(job.clone(), (loaded.tally, loaded.stamp));
+        self.scheduler
+            .borrow_mut()
+            .open(loaded.job, &loaded.listed, age, now);
+        self.wake.notify_one();
+        Ok(())
+    }
+
+    /// Stops the runs of an ended job and takes it off the list of open ones.
+    fn end(self: &Rc<Self>, job: &JobId) {
+        tracing::info!(event = "job.ended", job = &**job);
+        self.drop_job(job);
+        let this = self.clone();
+        let job = job.clone();
+        spawn_local(async move {
+            // A new coordinator finds the end again where this fails.
+            if let Err(error) = this.host.store.commit(&layout::closing(&job)).await {
+                tracing::debug!(event = "job.not_closed", job = &*job, %error);
+            }
+        });
+        self.wake.notify_one();
+    }
+
+    /// Reads a job; none where there is none.
+    async fn load(&self, job: &JobId) -> Result<Option<Loaded>, RowError> {
+        let rows = self.read_all(layout::range(layout::JOBS, job, "")).await?;
+        let row = |key: &str| rows.iter().find(|row| row.key == key);
+        let Some(head) = row(layout::HEAD_KEY) else {
+            return Ok(None);
+        };
+        let head: JobHead = layout::decode(&head.key, &head.value).map_err(unreadable)?;
+        let is_ended = row(layout::END_KEY).is_some();
+        let (tally, stamp) = tally_row(&rows).unwrap_or_default();
+        let mut loaded = Loaded {
+            job: Job {
+                id: job.clone(),
+                head,
+                items: Vec::new(),
+            },
+            tally,
+            stamp,
+            listed: BTreeSet::new(),
+            is_ended,
+        };
+        if is_ended {
+            return Ok(Some(loaded));
+        }
+        let items = self.read_all(layout::range(layout::ITEMS, job, "")).await?;
+        loaded.job.items = layout::items(&items).map_err(unreadable)?;
+        if loaded.tally.listed_count > 0 {
+            let rows = self
+                .read_all(layout::range(layout::RESULTS, job, ""))
+                .await?;
+            let results = layout::results(&rows, 0).map_err(unreadable)?;
+            loaded.listed = results.into_iter().map(|result| result.id).collect();
+        }
+        Ok(Some(loaded))
+    }
+
+    async fn read_all(&self, range: RowRange) -> Result<Vec<StoredRow>, RowError> {
+        let mut range = range;
+        let mut rows: Vec<StoredRow> = Vec::new();
+        loop {
+            let page = self.host.store.read(&range).await?;
+            self.host.observe_store_time(page.store_time);
+            let has_more = page.has_more;
+            rows.extend(page.rows);
+            match rows.last() {
+                // The least key behind the last one.
+                Some(last) if has_more => range.from = format!("{}-", last.key),
+                _ => return Ok(rows),
+            }
+        }
+    }
+}
+
+/// A job as the store has it.
+#[derive(Debug)]
+struct Loaded {
+    job: Job,
+    tally: Tally,
+    stamp: RowStamp,
+    listed: BTreeSet<ItemId>,
+    is_ended: bool,
+}
+
+fn tally_row(rows: &[StoredRow]) -> Option<(Tally, RowStamp)> {
+    let row = rows.iter().find(|row| row.key == layout::TALLY_KEY)?;
+    let tally = layout::decode(&row.key, &row.value).ok()?;
+    Some((tally, row.stamp))
+}
+
+fn lease_row(page: RowPage) -> Result<Option<Versioned>, RowError> {
+    let Some(row) = page.rows.first() else {
+        return Ok(None);
+    };
+    Ok(Some(Versioned {
+        version: row.stamp,
+        record: layout::decode(&row.key, &row.value).map_err(unreadable)?,
+    }))
+}
+
+#[expect(clippy::needless_pass_by_value, reason = "it is passed to map_err")]
+fn unreadable(error: layout::LayoutError) -> RowError {
+    RowError::Unreadable {
+        reason: error.to_string(),
+    }
+}
--- /dev/null
+++ b/src/ingress/directory.rs
@@ -0,0 +1,185 @@
+//! Which upstreams there are, and which one a call goes to.
+
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+
+use crate::{
+    batch::job::ModelId,
+    clock::Timestamp,
+    ids::{FailureDomain, UpstreamId, WeightVersion},
+    ingress::routes::ServiceName,
+};
+
+/// How long an entry that went while the store was away is still used after the
+/// store's return; the platform puts back within 2 s what is still alive.
+const LAPSE_GRACE: Duration = Duration::from_millis(1_900);
+
+/// How long an upstream that failed gets no calls while others are there;
+/// doubles with each failure in a row.
+const MIN_AVOIDANCE: Duration = Duration::from_millis(300);
+
+/// The longest time for which a failing upstream gets no calls.
+const MAX_AVOIDANCE: Duration = Duration::from_secs(5);
+
+/// One upstream as the platform lists it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Upstream {
+    /// Its name.
+    pub id: UpstreamId,
+    /// The Unix time of its start, in milliseconds.
+    pub started_at_ms: u64,
+    /// The service that it belongs to.
+    pub service: ServiceName,
+    /// Where it answers.
+    pub address: SocketAddr,
+    /// Where it stands.
+    pub failure_domain: FailureDomain,
+    /// How many requests it runs at once.
+    pub slot_count: usize,
+    /// Whether it is leaving.
+    pub is_draining: bool,
+    /// The version of each model that it holds.
+    pub versions: BTreeMap<ModelId, WeightVersion>,
+}
+
+/// An upstream and what this host has seen of it.
+#[derive(Clone, Debug)]
+struct Entry {
+    upstream: Arc<Upstream>,
+    open_count: usize,
+    failure_count: u32,
+    avoid_until: Timestamp,
+    /// When it stops being used, as its entry went while the store was away.
+    lapses_at: Option<Timestamp>,
+}
+
+/// The upstreams by name.
+#[derive(Clone, Debug, Default)]
+pub struct Directory {
+    entries: BTreeMap<UpstreamId, Entry>,
+    next_turn: u64,
+}
+
+impl Directory {
+    /// Takes in an entry.
+    pub fn put(&mut self, upstream: Upstream) {
+        let upstream = Arc::new(upstream);
+        match self.entries.get_mut(&upstream.id) {
+            Some(entry) if entry.upstream.started_at_ms == upstream.started_at_ms => {
+                entry.upstream = upstream;
+                entry.lapses_at = None;
+            }
+            _ => {
+                self.entries.insert(
+                    upstream.id.clone(),
+                    Entry {
+                        upstream,
+                        open_count: 0,
+                        failure_count: 0,
+                        avoid_until: Duration::ZERO,
+                        lapses_at: None,
+                    },
+                );
+            }
+        }
+    }
+
+    /// Takes in that an entry was removed; where `store_was_away`, it may come
+    /// back, and is used until then.
+    pub fn remove(&mut self, id: &UpstreamId, store_was_away: bool, now: Timestamp) {
+        if store_was_away {
+            if let Some(entry) = self.entries.get_mut(id) {
+                entry.lapses_at.get_or_insert(now + LAPSE_GRACE);
+            }
+        } else {
+            self.entries.remove(id);
+        }
+    }
+
+    /// Keeps only the entries in `present`, as a whole listing says.
+    pub fn retain(&mut self, present: &[UpstreamId], store_was_away: bool, now: Timestamp) {
+        let missing: Vec<UpstreamId> = self
+            .entries
+            .keys()
+            .filter(|id| !present.contains(id))
+            .cloned()
+            .collect();
+        for id in missing {
+            self.remove(&id, store_was_away, now);
+        }
+    }
+
+    /// Drops entries that lapsed and did not come back, and says whether there
+    /// were any.
+    pub fn drop_lapsed(&mut self, now: Timestamp) -> bool {
+        let before_count = self.entries.len();
+        self.entries
+            .retain(|_, entry| entry.lapses_at.is_none_or(|at| now < at));
+        self.entries.len() < before_count
+    }
+
+    /// Returns all upstreams.
+    pub fn upstreams(&self) -> impl Iterator<Item = &Arc<Upstream>> {
+        self.entries.values().map(|entry| &entry.upstream)
+    }
+
+    /// Returns the upstream `id`.
+    pub fn get(&self, id: &UpstreamId) -> Option<&Arc<Upstream>> {
+        self.entries.get(id).map(|entry| &entry.upstream)
+    }
+
+    /// Chooses the upstream of `service` for a call: one that did not fail
+    /// lately, with the fewest calls of this host, near `domain` if it can be.
+    ///
+    /// Upstreams in `tried` have had the call already and come last.
+    pub fn choose(
+        &mut self,
+        service: &str,
+        domain: &str,
+        tried: &[UpstreamId],
+        now: Timestamp,
+    ) -> Option<Arc<Upstream>> {
+        self.next_turn = self.next_turn.wrapping_add(1);
+        let turn = self.next_turn;
+        self.entries
+            .values()
+            .filter(|entry| *entry.upstream.service == *service && !entry.upstream.is_draining)
+            .filter(|entry| !tried.contains(&entry.upstream.id))
+            .enumerate()
+            .min_by_key(|(index, entry)| {
+                let is_full = entry.open_count >= entry.upstream.slot_count.max(1);
+                (
+                    entry.avoid_until > now,
+                    is_full,
+                    *entry.upstream.failure_domain != *domain,
+                    entry.open_count,
+                    (*index as u64).wrapping_add(turn) % 16,
+                )
+            })
+            .map(|(_, entry)| entry.upstream.clone())
+    }
+
+    /// Counts a call that is sent to `id`.
+    pub fn opened(&mut self, id: &UpstreamId) {
+        if let Some(entry) = self.entries.get_mut(id) {
+            entry.open_count += 1;
+        }
+    }
+
+    /// Takes in that a call to `id` is over, and whether the upstream failed;
+    /// none where nothing was learned.
+    pub fn closed(&mut self, id: &UpstreamId, failed: Option<bool>, now: Timestamp) {
+        let Some(entry) = self.entries.get_mut(id) else {
+            return;
+        };
+        entry.open_count = entry.open_count.saturating_sub(1);
+        match failed {
+            Some(true) => {
+                let pause = MIN_AVOIDANCE.saturating_mul(1 << entry.failure_count.min(6));
+                entry.avoid_until = now + pause.min(MAX_AVOIDANCE);
+                entry.failure_count += 1;
+            }
+            Some(false) => entry.failure_count = 0,
+            None => {}
+        }
+    }
+}
--- /dev/null
+++ b/src/ingress/feeds.rs
@@ -0,0 +1,275 @@
+//! Follows what the operator, the trainers and the upstreams write to the store.
+
+use std::{rc::Rc, time::Duration};
+
+use rand::Rng as _;
+use tokio::time::sleep;
+
+use crate::{
+    clock::{Timestamp, millis},
+    ingress::{
+        host::Host,
+        wire::{OperatorChange, Wire},
+    },
+    rows::{RowError, RowPage, RowRange, RowStamp, RowStore, StoredRow},
+};
+
+/// How long a feed waits for a change. A connection that fell silent is found
+/// this long plus the client's margin later, inside the 3 s after which a host
+/// counts as in touch again.
+const FEED_WAIT: Duration = Duration::from_millis(1_500);
+
+/// How long heartbeats of upstreams gather before they are read; a leaving
+/// upstream is to get no new work 2 s after it said so.
+const UPSTREAM_GATHER: Duration = Duration::from_millis(400);
+
+/// The shortest pause after the store failed.
+const MIN_PAUSE: Duration = Duration::from_millis(100);
+
+/// The longest pause after the store failed; a configuration is to be in force
+/// 2 s after it was accepted.
+const MAX_PAUSE: Duration = Duration::from_millis(800);
+
+/// How long after a failure of the store removed entries may still come back.
+const AWAY_MEMORY: Duration = Duration::from_secs(4);
+
+/// The rows read at once; the platform returns at most this many.
+const PAGE_ROWS: usize = 500;
+
+/// Follows one table for as long as the process runs.
+struct Follower<'a, S, W> {
+    host: &'a Rc<Host<S, W>>,
+    table: &'static str,
+    failed_at: Option<Timestamp>,
+    failure_count: u32,
+}
+
+impl<S: RowStore, W: Wire> Follower<'_, S, W> {
+    async fn read_all(&mut self) -> Result<RowPage, RowError> {
+        let mut all = RowPage::default();
+        let mut from = String::new();
+        loop {
+            let page = self
+                .host
+                .store
+                .read(&RowRange {
+                    table: self.table,
+                    partition: String::new(),
+                    from: from.clone(),
+                    to: String::new(),
+                    limit_count: PAGE_ROWS,
+                })
+                .await?;
+            // Changes between two pages must not be missed, so that the feed goes
+            // on from the first one.
+            if all.rows.is_empty() {
+                all.stamp = page.stamp;
+            }
+            all.store_time = page.store_time;
+            let last = page.rows.last().map(|row| row.key.clone());
+            all.rows.extend(page.rows);
+            match last {
+                Some(last) if page.has_more => from = format!("{last}\u{1}"),
+                _ => return Ok(all),
+            }
+        }
+    }
+
+    async fn next(&mut self, after: RowStamp) -> Result<RowPage, RowError> {
+        self.host.store.changes(self.table, after, FEED_WAIT).await
+    }
+
+    fn succeeded(&mut self, page: &RowPage) {
+        self.host.observe_store_time(page.store_time);
+        if self.failure_count > 0 {
+            tracing::info!(
+                event = "store.regained",
+                table = self.table,
+                failure_count = self.failure_count,
+                stamp = page.stamp,
+            );
+        }
+        self.failure_count = 0;
+    }
+
+    async fn failed(&mut self, error: &RowError) {
+        let now = self.host.now();
+        self.failed_at = Some(now);
+        if self.failure_count == 0 {
+            tracing::warn!(event = "store.lost", table = self.table, %error);
+        }
+        let bound = MIN_PAUSE.saturating_mul(1 << self.failure_count.min(4));
+        self.failure_count += 1;
+        // Hosts that fail together must not come back together.
+        let part = rand::rng().random_range(0.5..=1.0);
+        sleep(bound.min(MAX_PAUSE).mul_f64(part)).await;
+    }
+
+    fn was_away(&self) -> bool {
+        let now = self.host.now();
+        self.failed_at
+            .is_some_and(|at| now.saturating_sub(at) < AWAY_MEMORY)
+    }
+}
+
+/// Follows the operator's table.
+pub async fn follow_operator<S: RowStore, W: Wire>(host: Rc<Host<S, W>>) {
+    let mut follower = Follower {
+        host: &host,
+        table: W::OPERATOR_TABLE,
+        failed_at: None,
+        failure_count: 0,
+    };
+    let mut stamp = None;
+    loop {
+        let result = match stamp {
+            None => follower.read_all().await,
+            Some(after) => follower.next(after).await,
+        };
+        match result {
+            Ok(page) => {
+                follower.succeeded(&page);
+                stamp = Some(page.stamp);
+                for row in &page.rows {
+                    take_operator_row(&host, row);
+                }
+            }
+            Err(RowError::HistoryGone) => {
+                tracing::info!(event = "feed.restart", table = W::OPERATOR_TABLE);
+                stamp = None;
+            }
+            Err(error) => follower.failed(&error).await,
+        }
+    }
+}
+
+fn take_operator_row<S: RowStore, W: Wire>(host: &Rc<Host<S, W>>, row: &StoredRow) {
+    match W::operator_change(row) {
+        Ok(Some(OperatorChange::Configuration(configuration))) => {
+            let mut beliefs = host.beliefs.borrow_mut();
+            let known = beliefs.configuration.as_ref().map(|known| known.version);
+            if known.is_some_and(|known| known >= configuration.version) {
+                return;
+            }
+            tracing::info!(
+                event = "configuration.applied",
+                version = configuration.version,
+                previous_version = known,
+                stamp = row.stamp,
+                route_count = configuration.routes.len(),
+            );
+            beliefs.configuration = Some(configuration.into());
+        }
+        Ok(Some(OperatorChange::Version(model, version))) => {
+            let mut beliefs = host.beliefs.borrow_mut();
+            let named = beliefs.named.entry(model.clone()).or_default();
+            if version <= *named {
+                return;
+            }
+            *named = version;
+            tracing::info!(
+                event = "weights.named",
+                model = &*model,
+                version,
+                stamp = row.stamp
+            );
+        }
+        Ok(None) => return,
+        Err(error) => {
+            tracing::warn!(event = "operator.unreadable", key = row.key, stamp = row.stamp, %error);
+            return;
+        }
+    }
+    host.changed.notify_waiters();
+}
+
+/// Follows the upstreams' entries.
+pub async fn follow_upstreams<S: RowStore, W: Wire>(host: Rc<Host<S, W>>) {
+    let mut follower = Follower {
+        host: &host,
+        table: W::UPSTREAM_TABLE,
+        failed_at: None,
+        failure_count: 0,
+    };
+    let mut stamp = None;
+    loop {
+        let is_whole = stamp.is_none();
+        let result = match stamp {
+            None => follower.read_all().await,
+            Some(after) => follower.next(after).await,
+        };
+        match result {
+            Ok(page) => {
+                follower.succeeded(&page);
+                stamp = Some(page.stamp);
+                take_upstream_rows(&host, &page.rows, is_whole, follower.was_away());
+                sleep(UPSTREAM_GATHER).await;
+            }
+            Err(RowError::HistoryGone) => {
+                tracing::info!(event = "feed.restart", table = W::UPSTREAM_TABLE);
+                stamp = None;
+            }
+            Err(error) => follower.failed(&error).await,
+        }
+    }
+}
+
+fn take_upstream_rows<S: RowStore, W: Wire>(
+    host: &Rc<Host<S, W>>,
+    rows: &[StoredRow],
+    is_whole: bool,
+    store_was_away: bool,
+) {
+    let now = host.now();
+    let mut beliefs = host.beliefs.borrow_mut();
+    let directory = &mut beliefs.directory;
+    for row in rows {
+        let id = row.key.as_str().into();
+        if row.is_removed {
+            if let Some(known) = directory.get(&id) {
+                tracing::info!(
+                    event = "upstream.removed",
+                    upstream = row.key,
+                    service = &*known.service,
+                    store_was_away,
+                    stamp = row.stamp,
+                    at_ms = millis(now),
+                );
+            }
+            directory.remove(&id, store_was_away, now);
+            continue;
+        }
+        match W::upstream(row) {
+            Ok(upstream) => {
+                let known = directory.get(&id);
+                let is_news = known.is_none_or(|known| {
+                    known.is_draining != upstream.is_draining
+                        || known.started_at_ms != upstream.started_at_ms
+                });
+                if is_news {
+                    tracing::info!(
+                        event = "upstream.listed",
+                        upstream = row.key,
+                        service = &*upstream.service,
+                        address = %upstream.address,
+                        is_draining = upstream.is_draining,
+                        started_at_ms = upstream.started_at_ms,
+                        stamp = row.stamp,
+                    );
+                }
+                directory.put(upstream);
+            }
+            Err(error) => {
+                tracing::warn!(event = "upstream.unreadable", upstream = row.key, %error);
+                directory.remove(&id, store_was_away, now);
+            }
+        }
+    }
+    if is_whole {
+        let present: Vec<_> = rows.iter().map(|row| row.key.as_str().into()).collect();
+        directory.retain(&present, store_was_away, now);
+    }
+    directory.drop_lapsed(now);
+    drop(beliefs);
+    host.changed.notify_waiters();
+}
--- /dev/null
+++ b/src/ingress/jobs.rs
@@ -0,0 +1,294 @@
+//! Batch jobs as clients see them: submitted, read and ended at any host.
+//!
+//! A host keeps nothing of a job but how many items it has. Every answer comes
+//! from the store, so that it is the same at all hosts (see
+//! docs/design/platform.md, "Batch jobs").
+
+use std::{rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use http::{StatusCode, request};
+use tokio::time::sleep;
+
+use crate::{
+    batch::{
+        job::{ItemId, JobHead, JobId},
+        layout,
+    },
+    clock::millis,
+    ingress::{
+        host::Host,
+        routes::Route,
+        server::{Reply, as_json, refusal, reply},
+        wire::{ClientHead, JobCall, Wire},
+    },
+    rows::{RowError, RowPage, RowRange, RowStore, RowTransaction},
+};
+
+/// How often a call to the store is tried where trying again is safe.
+const MAX_TRIES_COUNT: u32 = 4;
+
+/// The pause before such a call is tried again.
+const TRY_PAUSE: Duration = Duration::from_millis(40);
+
+/// When a client may submit again that found the store away; outages on the
+/// sheets last for seconds.
+const SUBMIT_RETRY_AFTER: Duration = Duration::from_millis(1_500);
+
+/// When a client may read again that found the store away.
+const READ_RETRY_AFTER: Duration = Duration::from_millis(400);
+
+/// How often a read that waits for results looks for them.
+const WAIT_POLL_INTERVAL: Duration = Duration::from_millis(200);
+
+/// The longest time that a read waits for results.
+const MAX_WAIT: Duration = Duration::from_millis(1_000);
+
+/// The most rows of results in one answer, so that it stays below 1 MB.
+const RESULT_ROWS_COUNT: usize = 64;
+
+/// How many jobs a host remembers the size of.
+const MAX_KNOWN_JOBS_COUNT: usize = 4_096;
+
+/// Why a change of a job is not known to be in force.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+enum Failure {
+    /// It certainly is not, and never will be.
+    NotApplied,
+    /// It may be, or may become so.
+    Unknown,
+}
+
+/// Accepts a batch job: once it is in the store, whatever fails.
+pub async fn submit<S: RowStore, W: Wire>(
+    host: &Rc<Host<S, W>>,
+    parts: &request::Parts,
+    body: &[u8],
+    route: &Route,
+    head: &ClientHead,
+) -> Reply {
+    let Some(id) = head.attempt_id.clone() else {
+        return reply(StatusCode::BAD_REQUEST, Bytes::new());
+    };
+    let mut job = match W::job(&id, parts, body, route) {
+        Ok(job) => job,
+        Err(error) => {
+            tracing::info!(event = "job.malformed", job = &*id, %error);
+            return reply(StatusCode::BAD_REQUEST, Bytes::new());
+        }
+    };
+    let Some(store_time) = host.store_time() else {
+        return refusal(SUBMIT_RETRY_AFTER);
+    };
+    job.head.accepted_at = store_time;
+    let transactions = match layout::acceptance(&job) {
+        Ok(transactions) => transactions,
+        Err(error) => {
+            tracing::error!(event = "job.not_encoded", job = &*id, %error);
+            return refusal(SUBMIT_RETRY_AFTER);
+        }
+    };
+    let started_at = host.now();
+    let mut outcome = Ok(false);
+    for transaction in &transactions {
+        outcome = commit_once(host, transaction).await;
+        if outcome.is_err() {
+            break;
+        }
+    }
+    let took_ms = millis(host.now().saturating_sub(started_at));
+    match outcome {
+        Ok(existed) => {
+            remember(host, &id, job.head.item_count);
+            tracing::info!(
+                event = "job.accepted",
+                job = &*id,
+                route = &*job.head.route,
+                model = &*job.head.model,
+                step = job.head.step,
+                min_version = job.head.min_version,
+                item_count = job.head.item_count,
+                existed,
+                took_ms,
+            );
+            reply(StatusCode::ACCEPTED, Bytes::new())
+        }
+        Err(failure) => {
+            tracing::warn!(event = "job.refused", job = &*id, %failure, took_ms);
+            match failure {
+                Failure::NotApplied => refusal(SUBMIT_RETRY_AFTER),
+                Failure::Unknown => reply(StatusCode::BAD_GATEWAY, Bytes::new()),
+            }
+        }
+    }
+}
+
+/// Commits a transaction whose conditions hold only once, and says whether they
+/// had been met before.
+async fn commit_once<S: RowStore, W: Wire>(
+    host: &Rc<Host<S, W>>,
+    transaction: &RowTransaction,
+) -> Result<bool, Failure> {
+    let mut failure = Failure::NotApplied;
+    for tries_count in 0..MAX_TRIES_COUNT {
+        if tries_count > 0 {
+            sleep(TRY_PAUSE).await;
+        }
+        match host.store.commit(transaction).await {
+            Ok(applied) => {
+                host.observe_store_time(applied.store_time);
+                return Ok(false);
+            }
+            Err(RowError::Conflict { .. }) => return Ok(true),
+            Err(RowError::NotApplied { reason }) => {
+                tracing::debug!(event = "store.refused", %reason);
+            }
+            // Sending it again finds out, as its conditions hold only once.
+            Err(_) => failure = Failure::Unknown,
+        }
+    }
+    Err(failure)
+}
+
+/// Answers a call to the interface for batch jobs.
+pub async fn answer<S: RowStore, W: Wire>(
+    host: &Rc<Host<S, W>>,
+    call: JobCall,
+    head: &ClientHead,
+) -> Reply {
+    let wait = head.wait.unwrap_or_default().min(MAX_WAIT);
+    let (name, job, result) = match &call {
+        JobCall::Malformed => return reply(StatusCode::BAD_REQUEST, Bytes::new()),
+        JobCall::Results { job, from } => ("read", job, results(host, job, *from, wait).await),
+        JobCall::Body { job, item } => ("body", job, body(host, job, item).await),
+        JobCall::End { job } => ("end", job, end(host, job).await),
+    };
+    match result {
+        Ok(reply) => {
+            if name == "end" || !reply.status().is_success() {
+                tracing::info!(
+                    event = "job.call",
+                    call = name,
+                    job = &**job,
+                    status = reply.status().as_u16(),
+                );
+            }
+            reply
+        }
+        Err(error) => {
+            tracing::warn!(event = "job.unsure", call = name, job = &**job, %error);
+            refusal(READ_RETRY_AFTER)
+        }
+    }
+}
+
+/// Reads rows, trying again where the store gives no answer.
+async fn read<S: RowStore, W: Wire>(
+    host: &Rc<Host<S, W>>,
+    range: &RowRange,
+) -> Result<RowPage, RowError> {
+    match host.store.read(range).await {
+        Ok(page) => Ok(page),
+        Err(_) => {
+            sleep(TRY_PAUSE).await;
+            host.store.read(range).await
+        }
+    }
+}
+
+fn remember<S: RowStore, W: Wire>(host: &Rc<Host<S, W>>, job: &JobId, item_count: usize) {
+    let counts = &mut host.beliefs.borrow_mut().item_counts;
+    if counts.len() >= MAX_KNOWN_JOBS_COUNT {
+        counts.clear();
+    }
+    counts.insert(job.clone(), item_count);
+}
+
+/// Returns how many items the job has; none where there is no such job.
+async fn item_count<S: RowStore, W: Wire>(
+    host: &Rc<Host<S, W>>,
+    job: &JobId,
+) -> Result<Option<usize>, RowError> {
+    if let Some(count) = host.beliefs.borrow().item_counts.get(job) {
+        return Ok(Some(*count));
+    }
+    let range = RowRange {
+        table: layout::JOBS,
+        partition: job.to_string(),
+        from: layout::HEAD_KEY.to_owned(),
+        to: format!("{}.", layout::HEAD_KEY),
+        limit_count: 1,
+    };
+    let page = read(host, &range).await?;
+    let Some(row) = page.rows.first() else {
+        return Ok(None);
+    };
+    let head: JobHead = decode(&row.key, &row.value)?;
+    remember(host, job, head.item_count);
+    Ok(Some(head.item_count))
+}
+
+fn decode<T: serde::de::DeserializeOwned>(key: &str, value: &[u8]) -> Result<T, RowError> {
+    layout::decode(key, value).map_err(|error| unreadable(&error))
+}
+
+fn unreadable(error: &layout::LayoutError) -> RowError {
+    RowError::Unreadable {
+        reason: error.to_string(),
+    }
+}
+
+async fn results<S: RowStore, W: Wire>(
+    host: &Rc<Host<S, W>>,
+    job: &JobId,
+    from: usize,
+    wait: Duration,
+) -> Result<Reply, RowError> {
+    let Some(total) = item_count(host, job).await? else {
+        return Ok(reply(StatusCode::NOT_FOUND, Bytes::new()));
+    };
+    let wait_until = host.now() + wait;
+    let range = layout::result_range(job, from, RESULT_ROWS_COUNT);
+    loop {
+        let page = if from < total {
+            read(host, &range).await?
+        } else {
+            RowPage::default()
+        };
+        let results = layout::results(&page.rows, from).map_err(|error| unreadable(&error))?;
+        let is_due = host.now() + WAIT_POLL_INTERVAL > wait_until;
+        if !results.is_empty() || is_due || from >= total || host.is_stopping.get() {
+            let body = W::results(total, from + results.len(), &results);
+            return Ok(as_json(reply(StatusCode::OK, body)));
+        }
+        sleep(WAIT_POLL_INTERVAL).await;
+    }
+}
+
+async fn body<S: RowStore, W: Wire>(
+    host: &Rc<Host<S, W>>,
+    job: &JobId,
+    item: &ItemId,
+) -> Result<Reply, RowError> {
+    let page = read(host, &layout::item_range(job, item)).await?;
+    let items = layout::items(&page.rows).map_err(|error| unreadable(&error))?;
+    let found = items.into_iter().find(|found| found.id == *item);
+    // The items are written before the job exists.
+    if found.is_none() || item_count(host, job).await?.is_none() {
+        return Ok(reply(StatusCode::NOT_FOUND, Bytes::new()));
+    }
+    let body = found.map(|found| found.body).unwrap_or_default();
+    Ok(reply(StatusCode::OK, body))
+}
+
+async fn end<S: RowStore, W: Wire>(host: &Rc<Host<S, W>>, job: &JobId) -> Result<Reply, RowError> {
+    if item_count(host, job).await?.is_none() {
+        return Ok(reply(StatusCode::NOT_FOUND, Bytes::new()));
+    }
+    match commit_once(host, &layout::ending(job)).await {
+        Ok(_) => Ok(reply(StatusCode::OK, Bytes::new())),
+        Err(Failure::NotApplied) => Ok(refusal(READ_RETRY_AFTER)),
+        Err(Failure::Unknown) => Ok(reply(StatusCode::BAD_GATEWAY, Bytes::new())),
+    }
+}
--- /dev/null
+++ b/src/ingress/metrics.rs
@@ -0,0 +1,104 @@
+//! Counters and latency histograms, served as text.
+//!
+//! Metrics are counted through `cadence` like those of the other programs; here
+//! they end in memory instead of a datagram. docs/METRICS.md lists them.
+
+use std::{
+    collections::BTreeMap,
+    fmt::Write as _,
+    io,
+    sync::{Arc, Mutex, PoisonError},
+};
+
+use cadence::MetricSink;
+use hdrhistogram::Histogram;
+
+/// The longest time that a histogram tells apart, in milliseconds.
+const MAX_TIME_MS: u64 = 600_000;
+
+/// The digits that a histogram keeps.
+const HISTOGRAM_DIGITS: u8 = 2;
+
+/// The quantiles on the page.
+const QUANTILES: [f64; 4] = [0.5, 0.9, 0.99, 1.0];
+
+/// Adds up what `cadence` sends.
+#[derive(Clone, Debug, Default)]
+pub struct Exposition {
+    totals: Arc<Mutex<Totals>>,
+}
+
+#[derive(Debug, Default)]
+struct Totals {
+    counters: BTreeMap<String, u64>,
+    gauges: BTreeMap<String, f64>,
+    times: BTreeMap<String, Histogram<u64>>,
+    unreadable_count: u64,
+}
+
+impl MetricSink for Exposition {
+    /// Takes in one metric as StatsD spells it: `name:value|kind|#tags`.
+    fn emit(&self, metric: &str) -> io::Result<usize> {
+        let mut totals = self.totals.lock().unwrap_or_else(PoisonError::into_inner);
+        if totals.take(metric).is_none() {
+            totals.unreadable_count += 1;
+        }
+        Ok(metric.len())
+    }
+}
+
+impl Totals {
+    fn take(&mut self, metric: &str) -> Option<()> {
+        let (name, rest) = metric.split_once(':')?;
+        let mut fields = rest.split('|');
+        let value = fields.next()?;
+        match fields.next()? {
+            "c" => {
+                *self.counters.entry(name.to_owned()).or_default() += value.parse::<u64>().ok()?
+            }
+            "g" => {
+                self.gauges.insert(name.to_owned(), value.parse().ok()?);
+            }
+            "ms" => {
+                let time_ms = value.parse::<f64>().ok()? as u64;
+                if !self.times.contains_key(name) {
+                    let histogram =
+                        Histogram::new_with_bounds(1, MAX_TIME_MS, HISTOGRAM_DIGITS).ok()?;
+                    self.times.insert(name.to_owned(), histogram);
+                }
+                self.times.get_mut(name)?.saturating_record(time_ms.max(1));
+            }
+            _ => return None,
+        }
+        Some(())
+    }
+}
+
+impl Exposition {
+    /// Returns the page of all metrics, one a line.
+    pub fn page(&self) -> String {
+        let totals = self.totals.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut page = String::new();
+        // Writing to a string does not fail.
+        for (name, total) in &totals.counters {
+            let _ = writeln!(page, "{} {total}", spelled(name));
+        }
+        for (name, level) in &totals.gauges {
+            let _ = writeln!(page, "{} {level}", spelled(name));
+        }
+        for (name, times) in &totals.times {
+            let name = spelled(name);
+            for quantile in QUANTILES {
+                let time_ms = times.value_at_quantile(quantile);
+                let _ = writeln!(page, "{name}{{quantile=\"{quantile}\"}} {time_ms}");
+            }
+            let _ = writeln!(page, "{name}_count {}", times.len());
+        }
+        let _ = writeln!(page, "metrics_unreadable_count {}", totals.unreadable_count);
+        page
+    }
+}
+
+fn spelled(name: &str) -> String {
+    name.replace('.', "_")
+}
--- /dev/null
+++ b/src/ingress/orders.rs
@@ -0,0 +1,162 @@
+//! Orders to engines, under the coordinator's lease.
+
+use std::{collections::BTreeMap, rc::Rc, time::Duration};
+
+use http_body_util::{BodyExt as _, Limited};
+use tokio::time::{sleep, timeout};
+
+use crate::{
+    batch::{scheduler::OrderState, weights::Load},
+    ids::{FenceNumber, UpstreamId},
+    ingress::{
+        calls,
+        directory::Upstream,
+        host::Host,
+        wire::{Addressee, EngineReport, LoadOrder, OrderAnswer, Wire},
+    },
+    rows::RowStore,
+};
+
+/// How long an engine may leave an order or a question unanswered.
+pub const ORDER_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// How much older than its answer a report may be; the page says some hundred
+/// milliseconds.
+const REPORT_LAG: Duration = Duration::from_millis(350);
+
+/// The longest report.
+const MAX_REPORT_BYTES: usize = 1 << 20;
+
+/// How many orders each engine has accepted, by its name and start.
+pub type OrderCounts = BTreeMap<(UpstreamId, u64), u64>;
+
+/// Whether an order may be sent, asked right before each send.
+pub trait OrderRight {
+    /// Returns the fencing number under which an order may be sent now.
+    fn fence(&self) -> Option<FenceNumber>;
+}
+
+/// Gives the order to load `load`, and returns what the engine made of it; none
+/// where that is not known.
+///
+/// The order names how many the engine must have accepted before, so that one
+/// that is carried out late, after another, is refused.
+pub async fn give<S: RowStore, W: Wire>(
+    host: &Rc<Host<S, W>>,
+    right: &impl OrderRight,
+    upstream: &Upstream,
+    load: &Load,
+    counts: &std::cell::RefCell<OrderCounts>,
+) -> Option<OrderState> {
+    let key = (upstream.id.clone(), upstream.started_at_ms);
+    let known = counts.borrow().get(&key).copied();
+    let order_count = match known {
+        Some(count) => count,
+        None => {
+            let report = report(host, upstream).await?;
+            if report.versions.get(&load.model) == Some(&load.version) {
+                counts.borrow_mut().insert(key, report.order_count);
+                return Some(OrderState::Holds);
+            }
+            if report.is_busy {
+                return None;
+            }
+            report.order_count
+        }
+    };
+    counts.borrow_mut().remove(&key);
+    let answer = send(host, right, upstream, load, order_count).await;
+    tracing::info!(
+        event = "order.sent",
+        upstream = &*upstream.id,
+        model = &*load.model,
+        version = load.version,
+        order_count,
+        answer = answer.map(|answer| answer.to_string()),
+    );
+    match answer? {
+        OrderAnswer::Accepted => {
+            counts.borrow_mut().insert(key, order_count + 1);
+            Some(OrderState::Loading)
+        }
+        OrderAnswer::Holds => {
+            counts.borrow_mut().insert(key, order_count);
+            Some(OrderState::Holds)
+        }
+        OrderAnswer::Unclear => {
+            // The report must not be older than the order.
+            sleep(REPORT_LAG).await;
+            None
+        }
+        OrderAnswer::Conflict
+        | OrderAnswer::Fenced
+        | OrderAnswer::Rejected
+        | OrderAnswer::Misdirected => None,
+    }
+}
+
+async fn send<S: RowStore, W: Wire>(
+    host: &Rc<Host<S, W>>,
+    right: &impl OrderRight,
+    upstream: &Upstream,
+    load: &Load,
+    order_count: u64,
+) -> Option<OrderAnswer> {
+    let to = Addressee {
+        id: &upstream.id,
+        address: upstream.address,
+    };
+    let order = LoadOrder {
+        model: load.model.clone(),
+        version: load.version,
+        holder: host.settings.host.clone(),
+        fence: right.fence()?,
+        expected_order_count: Some(order_count),
+    };
+    let request = W::order_request(&order, to);
+    match timeout(ORDER_TIMEOUT, calls::send(host, upstream, request)).await {
+        Ok(Ok((connection, answer))) => {
+            let (parts, body) = answer.into_parts();
+            if Limited::new(body, MAX_REPORT_BYTES).collect().await.is_ok() {
+                connection.release();
+            }
+            Some(W::order_answer(&parts))
+        }
+        Ok(Err(calls::Unsent::NotRun(_))) => None,
+        Ok(Err(calls::Unsent::Unknown(_))) | Err(_) => Some(OrderAnswer::Unclear),
+    }
+}
+
+/// Asks an engine for its report.
+async fn report<S: RowStore, W: Wire>(
+    host: &Rc<Host<S, W>>,
+    upstream: &Upstream,
+) -> Option<EngineReport> {
+    let to = Addressee {
+        id: &upstream.id,
+        address: upstream.address,
+    };
+    let asking = async {
+        let (connection, answer) = calls::send(host, upstream, W::report_request(to))
+            .await
+            .ok()?;
+        let is_ok = answer.status().is_success();
+        let body = Limited::new(answer.into_body(), MAX_REPORT_BYTES)
+            .collect()
+            .await
+            .ok()?
+            .to_bytes();
+        connection.release();
+        if !is_ok {
+            return None;
+        }
+        match W::report(&body) {
+            Ok(report) => Some(report),
+            Err(error) => {
+                tracing::warn!(event = "engine.unreadable", upstream = &*upstream.id, %error);
+                None
+            }
+        }
+    };
+    timeout(ORDER_TIMEOUT, asking).await.ok().flatten()
+}
--- /dev/null
+++ b/src/ingress/runs.rs
@@ -0,0 +1,122 @@
+//! One run of an item on an engine.
+
+use std::{cell::RefCell, rc::Rc, sync::Arc};
+
+use http::StatusCode;
+use http_body_util::BodyExt as _;
+use hyper::body::Body as _;
+
+use crate::{
+    batch::{
+        job::{EventNumber, Item},
+        scheduler::{RunEnd, RunNumber, Scheduler},
+    },
+    ingress::{
+        calls::{self, Unsent},
+        directory::Upstream,
+        host::Host,
+        wire::{Addressee, EventParser as _, Wire},
+    },
+    rows::RowStore,
+};
+
+/// What a run needs.
+#[derive(Debug)]
+pub struct Run {
+    /// Its number.
+    pub number: RunNumber,
+    /// The value of the header `Host`.
+    pub authority: String,
+    /// The item.
+    pub item: Item,
+    /// The engine.
+    pub upstream: Arc<Upstream>,
+    /// The last event that is there already.
+    pub last_event: EventNumber,
+}
+
+/// Runs the item and hands its events to `scheduler`.
+///
+/// Dropping the future closes the connection, which stops the engine.
+pub async fn run<S: RowStore, W: Wire>(
+    host: &Rc<Host<S, W>>,
+    scheduler: &RefCell<Scheduler>,
+    run: &Run,
+) -> RunEnd {
+    let to = Addressee {
+        id: &run.upstream.id,
+        address: run.upstream.address,
+    };
+    let request = W::item_request(&run.authority, &run.item, to, run.last_event);
+    let (connection, answer) = match calls::send(host, &run.upstream, request).await {
+        Ok(sent) => sent,
+        Err(Unsent::NotRun(_) | Unsent::Unknown(_)) => return RunEnd::Broken,
+    };
+    let (parts, mut body) = answer.into_parts();
+    let head = W::answer_head(&parts);
+    let is_other = head
+        .attempt_id
+        .as_deref()
+        .is_some_and(|answered| *answered != *run.item.id);
+    if is_other {
+        return RunEnd::Broken;
+    }
+    let refused = match parts.status {
+        _ if head.is_misdirected => Some(RunEnd::WrongEngine),
+        _ if head.is_not_run => Some(RunEnd::NotRun),
+        StatusCode::OK if head.is_signed => None,
+        StatusCode::UNPROCESSABLE_ENTITY => Some(RunEnd::Impossible),
+        StatusCode::INTERNAL_SERVER_ERROR => Some(RunEnd::Failed),
+        _ => Some(RunEnd::Broken),
+    };
+    // A connection whose answer has no length ends with it, and may have been cut.
+    let is_delimited = body.size_hint().exact().is_some()
+        || parts.headers.contains_key(http::header::TRANSFER_ENCODING);
+    if let Some(refused) = refused {
+        if is_delimited && body.collect().await.is_ok() {
+            connection.release();
+        }
+        return refused;
+    }
+    let Some(mut version) = head.version else {
+        return RunEnd::Broken;
+    };
+    if !scheduler
+        .borrow_mut()
+        .answered(run.number, version, host.now())
+    {
+        return RunEnd::WrongVersion;
+    }
+    let mut events = W::Events::default();
+    let mut last_event = run.last_event;
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else {
+            return RunEnd::Broken;
+        };
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        let Ok(complete) = events.push(&data) else {
+            return RunEnd::Broken;
+        };
+        for event in complete {
+            version = event.version.unwrap_or(version);
+            let is_next = scheduler.borrow_mut().event(
+                run.number,
+                event.number,
+                &event.data,
+                version,
+                host.now(),
+            );
+            if !is_next {
+                return RunEnd::Broken;
+            }
+            last_event = event.number;
+        }
+    }
+    if events.is_inside_event() || !is_delimited || last_event == 0 {
+        return RunEnd::Broken;
+    }
+    connection.release();
+    RunEnd::Completed
+}
--- /dev/null
+++ b/src/ingress/server.rs
@@ -0,0 +1,278 @@
+//! The listeners of a host.
+//!
+//! They stand on hyper's own HTTP/1.1 connection instead of `xitca-web`, since
+//! a request must end when its client goes away, and only hyper drops the
+//! handler then (see docs/design/platform.md, "Libraries").
+
+use std::{convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderValue, Request, Response, StatusCode, header};
+use http_body_util::{BodyExt as _, Either, Full, Limited, StreamBody};
+use hyper::{
+    body::{Frame, Incoming},
+    server::conn::http1,
+    service::service_fn,
+};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::{
+    net::{TcpListener, TcpSocket, TcpStream},
+    pin,
+    task::spawn_local,
+    time::sleep,
+};
+use tokio_stream::wrappers::ReceiverStream;
+
+use crate::{
+    ingress::{
+        calls,
+        host::{Host, OpenRequest},
+        jobs,
+        routes::RouteKind,
+        wire::Wire,
+    },
+    rows::RowStore,
+};
+
+/// How many connections may wait to be accepted.
+const BACKLOG_COUNT: u32 = 1_024;
+
+/// How long to wait after the system refused a connection, as when all
+/// descriptors are in use.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// How long a connection may stay idle before a configuration says so.
+const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// The longest head where no configuration says so.
+const DEFAULT_HEAD_BYTES: usize = 16 << 10;
+
+/// The smallest buffer that hyper takes for a head.
+const MIN_HEAD_BYTES: usize = 8 << 10;
+
+/// When a client may ask a host again that knows no configuration yet.
+const STARTING_RETRY_AFTER: Duration = Duration::from_millis(300);
+
+/// The path of the page of metrics.
+const METRICS_PATH: &str = "/metrics";
+
+/// That a stream broke off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("the stream broke off")]
+pub struct StreamCut;
+
+/// The body of an answer: whole, or as it arrives.
+pub type ReplyBody =
+    Either<Full<Bytes>, StreamBody<ReceiverStream<Result<Frame<Bytes>, StreamCut>>>>;
+
+/// An answer to a client.
+pub type Reply = Response<ReplyBody>;
+
+/// Listens on `address`.
+///
+/// # Errors
+///
+/// Fails where the system does not allow it.
+pub fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG_COUNT)
+}
+
+/// Makes an answer without a body.
+pub fn reply(status: StatusCode, body: impl Into<Bytes>) -> Reply {
+    let mut response = Response::new(Either::Left(Full::new(body.into())));
+    *response.status_mut() = status;
+    response
+}
+
+/// Makes a refusal that tells when to come back.
+pub fn refusal(retry_after: Duration) -> Reply {
+    let mut response = reply(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
+    let seconds = format!("{:.3}", retry_after.as_secs_f64());
+    if let Ok(value) = HeaderValue::from_str(&seconds) {
+        response.headers_mut().insert(header::RETRY_AFTER, value);
+    }
+    response
+}
+
+/// Marks an answer as JSON.
+pub fn as_json(mut response: Reply) -> Reply {
+    response.headers_mut().insert(
+        header::CONTENT_TYPE,
+        HeaderValue::from_static("application/json"),
+    );
+    response
+}
+
+/// Answers the platform's questions whether this host is ready.
+pub async fn serve_ready<S: RowStore, W: Wire>(host: Rc<Host<S, W>>, listener: TcpListener) {
+    loop {
+        let Some(stream) = accept(&listener).await else {
+            continue;
+        };
+        let host = host.clone();
+        spawn_local(async move {
+            let service = service_fn(|request: Request<Incoming>| {
+                let response = answer_ready(&host, request.uri().path());
+                async move { Ok::<_, Infallible>(response) }
+            });
+            let connection = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(DEFAULT_IDLE_TIMEOUT)
+                .max_buf_size(MIN_HEAD_BYTES)
+                .serve_connection(TokioIo::new(stream), service);
+            // A question that breaks off is asked again.
+            let _ = connection.await;
+        });
+    }
+}
+
+fn answer_ready<S: RowStore, W: Wire>(host: &Rc<Host<S, W>>, path: &str) -> Reply {
+    match path {
+        path if path == W::READY_PATH && host.is_ready() => reply(StatusCode::OK, Bytes::new()),
+        path if path == W::READY_PATH => reply(StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
+        METRICS_PATH => reply(StatusCode::OK, host.exposition.page()),
+        _ => reply(StatusCode::NOT_FOUND, Bytes::new()),
+    }
+}
+
+/// Serves clients.
+pub async fn serve_clients<S: RowStore, W: Wire>(host: Rc<Host<S, W>>, listener: TcpListener) {
+    loop {
+        if let Some(stream) = accept(&listener).await {
+            spawn_local(serve_connection(host.clone(), stream));
+        }
+    }
+}
+
+async fn accept(listener: &TcpListener) -> Option<TcpStream> {
+    match listener.accept().await {
+        Ok((stream, _)) => {
+            if let Err(error) = stream.set_nodelay(true) {
+                tracing::debug!(event = "client.nodelay", %error);
+            }
+            Some(stream)
+        }
+        Err(error) => {
+            tracing::warn!(event = "client.not_accepted", %error);
+            sleep(ACCEPT_PAUSE).await;
+            None
+        }
+    }
+}
+
+async fn serve_connection<S: RowStore, W: Wire>(host: Rc<Host<S, W>>, stream: TcpStream) {
+    let limits = host
+        .configuration()
+        .map(|configuration| configuration.limits);
+    let idle_timeout = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_timeout);
+    let head_bytes = limits.map_or(DEFAULT_HEAD_BYTES, |limits| limits.max_header_bytes);
+    let service = {
+        let host = host.clone();
+        service_fn(move |request| {
+            let host = host.clone();
+            async move { Ok::<_, Infallible>(serve(&host, request).await) }
+        })
+    };
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        // It bounds the time between two requests as well.
+        .header_read_timeout(idle_timeout)
+        .max_buf_size(head_bytes.max(MIN_HEAD_BYTES))
+        .serve_connection(TokioIo::new(stream), service);
+    pin!(connection);
+    let stopping = host.stopping.notified();
+    pin!(stopping);
+    let result = tokio::select! {
+        result = connection.as_mut() => result,
+        () = stopping => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = result {
+        // Clients leave at any time.
+        tracing::debug!(event = "client.gone", %error);
+    }
+}
+
+async fn serve<S: RowStore, W: Wire>(host: &Rc<Host<S, W>>, request: Request<Incoming>) -> Reply {
+    let _open = OpenRequest::new(host.clone());
+    let mut response = route(host, request).await;
+    if host.is_stopping.get() {
+        response
+            .headers_mut()
+            .insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+async fn route<S: RowStore, W: Wire>(host: &Rc<Host<S, W>>, request: Request<Incoming>) -> Reply {
+    let arrived_at = host.now();
+    let (parts, body) = request.into_parts();
+    let head = W::client_head(&parts);
+    let Some(configuration) = host.configuration() else {
+        tracing::info!(
+            event = "request.refused",
+            id = head.attempt_id.as_deref(),
+            reason = "no-configuration",
+        );
+        return refusal(STARTING_RETRY_AFTER);
+    };
+    if let Some(call) = W::job_call(&parts) {
+        return jobs::answer(host, call, &head).await;
+    }
+    let authority = parts
+        .headers
+        .get(header::HOST)
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or_default();
+    let Some(route) = configuration.route(authority, parts.uri.path()).cloned() else {
+        tracing::info!(
+            event = "request.refused",
+            id = head.attempt_id.as_deref(),
+            reason = "no-route",
+            version = configuration.version,
+            authority,
+            path = parts.uri.path(),
+        );
+        return reply(StatusCode::NOT_FOUND, Bytes::new());
+    };
+    let limited = Limited::new(body, configuration.limits.max_body_bytes);
+    let body = match limited.collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) => {
+            let is_too_long = error.is::<http_body_util::LengthLimitError>();
+            tracing::info!(
+                event = "request.refused",
+                id = head.attempt_id.as_deref(),
+                reason = "body",
+                %error,
+            );
+            let status = if is_too_long {
+                StatusCode::PAYLOAD_TOO_LARGE
+            } else {
+                StatusCode::BAD_REQUEST
+            };
+            return reply(status, Bytes::new());
+        }
+    };
+    match route.kind {
+        RouteKind::Batch => jobs::submit(host, &parts, &body, &route, &head).await,
+        _ => {
+            let call = calls::Call {
+                parts,
+                body,
+                route,
+                head,
+                arrived_at,
+            };
+            calls::pass(host, &call).await
+        }
+    }
+}
--- a/src/lease.rs
+++ b/src/lease.rs
@@ -72,8 +72,10 @@
 /// How a write ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Wrote {
-    /// It took effect.
+    /// It took effect, in a store that numbers the writes of each record.
     Done,
+    /// It took effect, and the record has this version.
+    DoneAt(RecordVersion),
     /// The record had another version.
     Refused,
     /// It certainly did not take effect.
@@ -224,7 +226,14 @@
         match event {
             Event::Read(Some(found)) => self.found(found, now),
             Event::Read(None) => {}
-            Event::Wrote(Wrote::Done) => self.confirm(now),
+            Event::Wrote(Wrote::Done) => {
+                let version = self
+                    .pending
+                    .as_ref()
+                    .map_or(0, |pending| pending.version + 1);
+                self.confirm(version, now);
+            }
+            Event::Wrote(Wrote::DoneAt(version)) => self.confirm(version, now),
             Event::Wrote(Wrote::Refused) => {
                 self.pending = None;
                 self.held = None;
@@ -246,7 +255,7 @@
             && pending.record == found.record
         {
             self.pending = Some(pending.clone());
-            self.confirm(now);
+            self.confirm(found.version, now);
             return;
         }
         let is_same = self.seen.as_ref().is_some_and(|seen| seen.at == found);
@@ -266,7 +275,7 @@
     }
 
     /// Notes that the pending write is in force.
-    fn confirm(&mut self, now: Timestamp) {
+    fn confirm(&mut self, version: RecordVersion, now: Timestamp) {
         let Some(pending) = self.pending.take() else {
             return;
         };
@@ -279,7 +288,7 @@
         }
         self.seen = Some(Seen {
             at: Some(Versioned {
-                version: pending.version + 1,
+                version,
                 record: pending.record,
             }),
             since: now,
--- /dev/null
+++ b/src/platform/events.rs
@@ -0,0 +1,95 @@
+//! The parser of streams of events, as engines send them.
+
+use crate::{
+    ingress::wire::{DecodeError, EventParser, StreamEvent},
+    platform::names::WEIGHT_VERSIONS,
+};
+
+/// The longest line that is taken; the sheets' largest events are far shorter.
+const MAX_LINE_BYTES: usize = 1 << 20;
+
+/// Cuts bytes into events.
+#[derive(Debug, Default)]
+pub struct PlatformEvents {
+    line: Vec<u8>,
+    number: Option<u64>,
+    data: Option<String>,
+    version: Option<u64>,
+    has_begun: bool,
+}
+
+impl EventParser for PlatformEvents {
+    fn push(&mut self, bytes: &[u8]) -> Result<Vec<StreamEvent>, DecodeError> {
+        let mut events = Vec::new();
+        let mut rest = bytes;
+        while let Some(end) = rest.iter().position(|byte| *byte == b'\n') {
+            self.line.extend_from_slice(&rest[..end]);
+            rest = &rest[end + 1..];
+            let line = std::mem::take(&mut self.line);
+            events.extend(self.take_line(&line)?);
+            self.line = line;
+            self.line.clear();
+        }
+        self.line.extend_from_slice(rest);
+        if self.line.len() > MAX_LINE_BYTES {
+            return Err(DecodeError::Field { field: "event" });
+        }
+        Ok(events)
+    }
+
+    fn is_inside_event(&self) -> bool {
+        self.has_begun || !self.line.is_empty()
+    }
+}
+
+impl PlatformEvents {
+    fn take_line(&mut self, line: &[u8]) -> Result<Option<StreamEvent>, DecodeError> {
+        let line = line.strip_suffix(b"\r").unwrap_or(line);
+        let line = std::str::from_utf8(line).map_err(|_| DecodeError::Field { field: "event" })?;
+        if line.is_empty() {
+            return self.finish();
+        }
+        self.has_begun = true;
+        let (name, value) = line.split_once(':').unwrap_or((line, ""));
+        let value = value.strip_prefix(' ').unwrap_or(value);
+        match name {
+            "id" => {
+                self.number = Some(
+                    value
+                        .trim()
+                        .parse()
+                        .map_err(|_| DecodeError::Field { field: "id" })?,
+                );
+            }
+            "data" => match &mut self.data {
+                Some(data) => {
+                    data.push('\n');
+                    data.push_str(value);
+                }
+                None => self.data = Some(value.to_owned()),
+            },
+            WEIGHT_VERSIONS => {
+                self.version = Some(value.trim().parse().map_err(|_| DecodeError::Field {
+                    field: WEIGHT_VERSIONS,
+                })?);
+            }
+            _ => {}
+        }
+        Ok(None)
+    }
+
+    fn finish(&mut self) -> Result<Option<StreamEvent>, DecodeError> {
+        self.has_begun = false;
+        let version = self.version.take();
+        let number = self.number.take();
+        let Some(data) = self.data.take() else {
+            return Ok(None);
+        };
+        let number = number.ok_or(DecodeError::Field { field: "id" })?;
+        Ok(Some(StreamEvent {
+            number,
+            data,
+            version,
+        }))
+    }
+}
--- /dev/null
+++ b/src/platform/store.rs
@@ -0,0 +1,289 @@
+//! The client of the platform's store.
+
+use std::{net::SocketAddr, time::Duration};
+
+use base64::{Engine as _, engine::general_purpose::STANDARD};
+use bytes::Bytes;
+use http::{HeaderValue, Method, Request, StatusCode, header};
+use http_body_util::{BodyExt as _, Full, Limited};
+use serde::de::DeserializeOwned;
+use tokio::time::timeout;
+
+use crate::{
+    connection::{Pool, Protocol, SendError, Target},
+    platform::documents::{
+        ChangeDocument, ExpectedDocument, NameDocument, PartitionsDocument, PutDocument,
+        RowDocument, RowsDocument,
+    },
+    rows::{
+        Applied, NotAppliedReason, RowError, RowPage, RowRange, RowStamp, RowStore, RowTransaction,
+        StoredRow,
+    },
+};
+
+/// How long a call may take; the sheets let the store answer 60 times slower than
+/// its 4 ms.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// How much longer than asked a feed may take before its connection counts as
+/// silent.
+const FEED_MARGIN: Duration = Duration::from_millis(1_000);
+
+/// The longest answer: 1 MB of rows, in base64 and JSON.
+const MAX_ANSWER_BYTES: usize = 4 << 20;
+
+/// The store over HTTP.
+#[derive(Clone, Debug)]
+pub struct PlatformStore {
+    pool: Pool,
+    target: Target,
+}
+
+impl PlatformStore {
+    /// Makes a client of the store at `address`.
+    pub const fn new(pool: Pool, address: SocketAddr) -> Self {
+        Self {
+            pool,
+            target: Target {
+                address,
+                protocol: Protocol::Http1,
+            },
+        }
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        limit: Duration,
+    ) -> Result<(StatusCode, Bytes), RowError> {
+        match timeout(limit, self.exchange(method, path, body)).await {
+            Ok(result) => result,
+            Err(_) => {
+                // The other connections to the store are probably silent as well.
+                self.pool.retire_kept(self.target);
+                Err(RowError::Unknown)
+            }
+        }
+    }
+
+    async fn exchange(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<(StatusCode, Bytes), RowError> {
+        let unreachable = RowError::NotApplied {
+            reason: NotAppliedReason::Unreachable,
+        };
+        let mut connection = self
+            .pool
+            .checkout(self.target)
+            .await
+            .map_err(|_| unreachable.clone())?;
+        let mut request = self.request(method, path, body)?;
+        let answer = loop {
+            let was_kept = connection.is_reused();
+            match connection.send(request).await {
+                Ok(answer) => break answer,
+                Err(SendError::HandedBack(back)) if was_kept => {
+                    request = *back;
+                    connection = self
+                        .pool
+                        .open(self.target)
+                        .await
+                        .map_err(|_| unreachable.clone())?;
+                }
+                Err(SendError::HandedBack(_) | SendError::Refused(_)) => return Err(unreachable),
+                Err(SendError::Lost(_)) => return Err(RowError::Unknown),
+            }
+        };
+        let status = answer.status();
+        let body = Limited::new(answer.into_body(), MAX_ANSWER_BYTES)
+            .collect()
+            .await
+            .map_err(|_| RowError::Unknown)?
+            .to_bytes();
+        connection.release();
+        Ok((status, body))
+    }
+
+    fn request(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<Request<Full<Bytes>>, RowError> {
+        let host = self.target.address.to_string();
+        Request::builder()
+            .method(method)
+            .uri(path)
+            .header(header::HOST, host)
+            .header(
+                header::CONTENT_TYPE,
+                HeaderValue::from_static("application/json"),
+            )
+            .body(Full::new(body))
+            .map_err(|error| RowError::Unreadable {
+                reason: error.to_string(),
+            })
+    }
+
+    async fn rows(&self, path: &str, limit: Duration) -> Result<RowPage, RowError> {
+        let (status, body) = self.call(Method::GET, path, Bytes::new(), limit).await?;
+        refusal(status)?;
+        page(&body)
+    }
+}
+
+impl RowStore for PlatformStore {
+    async fn commit(&self, transaction: &RowTransaction) -> Result<Applied, RowError> {
+        let body = change(transaction);
+        let (status, body) = self
+            .call(Method::POST, "/-/rows-tx", body, CALL_TIMEOUT)
+            .await?;
+        if status == StatusCode::PRECONDITION_FAILED {
+            return Err(RowError::Conflict {
+                current: page(&body)?.rows,
+            });
+        }
+        refusal(status)?;
+        let document: RowsDocument = parse(&body)?;
+        Ok(Applied {
+            stamp: document.ver,
+            store_time: store_time(document.now_ms),
+        })
+    }
+
+    async fn read(&self, range: &RowRange) -> Result<RowPage, RowError> {
+        let mut path = format!(
+            "/-/rows-get?table={}&part={}&limit={}",
+            range.table, range.partition, range.limit_count
+        );
+        if !range.from.is_empty() {
+            path.push_str("&from=");
+            path.push_str(&range.from);
+        }
+        if !range.to.is_empty() {
+            path.push_str("&to=");
+            path.push_str(&range.to);
+        }
+        self.rows(&path, CALL_TIMEOUT).await
+    }
+
+    async fn partitions(&self, table: &str, after: &str) -> Result<Vec<String>, RowError> {
+        let mut path = format!("/-/rows-parts?table={table}");
+        if !after.is_empty() {
+            path.push_str("&after=");
+            path.push_str(after);
+        }
+        let (status, body) = self
+            .call(Method::GET, &path, Bytes::new(), CALL_TIMEOUT)
+            .await?;
+        refusal(status)?;
+        let document: PartitionsDocument = parse(&body)?;
+        Ok(document.parts)
+    }
+
+    async fn changes(
+        &self,
+        table: &str,
+        after: RowStamp,
+        wait: Duration,
+    ) -> Result<RowPage, RowError> {
+        let wait_ms = wait.as_millis();
+        let path = format!("/-/rows-feed?table={table}&after={after}&wait_ms={wait_ms}");
+        self.rows(&path, wait + FEED_MARGIN).await
+    }
+}
+
+fn change(transaction: &RowTransaction) -> Bytes {
+    let document = ChangeDocument {
+        expected: transaction
+            .expected
+            .iter()
+            .map(|(name, stamp)| ExpectedDocument {
+                table: name.table,
+                part: &name.partition,
+                key: &name.key,
+                ver: *stamp,
+            })
+            .collect(),
+        put: transaction
+            .puts
+            .iter()
+            .map(|(name, value)| PutDocument {
+                table: name.table,
+                part: &name.partition,
+                key: &name.key,
+                value: STANDARD.encode(value),
+            })
+            .collect(),
+        remove: transaction
+            .removals
+            .iter()
+            .map(|name| NameDocument {
+                table: name.table,
+                part: &name.partition,
+                key: &name.key,
+            })
+            .collect(),
+    };
+    // Strings and numbers always have a spelling in JSON.
+    serde_json::to_vec(&document).unwrap_or_default().into()
+}
+
+/// Turns a status that says that nothing was done into its reason.
+fn refusal(status: StatusCode) -> Result<(), RowError> {
+    let reason = match status {
+        StatusCode::OK => return Ok(()),
+        StatusCode::GONE => return Err(RowError::HistoryGone),
+        StatusCode::TOO_MANY_REQUESTS => NotAppliedReason::RateLimited,
+        StatusCode::SERVICE_UNAVAILABLE => NotAppliedReason::Unavailable,
+        StatusCode::INSUFFICIENT_STORAGE => NotAppliedReason::Full,
+        status if status.is_client_error() => NotAppliedReason::Rejected,
+        _ => return Err(RowError::Unknown),
+    };
+    Err(RowError::NotApplied { reason })
+}
+
+fn page(body: &[u8]) -> Result<RowPage, RowError> {
+    let document: RowsDocument = parse(body)?;
+    Ok(RowPage {
+        rows: document
+            .rows
+            .into_iter()
+            .map(row)
+            .collect::<Result<_, _>>()?,
+        has_more: document.has_more,
+        stamp: document.ver,
+        store_time: store_time(document.now_ms),
+    })
+}
+
+fn row(document: RowDocument) -> Result<StoredRow, RowError> {
+    // Entries of other writers may hold anything, so that a value which is not
+    // base64 counts as empty and is refused by whoever decodes it.
+    let value = document
+        .value
+        .and_then(|text| STANDARD.decode(text).ok())
+        .unwrap_or_default();
+    Ok(StoredRow {
+        partition: document.part,
+        key: document.key,
+        value: value.into(),
+        stamp: document.ver,
+        is_removed: document.deleted,
+    })
+}
+
+fn store_time(now_ms: f64) -> Duration {
+    Duration::try_from_secs_f64(now_ms / 1_000.0).unwrap_or_default()
+}
+
+fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, RowError> {
+    serde_json::from_slice(body).map_err(|error| RowError::Unreadable {
+        reason: error.to_string(),
+    })
+}
--- /dev/null
+++ b/src/platform/wire.rs
@@ -0,0 +1,441 @@
+//! The spelling of the messages between clients, this host and upstreams.
+
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+
+use base64::{Engine as _, engine::general_purpose::STANDARD};
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, header, request, response};
+use http_body_util::Full;
+use serde::de::DeserializeOwned;
+
+use crate::{
+    batch::job::{EventNumber, Item, ItemId, ItemResult, ItemState, Job, JobHead, JobId},
+    connection::UpstreamRequest,
+    ingress::{
+        directory::Upstream,
+        routes::{ClientLimits, Configuration, Route, RouteKind, Service},
+        wire::{
+            Addressee, AnswerHead, ClientHead, DecodeError, EngineReport, JobCall, LoadOrder,
+            OperatorChange, OrderAnswer, Wire,
+        },
+    },
+    platform::{
+        documents::{
+            ConfigurationDocument, JobDocument, ModelDocument, OrderDocument, ReportDocument,
+            ResultDocument, ResultsDocument, RouteDocument, UpstreamDocument, VersionDocument,
+        },
+        events::PlatformEvents,
+        names,
+    },
+    rows::StoredRow,
+    terms,
+};
+
+/// What stands for a time that the configuration leaves out.
+const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
+/// What stands for a latency objective that the configuration leaves out.
+const DEFAULT_TARGET: Duration = Duration::from_secs(1);
+/// How long an item may take where the route does not say.
+const DEFAULT_ITEM_TTL: Duration = Duration::from_secs(60);
+/// The longest name that the store takes for a partition.
+const MAX_ID_BYTES: usize = 200;
+
+/// The platform's spelling.
+#[derive(Debug)]
+pub struct PlatformWire;
+
+impl Wire for PlatformWire {
+    const OPERATOR_TABLE: &'static str = names::OPERATOR_TABLE;
+    const UPSTREAM_TABLE: &'static str = names::UPSTREAM_TABLE;
+    const READY_PATH: &'static str = names::READY_PATH;
+    type Events = PlatformEvents;
+
+    fn client_head(parts: &request::Parts) -> ClientHead {
+        let headers = &parts.headers;
+        ClientHead {
+            attempt_id: text(headers, names::ATTEMPT_ID).map(Into::into),
+            patience: number(headers, names::DEADLINE_MS).map(Duration::from_millis),
+            wait: number(headers, names::WAIT_MS).map(Duration::from_millis),
+            last_event: number(headers, names::LAST_EVENT_ID),
+        }
+    }
+
+    fn job_call(parts: &request::Parts) -> Option<JobCall> {
+        let path = parts.uri.path();
+        let query = parts.uri.query().unwrap_or("");
+        if let Some(job) = path.strip_prefix(names::JOBS_PATH) {
+            let Some(job) = id(job) else {
+                return Some(JobCall::Malformed);
+            };
+            return Some(match parts.method {
+                Method::GET => match query_value(query, "after").map_or(Ok(0), str::parse) {
+                    Ok(from) => JobCall::Results { job, from },
+                    Err(_) => JobCall::Malformed,
+                },
+                Method::DELETE => JobCall::End { job },
+                _ => JobCall::Malformed,
+            });
+        }
+        let job = id(path.strip_prefix(names::ITEMS_PATH)?);
+        let item = query_value(query, "id").and_then(id);
+        Some(match (job, item) {
+            (Some(job), Some(item)) if parts.method == Method::GET => JobCall::Body { job, item },
+            _ => JobCall::Malformed,
+        })
+    }
+
+    fn job(
+        id: &JobId,
+        parts: &request::Parts,
+        body: &[u8],
+        route: &Route,
+    ) -> Result<Job, DecodeError> {
+        let document: JobDocument = parse(body)?;
+        let service = route
+            .service(0.0)
+            .ok_or(DecodeError::Field { field: "service" })?;
+        let mut items = Vec::with_capacity(document.items.len());
+        for item in document.items {
+            let body = STANDARD
+                .decode(item.body.as_bytes())
+                .map_err(|_| DecodeError::Field { field: "body" })?;
+            let header = |name: &str| {
+                item.headers
+                    .iter()
+                    .find(|(key, _)| key.eq_ignore_ascii_case(name))
+                    .map(|(_, value)| value.as_str())
+            };
+            let usage = header(names::TOKEN_USAGE).and_then(|value| value.split_once(','));
+            let (prompt_tokens, max_tokens) = match usage {
+                Some((prompt, max)) => (
+                    prompt.trim().parse().unwrap_or(0),
+                    max.trim().parse().unwrap_or(item.tokens),
+                ),
+                None => (0, item.tokens),
+            };
+            let hint = header(names::LENGTH_HINT).and_then(|value| value.trim().parse().ok());
+            items.push(Item {
+                id: item.id.into(),
+                group: item.group.into(),
+                path: item.path,
+                headers: item.headers.into_iter().collect(),
+                body: body.into(),
+                prompt_tokens,
+                length_hint_tokens: hint.unwrap_or(max_tokens),
+            });
+        }
+        let authority = parts
+            .headers
+            .get(header::HOST)
+            .and_then(|value| value.to_str().ok())
+            .unwrap_or(&route.authority);
+        Ok(Job {
+            id: id.clone(),
+            head: JobHead {
+                service: service.clone(),
+                route: route.name.clone(),
+                authority: authority.to_owned(),
+                model: document.model.into(),
+                step: document.step,
+                min_version: document.min_version,
+                single_version: route.single_version,
+                max_attempts: route.max_attempts,
+                item_ttl: route.item_ttl,
+                due: route.result_due,
+                accepted_at: Duration::ZERO,
+                item_count: items.len(),
+            },
+            items,
+        })
+    }
+
+    fn results(total_count: usize, next: usize, results: &[ItemResult]) -> Bytes {
+        let document = ResultsDocument {
+            total: total_count,
+            next,
+            results: results
+                .iter()
+                .map(|result| ResultDocument {
+                    id: &result.id,
+                    state: match result.state {
+                        ItemState::Completed => "completed",
+                        ItemState::Failed => "errored",
+                    },
+                    text: &result.text,
+                    versions: result.versions.iter().copied().collect(),
+                })
+                .collect(),
+        };
+        // Strings and numbers always have a spelling in JSON.
+        serde_json::to_vec(&document).unwrap_or_default().into()
+    }
+
+    fn call_request(
+        parts: &request::Parts,
+        body: Bytes,
+        to: Addressee<'_>,
+        remaining: Duration,
+    ) -> UpstreamRequest {
+        let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+        let mut request = base_request(parts.method.clone(), path, body);
+        let headers = request.headers_mut();
+        *headers = terms::end_to_end(&parts.headers);
+        if let Some(host) = parts.headers.get(header::HOST) {
+            headers.insert(header::HOST, host.clone());
+        }
+        let remaining_ms = u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX);
+        headers.insert(names::DEADLINE_MS, HeaderValue::from(remaining_ms));
+        insert(headers, names::EXPECT_INSTANCE, to.id);
+        request
+    }
+
+    fn item_request(
+        authority: &str,
+        item: &Item,
+        to: Addressee<'_>,
+        last_event: EventNumber,
+    ) -> UpstreamRequest {
+        let mut request = base_request(Method::POST, &item.path, item.body.clone());
+        let headers = request.headers_mut();
+        for (name, value) in &item.headers {
+            insert(headers, name, value);
+        }
+        insert(headers, names::ATTEMPT_ID, &item.id);
+        insert(headers, header::HOST.as_str(), authority);
+        insert(headers, names::EXPECT_INSTANCE, to.id);
+        if last_event > 0 {
+            headers.insert(names::LAST_EVENT_ID, HeaderValue::from(last_event));
+        }
+        request
+    }
+
+    fn order_request(order: &LoadOrder, to: Addressee<'_>) -> UpstreamRequest {
+        let document = OrderDocument {
+            operation: "version",
+            model: &order.model,
+            version: order.version,
+            mode: "retain",
+            holder: &order.holder,
+            fence: order.fence,
+            expected: order.expected_order_count,
+        };
+        // Strings and numbers always have a spelling in JSON.
+        let body = serde_json::to_vec(&document).unwrap_or_default();
+        let mut request = base_request(Method::POST, names::ORDER_PATH, body.into());
+        let headers = request.headers_mut();
+        insert(headers, header::CONTENT_TYPE.as_str(), "application/json");
+        insert(headers, header::HOST.as_str(), &to.address.to_string());
+        insert(headers, names::EXPECT_INSTANCE, to.id);
+        request
+    }
+
+    fn report_request(to: Addressee<'_>) -> UpstreamRequest {
+        let mut request = base_request(Method::GET, names::REPORT_PATH, Bytes::new());
+        let headers = request.headers_mut();
+        insert(headers, header::HOST.as_str(), &to.address.to_string());
+        insert(headers, names::EXPECT_INSTANCE, to.id);
+        request
+    }
+
+    fn answer_head(parts: &response::Parts) -> AnswerHead {
+        let headers = &parts.headers;
+        AnswerHead {
+            attempt_id: text(headers, names::ATTEMPT_ID).map(str::to_owned),
+            is_not_run: headers.contains_key(names::NOT_EXECUTED)
+                || parts.status == http::StatusCode::MISDIRECTED_REQUEST,
+            is_misdirected: parts.status == http::StatusCode::MISDIRECTED_REQUEST,
+            is_signed: headers.contains_key(names::SERVER_STAMP),
+            version: number(headers, names::WEIGHT_VERSIONS),
+        }
+    }
+
+    fn order_answer(parts: &response::Parts) -> OrderAnswer {
+        match parts.status.as_u16() {
+            200 => OrderAnswer::Holds,
+            202 => OrderAnswer::Accepted,
+            400 => OrderAnswer::Rejected,
+            409 => OrderAnswer::Conflict,
+            412 => OrderAnswer::Fenced,
+            421 => OrderAnswer::Misdirected,
+            _ => OrderAnswer::Unclear,
+        }
+    }
+
+    fn report(body: &[u8]) -> Result<EngineReport, DecodeError> {
+        let document: ReportDocument = parse(body)?;
+        Ok(EngineReport {
+            order_count: document.sequence,
+            is_busy: document.busy,
+            versions: versions(document.models),
+        })
+    }
+
+    fn operator_change(row: &StoredRow) -> Result<Option<OperatorChange>, DecodeError> {
+        if row.is_removed {
+            return Ok(None);
+        }
+        if row.key == names::CONFIGURATION_KEY {
+            let document: ConfigurationDocument = parse(&row.value)?;
+            return configuration(document)
+                .map(|configuration| Some(OperatorChange::Configuration(configuration)));
+        }
+        if row.key.starts_with(names::VERSION_PREFIX) {
+            let document: VersionDocument = parse(&row.value)?;
+            return Ok(Some(OperatorChange::Version(
+                document.model.into(),
+                document.version,
+            )));
+        }
+        Ok(None)
+    }
+
+    fn upstream(row: &StoredRow) -> Result<Upstream, DecodeError> {
+        let document: UpstreamDocument = parse(&row.value)?;
+        let address: SocketAddr = document
+            .address
+            .parse()
+            .map_err(|_| DecodeError::Field { field: "address" })?;
+        let is_draining = match document.state.as_str() {
+            "ready" => false,
+            "draining" => true,
+            _ => return Err(DecodeError::Field { field: "state" }),
+        };
+        Ok(Upstream {
+            id: row.key.as_str().into(),
+            started_at_ms: document.born,
+            service: document.service.into(),
+            address,
+            failure_domain: document.zone.into(),
+            slot_count: document.slots,
+            is_draining,
+            versions: versions(document.models),
+        })
+    }
+}
+
+fn configuration(document: ConfigurationDocument) -> Result<Configuration, DecodeError> {
+    let routes = document
+        .routes
+        .into_iter()
+        .map(|route| self::route(route).map(Arc::new))
+        .collect::<Result<_, _>>()?;
+    let services = document
+        .services
+        .into_iter()
+        .map(|service| {
+            let name: Arc<str> = service.name.into();
+            let service = Service {
+                name: name.clone(),
+                engine_slot_count: service.engine.as_ref().map(|engine| engine.slots),
+                engine_memory_tokens: service.engine.map_or(0, |engine| engine.kv_capacity_tokens),
+            };
+            (name, service)
+        })
+        .collect();
+    Ok(Configuration {
+        version: document.version,
+        routes,
+        services,
+        limits: ClientLimits {
+            max_header_bytes: document.limits.max_header_bytes,
+            max_body_bytes: document.limits.max_body_bytes,
+            header_timeout: Duration::from_millis(document.limits.header_timeout_ms),
+            idle_timeout: Duration::from_millis(document.limits.idle_timeout_ms),
+        },
+    })
+}
+
+fn route(document: RouteDocument) -> Result<Route, DecodeError> {
+    let kind = match document.kind.as_str() {
+        "idempotent" => RouteKind::Idempotent,
+        "non_idempotent" => RouteKind::NonIdempotent,
+        "streaming" => RouteKind::Streaming,
+        "rollout" | "batch" => RouteKind::Batch,
+        _ => return Err(DecodeError::Field { field: "kind" }),
+    };
+    let splits = match document.service {
+        Some(service) => vec![(service.into(), 1.0)],
+        None => document
+            .traffic_split
+            .into_iter()
+            .map(|split| (split.service.into(), split.weight))
+            .collect(),
+    };
+    Ok(Route {
+        name: document.name.into(),
+        authority: document.host,
+        path_prefix: document.path_prefix,
+        kind,
+        timeout: millis(document.timeout_ms, DEFAULT_TIMEOUT),
+        target_latency: millis(document.target_latency_ms, DEFAULT_TARGET),
+        priority: document.priority,
+        splits,
+        max_attempts: document.max_attempts.unwrap_or(1).max(1),
+        item_ttl: millis(document.item_ttl_s.map(|s| s * 1_000.0), DEFAULT_ITEM_TTL),
+        result_due: millis(document.result_due_ms, DEFAULT_TIMEOUT),
+        single_version: document.single_version,
+        is_resumable: document.resumable,
+    })
+}
+
+fn millis(value_ms: Option<f64>, default: Duration) -> Duration {
+    value_ms
+        .filter(|ms| ms.is_finite() && *ms >= 0.0)
+        .map_or(default, |ms| Duration::from_secs_f64(ms / 1_000.0))
+}
+
+fn versions(models: Vec<ModelDocument>) -> BTreeMap<Arc<str>, u64> {
+    models
+        .into_iter()
+        .map(|model| (model.name.into(), model.version))
+        .collect()
+}
+
+fn base_request(method: Method, path: &str, body: Bytes) -> UpstreamRequest {
+    let mut request = Request::new(Full::new(body));
+    *request.method_mut() = method;
+    if let Ok(uri) = path.parse() {
+        *request.uri_mut() = uri;
+    }
+    request
+}
+
+fn insert(headers: &mut HeaderMap, name: &str, value: &str) {
+    if let (Ok(name), Ok(value)) = (
+        HeaderName::from_bytes(name.as_bytes()),
+        HeaderValue::from_str(value),
+    ) {
+        headers.insert(name, value);
+    }
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+fn number(headers: &HeaderMap, name: &str) -> Option<u64> {
+    text(headers, name)?.trim().parse().ok()
+}
+
+fn query_value<'a>(query: &'a str, name: &str) -> Option<&'a str> {
+    query
+        .split('&')
+        .filter_map(|pair| pair.split_once('='))
+        .find(|(key, _)| *key == name)
+        .map(|(_, value)| value)
+}
+
+/// Returns `text` as an id, if it may stand in a row's name without escapes.
+fn id(text: &str) -> Option<ItemId> {
+    let is_plain = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.~".contains(&byte);
+    let is_id = !text.is_empty() && text.len() <= MAX_ID_BYTES && text.bytes().all(is_plain);
+    is_id.then(|| text.into())
+}
+
+fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, DecodeError> {
+    let mut parser = serde_json::Deserializer::from_slice(body);
+    serde_path_to_error::deserialize(&mut parser).map_err(|error| DecodeError::Format {
+        path: error.path().to_string(),
+        source: error.into_inner(),
+    })
+}
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -10,8 +10,8 @@
 };
 
 use cadence::{
-    Counted as _, Gauged as _, MetricError, NopMetricSink, QueuingMetricSink, StatsdClient,
-    Timed as _, UdpMetricSink,
+    Counted as _, Gauged as _, MetricError, MetricSink, NopMetricSink, QueuingMetricSink,
+    StatsdClient, Timed as _, UdpMetricSink,
 };
 use tracing_subscriber::{EnvFilter, filter::ParseError, util::TryInitError};
 
@@ -160,6 +160,18 @@
         })
     }
 
+    /// Makes a sender to `sink`, for a process whose metrics are fetched.
+    pub fn to_sink(
+        sink: impl MetricSink + Sync + Send + std::panic::RefUnwindSafe + 'static,
+    ) -> Self {
+        let client = StatsdClient::builder(PREFIX, sink)
+            .with_error_handler(|error| tracing::debug!(%error, "a metric was not counted"))
+            .build();
+        Self {
+            client: client.into(),
+        }
+    }
+
     /// Counts events.
     pub fn count(&self, metric: Metric, event_count: u64) {
         self.client.count_with_tags(metric.name, event_count).send();
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -19,8 +19,8 @@
 /// The longest key.
 const MAX_KEY_BYTES: usize = 255;
 
-/// Headers that concern one connection only, or that are meant for this service.
-const DROPPED_HEADERS: [HeaderName; 13] = [
+/// Headers that concern one connection only.
+const CONNECTION_HEADERS: [HeaderName; 12] = [
     header::CONNECTION,
     header::TRANSFER_ENCODING,
     header::TE,
@@ -31,7 +31,6 @@
     header::HOST,
     header::CONTENT_LENGTH,
     header::EXPECT,
-    header::AUTHORIZATION,
     HeaderName::from_static("keep-alive"),
     HeaderName::from_static("proxy-connection"),
 ];
@@ -112,8 +111,16 @@
     method.is_idempotent() || is_named(&pool.idempotent_methods)
 }
 
-/// Returns the headers that go on to the next hop.
+/// Returns the headers that go on to the next hop, without the caller's key to
+/// this service.
 pub fn forwarded(headers: &HeaderMap) -> HeaderMap {
+    let mut headers = end_to_end(headers);
+    headers.remove(header::AUTHORIZATION);
+    headers
+}
+
+/// Returns the headers that do not concern one connection only.
+pub fn end_to_end(headers: &HeaderMap) -> HeaderMap {
     let mut headers = headers.clone();
     let named: Vec<HeaderName> = headers
         .get_all(header::CONNECTION)
@@ -122,7 +129,7 @@
         .flat_map(|value| value.split(','))
         .filter_map(|name| name.trim().parse().ok())
         .collect();
-    for name in named.iter().chain(&DROPPED_HEADERS) {
+    for name in named.iter().chain(&CONNECTION_HEADERS) {
         headers.remove(name);
     }
     headers
