List nothing more of a job that was ended while a coordinator was cut off

Processes also ended on SIGHUP, which nothing handled.

Ruled out: the condition on the tally (it held each time) and paging.

Change: listing has a file of its own, takes no part in ended jobs, and is told when the scheduler was emptied; SIGHUP checks the settings. tests/job_listing.rs fails without it (ended_while_cut_off).

--- a/src/bin/mimosavane-entry.rs
+++ b/src/bin/mimosavane-entry.rs
@@ -71,10 +71,10 @@
         .enable_all()
         .build()
         .context("starting the runtime")?;
-    runtime.block_on(serve(settings, log))
+    runtime.block_on(serve(settings, log, path))
 }
 
-async fn serve(settings: HostSettings, log: log::Log) -> Result<()> {
+async fn serve(settings: HostSettings, log: log::Log, path: PathBuf) -> Result<()> {
     let exposition = Exposition::default();
     let metrics = Metrics::to_sink(exposition.clone());
     let store_address = settings.store_address;
@@ -84,6 +84,27 @@
     tokio::select! {
         result = host.run(async { drop(stop_signal().await) }) => result.context("listening"),
         () = log.report_drops() => Ok(()),
+        () = reload_on_signal(&path) => Ok(()),
+    }
+}
+
+/// Reads the settings anew whenever the platform says that they changed.
+///
+/// Addresses and bounds hold for a whole life of the process, so that a change is
+/// checked and logged here and takes effect at the next start.
+async fn reload_on_signal(path: &Path) {
+    let mut hung_up = match signal(SignalKind::hangup()) {
+        Ok(hung_up) => hung_up,
+        Err(error) => {
+            tracing::error!(event = "settings.unwatched", %error);
+            return std::future::pending().await;
+        }
+    };
+    while hung_up.recv().await.is_some() {
+        match boot::load(path) {
+            Ok(settings) => tracing::info!(event = "settings.reloaded", host = &*settings.host),
+            Err(error) => tracing::error!(event = "settings.refused", %error),
+        }
     }
 }
 
--- a/src/ingress/coordinator.rs
+++ b/src/ingress/coordinator.rs
@@ -7,7 +7,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::{BTreeMap, BTreeSet, HashMap},
+    collections::HashMap,
     rc::Rc,
     time::Duration,
 };
@@ -20,8 +20,8 @@
 
 use crate::{
     batch::{
-        job::{ItemId, Job, JobHead, JobId},
-        layout::{self, Tally},
+        job::JobId,
+        layout,
         scheduler::{Action, EngineSpec, RunEnd, RunNumber, Scheduler},
         weights::Load,
     },
@@ -29,12 +29,14 @@
     ids::FenceNumber,
     ingress::{
         host::Host,
+        listing::Lister,
         orders::{self, ORDER_TIMEOUT, OrderCounts, OrderRight},
         runs::{self, Run},
+        stored,
         wire::Wire,
     },
     lease::{self, Machine, Terms, Versioned, Wrote},
-    rows::{RowError, RowName, RowPage, RowRange, RowStamp, RowStore, RowTransaction, StoredRow},
+    rows::{RowError, RowName, RowPage, RowRange, RowStamp, RowStore, RowTransaction},
 };
 
 /// The table, partition and key of the lease.
@@ -62,9 +64,6 @@
 /// How often the scheduler runs where nothing wakes it.
 const SCHEDULER_TICK: Duration = Duration::from_millis(100);
 
-/// How long results gather before they are listed in one transaction.
-const LISTING_GATHER: Duration = Duration::from_millis(80);
-
 /// The pause after the store failed.
 const STORE_PAUSE: Duration = Duration::from_millis(150);
 
@@ -78,7 +77,7 @@
 #[derive(Debug)]
 pub struct Coordinator<S, W> {
     host: Rc<Host<S, W>>,
-    scheduler: RefCell<Scheduler>,
+    scheduler: Rc<RefCell<Scheduler>>,
     lease: RefCell<Machine>,
     life: u64,
     /// Whether this host runs the jobs.
@@ -87,8 +86,7 @@
     order_from: Cell<Timestamp>,
     runs: RefCell<HashMap<RunNumber, AbortHandle>>,
     counts: RefCell<OrderCounts>,
-    tallies: RefCell<BTreeMap<JobId, (Tally, RowStamp)>>,
-    listing: RefCell<BTreeSet<JobId>>,
+    lister: Lister<S>,
     following: RefCell<Option<AbortHandle>>,
     wake: Notify,
 }
@@ -108,17 +106,17 @@
     pub fn new(host: Rc<Host<S, W>>) -> Rc<Self> {
         let life = rand::random();
         let machine = Machine::new(host.settings.host.clone(), life, LEASE_TERMS);
+        let scheduler: Rc<RefCell<Scheduler>> = Rc::default();
         Rc::new(Self {
+            lister: Lister::new(host.store.clone(), scheduler.clone()),
             host,
-            scheduler: RefCell::default(),
+            scheduler,
             lease: RefCell::new(machine),
             life,
             is_leading: Cell::new(false),
             order_from: Cell::new(Duration::MAX),
             runs: RefCell::default(),
             counts: RefCell::default(),
-            tallies: RefCell::default(),
-            listing: RefCell::default(),
             following: RefCell::default(),
             wake: Notify::new(),
         })
@@ -243,7 +241,7 @@
         let actions = self.scheduler.borrow_mut().reset();
         self.cancel(&actions);
         self.counts.borrow_mut().clear();
-        self.tallies.borrow_mut().clear();
+        self.lister.forget_all();
     }
 
     /// Runs the scheduler whenever something changed.
@@ -293,10 +291,8 @@
                 Action::Cancel { .. } => {}
             }
         }
-        for job in self.scheduler.borrow().unlisted() {
-            if self.listing.borrow_mut().insert(job.clone()) {
-                spawn_local(self.clone().list(job));
-            }
+        for job in self.lister.claim() {
+            spawn_local(self.clone().list(job));
         }
     }
 
@@ -412,99 +408,18 @@
 
     /// Lists what a job has finished, until nothing is left.
     async fn list(self: Rc<Self>, job: JobId) {
-        sleep(LISTING_GATHER).await;
-        let mut pending: Option<layout::Listing> = None;
-        loop {
-            let listing = match pending.take() {
-                Some(listing) => listing,
-                None => match self.next_listing(&job) {
-                    Some(listing) => listing,
-                    None => break,
-                },
-            };
-            match self.host.store.commit(&listing.transaction).await {
-                Ok(applied) => self.listed(&job, &listing, applied.stamp).await,
-                Err(RowError::Conflict { current }) => {
-                    let own =
-                        tally_row(&current).filter(|(tally, _)| tally.nonce == listing.tally.nonce);
-                    match own {
-                        // An earlier try was carried out and its answer was lost.
-                        Some((_, stamp)) => self.listed(&job, &listing, stamp).await,
-                        None => self.relearn(&job).await,
-                    }
-                }
-                Err(error) => {
-                    tracing::info!(event = "job.not_listed", job = &*job, %error);
-                    // The same write again holds only if the first one did not.
-                    pending = Some(listing);
-                    sleep(STORE_PAUSE).await;
-                }
-            }
-        }
-        self.listing.borrow_mut().remove(&job);
-    }
-
-    fn next_listing(&self, job: &JobId) -> Option<layout::Listing> {
-        let (tally, stamp) = self.tallies.borrow().get(job).cloned()?;
-        let scheduler = self.scheduler.borrow();
-        let finished = scheduler.finished(job);
-        if finished.is_empty() {
-            return None;
-        }
-        match layout::listing(job, &tally, stamp, finished, rand::random()) {
-            Ok(listing) => Some(listing),
-            Err(error) => {
-                tracing::error!(event = "job.not_encoded", job = &**job, %error);
-                None
-            }
-        }
-    }
-
-    async fn listed(&self, job: &JobId, listing: &layout::Listing, stamp: RowStamp) {
-        self.tallies
-            .borrow_mut()
-            .insert(job.clone(), (listing.tally.clone(), stamp));
-        let is_whole = self.scheduler.borrow_mut().listed(job, listing.taken_count);
-        tracing::info!(
-            event = "job.listed",
-            job = &**job,
-            listed_count = listing.tally.listed_count,
-            taken_count = listing.taken_count,
-            is_whole,
-            stamp,
-        );
-    }
-
-    /// Reads a job's listing anew, as another coordinator wrote to it.
-    async fn relearn(&self, job: &JobId) {
-        match self.load(job).await {
-            Ok(Some(loaded)) => {
-                tracing::info!(
-                    event = "job.relearned",
-                    job = &**job,
-                    listed_count = loaded.tally.listed_count,
-                );
-                self.tallies
-                    .borrow_mut()
-                    .insert(job.clone(), (loaded.tally, loaded.stamp));
-                let actions = self
-                    .scheduler
-                    .borrow_mut()
-                    .listed_elsewhere(job, &loaded.listed);
-                self.cancel(&actions);
-            }
-            Ok(None) => self.drop_job(job),
-            Err(error) => {
-                tracing::info!(event = "job.not_read", job = &**job, %error);
-                sleep(STORE_PAUSE).await;
-            }
+        let done = self.lister.list(&job).await;
+        self.cancel(&done.cancelled);
+        if done.is_over {
+            self.drop_job(&job);
         }
+        self.wake.notify_one();
     }
 
     fn drop_job(&self, job: &JobId) {
         let actions = self.scheduler.borrow_mut().end(job);
         self.cancel(&actions);
-        self.tallies.borrow_mut().remove(job);
+        self.lister.forget(job);
     }
 
     /// Takes up all open jobs, and then those that come.
@@ -574,7 +489,7 @@
         if self.scheduler.borrow().is_open(job) {
             return Ok(());
         }
-        let Some(loaded) = self.load(job).await? else {
+        let Some(loaded) = stored::load(&self.host.store, job).await? else {
             return Ok(());
         };
         if loaded.is_ended {
@@ -593,9 +508,7 @@
             listed_count = loaded.tally.listed_count,
             age_ms = millis(age),
         );
-        self.tallies
-            .borrow_mut()
-            .insert(job.clone(), (loaded.tally, loaded.stamp));
+        self.lister.learn(job, loaded.tally, loaded.stamp);
         self.scheduler
             .borrow_mut()
             .open(loaded.job, &loaded.listed, age, now);
@@ -617,74 +530,6 @@
         });
         self.wake.notify_one();
     }
-
-    /// Reads a job; none where there is none.
-    async fn load(&self, job: &JobId) -> Result<Option<Loaded>, RowError> {
-        let rows = self.read_all(layout::range(layout::JOBS, job, "")).await?;
-        let row = |key: &str| rows.iter().find(|row| row.key == key);
-        let Some(head) = row(layout::HEAD_KEY) else {
-            return Ok(None);
-        };
-        let head: JobHead = layout::decode(&head.key, &head.value).map_err(unreadable)?;
-        let is_ended = row(layout::END_KEY).is_some();
-        let (tally, stamp) = tally_row(&rows).unwrap_or_default();
-        let mut loaded = Loaded {
-            job: Job {
-                id: job.clone(),
-                head,
-                items: Vec::new(),
-            },
-            tally,
-            stamp,
-            listed: BTreeSet::new(),
-            is_ended,
-        };
-        if is_ended {
-            return Ok(Some(loaded));
-        }
-        let items = self.read_all(layout::range(layout::ITEMS, job, "")).await?;
-        loaded.job.items = layout::items(&items).map_err(unreadable)?;
-        if loaded.tally.listed_count > 0 {
-            let rows = self
-                .read_all(layout::range(layout::RESULTS, job, ""))
-                .await?;
-            let results = layout::results(&rows, 0).map_err(unreadable)?;
-            loaded.listed = results.into_iter().map(|result| result.id).collect();
-        }
-        Ok(Some(loaded))
-    }
-
-    async fn read_all(&self, range: RowRange) -> Result<Vec<StoredRow>, RowError> {
-        let mut range = range;
-        let mut rows: Vec<StoredRow> = Vec::new();
-        loop {
-            let page = self.host.store.read(&range).await?;
-            self.host.observe_store_time(page.store_time);
-            let has_more = page.has_more;
-            rows.extend(page.rows);
-            match rows.last() {
-                // The least key behind the last one.
-                Some(last) if has_more => range.from = format!("{}-", last.key),
-                _ => return Ok(rows),
-            }
-        }
-    }
-}
-
-/// A job as the store has it.
-#[derive(Debug)]
-struct Loaded {
-    job: Job,
-    tally: Tally,
-    stamp: RowStamp,
-    listed: BTreeSet<ItemId>,
-    is_ended: bool,
-}
-
-fn tally_row(rows: &[StoredRow]) -> Option<(Tally, RowStamp)> {
-    let row = rows.iter().find(|row| row.key == layout::TALLY_KEY)?;
-    let tally = layout::decode(&row.key, &row.value).ok()?;
-    Some((tally, row.stamp))
 }
 
 fn lease_row(page: RowPage) -> Result<Option<Versioned>, RowError> {
@@ -693,13 +538,6 @@
     };
     Ok(Some(Versioned {
         version: row.stamp,
-        record: layout::decode(&row.key, &row.value).map_err(unreadable)?,
+        record: layout::decode(&row.key, &row.value).map_err(stored::unreadable)?,
     }))
 }
-
-#[expect(clippy::needless_pass_by_value, reason = "it is passed to map_err")]
-fn unreadable(error: layout::LayoutError) -> RowError {
-    RowError::Unreadable {
-        reason: error.to_string(),
-    }
-}
--- /dev/null
+++ b/src/ingress/listing.rs
@@ -0,0 +1,190 @@
+//! Lists the results of batch jobs in the store, each item once.
+//!
+//! A listing holds only while nobody else listed anything of the job, so that a
+//! coordinator which was replaced without knowing does no harm.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::{BTreeMap, BTreeSet},
+    rc::Rc,
+    time::Duration,
+};
+
+use tokio::time::sleep;
+
+use crate::{
+    batch::{
+        job::JobId,
+        layout::{self, Listing, Tally},
+        scheduler::{Action, Scheduler},
+    },
+    ingress::stored,
+    rows::{RowError, RowStamp, RowStore},
+};
+
+/// How long results gather before they are listed in one transaction.
+const GATHER: Duration = Duration::from_millis(80);
+
+/// The pause after the store failed.
+const PAUSE: Duration = Duration::from_millis(150);
+
+/// What a listing left to do.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Listed {
+    /// Runs to cancel, as their items are listed already.
+    pub cancelled: Vec<Action>,
+    /// Whether the job was ended or is gone.
+    pub is_over: bool,
+}
+
+/// Lists what a scheduler has finished.
+#[derive(Debug)]
+pub struct Lister<S> {
+    store: S,
+    scheduler: Rc<RefCell<Scheduler>>,
+    tallies: RefCell<BTreeMap<JobId, (Tally, RowStamp)>>,
+    busy: RefCell<BTreeSet<JobId>>,
+    /// Rises whenever the scheduler was emptied, so that listings that began
+    /// before do not speak of what it holds now.
+    epoch: Cell<u64>,
+}
+
+impl<S: RowStore> Lister<S> {
+    /// Makes a lister of what `scheduler` finishes.
+    pub fn new(store: S, scheduler: Rc<RefCell<Scheduler>>) -> Self {
+        Self {
+            store,
+            scheduler,
+            tallies: RefCell::default(),
+            busy: RefCell::default(),
+            epoch: Cell::new(0),
+        }
+    }
+
+    /// Takes in how far the listing of `job` has come.
+    pub fn learn(&self, job: &JobId, tally: Tally, stamp: RowStamp) {
+        self.tallies
+            .borrow_mut()
+            .insert(job.clone(), (tally, stamp));
+    }
+
+    /// Forgets `job`.
+    pub fn forget(&self, job: &JobId) {
+        self.tallies.borrow_mut().remove(job);
+    }
+
+    /// Forgets all jobs, as the scheduler was emptied.
+    pub fn forget_all(&self) {
+        self.tallies.borrow_mut().clear();
+        self.busy.borrow_mut().clear();
+        self.epoch.set(self.epoch.get() + 1);
+    }
+
+    /// Returns the jobs whose results wait and are not being listed, and marks
+    /// them as being listed.
+    pub fn claim(&self) -> Vec<JobId> {
+        let mut busy = self.busy.borrow_mut();
+        let mut jobs = self.scheduler.borrow().unlisted();
+        jobs.retain(|job| busy.insert(job.clone()));
+        jobs
+    }
+
+    /// Lists what `job` has finished, until nothing is left.
+    pub async fn list(&self, job: &JobId) -> Listed {
+        let epoch = self.epoch.get();
+        sleep(GATHER).await;
+        let mut done = Listed::default();
+        let mut pending: Option<Listing> = None;
+        while self.epoch.get() == epoch && !done.is_over {
+            let Some(listing) = pending.take().or_else(|| self.next(job)) else {
+                break;
+            };
+            let result = self.store.commit(&listing.transaction).await;
+            if self.epoch.get() != epoch {
+                return done;
+            }
+            match result {
+                Ok(applied) => self.applied(job, &listing, applied.stamp),
+                Err(RowError::Conflict { current }) => {
+                    let own = stored::tally(&current)
+                        .ok()
+                        .flatten()
+                        .filter(|(tally, _)| tally.nonce == listing.tally.nonce);
+                    match own {
+                        // An earlier try was carried out and its answer was lost.
+                        Some((_, stamp)) => self.applied(job, &listing, stamp),
+                        None => self.relearn(job, epoch, &mut done).await,
+                    }
+                }
+                Err(error) => {
+                    tracing::info!(event = "job.not_listed", job = &**job, %error);
+                    // The same write again holds only if the first one did not.
+                    pending = Some(listing);
+                    sleep(PAUSE).await;
+                }
+            }
+        }
+        if self.epoch.get() == epoch {
+            self.busy.borrow_mut().remove(job);
+        }
+        done
+    }
+
+    fn next(&self, job: &JobId) -> Option<Listing> {
+        let (tally, stamp) = self.tallies.borrow().get(job).cloned()?;
+        let scheduler = self.scheduler.borrow();
+        let finished = scheduler.finished(job);
+        if finished.is_empty() {
+            return None;
+        }
+        match layout::listing(job, &tally, stamp, finished, rand::random()) {
+            Ok(listing) => Some(listing),
+            Err(error) => {
+                tracing::error!(event = "job.not_encoded", job = &**job, %error);
+                None
+            }
+        }
+    }
+
+    fn applied(&self, job: &JobId, listing: &Listing, stamp: RowStamp) {
+        self.learn(job, listing.tally.clone(), stamp);
+        let is_whole = self.scheduler.borrow_mut().listed(job, listing.taken_count);
+        tracing::info!(
+            event = "job.listed",
+            job = &**job,
+            listed_count = listing.tally.listed_count,
+            taken_count = listing.taken_count,
+            is_whole,
+            stamp,
+        );
+    }
+
+    /// Reads a job's listing anew, as another coordinator wrote to it.
+    async fn relearn(&self, job: &JobId, epoch: u64, done: &mut Listed) {
+        let loaded = stored::load(&self.store, job).await;
+        if self.epoch.get() != epoch {
+            return;
+        }
+        match loaded {
+            Ok(Some(loaded)) if !loaded.is_ended => {
+                tracing::info!(
+                    event = "job.relearned",
+                    job = &**job,
+                    listed_count = loaded.tally.listed_count,
+                );
+                self.learn(job, loaded.tally, loaded.stamp);
+                let cancelled = self
+                    .scheduler
+                    .borrow_mut()
+                    .listed_elsewhere(job, &loaded.listed);
+                done.cancelled.extend(cancelled);
+            }
+            // Nothing more has to be listed.
+            Ok(_) => done.is_over = true,
+            Err(error) => {
+                tracing::info!(event = "job.not_read", job = &**job, %error);
+                sleep(PAUSE).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/ingress/stored.rs
@@ -0,0 +1,105 @@
+//! Reads batch jobs back from the store.
+
+use std::collections::BTreeSet;
+
+use crate::{
+    batch::{
+        job::{ItemId, Job, JobHead, JobId},
+        layout::{self, LayoutError, Tally},
+    },
+    rows::{RowError, RowRange, RowStamp, RowStore, StoredRow},
+};
+
+/// A job as the store has it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StoredJob {
+    /// The job with its items.
+    pub job: Job,
+    /// How far its listing has come.
+    pub tally: Tally,
+    /// The version of the tally; 0 where nothing is listed.
+    pub stamp: RowStamp,
+    /// The items that are listed.
+    pub listed: BTreeSet<ItemId>,
+    /// Whether the client ended it.
+    pub is_ended: bool,
+}
+
+/// Reads all rows of `range`, however many calls that takes.
+///
+/// # Errors
+///
+/// Fails where the store gives no readable answer.
+pub async fn read_all(store: &impl RowStore, range: RowRange) -> Result<Vec<StoredRow>, RowError> {
+    let mut range = range;
+    let mut rows: Vec<StoredRow> = Vec::new();
+    loop {
+        let page = store.read(&range).await?;
+        let has_more = page.has_more;
+        rows.extend(page.rows);
+        match rows.last() {
+            // Keys of the layout hold no byte below the hyphen, so that this is
+            // behind the last one and before the next.
+            Some(last) if has_more => range.from = format!("{}-", last.key),
+            _ => return Ok(rows),
+        }
+    }
+}
+
+/// Reads a job; none where there is none.
+///
+/// # Errors
+///
+/// Fails where the store gives no readable answer.
+pub async fn load(store: &impl RowStore, job: &JobId) -> Result<Option<StoredJob>, RowError> {
+    let rows = read_all(store, layout::range(layout::JOBS, job, "")).await?;
+    let row = |key: &str| rows.iter().find(|row| row.key == key);
+    let Some(head) = row(layout::HEAD_KEY) else {
+        return Ok(None);
+    };
+    let head: JobHead = layout::decode(&head.key, &head.value).map_err(unreadable)?;
+    let (tally, stamp) = tally(&rows)?.unwrap_or_default();
+    // What is listed is read after the tally and holds at least as much.
+    let listed = if tally.listed_count > 0 {
+        let rows = read_all(store, layout::range(layout::RESULTS, job, "")).await?;
+        let results = layout::results(&rows, 0).map_err(unreadable)?;
+        results.into_iter().map(|result| result.id).collect()
+    } else {
+        BTreeSet::new()
+    };
+    let items = read_all(store, layout::range(layout::ITEMS, job, "")).await?;
+    Ok(Some(StoredJob {
+        job: Job {
+            id: job.clone(),
+            head,
+            items: layout::items(&items).map_err(unreadable)?,
+        },
+        tally,
+        stamp,
+        listed,
+        is_ended: row(layout::END_KEY).is_some(),
+    }))
+}
+
+/// Finds the tally among the rows of a job.
+///
+/// # Errors
+///
+/// Fails where the row is there and cannot be decoded.
+pub fn tally(rows: &[StoredRow]) -> Result<Option<(Tally, RowStamp)>, RowError> {
+    rows.iter()
+        .find(|row| row.key == layout::TALLY_KEY)
+        .map(|row| {
+            layout::decode(&row.key, &row.value)
+                .map(|tally| (tally, row.stamp))
+                .map_err(unreadable)
+        })
+        .transpose()
+}
+
+/// Turns bytes that cannot be decoded into the store's error for them.
+pub fn unreadable(error: LayoutError) -> RowError {
+    RowError::Unreadable {
+        reason: error.to_string(),
+    }
+}
--- /dev/null
+++ b/tests/job_listing.rs
@@ -0,0 +1,232 @@
+//! Results of batch jobs are listed once each, whatever the store does and
+//! however many coordinators think that they lead.
+
+#![expect(clippy::unwrap_used, reason = "a step that fails fails the test")]
+
+mod rows_support;
+
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    rc::Rc,
+    time::Duration,
+};
+
+use mimosavane::{
+    batch::{
+        job::{ItemResult, JobId},
+        layout,
+        scheduler::{Action, EngineSpec, RunEnd, RunNumber, Scheduler},
+    },
+    ingress::{listing::Lister, stored},
+    rows::RowStore,
+};
+use rows_support::{Fault, Rows, job};
+use tokio::{runtime, time};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// A coordinator as far as its listing goes.
+struct Member {
+    scheduler: Rc<RefCell<Scheduler>>,
+    lister: Lister<Rows>,
+    started: RefCell<VecDeque<RunNumber>>,
+}
+
+impl Member {
+    fn new(rows: &Rows) -> Self {
+        let scheduler: Rc<RefCell<Scheduler>> = Rc::default();
+        scheduler.borrow_mut().set_engines(vec![EngineSpec {
+            id: "engine-1".into(),
+            started_at_ms: 1,
+            service: "engines".into(),
+            slot_count: 64,
+            memory_tokens: 1_000_000,
+            is_draining: false,
+            versions: BTreeMap::from([("writer".into(), 1)]),
+        }]);
+        Self {
+            lister: Lister::new(rows.clone(), scheduler.clone()),
+            scheduler,
+            started: RefCell::default(),
+        }
+    }
+
+    async fn take_up(&self, rows: &Rows, id: &JobId) {
+        let loaded = stored::load(rows, id).await.unwrap().unwrap();
+        self.lister.learn(id, loaded.tally, loaded.stamp);
+        self.scheduler
+            .borrow_mut()
+            .open(loaded.job, &loaded.listed, Duration::ZERO, SECOND);
+    }
+
+    /// Runs up to `count` items to their end.
+    fn finish(&self, count: usize) {
+        let mut scheduler = self.scheduler.borrow_mut();
+        let mut started = self.started.borrow_mut();
+        started.extend(scheduler.poll(SECOND, false).into_iter().filter_map(
+            |action| match action {
+                Action::Start { run, .. } => Some(run),
+                _ => None,
+            },
+        ));
+        let mut left = count;
+        while left > 0
+            && let Some(run) = started.pop_front()
+        {
+            // The other coordinator may have listed the item.
+            if !scheduler.answered(run, 1, SECOND) {
+                continue;
+            }
+            left -= 1;
+            assert!(scheduler.event(run, 1, "text", 1, SECOND));
+            scheduler.ended(run, RunEnd::Completed, SECOND);
+        }
+    }
+}
+
+async fn accept(rows: &Rows, id: &str, item_count: usize) -> JobId {
+    for transaction in layout::acceptance(&job(id, item_count, 600)).unwrap() {
+        rows.commit(&transaction).await.unwrap();
+    }
+    id.into()
+}
+
+async fn listed(rows: &Rows, id: &JobId) -> Vec<ItemResult> {
+    let rows = stored::read_all(rows, layout::range(layout::RESULTS, id, ""))
+        .await
+        .unwrap();
+    layout::results(&rows, 0).unwrap()
+}
+
+fn assert_once(results: &[ItemResult]) {
+    let ids: BTreeSet<_> = results.iter().map(|result| &result.id).collect();
+    assert_eq!(ids.len(), results.len(), "an item is listed twice");
+}
+
+fn run(test: impl Future<Output = ()>) {
+    let runtime = runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()
+        .unwrap();
+    runtime.block_on(test);
+}
+
+/// A coordinator that was cut off finishes the job, the new one lists all of it,
+/// the trainer ends it, and the cut heals.
+#[test]
+fn ended_while_cut_off() {
+    run(async {
+        let rows = Rows::default();
+        let id = accept(&rows, "job", 12).await;
+        let (old, new) = (Member::new(&rows), Member::new(&rows));
+        old.take_up(&rows, &id).await;
+        new.take_up(&rows, &id).await;
+        old.finish(12);
+        new.finish(12);
+        new.lister.list(&id).await;
+        rows.commit(&layout::ending(&id)).await.unwrap();
+        let done = old.lister.list(&id).await;
+        assert!(done.is_over);
+        let results = listed(&rows, &id).await;
+        assert_once(&results);
+        assert_eq!(results.len(), 12);
+    });
+}
+
+/// Two coordinators list parts of one job by turns.
+#[test]
+fn two_coordinators() {
+    run(async {
+        let rows = Rows::default();
+        let id = accept(&rows, "job", 20).await;
+        let (old, new) = (Member::new(&rows), Member::new(&rows));
+        old.take_up(&rows, &id).await;
+        new.take_up(&rows, &id).await;
+        for (old_count, new_count) in [(3, 8), (8, 2), (20, 20)] {
+            old.finish(old_count);
+            new.finish(new_count);
+            let (a, b) = tokio::join!(old.lister.list(&id), new.lister.list(&id));
+            assert!(!a.is_over && !b.is_over);
+        }
+        let results = listed(&rows, &id).await;
+        assert_once(&results);
+        assert_eq!(results.len(), 20);
+    });
+}
+
+/// Answers to listings are lost, and some are carried out after later calls.
+#[test]
+fn lost_and_late_answers() {
+    for seed in 0..64_usize {
+        run(async move {
+            let rows = Rows::default();
+            let id = accept(&rows, "job", 24).await;
+            let member = Member::new(&rows);
+            member.take_up(&rows, &id).await;
+            for round in 0..4 {
+                rows.fail_next(match (seed >> round) % 4 {
+                    0 => Fault::AnswerLost,
+                    1 => Fault::Late(1 + seed % 3),
+                    2 => Fault::Refused,
+                    _ => Fault::Late(2),
+                });
+                member.finish(6);
+                member.lister.list(&id).await;
+            }
+            member.finish(24);
+            member.lister.list(&id).await;
+            let results = listed(&rows, &id).await;
+            assert_once(&results);
+            assert_eq!(results.len(), 24, "seed {seed}");
+        });
+    }
+}
+
+/// A coordinator loses its lease while a listing is on its way, and takes the
+/// job up again before the answer.
+#[test]
+fn lease_lost_and_regained() {
+    run(async {
+        let rows = Rows::default();
+        let id = accept(&rows, "job", 8).await;
+        let member = Member::new(&rows);
+        member.take_up(&rows, &id).await;
+        member.finish(4);
+        let again = async {
+            time::sleep(Duration::from_millis(80)).await;
+            member.scheduler.borrow_mut().reset();
+            member.lister.forget_all();
+            let fresh = Member::new(&rows);
+            fresh.take_up(&rows, &id).await;
+            fresh.finish(8);
+            fresh.lister.list(&id).await;
+        };
+        tokio::join!(member.lister.list(&id), again);
+        let results = listed(&rows, &id).await;
+        assert_once(&results);
+        assert_eq!(results.len(), 8);
+    });
+}
+
+/// A job whose items and results need many rows is read back as it was.
+#[test]
+fn large_job() {
+    run(async {
+        let rows = Rows::default();
+        let expected = job("job", 300, 9_000);
+        for transaction in layout::acceptance(&expected).unwrap() {
+            let size_bytes: usize = transaction.puts.iter().map(|(_, v)| v.len()).sum();
+            assert!(size_bytes <= layout::MAX_TRANSACTION_BYTES);
+            assert!(transaction.puts.len() <= layout::MAX_ENTRY_COUNT);
+            rows.commit(&transaction).await.unwrap();
+        }
+        let loaded = stored::load(&rows, &expected.id).await.unwrap().unwrap();
+        assert_eq!(loaded.job, expected);
+        let range = layout::item_range(&expected.id, &expected.items[77].id);
+        let page = rows.read(&range).await.unwrap();
+        let found = layout::items(&page.rows).unwrap();
+        assert!(found.contains(&expected.items[77]));
+    });
+}
--- /dev/null
+++ b/tests/rows_support/mod.rs
@@ -0,0 +1,233 @@
+//! The platform's store in memory, with its faults.
+
+#![allow(dead_code, reason = "each test uses a part")]
+
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, VecDeque},
+    rc::Rc,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use mimosavane::{
+    batch::job::{Item, Job, JobHead},
+    rows::{
+        Applied, NotAppliedReason, RowError, RowPage, RowRange, RowStamp, RowStore, RowTransaction,
+        StoredRow,
+    },
+};
+
+/// What happens to the next write.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// It is carried out and its answer is lost.
+    AnswerLost,
+    /// It is carried out after as many other calls, and its answer is lost.
+    Late(usize),
+    /// It is refused.
+    Refused,
+}
+
+type Name = (String, String, String);
+
+#[derive(Debug, Default)]
+struct Inner {
+    rows: BTreeMap<Name, (Bytes, RowStamp)>,
+    stamp: RowStamp,
+    faults: VecDeque<Fault>,
+    late: Vec<(usize, RowTransaction)>,
+    commit_count: usize,
+}
+
+/// A store that all clones share.
+#[derive(Clone, Debug, Default)]
+pub struct Rows {
+    inner: Rc<RefCell<Inner>>,
+}
+
+impl Rows {
+    /// Lets `fault` happen to the write after those that have one already.
+    pub fn fail_next(&self, fault: Fault) {
+        self.inner.borrow_mut().faults.push_back(fault);
+    }
+
+    /// Returns how many writes were asked for.
+    pub fn commit_count(&self) -> usize {
+        self.inner.borrow().commit_count
+    }
+
+    /// Returns all keys of a partition.
+    pub fn keys(&self, table: &str, partition: &str) -> Vec<String> {
+        let inner = self.inner.borrow();
+        inner
+            .rows
+            .keys()
+            .filter(|(t, p, _)| t == table && p == partition)
+            .map(|(_, _, key)| key.clone())
+            .collect()
+    }
+}
+
+impl Inner {
+    fn pass(&mut self) {
+        for (left, _) in &mut self.late {
+            *left = left.saturating_sub(1);
+        }
+        let (due, late) = std::mem::take(&mut self.late)
+            .into_iter()
+            .partition(|(left, _)| *left == 0);
+        self.late = late;
+        let due: Vec<(usize, RowTransaction)> = due;
+        for (_, transaction) in due {
+            // A late write whose condition no longer holds does nothing.
+            let _ = self.apply(&transaction);
+        }
+    }
+
+    fn apply(&mut self, transaction: &RowTransaction) -> Result<Applied, RowError> {
+        let name = |name: &mimosavane::rows::RowName| -> Name {
+            (
+                name.table.to_owned(),
+                name.partition.clone(),
+                name.key.clone(),
+            )
+        };
+        let holds = transaction
+            .expected
+            .iter()
+            .all(|(row, stamp)| self.rows.get(&name(row)).map_or(0, |(_, stamp)| *stamp) == *stamp);
+        if !holds {
+            let current = transaction
+                .expected
+                .iter()
+                .filter_map(|(row, _)| {
+                    let (value, stamp) = self.rows.get(&name(row))?;
+                    Some(StoredRow {
+                        partition: row.partition.clone(),
+                        key: row.key.clone(),
+                        value: value.clone(),
+                        stamp: *stamp,
+                        is_removed: false,
+                    })
+                })
+                .collect();
+            return Err(RowError::Conflict { current });
+        }
+        self.stamp += 1;
+        for (row, value) in &transaction.puts {
+            self.rows.insert(name(row), (value.clone(), self.stamp));
+        }
+        for row in &transaction.removals {
+            self.rows.remove(&name(row));
+        }
+        Ok(Applied {
+            stamp: self.stamp,
+            store_time: Duration::ZERO,
+        })
+    }
+}
+
+impl RowStore for Rows {
+    async fn commit(&self, transaction: &RowTransaction) -> Result<Applied, RowError> {
+        // Others get their turn, as over a network.
+        tokio::task::yield_now().await;
+        let mut inner = self.inner.borrow_mut();
+        inner.pass();
+        inner.commit_count += 1;
+        match inner.faults.pop_front() {
+            None => inner.apply(transaction),
+            Some(Fault::AnswerLost) => {
+                let _ = inner.apply(transaction);
+                Err(RowError::Unknown)
+            }
+            Some(Fault::Late(calls_count)) => {
+                inner.late.push((calls_count, transaction.clone()));
+                Err(RowError::Unknown)
+            }
+            Some(Fault::Refused) => Err(RowError::NotApplied {
+                reason: NotAppliedReason::Unavailable,
+            }),
+        }
+    }
+
+    async fn read(&self, range: &RowRange) -> Result<RowPage, RowError> {
+        tokio::task::yield_now().await;
+        let mut inner = self.inner.borrow_mut();
+        inner.pass();
+        let mut rows: Vec<StoredRow> = inner
+            .rows
+            .iter()
+            .filter(|((table, partition, _), _)| {
+                table == range.table && *partition == range.partition
+            })
+            .filter(|((_, _, key), _)| {
+                *key >= range.from && (range.to.is_empty() || *key < range.to)
+            })
+            .map(|((_, partition, key), (value, stamp))| StoredRow {
+                partition: partition.clone(),
+                key: key.clone(),
+                value: value.clone(),
+                stamp: *stamp,
+                is_removed: false,
+            })
+            .collect();
+        let has_more = rows.len() > range.limit_count;
+        rows.truncate(range.limit_count);
+        Ok(RowPage {
+            rows,
+            has_more,
+            stamp: inner.stamp,
+            store_time: Duration::ZERO,
+        })
+    }
+
+    async fn partitions(&self, table: &str, after: &str) -> Result<Vec<String>, RowError> {
+        let inner = self.inner.borrow();
+        let mut names: Vec<String> = inner
+            .rows
+            .keys()
+            .filter(|(t, partition, _)| t == table && partition.as_str() > after)
+            .map(|(_, partition, _)| partition.clone())
+            .collect();
+        names.dedup();
+        Ok(names)
+    }
+
+    async fn changes(&self, _: &str, _: RowStamp, _: Duration) -> Result<RowPage, RowError> {
+        Err(RowError::HistoryGone)
+    }
+}
+
+/// Makes a job of `item_count` items in groups of four.
+pub fn job(id: &str, item_count: usize, body_bytes: usize) -> Job {
+    let items = (0..item_count)
+        .map(|index| Item {
+            id: format!("item-{index}").into(),
+            group: format!("group-{}", index / 4).into(),
+            path: "/jobs/1".to_owned(),
+            headers: vec![("model".to_owned(), "writer".to_owned())],
+            body: vec![index as u8; body_bytes].into(),
+            prompt_tokens: 270,
+            length_hint_tokens: 1_000 + index as u64,
+        })
+        .collect();
+    Job {
+        id: id.into(),
+        head: JobHead {
+            service: "engines".into(),
+            route: "route".into(),
+            authority: "jobs.example".to_owned(),
+            model: "writer".into(),
+            step: 1,
+            min_version: 1,
+            single_version: false,
+            max_attempts: 3,
+            item_ttl: Duration::from_secs(40),
+            due: Duration::from_millis(7_500),
+            accepted_at: Duration::ZERO,
+            item_count,
+        },
+        items,
+    }
+}
