Use entries that lapsed in an outage for 2 s after the store's return only

Ruled out: a feed that missed the change; it came within 5 ms.

The coordinator logs each model's work once a second.

--- a/src/ingress/coordinator.rs
+++ b/src/ingress/coordinator.rs
@@ -67,6 +67,9 @@
 /// The pause after the store failed.
 const STORE_PAUSE: Duration = Duration::from_millis(150);
 
+/// How often the state of the work is logged.
+const LOAD_REPORT_INTERVAL: Duration = Duration::from_secs(1);
+
 /// How long the feed of open jobs waits for a change.
 const FEED_WAIT: Duration = Duration::from_millis(1_500);
 
@@ -88,6 +91,7 @@
     counts: RefCell<OrderCounts>,
     lister: Lister<S>,
     following: RefCell<Option<AbortHandle>>,
+    reported_at: Cell<Timestamp>,
     wake: Notify,
 }
 
@@ -118,6 +122,7 @@
             runs: RefCell::default(),
             counts: RefCell::default(),
             following: RefCell::default(),
+            reported_at: Cell::new(Duration::ZERO),
             wake: Notify::new(),
         })
     }
@@ -262,6 +267,7 @@
 
     fn round(self: &Rc<Self>) {
         let now = self.host.now();
+        self.host.beliefs.borrow_mut().directory.drop_lapsed(now);
         let may_order = self.fence().is_some();
         let actions = {
             let mut scheduler = self.scheduler.borrow_mut();
@@ -294,6 +300,29 @@
         for job in self.lister.claim() {
             spawn_local(self.clone().list(job));
         }
+        if now.saturating_sub(self.reported_at.get()) >= LOAD_REPORT_INTERVAL {
+            self.reported_at.set(now);
+            self.report(now);
+        }
+    }
+
+    /// Logs how the work of each model stands.
+    fn report(&self, now: Timestamp) {
+        for load in self.scheduler.borrow().loads(now) {
+            tracing::info!(
+                event = "model.load",
+                model = &*load.model,
+                job_count = load.job_count,
+                waiting_count = load.waiting_count,
+                running_count = load.running_count,
+                usable_count = load.usable_count,
+                fresh_count = load.fresh_count,
+                loading_count = load.loading_count,
+                avoided_count = load.avoided_count,
+                named_version = load.named_version,
+                min_version = load.min_version,
+            );
+        }
     }
 
     fn engines(&self) -> Vec<EngineSpec> {
--- a/src/ingress/directory.rs
+++ b/src/ingress/directory.rs
@@ -9,9 +9,9 @@
     ingress::routes::ServiceName,
 };
 
-/// How long an entry that went while the store was away is still used after the
-/// store's return; the platform puts back within 2 s what is still alive.
-const LAPSE_GRACE: Duration = Duration::from_millis(1_900);
+/// How long after the store's return an entry that went may still come back; the
+/// platform says about 2 s, and later removals are meant.
+const LAPSE_GRACE: Duration = Duration::from_millis(2_000);
 
 /// How long an upstream that failed gets no calls while others are there;
 /// doubles with each failure in a row.
@@ -48,8 +48,8 @@
     open_count: usize,
     failure_count: u32,
     avoid_until: Timestamp,
-    /// When it stops being used, as its entry went while the store was away.
-    lapses_at: Option<Timestamp>,
+    /// Whether the platform's entry is gone, and may come back.
+    has_lapsed: bool,
 }
 
 /// The upstreams by name.
@@ -57,6 +57,8 @@
 pub struct Directory {
     entries: BTreeMap<UpstreamId, Entry>,
     next_turn: u64,
+    /// Until when removed entries may still come back.
+    lapses_at: Timestamp,
 }
 
 impl Directory {
@@ -66,7 +68,7 @@
         match self.entries.get_mut(&upstream.id) {
             Some(entry) if entry.upstream.started_at_ms == upstream.started_at_ms => {
                 entry.upstream = upstream;
-                entry.lapses_at = None;
+                entry.has_lapsed = false;
             }
             _ => {
                 self.entries.insert(
@@ -76,27 +78,32 @@
                         open_count: 0,
                         failure_count: 0,
                         avoid_until: Duration::ZERO,
-                        lapses_at: None,
+                        has_lapsed: false,
                     },
                 );
             }
         }
     }
 
-    /// Takes in that an entry was removed; where `store_was_away`, it may come
-    /// back, and is used until then.
-    pub fn remove(&mut self, id: &UpstreamId, store_was_away: bool, now: Timestamp) {
-        if store_was_away {
-            if let Some(entry) = self.entries.get_mut(id) {
-                entry.lapses_at.get_or_insert(now + LAPSE_GRACE);
-            }
-        } else {
+    /// Takes in that the store answers again after it was away.
+    pub fn store_returned(&mut self, now: Timestamp) {
+        self.lapses_at = now + LAPSE_GRACE;
+    }
+
+    /// Takes in that an entry was removed.
+    ///
+    /// Entries lapse while the store is away, so that an upstream whose entry
+    /// went is used until it is clear that it does not come back.
+    pub fn remove(&mut self, id: &UpstreamId, now: Timestamp) {
+        if now >= self.lapses_at {
             self.entries.remove(id);
+        } else if let Some(entry) = self.entries.get_mut(id) {
+            entry.has_lapsed = true;
         }
     }
 
     /// Keeps only the entries in `present`, as a whole listing says.
-    pub fn retain(&mut self, present: &[UpstreamId], store_was_away: bool, now: Timestamp) {
+    pub fn retain(&mut self, present: &[UpstreamId], now: Timestamp) {
         let missing: Vec<UpstreamId> = self
             .entries
             .keys()
@@ -104,17 +111,15 @@
             .cloned()
             .collect();
         for id in missing {
-            self.remove(&id, store_was_away, now);
+            self.remove(&id, now);
         }
     }
 
-    /// Drops entries that lapsed and did not come back, and says whether there
-    /// were any.
-    pub fn drop_lapsed(&mut self, now: Timestamp) -> bool {
-        let before_count = self.entries.len();
-        self.entries
-            .retain(|_, entry| entry.lapses_at.is_none_or(|at| now < at));
-        self.entries.len() < before_count
+    /// Drops entries that lapsed and did not come back.
+    pub fn drop_lapsed(&mut self, now: Timestamp) {
+        if now >= self.lapses_at {
+            self.entries.retain(|_, entry| !entry.has_lapsed);
+        }
     }
 
     /// Returns all upstreams.
@@ -138,6 +143,7 @@
         tried: &[UpstreamId],
         now: Timestamp,
     ) -> Option<Arc<Upstream>> {
+        self.drop_lapsed(now);
         self.next_turn = self.next_turn.wrapping_add(1);
         let turn = self.next_turn;
         self.entries
--- a/src/ingress/feeds.rs
+++ b/src/ingress/feeds.rs
@@ -6,7 +6,7 @@
 use tokio::time::sleep;
 
 use crate::{
-    clock::{Timestamp, millis},
+    clock::millis,
     ingress::{
         host::Host,
         wire::{OperatorChange, Wire},
@@ -30,9 +30,6 @@
 /// 2 s after it was accepted.
 const MAX_PAUSE: Duration = Duration::from_millis(800);
 
-/// How long after a failure of the store removed entries may still come back.
-const AWAY_MEMORY: Duration = Duration::from_secs(4);
-
 /// The rows read at once; the platform returns at most this many.
 const PAGE_ROWS: usize = 500;
 
@@ -40,7 +37,6 @@
 struct Follower<'a, S, W> {
     host: &'a Rc<Host<S, W>>,
     table: &'static str,
-    failed_at: Option<Timestamp>,
     failure_count: u32,
 }
 
@@ -79,9 +75,11 @@
         self.host.store.changes(self.table, after, FEED_WAIT).await
     }
 
-    fn succeeded(&mut self, page: &RowPage) {
+    /// Takes in that the store answered, and says whether it was away before.
+    fn succeeded(&mut self, page: &RowPage) -> bool {
         self.host.observe_store_time(page.store_time);
-        if self.failure_count > 0 {
+        let was_away = self.failure_count > 0;
+        if was_away {
             tracing::info!(
                 event = "store.regained",
                 table = self.table,
@@ -90,11 +88,10 @@
             );
         }
         self.failure_count = 0;
+        was_away
     }
 
     async fn failed(&mut self, error: &RowError) {
-        let now = self.host.now();
-        self.failed_at = Some(now);
         if self.failure_count == 0 {
             tracing::warn!(event = "store.lost", table = self.table, %error);
         }
@@ -104,12 +101,6 @@
         let part = rand::rng().random_range(0.5..=1.0);
         sleep(bound.min(MAX_PAUSE).mul_f64(part)).await;
     }
-
-    fn was_away(&self) -> bool {
-        let now = self.host.now();
-        self.failed_at
-            .is_some_and(|at| now.saturating_sub(at) < AWAY_MEMORY)
-    }
 }
 
 /// Follows the operator's table.
@@ -117,7 +108,6 @@
     let mut follower = Follower {
         host: &host,
         table: W::OPERATOR_TABLE,
-        failed_at: None,
         failure_count: 0,
     };
     let mut stamp = None;
@@ -188,7 +178,6 @@
     let mut follower = Follower {
         host: &host,
         table: W::UPSTREAM_TABLE,
-        failed_at: None,
         failure_count: 0,
     };
     let mut stamp = None;
@@ -200,9 +189,12 @@
         };
         match result {
             Ok(page) => {
-                follower.succeeded(&page);
+                if follower.succeeded(&page) {
+                    let now = host.now();
+                    host.beliefs.borrow_mut().directory.store_returned(now);
+                }
                 stamp = Some(page.stamp);
-                take_upstream_rows(&host, &page.rows, is_whole, follower.was_away());
+                take_upstream_rows(&host, &page.rows, is_whole);
                 sleep(UPSTREAM_GATHER).await;
             }
             Err(RowError::HistoryGone) => {
@@ -218,7 +210,6 @@
     host: &Rc<Host<S, W>>,
     rows: &[StoredRow],
     is_whole: bool,
-    store_was_away: bool,
 ) {
     let now = host.now();
     let mut beliefs = host.beliefs.borrow_mut();
@@ -231,12 +222,11 @@
                     event = "upstream.removed",
                     upstream = row.key,
                     service = &*known.service,
-                    store_was_away,
                     stamp = row.stamp,
                     at_ms = millis(now),
                 );
             }
-            directory.remove(&id, store_was_away, now);
+            directory.remove(&id, now);
             continue;
         }
         match W::upstream(row) {
@@ -261,13 +251,13 @@
             }
             Err(error) => {
                 tracing::warn!(event = "upstream.unreadable", upstream = row.key, %error);
-                directory.remove(&id, store_was_away, now);
+                directory.remove(&id, now);
             }
         }
     }
     if is_whole {
         let present: Vec<_> = rows.iter().map(|row| row.key.as_str().into()).collect();
-        directory.retain(&present, store_was_away, now);
+        directory.retain(&present, now);
     }
     directory.drop_lapsed(now);
     drop(beliefs);
