--- a/src/batch/scheduler.rs
+++ b/src/batch/scheduler.rs
@@ -14,7 +14,7 @@
 use crate::{
     batch::{
         job::{EventNumber, ItemId, ItemResult, ItemState, Job, JobId, ModelId, Output},
-        weights::{Division, EngineWeights, Load, ModelNeed},
+        weights::{Division, EngineWeights, Load, ModelNeed, max_loading_count},
     },
     clock::Timestamp,
     ids::{UpstreamId, WeightVersion},
@@ -49,6 +49,9 @@
 /// The part of the smoothed event interval that a new one replaces.
 const INTERVAL_GAIN_RATIO: f64 = 0.1;
 
+/// The part of a model's smoothed demand that a new job replaces.
+const DEMAND_GAIN_RATIO: f64 = 0.3;
+
 /// How many outputs of unfinished items of ended jobs are kept for jobs that
 /// submit these items again.
 const MAX_CARRIED_COUNT: usize = 512;
@@ -180,6 +183,7 @@
     runs: BTreeMap<RunNumber, Run>,
     named: BTreeMap<ModelId, WeightVersion>,
     division: Division,
+    demand_tokens: BTreeMap<ModelId, f64>,
     carried: BTreeMap<ItemId, Output>,
     carried_order: VecDeque<ItemId>,
     next_run: RunNumber,
@@ -224,6 +228,7 @@
         if self.jobs.contains_key(&job.id) {
             return;
         }
+        self.observe_demand(&job);
         let mut items = Vec::with_capacity(job.items.len());
         for item in &job.items {
             let carried = self
@@ -259,6 +264,15 @@
         );
     }
 
+    fn observe_demand(&mut self, job: &Job) {
+        let tokens: u64 = job.items.iter().map(|item| item.length_hint_tokens).sum();
+        let known = self
+            .demand_tokens
+            .entry(job.head.model.clone())
+            .or_insert(tokens as f64);
+        *known += (tokens as f64 - *known) * DEMAND_GAIN_RATIO;
+    }
+
     /// Returns whether the job is open here.
     pub fn is_open(&self, job: &JobId) -> bool {
         self.jobs.contains_key(job)
@@ -394,8 +408,8 @@
             .values()
             .filter(|e| e.loading.is_some())
             .count();
-        let allowed = ((self.engines.len() as f64) * 0.2).round().max(1.0);
-        let stretch = (loading_count as f64 / allowed).max(1.0);
+        let allowed_count = max_loading_count(self.engines.len());
+        let stretch = (loading_count as f64 / allowed_count as f64).max(1.0);
         let Some(engine) = self.engines.get_mut(&load.engine) else {
             return;
         };
@@ -700,10 +714,16 @@
                 needs.entry(model.clone()).or_default();
             }
         }
-        for (model, version) in &self.named {
-            if let Some(need) = needs.get_mut(model) {
-                need.named = *version;
-            }
+        let demands: Vec<f64> = self.demand_tokens.values().copied().collect();
+        let mean_tokens = demands.iter().sum::<f64>() / demands.len().max(1) as f64;
+        for (model, need) in &mut needs {
+            need.named = self.named.get(model).copied().unwrap_or(0);
+            // A model without a job so far counts as one like the others.
+            need.demand_tokens = self
+                .demand_tokens
+                .get(model)
+                .copied()
+                .unwrap_or(mean_tokens);
         }
         for job in self.jobs.values() {
             let Some(need) = needs.get_mut(&job.job.head.model) else {
--- a/src/platform/wire.rs
+++ b/src/platform/wire.rs
@@ -113,7 +113,8 @@
                 ),
                 None => (0, item.tokens),
             };
-            let hint = header(names::LENGTH_HINT).and_then(|value| value.trim().parse().ok());
+            let hint: Option<u64> =
+                header(names::LENGTH_HINT).and_then(|value| value.trim().parse().ok());
             items.push(Item {
                 id: item.id.into(),
                 group: item.group.into(),
@@ -121,7 +122,7 @@
                 headers: item.headers.into_iter().collect(),
                 body: body.into(),
                 prompt_tokens,
-                length_hint_tokens: hint.unwrap_or(max_tokens),
+                length_hint_tokens: hint.unwrap_or(max_tokens).min(max_tokens),
             });
         }
         let authority = parts
