Let a restarted coordinator go on at once, and lapse leases in 1.3 s

Ruled out: shorter waits before orders than the platform's lease_ms; the record now carries until when orders are unsafe, so that a restart in between waits on.

Change: a host takes its own earlier life's lease without waiting; a lapse counts only while the store was read all along; lease 1 s, watch 250 ms; runs start only while the lease is held or 0.6 s past it. tests/lease.rs own_restart and store_outage fail before.

--- a/src/batch/scheduler.rs
+++ b/src/batch/scheduler.rs
@@ -98,6 +98,15 @@
     Broken,
 }
 
+/// What a coordinator may do now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Rights {
+    /// Whether it may start runs.
+    pub may_start: bool,
+    /// Whether it may order engines.
+    pub may_order: bool,
+}
+
 /// What to do.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Action {
@@ -477,13 +486,15 @@
             .collect()
     }
 
-    /// Returns what to do at `now`; orders only where `may_order`.
-    pub fn poll(&mut self, now: Timestamp, may_order: bool) -> Vec<Action> {
+    /// Returns what to do at `now`, of what `rights` allow.
+    pub fn poll(&mut self, now: Timestamp, rights: Rights) -> Vec<Action> {
         let mut actions = self.stop_stalled(now);
         self.give_up(now);
         self.finish_loads(now);
-        self.dispatch(now, &mut actions);
-        if may_order {
+        if rights.may_start {
+            self.dispatch(now, &mut actions);
+        }
+        if rights.may_order {
             self.order(now, &mut actions);
         }
         actions
--- a/src/ingress/coordinator.rs
+++ b/src/ingress/coordinator.rs
@@ -22,7 +22,7 @@
     batch::{
         job::JobId,
         layout,
-        scheduler::{Action, EngineSpec, RunEnd, RunNumber, Scheduler},
+        scheduler::{Action, EngineSpec, Rights, RunEnd, RunNumber, Scheduler},
         weights::Load,
     },
     clock::{Timestamp, millis},
@@ -48,18 +48,26 @@
 /// timeout and spread; renewals come three times in a lease, so that one slow
 /// answer of the store, 240 ms on the sheets, does not lose it.
 const LEASE_TERMS: Terms = Terms {
-    lease: Duration::from_millis(1_500),
+    lease: Duration::from_millis(1_000),
     order_timeout: ORDER_TIMEOUT,
-    watch_interval: Duration::from_millis(400),
-    spread: Duration::from_millis(200),
+    watch_interval: Duration::from_millis(250),
+    spread: Duration::from_millis(150),
 };
 
+/// How long a call about the lease may take; a later answer would come too late
+/// to renew.
+const LEASE_CALL_TIMEOUT: Duration = Duration::from_millis(450);
+
 /// How much longer than the platform asks a new holder waits before its first
 /// order, as an order of the last holder may be on its way.
-const ORDER_QUIET_MARGIN: Duration = Duration::from_millis(300);
+const ORDER_QUIET_MARGIN: Duration = Duration::from_millis(200);
+
+/// How long after its lease lapsed a coordinator still starts runs; by then
+/// another host may run the same items.
+const START_GRACE: Duration = Duration::from_millis(600);
 
 /// How often the lease is looked at.
-const LEASE_TICK: Duration = Duration::from_millis(100);
+const LEASE_TICK: Duration = Duration::from_millis(50);
 
 /// How often the scheduler runs where nothing wakes it.
 const SCHEDULER_TICK: Duration = Duration::from_millis(100);
@@ -85,8 +93,8 @@
     life: u64,
     /// Whether this host runs the jobs.
     is_leading: Cell<bool>,
-    /// From when on orders may be given.
-    order_from: Cell<Timestamp>,
+    /// When the lease was last held.
+    held_at: Cell<Timestamp>,
     runs: RefCell<HashMap<RunNumber, AbortHandle>>,
     counts: RefCell<OrderCounts>,
     lister: Lister<S>,
@@ -97,11 +105,11 @@
 
 impl<S: RowStore, W: Wire> OrderRight for Coordinator<S, W> {
     fn fence(&self) -> Option<FenceNumber> {
-        let now = self.host.now();
-        if now < self.order_from.get() || self.host.is_stopping.get() {
-            return None;
-        }
-        self.lease.borrow().fence(now)
+        let lease = self.lease.borrow();
+        let is_quiet_over = self.host.store_time()? >= lease.quiet_until();
+        lease
+            .fence(self.host.now())
+            .filter(|_| is_quiet_over && !self.host.is_stopping.get())
     }
 }
 
@@ -109,7 +117,8 @@
     /// Makes a coordinator that does not lead yet.
     pub fn new(host: Rc<Host<S, W>>) -> Rc<Self> {
         let life = rand::random();
-        let machine = Machine::new(host.settings.host.clone(), life, LEASE_TERMS);
+        let machine =
+            Machine::new(host.settings.host.clone(), life, LEASE_TERMS).succeeding_itself();
         let scheduler: Rc<RefCell<Scheduler>> = Rc::default();
         Rc::new(Self {
             lister: Lister::new(host.store.clone(), scheduler.clone()),
@@ -118,7 +127,7 @@
             lease: RefCell::new(machine),
             life,
             is_leading: Cell::new(false),
-            order_from: Cell::new(Duration::MAX),
+            held_at: Cell::new(Duration::ZERO),
             runs: RefCell::default(),
             counts: RefCell::default(),
             following: RefCell::default(),
@@ -154,11 +163,29 @@
     }
 
     async fn keep_lease(self: &Rc<Self>) {
-        let action = self.lease.borrow_mut().poll(self.host.now());
-        let Some(action) = action else {
-            return;
+        let quiet = self.host.settings.order_quiet + ORDER_QUIET_MARGIN;
+        let action = {
+            let mut lease = self.lease.borrow_mut();
+            lease.foresee_quiet(self.host.store_time().unwrap_or_default() + quiet);
+            lease.poll(self.host.now())
         };
-        let (event, found) = self.ask(action).await;
+        if let Some(action) = action {
+            self.carry_out(action).await;
+        }
+        let now = self.host.now();
+        if self.lease.borrow().is_held(now) {
+            self.held_at.set(now);
+        }
+    }
+
+    async fn carry_out(self: &Rc<Self>, action: lease::Action) {
+        let is_write = matches!(action, lease::Action::Write { .. });
+        let asked = timeout(LEASE_CALL_TIMEOUT, self.ask(action)).await;
+        let (event, found) = asked.unwrap_or(if is_write {
+            (lease::Event::Wrote(Wrote::Unknown), None)
+        } else {
+            (lease::Event::Read(None), None)
+        });
         let now = self.host.now();
         self.lease.borrow_mut().apply(event, now);
         let is_held = self.lease.borrow().is_held(now);
@@ -220,14 +247,11 @@
     }
 
     fn lead(self: &Rc<Self>, now: Timestamp) {
-        let fence = self.lease.borrow().fence(now).unwrap_or_default();
-        // The first holder ever follows nobody.
-        let quiet = if fence <= 1 {
-            Duration::ZERO
-        } else {
-            self.host.settings.order_quiet + ORDER_QUIET_MARGIN
+        let (fence, quiet_until) = {
+            let lease = self.lease.borrow();
+            (lease.fence(now), lease.quiet_until())
         };
-        self.order_from.set(now + quiet);
+        let quiet = quiet_until.saturating_sub(self.host.store_time().unwrap_or_default());
         self.is_leading.set(true);
         tracing::info!(event = "lease.taken", fence, quiet_ms = millis(quiet));
         let following = spawn_local(self.clone().follow_jobs());
@@ -239,7 +263,6 @@
     fn follow_other(&self) {
         tracing::info!(event = "lease.lost");
         self.is_leading.set(false);
-        self.order_from.set(Duration::MAX);
         if let Some(task) = self.following.borrow_mut().take() {
             task.abort();
         }
@@ -269,17 +292,21 @@
         let now = self.host.now();
         self.host.beliefs.borrow_mut().directory.drop_lapsed(now);
         let may_order = self.fence().is_some();
+        let may_start =
+            now.saturating_sub(self.held_at.get()) < START_GRACE && !self.host.is_stopping.get();
         let actions = {
             let mut scheduler = self.scheduler.borrow_mut();
             scheduler.set_engines(self.engines());
             for (model, version) in &self.host.beliefs.borrow().named {
                 scheduler.name_version(model.clone(), *version);
             }
-            if self.host.is_stopping.get() {
-                Vec::new()
-            } else {
-                scheduler.poll(now, may_order)
-            }
+            scheduler.poll(
+                now,
+                Rights {
+                    may_start,
+                    may_order,
+                },
+            )
         };
         self.cancel(&actions);
         for action in actions {
--- a/src/ingress/orders.rs
+++ b/src/ingress/orders.rs
@@ -18,7 +18,7 @@
 };
 
 /// How long an engine may leave an order or a question unanswered.
-pub const ORDER_TIMEOUT: Duration = Duration::from_millis(500);
+pub const ORDER_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// How much older than its answer a report may be; the page says some hundred
 /// milliseconds.
--- a/src/lease.rs
+++ b/src/lease.rs
@@ -44,6 +44,10 @@
     pub sequence: u64,
     /// Whether the holder gave it up with no order under way.
     pub released: bool,
+    /// The store's clock from which the holder may give orders, since one of the
+    /// holder before may be on its way until then; zero where that is not kept.
+    #[serde(default)]
+    pub quiet_until: Duration,
 }
 
 /// A record with its version in the store.
@@ -148,6 +152,12 @@
     pending: Option<Pending>,
     is_waiting: bool,
     sequence: u64,
+    /// Whether an earlier life of this host is over once this one runs.
+    succeeds_itself: bool,
+    /// From when on orders would be safe if the lease were taken from another
+    /// host now, and from when on they are, both by the store's clock.
+    quiet_if_taken: Duration,
+    quiet_until: Duration,
 }
 
 impl Machine {
@@ -162,9 +172,34 @@
             pending: None,
             is_waiting: false,
             sequence: 0,
+            succeeds_itself: false,
+            quiet_if_taken: Duration::ZERO,
+            quiet_until: Duration::ZERO,
         }
     }
 
+    /// Lets this host take the lease of its own earlier life without waiting.
+    ///
+    /// Only for hosts that never run two processes at once.
+    #[must_use]
+    pub fn succeeding_itself(self) -> Self {
+        Self {
+            succeeds_itself: true,
+            ..self
+        }
+    }
+
+    /// Says from when on, by the store's clock, orders would be safe if the lease
+    /// were taken from another host now.
+    pub const fn foresee_quiet(&mut self, until: Duration) {
+        self.quiet_if_taken = until;
+    }
+
+    /// Returns the store's clock from which orders are safe.
+    pub const fn quiet_until(&self) -> Duration {
+        self.quiet_until
+    }
+
     /// Returns the fencing number under which an order may be sent at `now`.
     ///
     /// The time left must cover the order timeout, so that the order is over
@@ -260,7 +295,13 @@
         }
         let is_same = self.seen.as_ref().is_some_and(|seen| seen.at == found);
         if is_same {
+            let gap = self.terms.watch_interval + self.terms.order_timeout;
             if let Some(seen) = &mut self.seen {
+                // Whoever cannot read the store cannot tell that the holder did
+                // not renew; after an outage the holder gets its time again.
+                if now > seen.checked + gap {
+                    seen.since = now;
+                }
                 seen.checked = now;
             }
             return;
@@ -301,20 +342,37 @@
         let Some(seen) = &self.seen else {
             return Some(Action::Read);
         };
+        let is_own = |record: &Record| self.succeeds_itself && record.holder == self.host;
+        let quiet_until = match &seen.at {
+            None => Duration::ZERO,
+            // The waiting of the earlier life goes on.
+            Some(found) if is_own(&found.record) => found.record.quiet_until,
+            Some(_) => self.quiet_if_taken,
+        };
         let (fence, wait) = match &seen.at {
             None => (1, Duration::ZERO),
-            Some(found) if found.record.released => (found.record.fence + 1, Duration::ZERO),
+            Some(found) if found.record.released || is_own(&found.record) => {
+                (found.record.fence + 1, Duration::ZERO)
+            }
             Some(found) => (
                 found.record.fence + 1,
                 self.terms.lease + self.terms.order_timeout,
             ),
         };
-        let due = seen.since + wait + self.delay(fence);
+        // Nobody competes with a host for its own lease.
+        let is_free = seen.at.as_ref().is_some_and(|found| is_own(&found.record));
+        let spread = if is_free {
+            Duration::ZERO
+        } else {
+            self.delay(fence)
+        };
+        let due = seen.since + wait + spread;
         // A last look finds the lease that another host took meanwhile.
         if now < due || seen.checked < due {
             let look_at = (seen.checked + self.terms.watch_interval).min(due);
             return (now >= look_at).then_some(Action::Read);
         }
+        self.quiet_until = quiet_until;
         self.write(fence, false, now)
     }
 
@@ -334,6 +392,7 @@
             fence,
             sequence: self.sequence,
             released,
+            quiet_until: self.quiet_until,
         };
         self.pending = Some(Pending {
             version,
--- a/src/platform/boot.rs
+++ b/src/platform/boot.rs
@@ -80,9 +80,6 @@
     lease_ms: u64,
     /// How long after its submission a job's results must stay readable.
     status_ttl_s: f64,
-    /// How long after a thaw or a healed link orders may still arrive unpunished.
-    #[serde(default)]
-    thaw_slack_ms: u64,
 }
 
 #[derive(Debug, Deserialize)]
@@ -161,7 +158,7 @@
             ready_address: self.listen.ready,
             store_address: self.provider.address,
             stop_grace: Duration::from_secs_f64(self.bounds.grace_s),
-            order_quiet: Duration::from_millis(self.bounds.lease_ms + self.bounds.thaw_slack_ms),
+            order_quiet: Duration::from_millis(self.bounds.lease_ms),
             result_ttl: Duration::from_secs_f64(self.bounds.status_ttl_s),
             memory_limit_mb: self.limits.memory_mb,
             cpu_share_ratio: self.limits.cpu_share,
--- a/tests/job_listing.rs
+++ b/tests/job_listing.rs
@@ -16,7 +16,7 @@
     batch::{
         job::{ItemResult, JobId},
         layout,
-        scheduler::{Action, EngineSpec, RunEnd, RunNumber, Scheduler},
+        scheduler::{Action, EngineSpec, Rights, RunEnd, RunNumber, Scheduler},
     },
     ingress::{listing::Lister, stored},
     rows::RowStore,
@@ -25,6 +25,10 @@
 use tokio::{runtime, time};
 
 const SECOND: Duration = Duration::from_secs(1);
+const RIGHTS: Rights = Rights {
+    may_start: true,
+    may_order: false,
+};
 
 /// A coordinator as far as its listing goes.
 struct Member {
@@ -64,7 +68,7 @@
     fn finish(&self, count: usize) {
         let mut scheduler = self.scheduler.borrow_mut();
         let mut started = self.started.borrow_mut();
-        started.extend(scheduler.poll(SECOND, false).into_iter().filter_map(
+        started.extend(scheduler.poll(SECOND, RIGHTS).into_iter().filter_map(
             |action| match action {
                 Action::Start { run, .. } => Some(run),
                 _ => None,
--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -273,3 +273,71 @@
     assert_eq!(machine.fence(later), Some(1));
     assert_eq!(machine.fence(Duration::from_millis(4_500)), None);
 }
+
+fn read(machine: &mut Machine, found: &Versioned, now: Timestamp) {
+    assert_eq!(machine.poll(now), Some(Action::Read));
+    machine.apply(Event::Read(Some(Some(found.clone()))), now);
+}
+
+fn held_by(holder: &str, quiet_until: Duration) -> Versioned {
+    Versioned {
+        version: 7,
+        record: Record {
+            holder: holder.into(),
+            life: 1,
+            fence: 4,
+            sequence: 9,
+            released: false,
+            quiet_until,
+        },
+    }
+}
+
+/// All hosts lose power at once: the one that held the lease goes on at once,
+/// and waits with orders for as long as its earlier life would have.
+#[test]
+fn own_restart() {
+    let quiet_until = Duration::from_secs(90);
+    let mut machine = Machine::new("entry-1", 2, TERMS).succeeding_itself();
+    machine.foresee_quiet(Duration::from_secs(300));
+    read(&mut machine, &held_by("entry-1", quiet_until), STEP);
+    let taken = machine.poll(STEP);
+    let Some(Action::Write { version: 7, record }) = taken else {
+        panic!("took {taken:?}");
+    };
+    assert_eq!((record.fence, record.quiet_until), (5, quiet_until));
+    machine.apply(Event::Wrote(Wrote::DoneAt(40)), STEP);
+    assert_eq!(machine.fence(STEP), Some(5));
+    assert_eq!(machine.quiet_until(), quiet_until);
+}
+
+/// The same of another host's lease waits for it to lapse.
+#[test]
+fn restart_beside_holder() {
+    let mut machine = Machine::new("entry-1", 2, TERMS).succeeding_itself();
+    read(&mut machine, &held_by("entry-2", Duration::ZERO), STEP);
+    assert_eq!(machine.poll(STEP), None);
+}
+
+/// The store is away for longer than a lease: when it returns, the holder has
+/// time to renew before anybody may take over.
+#[test]
+fn store_outage() {
+    let found = held_by("entry-2", Duration::ZERO);
+    let mut machine = Machine::new("entry-1", 1, TERMS);
+    read(&mut machine, &found, STEP);
+    let returned = Duration::from_secs(60);
+    read(&mut machine, &found, returned);
+    let mut now = returned;
+    let lapse = TERMS.lease + TERMS.order_timeout;
+    while now < returned + lapse {
+        match machine.poll(now) {
+            None => {}
+            Some(Action::Read) => machine.apply(Event::Read(Some(Some(found.clone()))), now),
+            Some(Action::Write { .. }) => {
+                panic!("took the lease {:?} after the return", now - returned)
+            }
+        }
+        now += STEP;
+    }
+}
