Save outputs of runs, so that a new coordinator goes on from there

Ruled out: peers that keep copies: a second protocol, and all hosts may lose power at once.

Change: every 0.4 s the coordinator writes new events of unfinished items under its fencing number; parts of different coordinators are never joined. tests/saved_output.rs. The moves off slow engines are in the code and switched off by their bounds here; they are measured next.

--- a/src/batch/job.rs
+++ b/src/batch/job.rs
@@ -113,38 +113,3 @@
     /// All versions of the weights that generated an event of the text.
     pub versions: BTreeSet<WeightVersion>,
 }
-
-/// The output of an item so far.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Output {
-    /// The data of its events, separated by line feeds.
-    pub text: String,
-    /// The number of the last event; 0 before the first.
-    pub last_event: EventNumber,
-    /// The versions that generated it.
-    pub versions: BTreeSet<WeightVersion>,
-}
-
-impl Output {
-    /// Adds the event `number`, and says whether it is the one that was due.
-    pub fn push(&mut self, number: EventNumber, data: &str, version: WeightVersion) -> bool {
-        if number != self.last_event + 1 {
-            return false;
-        }
-        if self.last_event > 0 {
-            self.text.push('\n');
-        }
-        self.text.push_str(data);
-        self.last_event = number;
-        self.versions.insert(version);
-        true
-    }
-
-    /// Says whether a run under `version` may go on with this output.
-    pub fn admits(&self, head: &JobHead, version: WeightVersion) -> bool {
-        version >= head.min_version
-            && (!head.single_version
-                || self.versions.is_empty()
-                || self.versions.iter().eq([&version]))
-    }
-}
--- a/src/batch/layout.rs
+++ b/src/batch/layout.rs
@@ -10,16 +10,21 @@
 //! | `jobs` | `end` | nothing | once, by the client's end |
 //! | `items` | `BB.CC` | part CC of the items in bucket BB | before the acceptance |
 //! | `results` | `PPPPPP.CC` | part CC of the result at a position | once |
+//! | `outputs` | `FFFFFFFFFF.IIIIII.EEEEEE` | events from E on of item I, as the coordinator with fence F saw them | while it runs |
 //! | `open` | `job`, `end` | nothing | what the coordinator has to take up |
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
-    batch::job::{Item, ItemId, ItemResult, Job, JobHead, JobId},
+    batch::{
+        job::{Item, ItemId, ItemResult, Job, JobHead, JobId},
+        output::{Output, OutputPart},
+    },
+    ids::FenceNumber,
     rows::{RowName, RowRange, RowStamp, RowTransaction, StoredRow},
 };
 
@@ -29,6 +34,8 @@
 pub const ITEMS: &str = "items";
 /// The listed results of jobs.
 pub const RESULTS: &str = "results";
+/// What runs have made so far.
+pub const OUTPUTS: &str = "outputs";
 /// What the coordinator has to take up.
 pub const OPEN: &str = "open";
 
@@ -47,7 +54,7 @@
 
 /// The most bytes of a value. The platform takes 65,536 in base64, which is
 /// 49,152 before encoding.
-const MAX_VALUE_BYTES: usize = 48_000;
+pub const MAX_VALUE_BYTES: usize = 48_000;
 
 /// The most entries of one transaction, as the platform states it.
 pub const MAX_ENTRY_COUNT: usize = 100;
@@ -335,6 +342,67 @@
     })
 }
 
+/// Returns the transaction that saves as many of `parts` as fit, and how many it
+/// takes.
+///
+/// It needs no condition: each coordinator writes under its own fencing number,
+/// and a part that is written late only shortens what can be read back.
+///
+/// # Errors
+///
+/// Fails where a part has no encoding.
+pub fn saving(
+    job: &JobId,
+    fence: FenceNumber,
+    parts: &[(usize, OutputPart)],
+) -> Result<(RowTransaction, usize), LayoutError> {
+    let mut transaction = RowTransaction::default();
+    let mut size_bytes = 0;
+    let mut taken_count = 0;
+    for (item_index, part) in parts.iter().take(MAX_ENTRY_COUNT) {
+        let value = encode(part)?;
+        size_bytes += value.len();
+        if size_bytes > MAX_TRANSACTION_BYTES && taken_count > 0 {
+            break;
+        }
+        let key = format!("{fence:010}.{item_index:06}.{:06}", part.first_event);
+        transaction = transaction.put(RowName::new(OUTPUTS, &**job, key), value);
+        taken_count += 1;
+    }
+    Ok((transaction, taken_count))
+}
+
+/// Puts saved outputs together again, by the position of their items; of several
+/// coordinators' outputs of one item it takes the longest.
+///
+/// # Errors
+///
+/// Fails where a row is not what [`saving`] wrote.
+pub fn outputs(rows: &[StoredRow]) -> Result<BTreeMap<usize, Output>, LayoutError> {
+    let mut chains: BTreeMap<(&str, usize), Output> = BTreeMap::new();
+    for row in rows {
+        let mut fields = row.key.split('.');
+        let (Some(fence), Some(Ok(item_index))) =
+            (fields.next(), fields.next().map(str::parse::<usize>))
+        else {
+            return Err(LayoutError::Missing {
+                key: row.key.clone(),
+            });
+        };
+        let part: OutputPart = decode(&row.key, &row.value)?;
+        // A part that does not follow the last one is lost with all behind it.
+        chains.entry((fence, item_index)).or_default().extend(&part);
+    }
+    let mut outputs: BTreeMap<usize, Output> = BTreeMap::new();
+    for ((_, item_index), output) in chains {
+        let known = outputs.entry(item_index).or_default();
+        if output.last_event() > known.last_event() {
+            *known = output;
+        }
+    }
+    Ok(outputs)
+}
+
 /// Returns the transaction that ends `job`.
 pub fn ending(job: &JobId) -> RowTransaction {
     let name = RowName::new(JOBS, &**job, END_KEY);
--- a/src/batch/scheduler.rs
+++ b/src/batch/scheduler.rs
@@ -13,7 +13,8 @@
 
 use crate::{
     batch::{
-        job::{EventNumber, ItemId, ItemResult, ItemState, Job, JobId, ModelId, Output},
+        job::{EventNumber, ItemId, ItemResult, ItemState, Job, JobId, ModelId},
+        output::{Output, OutputPart},
         weights::{Division, EngineWeights, Load, ModelNeed, max_loading_count},
     },
     clock::Timestamp,
@@ -27,6 +28,26 @@
 /// weights, which pauses all runs, takes 0.9 s on the deployment sheets.
 const STALL_TIMEOUT: Duration = Duration::from_millis(1_600);
 
+/// How long an engine that runs several items may make no event at all before it
+/// counts as silent; the sheets' engines make one each 40 ms.
+const SILENCE_TIMEOUT: Duration = Duration::from_secs(700);
+
+/// How many runs must be silent for their engine to count as silent.
+const SILENT_RUN_COUNT: usize = 2;
+
+/// How many times slower than the median an engine's events must come for its
+/// runs to go on elsewhere; the sheets' speeds differ by a factor of 1.3.
+const SLOW_RATIO: f64 = 1_000.0;
+
+/// How many events a run must have made before it may be moved away.
+const MIN_MOVED_EVENT_COUNT: u64 = 3;
+
+/// How many runs are moved at once, so that they do not crowd another engine.
+const MAX_MOVED_COUNT: usize = 8;
+
+/// How long what was seen of an engine's speed counts.
+const SPEED_MEMORY: Duration = Duration::from_millis(2_500);
+
 /// How long an engine that failed gets no work; doubles with each failure in a
 /// row.
 const MIN_AVOIDANCE: Duration = Duration::from_millis(250);
@@ -52,6 +73,14 @@
 /// The part of a model's smoothed demand that a new job replaces.
 const DEMAND_GAIN_RATIO: f64 = 0.3;
 
+/// What stands for the time between two events of an engine that was not seen
+/// lately, from the deployment sheets.
+const USUAL_INTERVAL: Duration = Duration::from_millis(40);
+
+/// How much fuller an engine counts for each second between its events, so that
+/// one of twice the usual time counts as fuller by 0.4.
+const FULLNESS_PER_SECOND: f64 = 10.0;
+
 /// How many outputs of unfinished items of ended jobs are kept for jobs that
 /// submit these items again.
 const MAX_CARRIED_COUNT: usize = 512;
@@ -96,6 +125,8 @@
     WrongEngine,
     /// The stream broke off, or could not be opened.
     Broken,
+    /// It was stopped here, to go on elsewhere.
+    Moved,
 }
 
 /// What a coordinator may do now.
@@ -144,6 +175,10 @@
     /// Whether it is gone from the directory.
     is_gone: bool,
     event_interval: Option<Duration>,
+    /// When it last made an event of any run.
+    event_at: Timestamp,
+    /// When its last load of weights ended, which pauses its runs.
+    loaded_at: Timestamp,
 }
 
 #[derive(Clone, Debug)]
@@ -156,6 +191,8 @@
 #[derive(Clone, Debug)]
 struct ItemRun {
     output: Output,
+    /// The last event of the output that is saved.
+    saved_event: EventNumber,
     run: Option<RunNumber>,
     failed_count: u32,
     is_done: bool,
@@ -243,10 +280,10 @@
             let carried = self
                 .carried
                 .get(&item.id)
-                .filter(|output| output.versions.iter().all(|v| *v >= job.head.min_version))
-                .filter(|output| !job.head.single_version || output.versions.len() <= 1);
+                .filter(|output| output.serves(&job.head));
             items.push(ItemRun {
                 output: carried.cloned().unwrap_or_default(),
+                saved_event: 0,
                 run: None,
                 failed_count: 0,
                 is_done: listed.contains(&item.id),
@@ -273,6 +310,59 @@
         );
     }
 
+    /// Takes in what another coordinator saved of the outputs of `job`.
+    pub fn restore(&mut self, job: &JobId, outputs: BTreeMap<usize, Output>) {
+        let Some(run) = self.jobs.get_mut(job) else {
+            return;
+        };
+        for (index, output) in outputs {
+            let Some(item) = run.items.get_mut(index) else {
+                continue;
+            };
+            let is_better = output.last_event() > item.output.last_event();
+            if item.run.is_none() && is_better && output.serves(&run.job.head) {
+                item.output = output;
+            }
+        }
+    }
+
+    /// Returns parts of the outputs of `job` that are not saved, of items that
+    /// have made at least `min_count` events since they were.
+    pub fn unsaved(
+        &self,
+        job: &JobId,
+        min_count: EventNumber,
+        max_bytes: usize,
+    ) -> Vec<(usize, OutputPart)> {
+        let Some(run) = self.jobs.get(job) else {
+            return Vec::new();
+        };
+        run.items
+            .iter()
+            .enumerate()
+            .filter(|(_, item)| !item.is_done)
+            .filter(|(_, item)| item.output.last_event() >= item.saved_event + min_count)
+            .filter_map(|(index, item)| {
+                let part = item.output.part(item.saved_event, max_bytes)?;
+                Some((index, part))
+            })
+            .collect()
+    }
+
+    /// Takes in that the output of an item is saved up to `last_event`.
+    pub fn saved(&mut self, job: &JobId, item_index: usize, last_event: EventNumber) {
+        if let Some(run) = self.jobs.get_mut(job)
+            && let Some(item) = run.items.get_mut(item_index)
+        {
+            item.saved_event = last_event;
+        }
+    }
+
+    /// Returns the jobs that are open.
+    pub fn open_jobs(&self) -> Vec<JobId> {
+        self.jobs.keys().cloned().collect()
+    }
+
     fn observe_demand(&mut self, job: &Job) {
         let tokens: u64 = job.items.iter().map(|item| item.length_hint_tokens).sum();
         let known = self
@@ -301,7 +391,7 @@
             return Vec::new();
         };
         for (item, run) in ended.job.items.iter().zip(ended.items) {
-            if run.output.last_event > 0 && !run.is_done {
+            if run.output.last_event() > 0 && !run.is_done {
                 self.carry(item.id.clone(), run.output);
             }
         }
@@ -369,9 +459,11 @@
             return false;
         }
         if let Some(engine) = self.engines.get_mut(&state.engine) {
-            if state.event_count > 0 {
+            let is_paused = engine.loading.is_some() || engine.loaded_at > state.last_event_at;
+            if state.event_count > 0 && !is_paused {
                 engine.observe_interval(now.saturating_sub(state.last_event_at));
             }
+            engine.event_at = now;
             engine.failure_count = 0;
         }
         state.event_count += 1;
@@ -403,7 +495,11 @@
                     job.queue.push_front(state.item_index);
                 }
             }
-            RunEnd::NotRun | RunEnd::WrongVersion | RunEnd::WrongEngine | RunEnd::Broken => {
+            RunEnd::NotRun
+            | RunEnd::WrongVersion
+            | RunEnd::WrongEngine
+            | RunEnd::Broken
+            | RunEnd::Moved => {
                 job.queue.push_front(state.item_index);
             }
         }
@@ -430,6 +526,7 @@
             }
             Some(OrderState::Holds) => {
                 engine.loading = None;
+                engine.loaded_at = now;
                 engine.holds(&load.model, load.version);
             }
             None => {
@@ -488,9 +585,12 @@
 
     /// Returns what to do at `now`, of what `rights` allow.
     pub fn poll(&mut self, now: Timestamp, rights: Rights) -> Vec<Action> {
+        self.finish_loads(now);
         let mut actions = self.stop_stalled(now);
         self.give_up(now);
-        self.finish_loads(now);
+        if rights.may_start {
+            actions.extend(self.leave_slow(now));
+        }
         if rights.may_start {
             self.dispatch(now, &mut actions);
         }
@@ -557,21 +657,83 @@
     }
 
     fn stop_stalled(&mut self, now: Timestamp) -> Vec<Action> {
+        let silent: BTreeSet<UpstreamId> = self
+            .engines
+            .values()
+            .filter(|engine| engine.run_count >= SILENT_RUN_COUNT && engine.loading.is_none())
+            .map(|engine| engine.spec.id.clone())
+            .collect();
+        let mut quiet: BTreeMap<&UpstreamId, Duration> = BTreeMap::new();
+        for run in self
+            .runs
+            .values()
+            .filter(|run| silent.contains(&run.engine))
+        {
+            let loaded_at = self.engines[&run.engine].loaded_at;
+            let since = now.saturating_sub(run.last_event_at.max(loaded_at));
+            let least = quiet.entry(&run.engine).or_insert(since);
+            *least = since.min(*least);
+        }
         let stalled: Vec<RunNumber> = self
             .runs
             .iter()
-            .filter(|(_, run)| now.saturating_sub(run.last_event_at) >= STALL_TIMEOUT)
+            .filter(|(_, run)| {
+                now.saturating_sub(run.last_event_at) >= STALL_TIMEOUT
+                    || quiet
+                        .get(&run.engine)
+                        .is_some_and(|since| *since >= SILENCE_TIMEOUT)
+            })
             .map(|(number, _)| *number)
             .collect();
-        stalled
-            .into_iter()
+        self.stop(&stalled, RunEnd::Broken, now)
+    }
+
+    /// Ends runs that go on elsewhere.
+    fn stop(&mut self, runs: &[RunNumber], end: RunEnd, now: Timestamp) -> Vec<Action> {
+        runs.iter()
             .map(|run| {
-                self.ended(run, RunEnd::Broken, now);
-                Action::Cancel { run }
+                self.ended(*run, end, now);
+                Action::Cancel { run: *run }
             })
             .collect()
     }
 
+    /// Moves runs from engines that are far slower than the median to others that
+    /// have room.
+    fn leave_slow(&mut self, now: Timestamp) -> Vec<Action> {
+        let mut intervals: Vec<Duration> = self
+            .engines
+            .values()
+            .filter_map(|engine| engine.interval(now))
+            .collect();
+        if intervals.len() < 3 {
+            return Vec::new();
+        }
+        intervals.sort();
+        let bound = intervals[intervals.len() / 2].mul_f64(SLOW_RATIO);
+        let is_slow = |engine: &Engine| engine.interval(now).is_some_and(|i| i > bound);
+        let moved: Vec<RunNumber> = self
+            .runs
+            .iter()
+            .filter(|(_, run)| run.event_count >= MIN_MOVED_EVENT_COUNT)
+            .filter(|(_, run)| self.engines.get(&run.engine).is_some_and(is_slow))
+            .filter(|(_, run)| {
+                let Some(job) = self.jobs.get(&run.job) else {
+                    return false;
+                };
+                let output = &job.items[run.item_index].output;
+                self.engines.values().any(|engine| {
+                    !is_slow(engine)
+                        && engine.is_usable(&job.job.head.service, run.tokens, now)
+                        && output.admits(&job.job.head, engine.version(&job.job.head.model))
+                })
+            })
+            .map(|(number, _)| *number)
+            .take(MAX_MOVED_COUNT)
+            .collect();
+        self.stop(&moved, RunEnd::Moved, now)
+    }
+
     /// Lists items as failed whose time is up.
     fn give_up(&mut self, now: Timestamp) {
         let mut overdue = Vec::new();
@@ -608,9 +770,11 @@
             if loading.done_at.is_some_and(|done_at| done_at <= now) {
                 let load = loading.load.clone();
                 engine.loading = None;
+                engine.loaded_at = now;
                 engine.holds(&load.model, load.version);
             } else if now.saturating_sub(loading.started_at) >= LOAD_TIMEOUT {
                 engine.loading = None;
+                engine.loaded_at = now;
             }
         }
     }
@@ -648,16 +812,17 @@
                     let version = engine.version(&head.model);
                     state.output.admits(head, version)
                 })
-                .min_by(|a, b| a.load_ratio().total_cmp(&b.load_ratio()));
+                .min_by(|a, b| a.load_ratio(now).total_cmp(&b.load_ratio(now)));
             let Some(engine) = engine else {
                 // What another engine has made under one version cannot go on
                 // under another.
-                if head.single_version && !state.output.versions.is_empty() {
+                if head.single_version && state.output.last_event() > 0 {
                     let is_lost = self.engines.values().all(|engine| {
                         engine.is_gone || !state.output.admits(head, engine.version(&head.model))
                     });
                     if is_lost {
                         state.output = Output::default();
+                        state.saved_event = 0;
                         continue;
                     }
                 }
@@ -685,7 +850,7 @@
                 job: id.clone(),
                 item_index,
                 engine: engine.spec.id.clone(),
-                last_event: state.output.last_event,
+                last_event: state.output.last_event(),
             });
         }
     }
@@ -810,8 +975,8 @@
         self.finished.push(ItemResult {
             id: self.job.items[item_index].id.clone(),
             state,
-            text: output.text,
-            versions: output.versions,
+            versions: output.versions(),
+            text: output.into_text(),
         });
     }
 }
@@ -827,6 +992,8 @@
             loading: None,
             is_gone: false,
             event_interval: None,
+            event_at: Duration::ZERO,
+            loaded_at: Duration::ZERO,
         }
     }
 
@@ -862,9 +1029,16 @@
 
     /// Orders engines by what one more run costs there: a slow one counts as
     /// fuller.
-    fn load_ratio(&self) -> f64 {
-        let interval = self.event_interval.map_or(0.04, |i| i.as_secs_f64());
-        (self.run_count + 1) as f64 / self.spec.slot_count.max(1) as f64 + interval * 10.0
+    fn load_ratio(&self, now: Timestamp) -> f64 {
+        let interval = self.interval(now).unwrap_or(USUAL_INTERVAL).as_secs_f64();
+        let fullness = (self.run_count + 1) as f64 / self.spec.slot_count.max(1) as f64;
+        fullness + interval * FULLNESS_PER_SECOND
+    }
+
+    /// Returns the time between two events of a run, if it was seen lately.
+    fn interval(&self, now: Timestamp) -> Option<Duration> {
+        let is_recent = now.saturating_sub(self.event_at) < SPEED_MEMORY;
+        self.event_interval.filter(|_| is_recent)
     }
 
     fn observe_interval(&mut self, interval: Duration) {
@@ -878,6 +1052,7 @@
 
     fn judge(&mut self, end: RunEnd, now: Timestamp) {
         match end {
+            RunEnd::Moved => {}
             RunEnd::Completed | RunEnd::Impossible => self.failure_count = 0,
             RunEnd::NotRun | RunEnd::WrongVersion => {
                 self.avoid_until = self.avoid_until.max(now + BUSY_PAUSE);
--- a/src/ingress/coordinator.rs
+++ b/src/ingress/coordinator.rs
@@ -7,7 +7,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
+    collections::{BTreeMap, HashMap},
     rc::Rc,
     time::Duration,
 };
@@ -22,6 +22,7 @@
     batch::{
         job::JobId,
         layout,
+        output::Output,
         scheduler::{Action, EngineSpec, Rights, RunEnd, RunNumber, Scheduler},
         weights::Load,
     },
@@ -75,6 +76,13 @@
 /// The pause after the store failed.
 const STORE_PAUSE: Duration = Duration::from_millis(150);
 
+/// How often outputs are saved for a coordinator that takes over.
+const SAVE_INTERVAL: Duration = Duration::from_millis(400);
+
+/// How many events an item makes between two savings at least: a quarter of a
+/// second of work at the sheets' rates, which a new run makes again as fast.
+const SAVE_EVENT_COUNT: u64 = 6;
+
 /// How often the state of the work is logged.
 const LOAD_REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -139,6 +147,7 @@
     /// Competes for the lease, and runs jobs while it is held.
     pub async fn run(self: Rc<Self>) {
         spawn_local(self.clone().schedule());
+        spawn_local(self.clone().save_outputs());
         loop {
             if !self.host.is_stopping.get() {
                 self.keep_lease().await;
@@ -478,6 +487,47 @@
         self.lister.forget(job);
     }
 
+    /// Saves what runs have made, so that a new coordinator goes on from there.
+    async fn save_outputs(self: Rc<Self>) {
+        loop {
+            sleep(SAVE_INTERVAL).await;
+            let fence = self.lease.borrow().fence(self.host.now());
+            let Some(fence) = fence.filter(|_| self.is_leading.get()) else {
+                continue;
+            };
+            let jobs = self.scheduler.borrow().open_jobs();
+            for job in jobs {
+                self.save_job(&job, fence).await;
+            }
+        }
+    }
+
+    async fn save_job(&self, job: &JobId, fence: FenceNumber) {
+        let parts =
+            self.scheduler
+                .borrow()
+                .unsaved(job, SAVE_EVENT_COUNT, layout::MAX_VALUE_BYTES / 2);
+        if parts.is_empty() {
+            return;
+        }
+        let (transaction, taken_count) = match layout::saving(job, fence, &parts) {
+            Ok(saving) => saving,
+            Err(error) => {
+                tracing::error!(event = "output.not_encoded", job = &**job, %error);
+                return;
+            }
+        };
+        if let Err(error) = self.host.store.commit(&transaction).await {
+            // The same events are saved again with those that follow.
+            tracing::debug!(event = "output.not_saved", job = &**job, %error);
+            return;
+        }
+        let mut scheduler = self.scheduler.borrow_mut();
+        for (item_index, part) in &parts[..taken_count] {
+            scheduler.saved(job, *item_index, part.last_event());
+        }
+    }
+
     /// Takes up all open jobs, and then those that come.
     async fn follow_jobs(self: Rc<Self>) {
         let mut stamp = None;
@@ -518,7 +568,11 @@
             };
             after.clone_from(last);
             for job in &jobs {
-                self.take_up(&job.as_str().into()).await?;
+                let job = job.as_str().into();
+                let outputs = stored::outputs(&self.host.store, &job).await?;
+                self.take_up(&job).await?;
+                // No run has started yet, as nothing waited since.
+                self.restore(&job, outputs);
             }
         }
         Ok(start.stamp)
@@ -572,6 +626,18 @@
         Ok(())
     }
 
+    /// Takes in what the last coordinator saved of a job.
+    fn restore(&self, job: &JobId, outputs: BTreeMap<usize, Output>) {
+        let event_count: u64 = outputs.values().map(Output::last_event).sum();
+        tracing::info!(
+            event = "job.restored",
+            job = &**job,
+            item_count = outputs.len(),
+            event_count,
+        );
+        self.scheduler.borrow_mut().restore(job, outputs);
+    }
+
     /// Stops the runs of an ended job and takes it off the list of open ones.
     fn end(self: &Rc<Self>, job: &JobId) {
         tracing::info!(event = "job.ended", job = &**job);
--- a/src/ingress/stored.rs
+++ b/src/ingress/stored.rs
@@ -1,11 +1,12 @@
 //! Reads batch jobs back from the store.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::{
     batch::{
         job::{ItemId, Job, JobHead, JobId},
         layout::{self, LayoutError, Tally},
+        output::Output,
     },
     rows::{RowError, RowRange, RowStamp, RowStore, StoredRow},
 };
@@ -81,6 +82,19 @@
     }))
 }
 
+/// Reads what runs of `job` had made when they were last saved.
+///
+/// # Errors
+///
+/// Fails where the store gives no readable answer.
+pub async fn outputs(
+    store: &impl RowStore,
+    job: &JobId,
+) -> Result<BTreeMap<usize, Output>, RowError> {
+    let rows = read_all(store, layout::range(layout::OUTPUTS, job, "")).await?;
+    layout::outputs(&rows).map_err(unreadable)
+}
+
 /// Finds the tally among the rows of a job.
 ///
 /// # Errors
--- /dev/null
+++ b/tests/platform_wire.rs
@@ -0,0 +1,290 @@
+//! The platform's spelling, read and written.
+
+#![expect(clippy::unwrap_used, reason = "a step that fails fails the test")]
+
+use std::{path::Path, time::Duration};
+
+use bytes::Bytes;
+use http::{Request, Response, request};
+use mimosavane::{
+    batch::job::{ItemResult, ItemState},
+    ingress::{
+        routes::RouteKind,
+        wire::{
+            Addressee, EventParser as _, JobCall, LoadOrder, OperatorChange, OrderAnswer, Wire,
+        },
+    },
+    platform::{PlatformWire, boot},
+    rows::StoredRow,
+};
+
+const CONFIGURATION: &str = r#"{"version":7,"routes":[
+  {"name":"r-1","host":"ficu95.example","path_prefix":"/pufi791/","kind":"rollout","timeout_ms":10000,
+   "target_latency_ms":400,"priority":1,"service":"huvo11a","max_attempts":3,"item_ttl_s":40.0,
+   "result_due_ms":7500,"single_version":false,"sticky":true,"resumable":true},
+  {"name":"r-2","host":"ficu95.example","path_prefix":"/","kind":"idempotent","timeout_ms":2000,
+   "target_latency_ms":150,"priority":2,
+   "traffic_split":[{"service":"huvo11a","weight":90},{"service":"wuno96b","weight":10}],"max_attempts":2}],
+ "services":[{"name":"huvo11a","health_path":"/health","max_connections":150,
+   "engine":{"slots":12,"kv_capacity_tokens":44572,"models":[{"name":"daka510000"}]}},
+  {"name":"wuno96b","health_path":"/health","max_connections":96}],
+ "limits":{"max_header_bytes":16384,"max_body_bytes":33554432,"header_timeout_ms":3000,"idle_timeout_ms":15000}}"#;
+
+const BOOT: &str = r#"{"node":"edge-cdmx-a-1","zone":"cdmx-a","unknown":[1],
+  "listen":{"front":"10.1.0.35:8144","ready":"10.1.0.35:8140","control":"10.1.0.35:8146"},
+  "limits":{"cpu_share":0.5,"memory_mb":340},"heartbeat_ms":1200,
+  "bounds":{"grace_s":8,"lease_ms":3000,"status_ttl_s":120,"more":1},
+  "provider":{"address":"10.200.1.7:8142"}}"#;
+
+fn row(key: &str, value: &str) -> StoredRow {
+    StoredRow {
+        partition: String::new(),
+        key: key.to_owned(),
+        value: Bytes::copy_from_slice(value.as_bytes()),
+        stamp: 1,
+        is_removed: false,
+    }
+}
+
+fn parts(method: &str, uri: &str) -> request::Parts {
+    let request = Request::builder()
+        .method(method)
+        .uri(uri)
+        .header("Host", "ficu95.example")
+        .header("Attempt-Id", "7c41e09b52d6a3f8")
+        .header("Deadline-Ms", "800")
+        .header("Connection", "x-hop")
+        .header("X-Hop", "1")
+        .header("X-Kept", "2")
+        .body(())
+        .unwrap();
+    request.into_parts().0
+}
+
+fn configuration() -> mimosavane::ingress::routes::Configuration {
+    match PlatformWire::operator_change(&row("config", CONFIGURATION)) {
+        Ok(Some(OperatorChange::Configuration(configuration))) => configuration,
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn routes() {
+    let configuration = configuration();
+    let job = configuration
+        .route("ficu95.example", "/pufi791/3/91c4")
+        .unwrap();
+    assert_eq!((&*job.name, job.kind), ("r-1", RouteKind::Batch));
+    assert_eq!(job.item_ttl, Duration::from_secs(40));
+    let call = configuration.route("FICU95.example", "/pufi79").unwrap();
+    assert_eq!((&*call.name, call.kind), ("r-2", RouteKind::Idempotent));
+    assert_eq!(&**call.service(0.5).unwrap(), "huvo11a");
+    assert_eq!(&**call.service(0.95).unwrap(), "wuno96b");
+    assert!(configuration.route("other.example", "/pufi791/").is_none());
+    assert_eq!(
+        configuration.services["huvo11a"].engine_slot_count,
+        Some(12)
+    );
+    assert_eq!(configuration.services["wuno96b"].engine_slot_count, None);
+}
+
+/// Rows of other writers: missing fields, other types, other bytes.
+#[test]
+fn unreadable_rows() {
+    let good = r#"{"service":"s","address":"10.1.0.2:80","zone":"a","slots":12,"state":"ready",
+        "models":[{"name":"m","version":4,"adapters":[]}],"sequence":4,"born":17}"#;
+    let upstream = PlatformWire::upstream(&row("i-1", good)).unwrap();
+    assert_eq!(upstream.versions["m"], 4);
+    assert_eq!(upstream.started_at_ms, 17);
+    for bad in [
+        "",
+        "[]",
+        r#"{"service":"s","address":"10.1.0.2:80","state":"resting"}"#,
+        r#"{"service":"s","address":"there","state":"ready"}"#,
+        r#"{"address":"10.1.0.2:80","state":"ready"}"#,
+        r#"{"service":7,"address":"10.1.0.2:80","state":"ready"}"#,
+    ] {
+        assert!(PlatformWire::upstream(&row("i-1", bad)).is_err(), "{bad}");
+    }
+    assert!(PlatformWire::operator_change(&row("config", "{}")).is_err());
+    assert!(matches!(
+        PlatformWire::operator_change(&row("other", "{}")),
+        Ok(None)
+    ));
+}
+
+#[test]
+fn named_version() {
+    let change =
+        PlatformWire::operator_change(&row("version/m", r#"{"model":"m","version":5}"#)).unwrap();
+    assert_eq!(change, Some(OperatorChange::Version("m".into(), 5)));
+}
+
+#[test]
+fn job_calls() {
+    let call = |method, uri| PlatformWire::job_call(&parts(method, uri));
+    let job = || "7c41e0".into();
+    assert_eq!(
+        call("GET", "/-/lots/7c41e0?after=12"),
+        Some(JobCall::Results {
+            job: job(),
+            from: 12
+        })
+    );
+    assert_eq!(
+        call("DELETE", "/-/lots/7c41e0"),
+        Some(JobCall::End { job: job() })
+    );
+    assert_eq!(
+        call("GET", "/-/items/7c41e0?id=e5b2"),
+        Some(JobCall::Body {
+            job: job(),
+            item: "e5b2".into()
+        })
+    );
+    assert_eq!(
+        call("GET", "/-/lots/7c41e0?after=x"),
+        Some(JobCall::Malformed)
+    );
+    assert_eq!(call("GET", "/-/lots/a/b"), Some(JobCall::Malformed));
+    assert_eq!(call("GET", "/-/lots/a%2fb"), Some(JobCall::Malformed));
+    assert_eq!(call("GET", "/lots/7c41e0"), None);
+}
+
+#[test]
+fn submitted_job() {
+    let body = r#"{"step":7,"model":"daka510000","min_version":6,"desired_count":12,"items":[
+        {"id":"e5b2","path":"/pufi791/3/91c4","headers":{"Model":"daka510000","Token-Usage":"540,400",
+         "Length-Hint":"900"},"body":"q83vEjRWeJA=","tokens":940,"group":"g1"}]}"#;
+    let configuration = configuration();
+    let route = configuration.route("ficu95.example", "/pufi791/x").unwrap();
+    let parts = parts("POST", "/pufi791/7c41e0");
+    let id = "7c41e09b52d6a3f8".into();
+    let job = PlatformWire::job(&id, &parts, body.as_bytes(), route).unwrap();
+    assert_eq!(
+        (job.head.step, job.head.min_version, job.head.item_count),
+        (7, 6, 1)
+    );
+    assert_eq!(job.items[0].prompt_tokens, 540);
+    // A hint above what the request allows is cut.
+    assert_eq!(job.items[0].length_hint_tokens, 400);
+    let to = Addressee {
+        id: &"i-7".into(),
+        address: "10.1.0.2:80".parse().unwrap(),
+    };
+    let request = PlatformWire::item_request(&job.head.authority, &job.items[0], to, 3);
+    assert_eq!(request.uri().path(), "/pufi791/3/91c4");
+    let header = |name: &str| request.headers()[name].to_str().unwrap();
+    assert_eq!(header("attempt-id"), "e5b2");
+    assert_eq!(header("expect-instance"), "i-7");
+    assert_eq!(header("last-event-id"), "3");
+    assert_eq!(header("host"), "ficu95.example");
+    for bad in ["", "{", r#"{"items":[{"id":"a","path":"/","body":"%"}]}"#] {
+        assert!(PlatformWire::job(&id, &parts, bad.as_bytes(), route).is_err());
+    }
+}
+
+#[test]
+fn passed_call() {
+    let to = Addressee {
+        id: &"i-7".into(),
+        address: "10.1.0.2:80".parse().unwrap(),
+    };
+    let request = PlatformWire::call_request(
+        &parts("POST", "/lohu930/2f?a=1"),
+        Bytes::new(),
+        to,
+        Duration::from_millis(640),
+    );
+    assert_eq!(request.uri(), "/lohu930/2f?a=1");
+    assert_eq!(request.headers()["deadline-ms"], "640");
+    assert_eq!(request.headers()["attempt-id"], "7c41e09b52d6a3f8");
+    assert_eq!(request.headers()["x-kept"], "2");
+    assert!(!request.headers().contains_key("x-hop"));
+}
+
+#[test]
+fn results() {
+    let result = ItemResult {
+        id: "e5b2".into(),
+        state: ItemState::Failed,
+        text: "a\nb".to_owned(),
+        versions: [6, 7].into(),
+    };
+    let body = PlatformWire::results(40, 13, &[result]);
+    let expected = r#"{"total":40,"next":13,"results":[{"id":"e5b2","state":"errored","text":"a\nb","versions":[6,7]}]}"#;
+    assert_eq!(body, expected);
+}
+
+#[test]
+fn order() {
+    let order = LoadOrder {
+        model: "m".into(),
+        version: 2,
+        holder: "node-7".into(),
+        fence: 41,
+        expected_order_count: Some(0),
+    };
+    let to = Addressee {
+        id: &"i-7".into(),
+        address: "10.1.0.2:80".parse().unwrap(),
+    };
+    let request = PlatformWire::order_request(&order, to);
+    assert_eq!(request.uri(), "/-/order");
+    assert_eq!(request.headers()["expect-instance"], "i-7");
+    for (status, answer) in [
+        (200, OrderAnswer::Holds),
+        (202, OrderAnswer::Accepted),
+        (409, OrderAnswer::Conflict),
+        (412, OrderAnswer::Fenced),
+        (421, OrderAnswer::Misdirected),
+        (503, OrderAnswer::Unclear),
+    ] {
+        let response = Response::builder().status(status).body(()).unwrap();
+        assert_eq!(PlatformWire::order_answer(&response.into_parts().0), answer);
+    }
+}
+
+/// Events arrive in pieces of any size, and one is cut off.
+#[test]
+fn events_in_pieces() {
+    let stream = "id: 1\ndata: first\n\nweight-versions: 7\nid: 2\ndata: a\ndata: b\n\nid: 3\nda";
+    for size in 1..stream.len() {
+        let mut parser = <PlatformWire as Wire>::Events::default();
+        let mut events = Vec::new();
+        for piece in stream.as_bytes().chunks(size) {
+            events.extend(parser.push(piece).unwrap());
+        }
+        assert_eq!(events.len(), 2);
+        assert_eq!(
+            (events[0].number, &*events[0].data, events[0].version),
+            (1, "first", None)
+        );
+        assert_eq!(
+            (events[1].number, &*events[1].data, events[1].version),
+            (2, "a\nb", Some(7))
+        );
+        assert!(parser.is_inside_event());
+    }
+    let mut parser = <PlatformWire as Wire>::Events::default();
+    assert!(parser.push(b"id: x\n").is_err());
+}
+
+#[test]
+fn settings() {
+    let path = Path::new("local.json");
+    let settings = boot::parse(path, BOOT.as_bytes()).unwrap();
+    assert_eq!(&*settings.host, "edge-cdmx-a-1");
+    assert_eq!(settings.order_quiet, Duration::from_secs(3));
+    assert_eq!(settings.stop_grace, Duration::from_secs(8));
+    let bad = BOOT
+        .replace("edge-cdmx-a-1", "")
+        .replace("\"grace_s\":8", "\"grace_s\":0");
+    let error = boot::parse(path, bad.as_bytes()).unwrap_err().to_string();
+    assert!(
+        error.contains("node") && error.contains("grace_s"),
+        "{error}"
+    );
+    let missing = BOOT.replace("\"zone\"", "\"zoned\"");
+    assert!(boot::parse(path, missing.as_bytes()).is_err());
+}
--- /dev/null
+++ b/tests/saved_output.rs
@@ -0,0 +1,80 @@
+//! What runs have made is saved, and read back by the coordinator that follows.
+
+#![expect(clippy::unwrap_used, reason = "a step that fails fails the test")]
+
+mod rows_support;
+
+use mimosavane::{
+    batch::{layout, output::Output},
+    ingress::stored,
+    rows::RowStore as _,
+};
+use rows_support::Rows;
+
+fn output(event_count: u64, version_of: impl Fn(u64) -> u64) -> Output {
+    let mut output = Output::default();
+    for number in 1..=event_count {
+        // Events of several lengths, among them an empty one.
+        let data = "x".repeat((number as usize * 7) % 11);
+        assert!(output.push(number, &data, version_of(number)));
+    }
+    output
+}
+
+fn run(test: impl Future<Output = ()>) {
+    tokio::runtime::Builder::new_current_thread()
+        .build()
+        .unwrap()
+        .block_on(test);
+}
+
+async fn save(rows: &Rows, fence: u64, item: usize, output: &Output, from: u64, max_bytes: usize) {
+    let mut after = from;
+    while let Some(part) = output.part(after, max_bytes) {
+        after = part.last_event();
+        let (transaction, _) = layout::saving(&"job".into(), fence, &[(item, part)]).unwrap();
+        rows.commit(&transaction).await.unwrap();
+    }
+}
+
+/// Parts of any size give the output back, versions and all.
+#[test]
+fn parts_of_any_size() {
+    for max_bytes in [1, 5, 17, 1_000] {
+        run(async move {
+            let rows = Rows::default();
+            let whole = output(40, |number| 3 + number / 25);
+            save(&rows, 7, 2, &whole, 0, max_bytes).await;
+            let found = stored::outputs(&rows, &"job".into()).await.unwrap();
+            assert_eq!(found[&2], whole);
+            assert_eq!(found[&2].versions(), [3, 4].into());
+        });
+    }
+}
+
+/// The coordinator is lost twice: the longest of its successors' outputs counts,
+/// and parts of different ones are never joined.
+#[test]
+fn two_coordinators() {
+    run(async {
+        let rows = Rows::default();
+        let old = output(30, |_| 1);
+        let new = output(20, |_| 2);
+        save(&rows, 1, 0, &old, 0, 50).await;
+        save(&rows, 2, 0, &new, 0, 50).await;
+        let found = stored::outputs(&rows, &"job".into()).await.unwrap();
+        assert_eq!(found[&0], old);
+    });
+}
+
+/// A part is missing: what is behind it is not used.
+#[test]
+fn missing_part() {
+    run(async {
+        let rows = Rows::default();
+        let whole = output(30, |_| 1);
+        save(&rows, 1, 0, &whole, 12, 50).await;
+        let found = stored::outputs(&rows, &"job".into()).await.unwrap();
+        assert_eq!(found[&0], Output::default());
+    });
+}
