Load each version on a third of the engines, and go on serving the others

Cause: engines belonged to one model each, so that a burst of one model's items met a third of the engines while the others had room (guide steps begin at different times), and an engine that loaded one model took no items of the others.

Ruled out: more loads: as many as engines by models are free.

--- a/src/batch/scheduler.rs
+++ b/src/batch/scheduler.rs
@@ -13,9 +13,9 @@
 
 use crate::{
     batch::{
-        job::{EventNumber, ItemId, ItemResult, ItemState, Job, JobId, ModelId},
+        job::{EventNumber, ItemId, ItemResult, ItemState, Job, JobHead, JobId, ModelId},
         output::{Output, OutputPart},
-        weights::{Division, EngineWeights, Load, ModelNeed, max_loading_count},
+        weights::{self, EngineWeights, Load, ModelNeed, max_loading_count},
     },
     clock::Timestamp,
     ids::{UpstreamId, WeightVersion},
@@ -70,9 +70,6 @@
 /// The part of the smoothed event interval that a new one replaces.
 const INTERVAL_GAIN_RATIO: f64 = 0.1;
 
-/// The part of a model's smoothed demand that a new job replaces.
-const DEMAND_GAIN_RATIO: f64 = 0.3;
-
 /// What stands for the time between two events of an engine that was not seen
 /// lately, from the deployment sheets.
 const USUAL_INTERVAL: Duration = Duration::from_millis(40);
@@ -228,8 +225,6 @@
     jobs: BTreeMap<JobId, JobRun>,
     runs: BTreeMap<RunNumber, Run>,
     named: BTreeMap<ModelId, WeightVersion>,
-    division: Division,
-    demand_tokens: BTreeMap<ModelId, f64>,
     carried: BTreeMap<ItemId, Output>,
     carried_order: VecDeque<ItemId>,
     next_run: RunNumber,
@@ -274,7 +269,6 @@
         if self.jobs.contains_key(&job.id) {
             return;
         }
-        self.observe_demand(&job);
         let mut items = Vec::with_capacity(job.items.len());
         for item in &job.items {
             let carried = self
@@ -363,15 +357,6 @@
         self.jobs.keys().cloned().collect()
     }
 
-    fn observe_demand(&mut self, job: &Job) {
-        let tokens: u64 = job.items.iter().map(|item| item.length_hint_tokens).sum();
-        let known = self
-            .demand_tokens
-            .entry(job.head.model.clone())
-            .or_insert(tokens as f64);
-        *known += (tokens as f64 - *known) * DEMAND_GAIN_RATIO;
-    }
-
     /// Returns whether the job is open here.
     pub fn is_open(&self, job: &JobId) -> bool {
         self.jobs.contains_key(job)
@@ -621,20 +606,13 @@
                         .filter(|job| job.job.head.model == model)
                         .count(),
                     usable_count: engines()
-                        .filter(|engine| engine.loading.is_none() && engine.avoid_until <= now)
+                        .filter(|engine| !engine.is_loading(&model) && engine.avoid_until <= now)
                         .filter(|engine| engine.version(&model) >= need.min_version.max(1))
                         .count(),
                     fresh_count: engines()
                         .filter(|engine| engine.version(&model) >= need.named)
                         .count(),
-                    loading_count: engines()
-                        .filter(|engine| {
-                            engine
-                                .loading
-                                .as_ref()
-                                .is_some_and(|loading| loading.load.model == model)
-                        })
-                        .count(),
+                    loading_count: engines().filter(|engine| engine.is_loading(&model)).count(),
                     avoided_count: engines().filter(|engine| engine.avoid_until > now).count(),
                     named_version: need.named,
                     min_version: need.min_version,
@@ -724,7 +702,7 @@
                 let output = &job.items[run.item_index].output;
                 self.engines.values().any(|engine| {
                     !is_slow(engine)
-                        && engine.is_usable(&job.job.head.service, run.tokens, now)
+                        && engine.is_usable(&job.job.head, run.tokens, now)
                         && output.admits(&job.job.head, engine.version(&job.job.head.model))
                 })
             })
@@ -807,7 +785,7 @@
             let engine = self
                 .engines
                 .values_mut()
-                .filter(|engine| engine.is_usable(&head.service, tokens, now))
+                .filter(|engine| engine.is_usable(head, tokens, now))
                 .filter(|engine| {
                     let version = engine.version(&head.model);
                     state.output.admits(head, version)
@@ -865,13 +843,15 @@
             .map(|engine| EngineWeights {
                 id: engine.spec.id.clone(),
                 versions: engine.spec.versions.clone(),
-                is_loading: engine.loading.is_some(),
+                loading: engine
+                    .loading
+                    .as_ref()
+                    .map(|loading| loading.load.model.clone()),
                 is_orderable: engine.avoid_until <= now,
                 run_count: engine.run_count,
             })
             .collect();
-        self.division.balance(&engines, &needs);
-        for load in self.division.loads(&engines, &needs) {
+        for load in weights::loads(&engines, &needs) {
             if let Some(engine) = self.engines.get_mut(&load.engine) {
                 engine.loading = Some(Loading {
                     load: load.clone(),
@@ -890,16 +870,8 @@
                 needs.entry(model.clone()).or_default();
             }
         }
-        let demands: Vec<f64> = self.demand_tokens.values().copied().collect();
-        let mean_tokens = demands.iter().sum::<f64>() / demands.len().max(1) as f64;
         for (model, need) in &mut needs {
             need.named = self.named.get(model).copied().unwrap_or(0);
-            // A model without a job so far counts as one like the others.
-            need.demand_tokens = self
-                .demand_tokens
-                .get(model)
-                .copied()
-                .unwrap_or(mean_tokens);
         }
         for job in self.jobs.values() {
             let Some(need) = needs.get_mut(&job.job.head.model) else {
@@ -1012,17 +984,26 @@
         self.spec.versions.get(model).copied().unwrap_or(0)
     }
 
+    fn is_loading(&self, model: &ModelId) -> bool {
+        self.loading
+            .as_ref()
+            .is_some_and(|loading| loading.load.model == *model)
+    }
+
     fn holds(&mut self, model: &ModelId, version: WeightVersion) {
         self.spec.versions.insert(model.clone(), version);
     }
 
-    fn is_usable(&self, service: &str, tokens: u64, now: Timestamp) -> bool {
+    /// Says whether an item of a job can start here.
+    ///
+    /// A load keeps off items of its own model only.
+    fn is_usable(&self, head: &JobHead, tokens: u64, now: Timestamp) -> bool {
         let memory = (self.spec.memory_tokens as f64 * MEMORY_RATIO) as u64;
         !self.is_gone
             && !self.spec.is_draining
-            && self.loading.is_none()
+            && !self.is_loading(&head.model)
             && self.avoid_until <= now
-            && *self.spec.service == *service
+            && self.spec.service == head.service
             && self.run_count < self.spec.slot_count
             && (self.run_count == 0 || self.run_tokens + tokens <= memory)
     }
