End items whose resumed run has nothing left to make

Ruled out: resets by the engines' bound on connections; the coordinator's slowness (node_slow), which only set the first moves off.

Change: a run's answer is read by src/batch/reading.rs, where an empty answer behind an event completes the item.

--- a/src/batch/scheduler.rs
+++ b/src/batch/scheduler.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     batch::{
-        job::{EventNumber, ItemId, ItemResult, ItemState, Job, JobHead, JobId, ModelId},
+        job::{EventNumber, Item, ItemId, ItemResult, ItemState, Job, JobHead, JobId, ModelId},
         output::{Output, OutputPart},
         weights::{self, EngineWeights, Load, ModelNeed, max_loading_count},
     },
@@ -42,6 +42,13 @@
 /// How many events a run must have made before it may be moved away.
 const MIN_MOVED_EVENT_COUNT: u64 = 3;
 
+/// How many events show that an item is long, so that it gains by going on at a
+/// faster engine: the sheets' mean is 20 to 26.
+const LONG_EVENT_COUNT: u64 = 30;
+
+/// How many times faster that engine must be. The sheets' speeds are 1.0 and 1.3.
+const FASTER_RATIO: f64 = 1.2;
+
 /// How many runs are moved at once, so that they do not crowd another engine.
 const MAX_MOVED_COUNT: usize = 8;
 
@@ -74,9 +81,9 @@
 /// lately, from the deployment sheets.
 const USUAL_INTERVAL: Duration = Duration::from_millis(40);
 
-/// How much fuller an engine counts for each second between its events, so that
-/// one of twice the usual time counts as fuller by 0.4.
-const FULLNESS_PER_SECOND: f64 = 10.0;
+/// What the last place of an engine costs: about the time for which the next
+/// short item would wait for one.
+const FULL_ENGINE_COST: Duration = Duration::from_millis(500);
 
 /// How many outputs of unfinished items of ended jobs are kept for jobs that
 /// submit these items again.
@@ -98,6 +105,8 @@
     pub slot_count: usize,
     /// How many tokens its memory holds.
     pub memory_tokens: u64,
+    /// How many tokens an event of its streams holds.
+    pub tokens_per_event: u64,
     /// Whether it is leaving.
     pub is_draining: bool,
     /// The weights that it says it holds.
@@ -575,6 +584,7 @@
         self.give_up(now);
         if rights.may_start {
             actions.extend(self.leave_slow(now));
+            actions.extend(self.speed_up_long(now));
         }
         if rights.may_start {
             self.dispatch(now, &mut actions);
@@ -712,6 +722,46 @@
         self.stop(&moved, RunEnd::Moved, now)
     }
 
+    /// Moves long runs to engines that are faster, once nothing waits for these.
+    fn speed_up_long(&mut self, now: Timestamp) -> Vec<Action> {
+        if self.jobs.values().any(|job| !job.queue.is_empty()) {
+            return Vec::new();
+        }
+        let mut room: BTreeMap<&UpstreamId, usize> = BTreeMap::new();
+        let mut moved = Vec::new();
+        for (number, run) in &self.runs {
+            if run.event_count < LONG_EVENT_COUNT {
+                continue;
+            }
+            let (Some(job), Some(engine)) =
+                (self.jobs.get(&run.job), self.engines.get(&run.engine))
+            else {
+                continue;
+            };
+            let Some(interval) = engine.interval(now) else {
+                continue;
+            };
+            let head = &job.job.head;
+            let output = &job.items[run.item_index].output;
+            let faster = self.engines.values().find(|other| {
+                // Half of the places stay free for the next job.
+                let taken_count = other.run_count + room.get(&other.spec.id).unwrap_or(&0);
+                taken_count < other.spec.slot_count.div_ceil(2)
+                    && other.is_usable(head, run.tokens, now)
+                    && output.admits(head, other.version(&head.model))
+                    && other
+                        .interval(now)
+                        .is_some_and(|i| i.mul_f64(FASTER_RATIO) < interval)
+            });
+            if let Some(faster) = faster {
+                *room.entry(&faster.spec.id).or_default() += 1;
+                moved.push(*number);
+            }
+        }
+        moved.truncate(MAX_MOVED_COUNT);
+        self.stop(&moved, RunEnd::Moved, now)
+    }
+
     /// Lists items as failed whose time is up.
     fn give_up(&mut self, now: Timestamp) {
         let mut overdue = Vec::new();
@@ -790,7 +840,10 @@
                     let version = engine.version(&head.model);
                     state.output.admits(head, version)
                 })
-                .min_by(|a, b| a.load_ratio(now).total_cmp(&b.load_ratio(now)));
+                .min_by(|a, b| {
+                    let cost = |engine: &Engine| engine.cost(item, &state.output, now);
+                    cost(a).cmp(&cost(b))
+                });
             let Some(engine) = engine else {
                 // What another engine has made under one version cannot go on
                 // under another.
@@ -835,6 +888,13 @@
 
     fn order(&mut self, now: Timestamp, actions: &mut Vec<Action>) {
         let needs = self.needs();
+        let mut run_counts: BTreeMap<&UpstreamId, BTreeMap<ModelId, usize>> = BTreeMap::new();
+        for run in self.runs.values() {
+            if let Some(job) = self.jobs.get(&run.job) {
+                let counts = run_counts.entry(&run.engine).or_default();
+                *counts.entry(job.job.head.model.clone()).or_default() += 1;
+            }
+        }
         let engines: Vec<EngineWeights> = self
             .engines
             .values()
@@ -848,7 +908,7 @@
                     .as_ref()
                     .map(|loading| loading.load.model.clone()),
                 is_orderable: engine.avoid_until <= now,
-                run_count: engine.run_count,
+                run_counts: run_counts.remove(&engine.spec.id).unwrap_or_default(),
             })
             .collect();
         for load in weights::loads(&engines, &needs) {
@@ -1008,12 +1068,16 @@
             && (self.run_count == 0 || self.run_tokens + tokens <= memory)
     }
 
-    /// Orders engines by what one more run costs there: a slow one counts as
-    /// fuller.
-    fn load_ratio(&self, now: Timestamp) -> f64 {
-        let interval = self.interval(now).unwrap_or(USUAL_INTERVAL).as_secs_f64();
+    /// Returns what it costs to run the rest of `item` here: the time that it
+    /// takes, and the place that other items may need.
+    fn cost(&self, item: &Item, output: &Output, now: Timestamp) -> Duration {
+        let interval = self.interval(now).unwrap_or(USUAL_INTERVAL);
+        let hinted = item.length_hint_tokens / self.spec.tokens_per_event.max(1);
+        let made = output.last_event();
+        // Lengths have a long tail: what outlived its hint is far from its end.
+        let left = hinted.saturating_sub(made).max(made / 2).max(1);
         let fullness = (self.run_count + 1) as f64 / self.spec.slot_count.max(1) as f64;
-        fullness + interval * FULLNESS_PER_SECOND
+        interval.mul_f64(left as f64) + FULL_ENGINE_COST.mul_f64(fullness)
     }
 
     /// Returns the time between two events of a run, if it was seen lately.
--- a/src/batch/weights.rs
+++ b/src/batch/weights.rs
@@ -27,8 +27,8 @@
     pub loading: Option<ModelId>,
     /// Whether it may be given an order at all.
     pub is_orderable: bool,
-    /// How many runs it has.
-    pub run_count: usize,
+    /// How many runs of each model it has.
+    pub run_counts: BTreeMap<ModelId, usize>,
 }
 
 /// What one model needs.
@@ -58,62 +58,97 @@
 struct Rank {
     /// Whether the engine serves the present job of the model as it is.
     is_useful: bool,
+    /// How many runs the load pauses.
+    paused_count: usize,
     /// How many other models' present jobs it serves.
     other_count: usize,
     /// How many runs it has.
     run_count: usize,
 }
 
+/// Orders models that want a load, the most urgent first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Urgency {
+    /// Whether engines serve the present job, or nothing waits for one.
+    is_served: bool,
+    /// How many engines hold the newest version or load it.
+    fresh_count: usize,
+    /// Lower the more items wait.
+    idle_rank: usize,
+}
+
 /// Returns the loads to order now, the most urgent first.
+///
+/// Models take turns, so that none is without engines for its next job while
+/// another has all that it may.
 pub fn loads(engines: &[EngineWeights], needs: &BTreeMap<ModelId, ModelNeed>) -> Vec<Load> {
     let loading_count = engines.iter().filter(|e| e.loading.is_some()).count();
-    let mut left_count = max_loading_count(engines.len()).saturating_sub(loading_count);
-    let mut order: Vec<(&ModelId, &ModelNeed)> = needs.iter().collect();
-    // The model that can use the fewest engines, for what waits, comes first.
-    order.sort_by(|a, b| shortage(engines, *b).total_cmp(&shortage(engines, *a)));
-    let mut taken: Vec<&UpstreamId> = Vec::new();
-    let mut loads = Vec::new();
-    for (model, need) in order {
-        let fresh = |engine: &&EngineWeights| {
-            engine.loading.as_ref() == Some(model) || engine.version(model) >= need.named
-        };
-        let fresh_count = engines.iter().filter(fresh).count();
-        let target_count = fresh_target_count(engines.len(), needs.len());
-        let wanted_count = target_count.saturating_sub(fresh_count).min(left_count);
-        let mut candidates: Vec<&EngineWeights> = engines
+    let left_count = max_loading_count(engines.len()).saturating_sub(loading_count);
+    let target_count = fresh_target_count(engines.len(), needs.len());
+    let mut fresh_counts: BTreeMap<&ModelId, usize> = needs
+        .iter()
+        .map(|(model, need)| (model, fresh_count(engines, model, need)))
+        .collect();
+    let mut loads: Vec<Load> = Vec::new();
+    while loads.len() < left_count {
+        let next = needs
             .iter()
-            .filter(|engine| engine.is_orderable && engine.loading.is_none())
-            .filter(|engine| engine.version(model) < need.named && !taken.contains(&&engine.id))
-            .collect();
-        candidates.sort_by_key(|engine| engine.rank(model, needs));
-        for engine in candidates.into_iter().take(wanted_count) {
-            taken.push(&engine.id);
-            left_count -= 1;
-            loads.push(Load {
-                engine: engine.id.clone(),
-                model: model.clone(),
-                version: need.named,
-            });
-        }
+            .filter(|(model, _)| fresh_counts[model] < target_count)
+            .filter_map(|(model, need)| {
+                let engine = candidate(engines, model, needs, &loads)?;
+                let useful = engines.iter().any(|engine| engine.serves(model, need));
+                let urgency = Urgency {
+                    is_served: useful || need.waiting_count == 0,
+                    fresh_count: fresh_counts[model],
+                    idle_rank: usize::MAX - need.waiting_count,
+                };
+                Some((urgency, model, need, engine))
+            })
+            .min_by_key(|(urgency, ..)| *urgency);
+        let Some((_, model, need, engine)) = next else {
+            break;
+        };
+        *fresh_counts.entry(model).or_default() += 1;
+        loads.push(Load {
+            engine: engine.id.clone(),
+            model: model.clone(),
+            version: need.named,
+        });
     }
     loads
 }
 
+fn fresh_count(engines: &[EngineWeights], model: &ModelId, need: &ModelNeed) -> usize {
+    engines
+        .iter()
+        .filter(|engine| {
+            engine.loading.as_ref() == Some(model) || engine.version(model) >= need.named
+        })
+        .count()
+}
+
+/// Returns the engine that should load the newest version of `model` next.
+fn candidate<'a>(
+    engines: &'a [EngineWeights],
+    model: &ModelId,
+    needs: &BTreeMap<ModelId, ModelNeed>,
+    loads: &[Load],
+) -> Option<&'a EngineWeights> {
+    let named = needs.get(model)?.named;
+    engines
+        .iter()
+        .filter(|engine| engine.is_orderable && engine.loading.is_none())
+        .filter(|engine| engine.version(model) < named)
+        .filter(|engine| loads.iter().all(|load| load.engine != engine.id))
+        .min_by_key(|engine| engine.rank(model, needs))
+}
+
 /// Returns how many engines shall hold a model's newest version: as many as there
 /// are for one model if all share alike, which are the loads that cost nothing.
 fn fresh_target_count(engine_count: usize, model_count: usize) -> usize {
     (engine_count / model_count.max(1)).max(1)
 }
 
-/// Returns how much waits for each engine that can serve it.
-fn shortage(engines: &[EngineWeights], (model, need): (&ModelId, &ModelNeed)) -> f64 {
-    let useful_count = engines
-        .iter()
-        .filter(|engine| engine.serves(model, need))
-        .count();
-    (need.waiting_count + 1) as f64 / (useful_count as f64 + 0.1)
-}
-
 /// Returns how many of `engine_count` engines may load at once.
 pub fn max_loading_count(engine_count: usize) -> usize {
     ((engine_count as f64 * LOADING_RATIO).round() as usize).max(1)
@@ -137,10 +172,11 @@
             is_useful: needs
                 .get(model)
                 .is_some_and(|need| self.serves(model, need)),
+            paused_count: self.run_counts.get(model).copied().unwrap_or(0),
             other_count: others
                 .filter(|(other, need)| self.serves(other, need))
                 .count(),
-            run_count: self.run_count,
+            run_count: self.run_counts.values().sum(),
         }
     }
 }
--- a/src/ingress/coordinator.rs
+++ b/src/ingress/coordinator.rs
@@ -378,6 +378,7 @@
                     service: upstream.service.clone(),
                     slot_count,
                     memory_tokens: service.engine_memory_tokens,
+                    tokens_per_event: service.tokens_per_event,
                     is_draining: upstream.is_draining,
                     versions: upstream.versions.clone(),
                 })
@@ -432,7 +433,7 @@
         let this = self.clone();
         let job = job.clone();
         let task = spawn_local(async move {
-            let end = runs::run(&this.host, &this.scheduler, &run).await;
+            let runs::Ended { end, reason } = runs::run(&this.host, &this.scheduler, &run).await;
             let now = this.host.now();
             if end != RunEnd::Completed {
                 tracing::info!(
@@ -442,6 +443,7 @@
                     upstream = &*run.upstream.id,
                     run = run.number,
                     outcome = %end,
+                    reason,
                     last_event = run.last_event,
                 );
             }
--- a/src/ingress/jobs.rs
+++ b/src/ingress/jobs.rs
@@ -39,7 +39,7 @@
 const READ_RETRY_AFTER: Duration = Duration::from_millis(400);
 
 /// How often a read that waits for results looks for them.
-const WAIT_POLL_INTERVAL: Duration = Duration::from_millis(200);
+const WAIT_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
 /// The longest time that a read waits for results.
 const MAX_WAIT: Duration = Duration::from_millis(1_000);
--- a/src/ingress/routes.rs
+++ b/src/ingress/routes.rs
@@ -59,6 +59,8 @@
     pub engine_slot_count: Option<usize>,
     /// How many tokens the memory of one of its engines holds.
     pub engine_memory_tokens: u64,
+    /// How many tokens an event of its streams holds.
+    pub tokens_per_event: u64,
 }
 
 /// What clients may send.
--- a/src/ingress/runs.rs
+++ b/src/ingress/runs.rs
@@ -9,6 +9,7 @@
 use crate::{
     batch::{
         job::{EventNumber, Item},
+        reading::Reading,
         scheduler::{RunEnd, RunNumber, Scheduler},
     },
     ingress::{
@@ -35,6 +36,19 @@
     pub last_event: EventNumber,
 }
 
+/// How a run ended, and what was seen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Ended {
+    /// How it ended.
+    pub end: RunEnd,
+    /// What was seen, for the log.
+    pub reason: &'static str,
+}
+
+const fn ended(end: RunEnd, reason: &'static str) -> Ended {
+    Ended { end, reason }
+}
+
 /// Runs the item and hands its events to `scheduler`.
 ///
 /// Dropping the future closes the connection, which stops the engine.
@@ -42,7 +56,7 @@
     host: &Rc<Host<S, W>>,
     scheduler: &RefCell<Scheduler>,
     run: &Run,
-) -> RunEnd {
+) -> Ended {
     let to = Addressee {
         id: &run.upstream.id,
         address: run.upstream.address,
@@ -50,7 +64,9 @@
     let request = W::item_request(&run.authority, &run.item, to, run.last_event);
     let (connection, answer) = match calls::send(host, &run.upstream, request).await {
         Ok(sent) => sent,
-        Err(Unsent::NotRun(_) | Unsent::Unknown(_)) => return RunEnd::Broken,
+        Err(Unsent::NotRun(reason) | Unsent::Unknown(reason)) => {
+            return ended(RunEnd::Broken, reason);
+        }
     };
     let (parts, mut body) = answer.into_parts();
     let head = W::answer_head(&parts);
@@ -59,7 +75,7 @@
         .as_deref()
         .is_some_and(|answered| *answered != *run.item.id);
     if is_other {
-        return RunEnd::Broken;
+        return ended(RunEnd::Broken, "answer-mismatched");
     }
     let refused = match parts.status {
         _ if head.is_misdirected => Some(RunEnd::WrongEngine),
@@ -76,31 +92,31 @@
         if is_delimited && body.collect().await.is_ok() {
             connection.release();
         }
-        return refused;
+        return ended(refused, "refused");
     }
-    let Some(mut version) = head.version else {
-        return RunEnd::Broken;
-    };
-    if !scheduler
-        .borrow_mut()
-        .answered(run.number, version, host.now())
+    if let Some(version) = head.version
+        && !scheduler
+            .borrow_mut()
+            .answered(run.number, version, host.now())
     {
-        return RunEnd::WrongVersion;
+        return ended(RunEnd::WrongVersion, "version");
     }
+    let mut reading = Reading::new(run.last_event, head.version);
     let mut events = W::Events::default();
-    let mut last_event = run.last_event;
     while let Some(frame) = body.frame().await {
         let Ok(frame) = frame else {
-            return RunEnd::Broken;
+            return ended(RunEnd::Broken, "stream-cut");
         };
         let Ok(data) = frame.into_data() else {
             continue;
         };
         let Ok(complete) = events.push(&data) else {
-            return RunEnd::Broken;
+            return ended(RunEnd::Broken, "event-unreadable");
         };
         for event in complete {
-            version = event.version.unwrap_or(version);
+            let Some(version) = reading.event(event.number, event.version) else {
+                return ended(RunEnd::Broken, "event-without-version");
+            };
             let is_next = scheduler.borrow_mut().event(
                 run.number,
                 event.number,
@@ -109,14 +125,13 @@
                 host.now(),
             );
             if !is_next {
-                return RunEnd::Broken;
+                return ended(RunEnd::Broken, "event-out-of-order");
             }
-            last_event = event.number;
         }
     }
-    if events.is_inside_event() || !is_delimited || last_event == 0 {
-        return RunEnd::Broken;
+    let end = reading.end(is_delimited && !events.is_inside_event());
+    if end == RunEnd::Completed {
+        connection.release();
     }
-    connection.release();
-    RunEnd::Completed
+    ended(end, "stream-ended")
 }
--- a/src/platform/documents.rs
+++ b/src/platform/documents.rs
@@ -68,6 +68,9 @@
     pub slots: usize,
     #[serde(default)]
     pub kv_capacity_tokens: u64,
+    /// How many tokens an event of a stream holds.
+    #[serde(default)]
+    pub stride: u64,
 }
 
 /// What clients may send.
--- a/src/platform/wire.rs
+++ b/src/platform/wire.rs
@@ -328,6 +328,10 @@
             let service = Service {
                 name: name.clone(),
                 engine_slot_count: service.engine.as_ref().map(|engine| engine.slots),
+                tokens_per_event: service
+                    .engine
+                    .as_ref()
+                    .map_or(1, |engine| engine.stride.max(1)),
                 engine_memory_tokens: service.engine.map_or(0, |engine| engine.kv_capacity_tokens),
             };
             (name, service)
--- a/tests/item_scheduling.rs
+++ b/tests/item_scheduling.rs
@@ -23,9 +23,13 @@
     now: Timestamp,
     intervals: BTreeMap<String, Duration>,
     runs: BTreeMap<RunNumber, (String, u64, Timestamp)>,
+    event_counts: BTreeMap<RunNumber, u64>,
     starts: Vec<(RunNumber, usize, String, u64)>,
     cancelled: Vec<RunNumber>,
     event_count: u64,
+    /// How many items, of the first ones of a job, are that long; the others make
+    /// ten events.
+    long_count: usize,
 }
 
 impl Fleet {
@@ -35,9 +39,11 @@
             now: Duration::from_secs(10),
             intervals: BTreeMap::new(),
             runs: BTreeMap::new(),
+            event_counts: BTreeMap::new(),
             starts: Vec::new(),
             cancelled: Vec::new(),
             event_count,
+            long_count: usize::MAX,
         };
         let engines = (0..engine_count).map(|index| EngineSpec {
             id: format!("engine-{index}").into(),
@@ -45,6 +51,7 @@
             service: "engines".into(),
             slot_count,
             memory_tokens: 1_000_000,
+            tokens_per_event: 61,
             is_draining: false,
             versions: BTreeMap::from([("writer".into(), 1)]),
         });
@@ -74,6 +81,12 @@
                     self.scheduler.answered(run, 1, self.now);
                     self.starts
                         .push((run, item_index, engine.to_string(), last_event));
+                    let event_count = if item_index < self.long_count {
+                        self.event_count
+                    } else {
+                        10
+                    };
+                    self.event_counts.insert(run, event_count);
                     self.runs
                         .insert(run, (engine.to_string(), last_event, self.now));
                 }
@@ -91,7 +104,7 @@
                 *at = self.now;
                 *last_event += 1;
                 assert!(self.scheduler.event(*run, *last_event, "x", 1, self.now));
-                if *last_event == self.event_count {
+                if *last_event == self.event_counts[run] {
                     done.push(*run);
                 }
             }
@@ -189,3 +202,25 @@
     assert_eq!(fleet.starts.len(), 8);
     assert!(fleet.starts.iter().all(|(_, _, _, last)| *last >= 8));
 }
+
+/// Long items began on engines that are half as slow again: once the short ones
+/// are done, they go on at the faster ones.
+#[test]
+fn tail_of_long_items() {
+    let mut fleet = Fleet::new(4, 12, 140);
+    fleet.long_count = 8;
+    for engine in ["engine-0", "engine-1"] {
+        fleet.intervals.insert(engine.to_owned(), USUAL * 3 / 2);
+    }
+    fleet.open("job", 32);
+    fleet.run_for(Duration::from_millis(1_500));
+    let on_slow = fleet.running_on("engine-0") + fleet.running_on("engine-1");
+    assert!(on_slow > 0);
+    fleet.run_for(Duration::from_millis(1_500));
+    assert_eq!(
+        fleet.running_on("engine-0") + fleet.running_on("engine-1"),
+        0
+    );
+    let resumed = fleet.starts.iter().filter(|(_, _, _, last)| *last >= 30);
+    assert_eq!(resumed.count(), on_slow);
+}
--- a/tests/job_listing.rs
+++ b/tests/job_listing.rs
@@ -46,6 +46,7 @@
             service: "engines".into(),
             slot_count: 64,
             memory_tokens: 1_000_000,
+            tokens_per_event: 61,
             is_draining: false,
             versions: BTreeMap::from([("writer".into(), 1)]),
         }]);
--- a/tests/weight_division.rs
+++ b/tests/weight_division.rs
@@ -13,7 +13,7 @@
             versions: MODELS.map(|model| (model.into(), 1)).into(),
             loading: None,
             is_orderable: true,
-            run_count: 0,
+            run_counts: BTreeMap::new(),
         })
         .collect()
 }
@@ -102,8 +102,20 @@
 #[test]
 fn idle_engine_first() {
     let mut engines = engines(3);
-    engines[0].run_count = 8;
-    engines[1].run_count = 5;
+    engines[0].run_counts.insert("short".into(), 8);
+    engines[1].run_counts.insert("short".into(), 5);
     let loads = loads(&engines, &needs(2));
     assert_eq!(&*loads[0].engine, "engine-02");
 }
+
+/// Trainers catch up and name versions at once: each model gets its first loads
+/// before any gets all of its own.
+#[test]
+fn versions_at_once() {
+    let engines = engines(45);
+    let loads = loads(&engines, &needs(2));
+    for model in MODELS {
+        let count = loads.iter().filter(|load| *load.model == *model).count();
+        assert_eq!(count, 3, "{model}");
+    }
+}
