--- a/src/batch/scheduler.rs
+++ b/src/batch/scheduler.rs
@@ -65,6 +65,12 @@
 /// How long an engine that said that it is full or busy gets no work.
 const BUSY_PAUSE: Duration = Duration::from_millis(120);
 
+/// How long to wait before another item asks whether a load has ended.
+const PROBE_PAUSE: Duration = Duration::from_millis(100);
+
+/// How many times its usual time a load may take before fewer load at once.
+const LONG_LOAD_RATIO: f64 = 1.35;
+
 /// How long a load of weights takes, from the deployment sheets.
 const LOAD_DURATION: Duration = Duration::from_millis(900);
 
@@ -176,8 +182,10 @@
     run_tokens: u64,
     avoid_until: Timestamp,
     failure_count: u32,
-    /// Until when it loads, and the weights that it will have.
+    /// The weights that it loads.
     loading: Option<Loading>,
+    /// The weights that it should have by now, until an item has shown it.
+    unproven: Option<Unproven>,
     /// Whether it is gone from the directory.
     is_gone: bool,
     event_interval: Option<Duration>,
@@ -194,6 +202,17 @@
     done_at: Option<Timestamp>,
 }
 
+/// A load whose time is over, of which the engine has shown nothing yet.
+#[derive(Clone, Debug)]
+struct Unproven {
+    model: ModelId,
+    started_at: Timestamp,
+    /// The run that finds out.
+    probe: Option<RunNumber>,
+    /// When the next one may.
+    probe_from: Timestamp,
+}
+
 #[derive(Clone, Debug)]
 struct ItemRun {
     output: Output,
@@ -237,6 +256,8 @@
     carried: BTreeMap<ItemId, Output>,
     carried_order: VecDeque<ItemId>,
     next_run: RunNumber,
+    /// How many fewer loads are given at once than may be, as they take long.
+    fewer_loads_count: usize,
 }
 
 impl Scheduler {
@@ -254,6 +275,7 @@
                 Some(engine) => {
                     engine.spec = spec;
                     engine.loading = None;
+                    engine.unproven = None;
                     engine.avoid_until = Duration::ZERO;
                     engine.failure_count = 0;
                 }
@@ -424,8 +446,17 @@
         let Some(job) = self.jobs.get(&state.job) else {
             return false;
         };
+        let max_count = max_loading_count(self.engines.len());
         if let Some(engine) = self.engines.get_mut(&state.engine) {
             engine.holds(&job.job.head.model, version);
+            if let Some(took) = engine.prove(&job.job.head.model, now) {
+                let is_long = took > LOAD_DURATION.mul_f64(LONG_LOAD_RATIO);
+                self.fewer_loads_count = if is_long {
+                    (self.fewer_loads_count + 1).min(max_count / 2)
+                } else {
+                    self.fewer_loads_count.saturating_sub(1)
+                };
+            }
         }
         job.items[state.item_index]
             .output
@@ -471,7 +502,17 @@
             return;
         };
         if let Some(engine) = self.engines.get_mut(&state.engine) {
-            engine.judge(end, now);
+            let was_probe = engine.unproven.as_mut().is_some_and(|unproven| {
+                let was_probe = unproven.probe == Some(run);
+                if was_probe {
+                    unproven.probe = None;
+                    unproven.probe_from = now + PROBE_PAUSE;
+                }
+                was_probe
+            });
+            if !(was_probe && end == RunEnd::NotRun) {
+                engine.judge(end, now);
+            }
         }
         let Some(job) = self.jobs.get_mut(&state.job) else {
             return;
@@ -797,6 +838,12 @@
             };
             if loading.done_at.is_some_and(|done_at| done_at <= now) {
                 let load = loading.load.clone();
+                engine.unproven = Some(Unproven {
+                    model: load.model.clone(),
+                    started_at: loading.started_at,
+                    probe: None,
+                    probe_from: now,
+                });
                 engine.loading = None;
                 engine.loaded_at = now;
                 engine.holds(&load.model, load.version);
@@ -863,6 +910,11 @@
             self.next_run += 1;
             let run = self.next_run;
             state.run = Some(run);
+            if let Some(unproven) = &mut engine.unproven
+                && unproven.model == head.model
+            {
+                unproven.probe = Some(run);
+            }
             engine.run_count += 1;
             engine.run_tokens += tokens;
             self.runs.insert(
@@ -911,7 +963,7 @@
                 run_counts: run_counts.remove(&engine.spec.id).unwrap_or_default(),
             })
             .collect();
-        for load in weights::loads(&engines, &needs) {
+        for load in weights::loads(&engines, &needs, self.fewer_loads_count) {
             if let Some(engine) = self.engines.get_mut(&load.engine) {
                 engine.loading = Some(Loading {
                     load: load.clone(),
@@ -1022,6 +1074,7 @@
             avoid_until: Duration::ZERO,
             failure_count: 0,
             loading: None,
+            unproven: None,
             is_gone: false,
             event_interval: None,
             event_at: Duration::ZERO,
@@ -1044,6 +1097,21 @@
         self.spec.versions.get(model).copied().unwrap_or(0)
     }
 
+    /// Says whether items of `model` have to wait for one that finds out whether
+    /// its load has ended.
+    fn is_proving(&self, model: &ModelId, now: Timestamp) -> bool {
+        self.unproven.as_ref().is_some_and(|unproven| {
+            unproven.model == *model && (unproven.probe.is_some() || now < unproven.probe_from)
+        })
+    }
+
+    /// Takes in that an item of `model` runs here, and returns how long the load
+    /// before it took at most.
+    fn prove(&mut self, model: &ModelId, now: Timestamp) -> Option<Duration> {
+        let unproven = self.unproven.take_if(|unproven| unproven.model == *model)?;
+        Some(now.saturating_sub(unproven.started_at))
+    }
+
     fn is_loading(&self, model: &ModelId) -> bool {
         self.loading
             .as_ref()
@@ -1062,6 +1130,7 @@
         !self.is_gone
             && !self.spec.is_draining
             && !self.is_loading(&head.model)
+            && !self.is_proving(&head.model, now)
             && self.avoid_until <= now
             && self.spec.service == head.service
             && self.run_count < self.spec.slot_count
--- a/src/batch/weights.rs
+++ b/src/batch/weights.rs
@@ -16,6 +16,10 @@
 /// state that loads take longer beyond 2 of 11, 9 of 45 and 10 of 48 engines.
 const LOADING_RATIO: f64 = 0.2;
 
+/// How many times the engines that load at once can load for one version: the
+/// sheets' steps come each 4 s, loads take 0.9 s, and three models share them.
+const LOADS_PER_VERSION_RATIO: f64 = 1.3;
+
 /// What is known of one engine.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EngineWeights {
@@ -77,13 +81,21 @@
     idle_rank: usize,
 }
 
-/// Returns the loads to order now, the most urgent first.
+/// Returns the loads to order now, the most urgent first; `fewer_count` fewer at
+/// once than may be.
 ///
 /// Models take turns, so that none is without engines for its next job while
 /// another has all that it may.
-pub fn loads(engines: &[EngineWeights], needs: &BTreeMap<ModelId, ModelNeed>) -> Vec<Load> {
+pub fn loads(
+    engines: &[EngineWeights],
+    needs: &BTreeMap<ModelId, ModelNeed>,
+    fewer_count: usize,
+) -> Vec<Load> {
     let loading_count = engines.iter().filter(|e| e.loading.is_some()).count();
-    let left_count = max_loading_count(engines.len()).saturating_sub(loading_count);
+    let max_count = max_loading_count(engines.len())
+        .saturating_sub(fewer_count)
+        .max(1);
+    let left_count = max_count.saturating_sub(loading_count);
     let target_count = fresh_target_count(engines.len(), needs.len());
     let mut fresh_counts: BTreeMap<&ModelId, usize> = needs
         .iter()
@@ -144,9 +156,12 @@
 }
 
 /// Returns how many engines shall hold a model's newest version: as many as there
-/// are for one model if all share alike, which are the loads that cost nothing.
+/// are for one model if all share alike, which are the loads that cost nothing,
+/// and no more than can load before the next version.
 fn fresh_target_count(engine_count: usize, model_count: usize) -> usize {
-    (engine_count / model_count.max(1)).max(1)
+    let share_count = engine_count / model_count.max(1);
+    let feasible = max_loading_count(engine_count) as f64 * LOADS_PER_VERSION_RATIO;
+    share_count.min(feasible.round() as usize).max(1)
 }
 
 /// Returns how many of `engine_count` engines may load at once.
