--- a/src/bin/mimosavane-entry.rs
+++ b/src/bin/mimosavane-entry.rs
@@ -1,6 +1,7 @@
 //! The entry host: callers, trainers and peers.
 
 use std::{
+    net::SocketAddr,
     path::{Path, PathBuf},
     process::ExitCode,
 };
@@ -35,10 +36,30 @@
                 .value_parser(value_parser!(PathBuf))
                 .help("The settings of this host; on the users' platform it finds its own"),
         )
+        .arg(
+            Arg::new("check")
+                .long("check")
+                .value_name("FILE")
+                .value_parser(value_parser!(PathBuf))
+                .exclusive(true)
+                .help("Only check the platform's settings in FILE"),
+        )
+        .arg(
+            Arg::new("metrics-port")
+                .long("metrics-port")
+                .value_name("PORT")
+                .value_parser(value_parser!(u16))
+                .conflicts_with("settings")
+                .help("Serve metrics as text on this port, on the users' platform"),
+        )
         .get_matches();
+    let metrics_port = matches.get_one::<u16>("metrics-port").copied();
+    if let Some(path) = matches.get_one::<PathBuf>("check") {
+        return check(path);
+    }
     let result = match matches.get_one::<PathBuf>("settings") {
         Some(path) => run(path),
-        None => run_on_platform(),
+        None => run_on_platform(metrics_port),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
@@ -49,6 +70,20 @@
     }
 }
 
+/// Says all that is wrong with the platform's settings in a file.
+fn check(path: &Path) -> ExitCode {
+    match boot::load(path) {
+        Ok(settings) => {
+            println!("{}: settings of {}", path.display(), settings.host);
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            eprintln!("error: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 fn run(path: &Path) -> Result<()> {
     let settings = Settings::load(path).context("reading the settings")?;
     telemetry::start_logs(&settings.telemetry).context("starting the log")?;
@@ -57,14 +92,16 @@
     Ok(())
 }
 
-fn run_on_platform() -> Result<()> {
+fn run_on_platform(metrics_port: Option<u16>) -> Result<()> {
     let path = boot::path().with_context(|| {
         format!(
             "give --settings FILE, or the platform's file in {}",
             boot::PATH_VARIABLE
         )
     })?;
-    let settings = boot::load(&path).context("reading the settings")?;
+    let mut settings = boot::load(&path).context("reading the settings")?;
+    let own = settings.client_address.ip();
+    settings.metrics_address = metrics_port.map(|port| SocketAddr::new(own, port));
     let log = log::start(DEFAULT_LOG_FILTER).context("starting the log")?;
     // A machine has one core, so that a second thread would only add wake-ups.
     let runtime = tokio::runtime::Builder::new_current_thread()
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -144,6 +144,15 @@
     )
     .arg(id)
     .arg(recording())
+    .arg(
+        Arg::new("logs")
+            .long("logs")
+            .value_name("FILE")
+            .num_args(1..)
+            .value_parser(value_parser!(PathBuf))
+            .conflicts_with("from")
+            .help("Reads logs of hosts in place of asking one"),
+    )
 }
 
 fn report() -> Command {
--- a/src/host_command.rs
+++ b/src/host_command.rs
@@ -1,7 +1,7 @@
 //! The commands that ask an entry host: `status`, `explain`, `drain`, `report`.
 
 use std::{
-    fs::File,
+    fs::{self, File},
     io::{self, BufReader},
     net::SocketAddr,
     path::{Path, PathBuf},
@@ -19,6 +19,7 @@
     cli::{self, Format},
     entry::collect::Windows,
     explain::{Account, RecordingError},
+    log_story::Story,
     settings::ObjectiveSettings,
     standin::client::{CallError, Client},
     trial_command::Output,
@@ -67,6 +68,14 @@
     /// The answer has another form than expected, or no JSON form.
     #[error(transparent)]
     Json(#[from] serde_json::Error),
+    /// A log cannot be read.
+    #[error("{path}: {source}")]
+    Log {
+        /// The file.
+        path: PathBuf,
+        /// What the system said.
+        source: std::io::Error,
+    },
     /// The page could not be drawn.
     #[error(transparent)]
     Page(#[from] PageError),
@@ -101,6 +110,9 @@
 
 async fn explain(matches: &ArgMatches) -> Result<Output, CommandError> {
     let id = argument(matches, "id");
+    if let Some(paths) = matches.get_many::<PathBuf>("logs") {
+        return story(id, paths);
+    }
     let account = match recording(matches)? {
         Some(file) => Account::read(id, file)?,
         None => ask(matches, Method::GET, &format!("/v1/explain/{id}")).await?,
@@ -115,6 +127,26 @@
     })
 }
 
+/// Puts the story of `id` together from log files.
+fn story<'a>(
+    id: &str,
+    paths: impl IntoIterator<Item = &'a PathBuf>,
+) -> Result<Output, CommandError> {
+    let mut logs = Vec::new();
+    for path in paths {
+        let text = fs::read_to_string(path).map_err(|source| CommandError::Log {
+            path: path.clone(),
+            source,
+        })?;
+        logs.push(text);
+    }
+    let story = Story::read(id, logs.iter().map(String::as_str));
+    Ok(Output {
+        text: story.to_text(),
+        is_held: story.is_known(),
+    })
+}
+
 async fn burn(matches: &ArgMatches) -> Result<Output, CommandError> {
     let objectives = ObjectiveSettings::default();
     let report = match recording(matches)? {
--- a/src/ingress/coordinator.rs
+++ b/src/ingress/coordinator.rs
@@ -23,7 +23,7 @@
         job::JobId,
         layout,
         output::Output,
-        scheduler::{Action, EngineSpec, Rights, RunEnd, RunNumber, Scheduler},
+        scheduler::{Action, EngineSpec, ModelLoad, Rights, RunEnd, RunNumber, Scheduler},
         weights::Load,
     },
     clock::{Timestamp, millis},
@@ -38,6 +38,10 @@
     },
     lease::{self, Machine, Terms, Versioned, Wrote},
     rows::{RowError, RowName, RowPage, RowRange, RowStamp, RowStore, RowTransaction},
+    telemetry::{
+        ITEMS_WAITING, JOBS_LED, LEASES_TAKEN, ORDERS_SENT, RESULT_AGE, RESULTS_LISTED,
+        RUNS_BROKEN, RUNS_OPEN, RUNS_STARTED,
+    },
 };
 
 /// The table, partition and key of the lease.
@@ -262,6 +266,7 @@
         };
         let quiet = quiet_until.saturating_sub(self.host.store_time().unwrap_or_default());
         self.is_leading.set(true);
+        self.host.metrics.count(LEASES_TAKEN, 1);
         tracing::info!(event = "lease.taken", fence, quiet_ms = millis(quiet));
         let following = spawn_local(self.clone().follow_jobs());
         *self.following.borrow_mut() = Some(following.abort_handle());
@@ -344,7 +349,13 @@
 
     /// Logs how the work of each model stands.
     fn report(&self, now: Timestamp) {
-        for load in self.scheduler.borrow().loads(now) {
+        let loads = self.scheduler.borrow().loads(now);
+        let sum = |count: fn(&ModelLoad) -> usize| loads.iter().map(count).sum::<usize>() as u64;
+        let metrics = &self.host.metrics;
+        metrics.gauge(JOBS_LED, sum(|load| load.job_count));
+        metrics.gauge(ITEMS_WAITING, sum(|load| load.waiting_count));
+        metrics.gauge(RUNS_OPEN, sum(|load| load.running_count));
+        for load in loads {
             tracing::info!(
                 event = "model.load",
                 model = &*load.model,
@@ -436,6 +447,7 @@
             let runs::Ended { end, reason } = runs::run(&this.host, &this.scheduler, &run).await;
             let now = this.host.now();
             if end != RunEnd::Completed {
+                this.host.metrics.count(RUNS_BROKEN, 1);
                 tracing::info!(
                     event = "run.ended",
                     job = &*job,
@@ -451,6 +463,7 @@
             this.scheduler.borrow_mut().ended(run.number, end, now);
             this.wake.notify_one();
         });
+        self.host.metrics.count(RUNS_STARTED, 1);
         self.runs.borrow_mut().insert(number, task.abort_handle());
     }
 
@@ -464,6 +477,7 @@
             .cloned();
         let state = match upstream {
             Some(upstream) => {
+                self.host.metrics.count(ORDERS_SENT, 1);
                 orders::give(&self.host, &*self, &upstream, &load, &self.counts).await
             }
             None => None,
@@ -476,6 +490,12 @@
     /// Lists what a job has finished, until nothing is left.
     async fn list(self: Rc<Self>, job: JobId) {
         let done = self.lister.list(&job).await;
+        self.host
+            .metrics
+            .count(RESULTS_LISTED, done.listed_count as u64);
+        if let Some(age) = self.job_age(&job) {
+            self.host.metrics.time(RESULT_AGE, age);
+        }
         self.cancel(&done.cancelled);
         if done.is_over {
             self.drop_job(&job);
@@ -483,6 +503,13 @@
         self.wake.notify_one();
     }
 
+    /// Returns how long ago `job` was accepted, if it is open here.
+    fn job_age(&self, job: &JobId) -> Option<Duration> {
+        let store_time = self.host.store_time()?;
+        let scheduler = self.scheduler.borrow();
+        Some(layout::age(&scheduler.job(job)?.head, store_time))
+    }
+
     fn drop_job(&self, job: &JobId) {
         let actions = self.scheduler.borrow_mut().end(job);
         self.cancel(&actions);
--- a/src/ingress/feeds.rs
+++ b/src/ingress/feeds.rs
@@ -12,6 +12,7 @@
         wire::{OperatorChange, Wire},
     },
     rows::{RowError, RowPage, RowRange, RowStamp, RowStore, StoredRow},
+    telemetry::STORE_LOST,
 };
 
 /// How long a feed waits for a change. A connection that fell silent is found
@@ -93,6 +94,7 @@
 
     async fn failed(&mut self, error: &RowError) {
         if self.failure_count == 0 {
+            self.host.metrics.count(STORE_LOST, 1);
             tracing::warn!(event = "store.lost", table = self.table, %error);
         }
         let bound = MIN_PAUSE.saturating_mul(1 << self.failure_count.min(4));
--- a/src/ingress/host.rs
+++ b/src/ingress/host.rs
@@ -57,6 +57,8 @@
     pub client_address: SocketAddr,
     /// Where it says whether it is ready.
     pub ready_address: SocketAddr,
+    /// Where it serves its metrics, if it does.
+    pub metrics_address: Option<SocketAddr>,
     /// Where the platform's store answers.
     pub store_address: SocketAddr,
     /// How long a planned stop may take before the platform kills the process.
@@ -209,6 +211,10 @@
         );
         let clients = server::bind(self.settings.client_address)?;
         let ready = server::bind(self.settings.ready_address)?;
+        if let Some(address) = self.settings.metrics_address {
+            let listener = server::bind(address)?;
+            spawn_local(server::serve_ready(self.clone(), listener));
+        }
         let coordinator = Coordinator::new(self.clone());
         spawn_local(feeds::follow_operator(self.clone()));
         spawn_local(feeds::follow_upstreams(self.clone()));
--- a/src/ingress/jobs.rs
+++ b/src/ingress/jobs.rs
@@ -23,6 +23,7 @@
         wire::{ClientHead, JobCall, Wire},
     },
     rows::{RowError, RowPage, RowRange, RowStore, RowTransaction},
+    telemetry::{JOB_ACCEPT_TIME, JOBS_ACCEPTED, JOBS_REFUSED},
 };
 
 /// How often a call to the store is tried where trying again is safe.
@@ -97,9 +98,12 @@
             break;
         }
     }
-    let took_ms = millis(host.now().saturating_sub(started_at));
+    let took = host.now().saturating_sub(started_at);
+    let took_ms = millis(took);
     match outcome {
         Ok(existed) => {
+            host.metrics.count(JOBS_ACCEPTED, 1);
+            host.metrics.time(JOB_ACCEPT_TIME, took);
             remember(host, &id, job.head.item_count);
             tracing::info!(
                 event = "job.accepted",
@@ -115,6 +119,7 @@
             reply(StatusCode::ACCEPTED, Bytes::new())
         }
         Err(failure) => {
+            host.metrics.count(JOBS_REFUSED, 1);
             tracing::warn!(event = "job.refused", job = &*id, %failure, took_ms);
             match failure {
                 Failure::NotApplied => refusal(SUBMIT_RETRY_AFTER),
--- a/src/ingress/listing.rs
+++ b/src/ingress/listing.rs
@@ -35,6 +35,8 @@
     pub cancelled: Vec<Action>,
     /// Whether the job was ended or is gone.
     pub is_over: bool,
+    /// How many results were listed.
+    pub listed_count: usize,
 }
 
 /// Lists what a scheduler has finished.
@@ -104,7 +106,10 @@
                 return done;
             }
             match result {
-                Ok(applied) => self.applied(job, &listing, applied.stamp),
+                Ok(applied) => {
+                    done.listed_count += listing.taken_count;
+                    self.applied(job, &listing, applied.stamp);
+                }
                 Err(RowError::Conflict { current }) => {
                     let own = stored::tally(&current)
                         .ok()
@@ -112,7 +117,10 @@
                         .filter(|(tally, _)| tally.nonce == listing.tally.nonce);
                     match own {
                         // An earlier try was carried out and its answer was lost.
-                        Some((_, stamp)) => self.applied(job, &listing, stamp),
+                        Some((_, stamp)) => {
+                            done.listed_count += listing.taken_count;
+                            self.applied(job, &listing, stamp);
+                        }
                         None => self.relearn(job, epoch, &mut done).await,
                     }
                 }
--- a/src/ingress/metrics.rs
+++ b/src/ingress/metrics.rs
@@ -54,7 +54,7 @@
         let value = fields.next()?;
         match fields.next()? {
             "c" => {
-                *self.counters.entry(name.to_owned()).or_default() += value.parse::<u64>().ok()?
+                *self.counters.entry(name.to_owned()).or_default() += value.parse::<u64>().ok()?;
             }
             "g" => {
                 self.gauges.insert(name.to_owned(), value.parse().ok()?);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -63,6 +63,7 @@
 pub mod ledger_message;
 pub mod length;
 pub mod load;
+pub mod log_story;
 pub mod member;
 pub mod membership;
 pub mod order;
--- a/src/platform/boot.rs
+++ b/src/platform/boot.rs
@@ -156,6 +156,7 @@
             failure_domain: self.zone.into(),
             client_address: self.listen.front,
             ready_address: self.listen.ready,
+            metrics_address: None,
             store_address: self.provider.address,
             stop_grace: Duration::from_secs_f64(self.bounds.grace_s),
             order_quiet: Duration::from_millis(self.bounds.lease_ms),
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -77,6 +77,19 @@
     HOSTS_GONE, "hosts.gone_count", Gauge, "Hosts that are dead, out of reach or damped.";
     DATAGRAMS_REFUSED, "datagrams.refused_count", Counter, "Datagrams that were forged, repeated or malformed.";
     TABLE_REVISION, "table.revision_count", Gauge, "The revision of the table in force here.";
+    JOBS_ACCEPTED, "jobs.accepted_count", Counter, "Batch jobs that were accepted here.";
+    JOBS_REFUSED, "jobs.refused_count", Counter, "Batch jobs that were not known to be accepted here.";
+    JOB_ACCEPT_TIME, "jobs.accept_time_ms", Timer, "Time that the store took to keep a batch job.";
+    JOBS_LED, "jobs.open_count", Gauge, "Batch jobs that this host coordinates.";
+    RESULTS_LISTED, "results.listed_count", Counter, "Results that this host listed.";
+    RESULT_AGE, "results.age_ms", Timer, "Age of a batch job when results of it were listed.";
+    RUNS_STARTED, "runs.started_count", Counter, "Runs of items that this host started.";
+    RUNS_BROKEN, "runs.broken_count", Counter, "Runs that ended otherwise than whole.";
+    RUNS_OPEN, "runs.open_count", Gauge, "Runs that are under way.";
+    ITEMS_WAITING, "items.waiting_count", Gauge, "Items that wait for an engine.";
+    ORDERS_SENT, "orders.sent_count", Counter, "Orders that this host gave to engines.";
+    LEASES_TAKEN, "lease.taken_count", Counter, "Times that this host became coordinator.";
+    STORE_LOST, "store.lost_count", Counter, "Times that a feed from the store began to fail.";
     CONTROL_ROUND_TIME, "control.round_time_ms", Timer, "Time that one round of all controllers took.";
 }
 
--- /dev/null
+++ b/tests/job_interface.rs
@@ -0,0 +1,222 @@
+//! Batch jobs as clients see them, at any host and whatever the store does.
+
+#![expect(clippy::unwrap_used, reason = "a step that fails fails the test")]
+
+mod rows_support;
+
+use std::{rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use http::{Request, StatusCode, request};
+use http_body_util::BodyExt as _;
+use mimosavane::{
+    batch::{job::ItemState, layout},
+    ingress::{
+        host::{Host, HostSettings},
+        jobs,
+        metrics::Exposition,
+        routes::{Route, RouteKind},
+        server::Reply,
+        wire::{ClientHead, JobCall},
+    },
+    platform::PlatformWire,
+    rows::RowStore as _,
+    telemetry::Metrics,
+};
+use rows_support::{Fault, Rows};
+
+type TestHost = Rc<Host<Rows, PlatformWire>>;
+
+fn host(rows: &Rows) -> TestHost {
+    let settings = HostSettings {
+        host: "entry-1".into(),
+        failure_domain: "mx-a".into(),
+        client_address: "127.0.0.1:1".parse().unwrap(),
+        ready_address: "127.0.0.1:2".parse().unwrap(),
+        metrics_address: None,
+        store_address: "127.0.0.1:3".parse().unwrap(),
+        stop_grace: Duration::from_secs(8),
+        order_quiet: Duration::from_secs(3),
+        result_ttl: Duration::from_secs(120),
+        memory_limit_mb: 340,
+        cpu_share_ratio: 0.5,
+    };
+    let exposition = Exposition::default();
+    let metrics = Metrics::to_sink(exposition.clone());
+    let host = Host::with_store(settings, metrics, exposition, |_| rows.clone());
+    host.observe_store_time(Duration::from_secs(7));
+    host
+}
+
+fn route() -> Route {
+    Route {
+        name: "r-1".into(),
+        authority: "jobs.example".to_owned(),
+        path_prefix: "/jobs/".to_owned(),
+        kind: RouteKind::Batch,
+        timeout: Duration::from_secs(10),
+        target_latency: Duration::from_millis(400),
+        priority: 1,
+        splits: vec![("engines".into(), 1.0)],
+        max_attempts: 3,
+        item_ttl: Duration::from_secs(40),
+        result_due: Duration::from_millis(7_500),
+        single_version: false,
+        is_resumable: true,
+    }
+}
+
+fn parts() -> request::Parts {
+    let request = Request::post("/jobs/7c41")
+        .header("Host", "jobs.example")
+        .body(())
+        .unwrap();
+    request.into_parts().0
+}
+
+const BODY: &str = r#"{"step":1,"model":"writer","min_version":1,"items":[
+    {"id":"a","path":"/jobs/1","headers":{},"body":"q83v","tokens":940,"group":"g"},
+    {"id":"b","path":"/jobs/2","headers":{},"body":"AAAA","tokens":940,"group":"g"}]}"#;
+
+async fn submit(host: &TestHost) -> Reply {
+    let head = ClientHead {
+        attempt_id: Some("7c41".into()),
+        ..ClientHead::default()
+    };
+    jobs::submit(host, &parts(), BODY.as_bytes(), &route(), &head).await
+}
+
+async fn call(host: &TestHost, call: JobCall) -> (StatusCode, Bytes) {
+    let reply = jobs::answer(host, call, &ClientHead::default()).await;
+    let status = reply.status();
+    (
+        status,
+        reply.into_body().collect().await.unwrap().to_bytes(),
+    )
+}
+
+fn results(from: usize) -> JobCall {
+    JobCall::Results {
+        job: "7c41".into(),
+        from,
+    }
+}
+
+fn run(test: impl Future<Output = ()>) {
+    tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()
+        .unwrap()
+        .block_on(test);
+}
+
+/// The same job arrives at two hosts at once: it is accepted once, and both say so.
+#[test]
+fn submitted_twice() {
+    run(async {
+        let rows = Rows::default();
+        let (one, two) = (host(&rows), host(&rows));
+        let (a, b) = tokio::join!(submit(&one), submit(&two));
+        assert_eq!(
+            (a.status(), b.status()),
+            (StatusCode::ACCEPTED, StatusCode::ACCEPTED)
+        );
+        assert_eq!(rows.keys(layout::JOBS, "7c41"), ["head"]);
+        assert_eq!(rows.keys(layout::OPEN, "7c41"), ["job"]);
+    });
+}
+
+/// The store's answer to the acceptance is lost: it is asked again, not guessed.
+#[test]
+fn lost_acceptance() {
+    run(async {
+        let rows = Rows::default();
+        rows.fail_next(Fault::AnswerLost);
+        assert_eq!(submit(&host(&rows)).await.status(), StatusCode::ACCEPTED);
+        rows.fail_next(Fault::Late(2));
+        assert_eq!(submit(&host(&rows)).await.status(), StatusCode::ACCEPTED);
+    });
+}
+
+/// The store refuses for as long as the host tries: 503, and nothing is there.
+#[test]
+fn store_away() {
+    run(async {
+        let rows = Rows::default();
+        for _ in 0..16 {
+            rows.fail_next(Fault::Refused);
+        }
+        let reply = submit(&host(&rows)).await;
+        assert_eq!(reply.status(), StatusCode::SERVICE_UNAVAILABLE);
+        assert!(reply.headers().contains_key("retry-after"));
+        assert!(rows.keys(layout::JOBS, "7c41").is_empty());
+    });
+}
+
+/// An acceptance may yet be carried out: the answer must not promise that the job
+/// never runs.
+#[test]
+fn late_acceptance() {
+    run(async {
+        let rows = Rows::default();
+        rows.fail_next(Fault::Late(20));
+        for _ in 0..16 {
+            rows.fail_next(Fault::Refused);
+        }
+        let reply = submit(&host(&rows)).await;
+        assert_eq!(reply.status(), StatusCode::BAD_GATEWAY);
+    });
+}
+
+/// Results, bodies and ends are the same at a host that never saw the job.
+#[test]
+fn read_elsewhere() {
+    run(async {
+        let rows = Rows::default();
+        submit(&host(&rows)).await;
+        let other = host(&rows);
+        let (status, body) = call(&other, results(0)).await;
+        assert_eq!(status, StatusCode::OK);
+        assert_eq!(body, r#"{"total":2,"next":0,"results":[]}"#);
+        let result = mimosavane::batch::job::ItemResult {
+            id: "b".into(),
+            state: ItemState::Completed,
+            text: "x".to_owned(),
+            versions: [1].into(),
+        };
+        let id = "7c41".into();
+        let listing = layout::listing(&id, &Default::default(), 0, &[result], 9).unwrap();
+        rows.commit(&listing.transaction).await.unwrap();
+        let (_, body) = call(&other, results(0)).await;
+        assert!(body.starts_with(br#"{"total":2,"next":1,"results":[{"id":"b""#));
+        let (_, body) = call(&other, results(1)).await;
+        assert_eq!(body, r#"{"total":2,"next":1,"results":[]}"#);
+        let item = JobCall::Body {
+            job: "7c41".into(),
+            item: "a".into(),
+        };
+        let (status, body) = call(&other, item).await;
+        assert_eq!((status, &*body), (StatusCode::OK, &[0xab, 0xcd, 0xef][..]));
+        for _ in 0..2 {
+            let end = JobCall::End { job: "7c41".into() };
+            assert_eq!(call(&other, end).await.0, StatusCode::OK);
+        }
+        assert_eq!(rows.keys(layout::OPEN, "7c41"), ["end", "job"]);
+    });
+}
+
+#[test]
+fn unknown_job() {
+    run(async {
+        let rows = Rows::default();
+        let host = host(&rows);
+        assert_eq!(call(&host, results(0)).await.0, StatusCode::NOT_FOUND);
+        let end = JobCall::End { job: "7c41".into() };
+        assert_eq!(call(&host, end).await.0, StatusCode::NOT_FOUND);
+        assert_eq!(
+            call(&host, JobCall::Malformed).await.0,
+            StatusCode::BAD_REQUEST
+        );
+    });
+}
--- /dev/null
+++ b/tests/log_story.rs
@@ -0,0 +1,58 @@
+//! The story of an id, from the logs of several hosts.
+
+use mimosavane::log_story::Story;
+
+const ENTRY: &str = r#"   0.02 edge-a {"timestamp":"T01","event":"job.accepted","job":"7c","model":"m","took_ms":13}
+   9.99 edge-a {"timestamp":"T09","event":"job.call","job":"7c","call":"end","status":200}
+note: not a line of a log
+   1.00 edge-a {"timestamp":"T02","event":"request.refused","id":"8d","reason":"no-route"}"#;
+
+const COORDINATOR: &str = r#"{"timestamp":"T00","event":"lease.taken","fence":1}
+{"timestamp":"T02","event":"job.taken_up","job":"7c","model":"m"}
+{"timestamp":"T03","event":"model.load","model":"m","waiting_count":4}
+{"timestamp":"T03","event":"model.load","model":"other","waiting_count":0}
+{"timestamp":"T04","event":"run.ended","job":"7c","item":"i-1","outcome":"broken"}
+{"timestamp":"T05","event":"lease.lost"}
+{"timestamp":"T06","event":"log.dropped","new_count":3}
+{"timestamp":"T07","event"#;
+
+fn events(text: &str) -> Vec<&str> {
+    text.lines()
+        .filter(|line| line.starts_with('T'))
+        .filter_map(|line| line.split_whitespace().find(|word| word.contains('.')))
+        .collect()
+}
+
+/// A step came late: its job's story holds the lost lease and the waiting items.
+#[test]
+fn late_job() {
+    let text = Story::read("7c", [ENTRY, COORDINATOR]).to_text();
+    assert_eq!(
+        events(&text),
+        [
+            "job.accepted",
+            "job.taken_up",
+            "model.load",
+            "run.ended",
+            "lease.lost",
+            "log.dropped",
+            "job.call"
+        ]
+    );
+    assert!(text.contains("edge-a job.accepted"));
+    assert!(text.contains("3 lines were dropped"));
+    assert!(text.contains("1 lines could not be read"));
+}
+
+#[test]
+fn refused_call() {
+    let text = Story::read("8d", [ENTRY, COORDINATOR]).to_text();
+    assert_eq!(events(&text), ["request.refused"]);
+}
+
+#[test]
+fn unknown_id() {
+    let story = Story::read("none", [ENTRY]);
+    assert!(!story.is_known());
+    assert!(story.to_text().contains("no line names this id"));
+}
