--- a/src/ingress/coordinator.rs
+++ b/src/ingress/coordinator.rs
@@ -32,6 +32,7 @@
         host::Host,
         listing::Lister,
         orders::{self, ORDER_TIMEOUT, OrderCounts, OrderRight},
+        retention,
         runs::{self, Run},
         stored,
         wire::Wire,
@@ -268,7 +269,13 @@
         self.is_leading.set(true);
         self.host.metrics.count(LEASES_TAKEN, 1);
         tracing::info!(event = "lease.taken", fence, quiet_ms = millis(quiet));
-        let following = spawn_local(self.clone().follow_jobs());
+        let this = self.clone();
+        let following = spawn_local(async move {
+            tokio::join!(
+                this.clone().follow_jobs(),
+                retention::sweep_on(this.host.clone())
+            );
+        });
         *self.following.borrow_mut() = Some(following.abort_handle());
         self.wake.notify_one();
     }
--- a/src/ingress/mod.rs
+++ b/src/ingress/mod.rs
@@ -17,6 +17,7 @@
 pub mod log;
 pub mod metrics;
 pub mod orders;
+pub mod retention;
 pub mod routes;
 pub mod runs;
 pub mod server;
