Answer a read of results with up to 1 MB

Cause: an answer held 64 rows at most, so that a burst of 232 items took four reads, half a second apart.

Ruled out: the store's own bound, 500 rows or 1 MB a call.

Change: one read brings what fits 800 KB of text. tests/job_interface.rs burst_of_results (88 of 300 results of 9 KB in one answer).

--- a/src/batch/layout.rs
+++ b/src/batch/layout.rs
@@ -259,11 +259,8 @@
 }
 
 /// Returns the range of results from `position` on.
-pub fn result_range(job: &JobId, position: usize, limit_count: usize) -> RowRange {
-    RowRange {
-        limit_count,
-        ..range(RESULTS, job, format!("{position:06}"))
-    }
+pub fn result_range(job: &JobId, position: usize) -> RowRange {
+    range(RESULTS, job, format!("{position:06}"))
 }
 
 /// Decodes results in the order of their positions, the first at `position`.
--- a/src/ingress/jobs.rs
+++ b/src/ingress/jobs.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     batch::{
-        job::{ItemId, JobHead, JobId},
+        job::{ItemId, ItemResult, JobHead, JobId},
         layout,
     },
     clock::millis,
@@ -45,8 +45,9 @@
 /// The longest time that a read waits for results.
 const MAX_WAIT: Duration = Duration::from_millis(1_000);
 
-/// The most rows of results in one answer, so that it stays below 1 MB.
-const RESULT_ROWS_COUNT: usize = 64;
+/// The most bytes of text in one answer, which the platform bounds at 1 MB with
+/// names and escapes.
+const MAX_RESULT_BYTES: usize = 800_000;
 
 /// How many jobs a host remembers the size of.
 const MAX_KNOWN_JOBS_COUNT: usize = 4_096;
@@ -254,14 +255,15 @@
         return Ok(reply(StatusCode::NOT_FOUND, Bytes::new()));
     };
     let wait_until = host.now() + wait;
-    let range = layout::result_range(job, from, RESULT_ROWS_COUNT);
+    let range = layout::result_range(job, from);
     loop {
         let page = if from < total {
             read(host, &range).await?
         } else {
             RowPage::default()
         };
-        let results = layout::results(&page.rows, from).map_err(|error| unreadable(&error))?;
+        let mut results = layout::results(&page.rows, from).map_err(|error| unreadable(&error))?;
+        results.truncate(fitting_count(&results));
         let is_due = host.now() + WAIT_POLL_INTERVAL > wait_until;
         if !results.is_empty() || is_due || from >= total || host.is_stopping.get() {
             let body = W::results(total, from + results.len(), &results);
@@ -271,6 +273,16 @@
     }
 }
 
+/// Returns how many of `results` one answer holds, at least one.
+fn fitting_count(results: &[ItemResult]) -> usize {
+    let mut size_bytes = 0;
+    let fitting = results.iter().take_while(|result| {
+        size_bytes += result.text.len();
+        size_bytes <= MAX_RESULT_BYTES
+    });
+    fitting.count().max(1)
+}
+
 async fn body<S: RowStore, W: Wire>(
     host: &Rc<Host<S, W>>,
     job: &JobId,
--- a/tests/job_interface.rs
+++ b/tests/job_interface.rs
@@ -10,7 +10,10 @@
 use http::{Request, StatusCode, request};
 use http_body_util::BodyExt as _;
 use mimosavane::{
-    batch::{job::ItemState, layout},
+    batch::{
+        job::{ItemResult, ItemState},
+        layout,
+    },
     ingress::{
         host::{Host, HostSettings},
         jobs,
@@ -179,7 +182,7 @@
         let (status, body) = call(&other, results(0)).await;
         assert_eq!(status, StatusCode::OK);
         assert_eq!(body, r#"{"total":2,"next":0,"results":[]}"#);
-        let result = mimosavane::batch::job::ItemResult {
+        let result = ItemResult {
             id: "b".into(),
             state: ItemState::Completed,
             text: "x".to_owned(),
@@ -220,3 +223,37 @@
         );
     });
 }
+
+/// A burst of items ends at once: one read brings as many as an answer may hold,
+/// and the next one goes on behind them.
+#[test]
+fn burst_of_results() {
+    run(async {
+        let rows = Rows::default();
+        let host = host(&rows);
+        submit(&host).await;
+        let id = "7c41".into();
+        let mut tally = Default::default();
+        let mut stamp = 0;
+        for part in 0..6 {
+            let results: Vec<ItemResult> = (0..50)
+                .map(|index| ItemResult {
+                    id: format!("{part}-{index}").into(),
+                    state: ItemState::Completed,
+                    text: "x".repeat(9_000),
+                    versions: [1].into(),
+                })
+                .collect();
+            let listing = layout::listing(&id, &tally, stamp, &results, part).unwrap();
+            assert_eq!(listing.taken_count, 50);
+            stamp = rows.commit(&listing.transaction).await.unwrap().stamp;
+            tally = listing.tally;
+        }
+        host.beliefs.borrow_mut().item_counts.insert(id, 300);
+        let (_, body) = call(&host, results(0)).await;
+        assert!(body.len() <= 1_000_000);
+        assert!(body.starts_with(br#"{"total":300,"next":88,"#));
+        let (_, body) = call(&host, results(264)).await;
+        assert!(body.starts_with(br#"{"total":300,"next":300,"#));
+    });
+}
