--- a/tests/job_interface.rs
+++ b/tests/job_interface.rs
@@ -130,6 +130,23 @@
     });
 }
 
+/// A job arrives again after it was ended and taken off the coordinator's list: it
+/// is answered as before and must not run again.
+#[test]
+fn submitted_after_end() {
+    run(async {
+        let rows = Rows::default();
+        let host = host(&rows);
+        submit(&host).await;
+        let id = "7c41".into();
+        for transaction in [layout::ending(&id), layout::closing(&id)] {
+            rows.commit(&transaction).await.unwrap();
+        }
+        assert_eq!(submit(&host).await.status(), StatusCode::ACCEPTED);
+        assert!(rows.keys(layout::OPEN, "7c41").is_empty());
+    });
+}
+
 /// The store's answer to the acceptance is lost: it is asked again, not guessed.
 #[test]
 fn lost_acceptance() {
--- a/tests/job_listing.rs
+++ b/tests/job_listing.rs
@@ -5,104 +5,18 @@
 
 mod rows_support;
 
-use std::{
-    cell::RefCell,
-    collections::{BTreeMap, BTreeSet, VecDeque},
-    rc::Rc,
-    time::Duration,
-};
+use std::{collections::BTreeSet, time::Duration};
 
 use mimosavane::{
-    batch::{
-        job::{ItemResult, JobId},
-        layout,
-        scheduler::{Action, EngineSpec, Rights, RunEnd, RunNumber, Scheduler},
-    },
-    ingress::{listing::Lister, stored},
+    batch::{job::ItemResult, layout},
+    ingress::stored,
     rows::{RowName, RowRange, RowStore, RowTransaction},
 };
-use rows_support::{Fault, Rows, job};
-use tokio::{runtime, time};
-
-const SECOND: Duration = Duration::from_secs(1);
-const RIGHTS: Rights = Rights {
-    may_start: true,
-    may_order: false,
+use rows_support::{
+    Fault, Rows, job,
+    member::{Member, accept, listed},
 };
-
-/// A coordinator as far as its listing goes.
-struct Member {
-    scheduler: Rc<RefCell<Scheduler>>,
-    lister: Lister<Rows>,
-    started: RefCell<VecDeque<RunNumber>>,
-}
-
-impl Member {
-    fn new(rows: &Rows) -> Self {
-        let scheduler: Rc<RefCell<Scheduler>> = Rc::default();
-        scheduler.borrow_mut().set_engines(vec![EngineSpec {
-            id: "engine-1".into(),
-            started_at_ms: 1,
-            service: "engines".into(),
-            slot_count: 64,
-            memory_tokens: 1_000_000,
-            tokens_per_event: 61,
-            is_draining: false,
-            versions: BTreeMap::from([("writer".into(), 1)]),
-        }]);
-        Self {
-            lister: Lister::new(rows.clone(), scheduler.clone()),
-            scheduler,
-            started: RefCell::default(),
-        }
-    }
-
-    async fn take_up(&self, rows: &Rows, id: &JobId) {
-        let loaded = stored::load(rows, id).await.unwrap().unwrap();
-        self.lister.learn(id, loaded.tally, loaded.stamp);
-        self.scheduler
-            .borrow_mut()
-            .open(loaded.job, &loaded.listed, Duration::ZERO, SECOND);
-    }
-
-    /// Runs up to `count` items to their end.
-    fn finish(&self, count: usize) {
-        let mut scheduler = self.scheduler.borrow_mut();
-        let mut started = self.started.borrow_mut();
-        started.extend(scheduler.poll(SECOND, RIGHTS).into_iter().filter_map(
-            |action| match action {
-                Action::Start { run, .. } => Some(run),
-                _ => None,
-            },
-        ));
-        let mut left = count;
-        while left > 0
-            && let Some(run) = started.pop_front()
-        {
-            // The other coordinator may have listed the item.
-            if !scheduler.answered(run, 1, SECOND) {
-                continue;
-            }
-            left -= 1;
-            assert!(scheduler.event(run, 1, "text", 1, SECOND));
-            scheduler.ended(run, RunEnd::Completed, SECOND);
-        }
-    }
-}
-
-async fn accept(rows: &Rows, id: &str, item_count: usize) -> JobId {
-    for transaction in layout::acceptance(&job(id, item_count, 600)).unwrap() {
-        rows.commit(&transaction).await.unwrap();
-    }
-    id.into()
-}
-
-async fn listed(rows: &Rows, id: &JobId) -> Vec<ItemResult> {
-    let rows = stored::read_all(rows, layout::range(layout::RESULTS, id, ""))
-        .await
-        .unwrap();
-    layout::results(&rows, 0).unwrap()
-}
+use tokio::{runtime, time};
 
 fn assert_once(results: &[ItemResult]) {
     let ids: BTreeSet<_> = results.iter().map(|result| &result.id).collect();
@@ -189,8 +103,8 @@
     }
 }
 
-/// A coordinator loses its lease while a listing is on its way, and takes the
-/// job up again before the answer.
+/// A coordinator loses its lease while a listing is on its way, takes the job up
+/// again, and finishes other items before the answer.
 #[test]
 fn lease_lost_and_regained() {
     run(async {
@@ -200,15 +114,23 @@
         member.take_up(&rows, &id).await;
         member.finish(4);
         let again = async {
-            time::sleep(Duration::from_millis(80)).await;
+            // The listing is sent when its results have gathered.
+            while rows.commit_count() < 2 {
+                time::sleep(Duration::from_millis(1)).await;
+            }
             member.scheduler.borrow_mut().reset();
             member.lister.forget_all();
-            let fresh = Member::new(&rows);
-            fresh.take_up(&rows, &id).await;
-            fresh.finish(8);
-            fresh.lister.list(&id).await;
+            member.started.borrow_mut().clear();
+            member.take_up(&rows, &id).await;
+            member.set_engines();
+            member.finish(4);
+            rows.release();
         };
+        rows.hold_next();
         tokio::join!(member.lister.list(&id), again);
+        member.lister.list(&id).await;
+        member.finish(8);
+        member.lister.list(&id).await;
         let results = listed(&rows, &id).await;
         assert_once(&results);
         assert_eq!(results.len(), 8);
--- a/tests/job_retention.rs
+++ b/tests/job_retention.rs
@@ -57,6 +57,8 @@
         let rows = Rows::default();
         accept(&rows, "ended").await;
         rows.commit(&layout::ending(&"ended".into())).await.unwrap();
+        // The first rows are removed, and the store fails at the next.
+        rows.fail_next(Fault::None);
         rows.fail_next(Fault::Refused);
         let mut expiries = Expiries::new();
         assert!(sweep(&rows, TTL, LATE, &mut expiries).await.is_err());
--- /dev/null
+++ b/tests/rows_support/member.rs
@@ -0,0 +1,107 @@
+//! A coordinator as far as its listing goes, over a store in memory.
+
+#![allow(clippy::unwrap_used, reason = "a step that fails fails the test")]
+
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, VecDeque},
+    rc::Rc,
+    time::Duration,
+};
+
+use mimosavane::{
+    batch::{
+        job::{ItemResult, JobId},
+        layout,
+        scheduler::{Action, EngineSpec, Rights, RunEnd, RunNumber, Scheduler},
+    },
+    ingress::{listing::Lister, stored},
+    rows::RowStore,
+};
+
+use super::{Rows, job};
+
+const SECOND: Duration = Duration::from_secs(1);
+const RIGHTS: Rights = Rights {
+    may_start: true,
+    may_order: false,
+};
+
+/// A coordinator as far as its listing goes.
+pub struct Member {
+    pub scheduler: Rc<RefCell<Scheduler>>,
+    pub lister: Lister<Rows>,
+    pub started: RefCell<VecDeque<RunNumber>>,
+}
+
+impl Member {
+    pub fn new(rows: &Rows) -> Self {
+        let scheduler: Rc<RefCell<Scheduler>> = Rc::default();
+        let member = Self {
+            lister: Lister::new(rows.clone(), scheduler.clone()),
+            scheduler,
+            started: RefCell::default(),
+        };
+        member.set_engines();
+        member
+    }
+
+    pub fn set_engines(&self) {
+        self.scheduler.borrow_mut().set_engines(vec![EngineSpec {
+            id: "engine-1".into(),
+            started_at_ms: 1,
+            service: "engines".into(),
+            slot_count: 64,
+            memory_tokens: 1_000_000,
+            tokens_per_event: 61,
+            is_draining: false,
+            versions: BTreeMap::from([("writer".into(), 1)]),
+        }]);
+    }
+
+    pub async fn take_up(&self, rows: &Rows, id: &JobId) {
+        let loaded = stored::load(rows, id).await.unwrap().unwrap();
+        self.lister.learn(id, loaded.tally, loaded.stamp);
+        self.scheduler
+            .borrow_mut()
+            .open(loaded.job, &loaded.listed, Duration::ZERO, SECOND);
+    }
+
+    /// Runs up to `count` items to their end.
+    pub fn finish(&self, count: usize) {
+        let mut scheduler = self.scheduler.borrow_mut();
+        let mut started = self.started.borrow_mut();
+        started.extend(scheduler.poll(SECOND, RIGHTS).into_iter().filter_map(
+            |action| match action {
+                Action::Start { run, .. } => Some(run),
+                _ => None,
+            },
+        ));
+        let mut left = count;
+        while left > 0
+            && let Some(run) = started.pop_front()
+        {
+            // The other coordinator may have listed the item.
+            if !scheduler.answered(run, 1, SECOND) {
+                continue;
+            }
+            left -= 1;
+            assert!(scheduler.event(run, 1, "text", 1, SECOND));
+            scheduler.ended(run, RunEnd::Completed, SECOND);
+        }
+    }
+}
+
+pub async fn accept(rows: &Rows, id: &str, item_count: usize) -> JobId {
+    for transaction in layout::acceptance(&job(id, item_count, 600)).unwrap() {
+        rows.commit(&transaction).await.unwrap();
+    }
+    id.into()
+}
+
+pub async fn listed(rows: &Rows, id: &JobId) -> Vec<ItemResult> {
+    let rows = stored::read_all(rows, layout::range(layout::RESULTS, id, ""))
+        .await
+        .unwrap();
+    layout::results(&rows, 0).unwrap()
+}
--- a/tests/rows_support/mod.rs
+++ b/tests/rows_support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test uses a part")]
 
+pub mod member;
+
 use std::{
     cell::RefCell,
     collections::{BTreeMap, VecDeque},
@@ -21,6 +23,8 @@
 /// What happens to the next write.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
+    /// It is carried out and answered.
+    None,
     /// It is carried out and its answer is lost.
     AnswerLost,
     /// It is carried out after as many other calls, and its answer is lost.
@@ -39,6 +43,7 @@
     late: Vec<(usize, RowTransaction)>,
     commit_count: usize,
     asked_from: Vec<String>,
+    is_holding: bool,
 }
 
 /// A store that all clones share.
@@ -58,6 +63,16 @@
         self.inner.borrow().commit_count
     }
 
+    /// Keeps the answer to the next write back until [`Rows::release`].
+    pub fn hold_next(&self) {
+        self.inner.borrow_mut().is_holding = true;
+    }
+
+    /// Gives the answer that is kept back.
+    pub fn release(&self) {
+        self.inner.borrow_mut().is_holding = false;
+    }
+
     /// Returns the first keys that reads asked for.
     pub fn asked_from(&self) -> Vec<String> {
         self.inner.borrow().asked_from.clone()
@@ -134,15 +149,13 @@
     }
 }
 
-impl RowStore for Rows {
-    async fn commit(&self, transaction: &RowTransaction) -> Result<Applied, RowError> {
-        // Others get their turn, as over a network.
-        tokio::task::yield_now().await;
+impl Rows {
+    fn carry_out(&self, transaction: &RowTransaction) -> Result<Applied, RowError> {
         let mut inner = self.inner.borrow_mut();
         inner.pass();
         inner.commit_count += 1;
         match inner.faults.pop_front() {
-            None => inner.apply(transaction),
+            None | Some(Fault::None) => inner.apply(transaction),
             Some(Fault::AnswerLost) => {
                 let _ = inner.apply(transaction);
                 Err(RowError::Unknown)
@@ -156,6 +169,18 @@
             }),
         }
     }
+}
+
+impl RowStore for Rows {
+    async fn commit(&self, transaction: &RowTransaction) -> Result<Applied, RowError> {
+        // Others get their turn, as over a network.
+        tokio::task::yield_now().await;
+        let answer = self.carry_out(transaction);
+        while self.inner.borrow().is_holding {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        answer
+    }
 
     async fn read(&self, range: &RowRange) -> Result<RowPage, RowError> {
         tokio::task::yield_now().await;
