Let small machines look at the lease less often

Cause: every host looked at the lease four times a second, most of its calls to the store; at 1,049 hosts all calls would pass the platform's bound.

Change: a host waits up to 1 s longer between two looks, the less of a processor it has; what makes a host compete is in one place.

--- a/src/ingress/coordinator/leadership.rs
+++ b/src/ingress/coordinator/leadership.rs
@@ -8,8 +8,9 @@
 use crate::{
     batch::layout,
     clock::{Timestamp, millis},
+    ids::HostId,
     ingress::{orders::ORDER_TIMEOUT, retention, stored, wire::Wire},
-    lease::{self, Terms, Versioned, Wrote},
+    lease::{self, Machine, Terms, Versioned, Wrote},
     rows::{RowError, RowName, RowPage, RowRange, RowStore, RowTransaction},
     telemetry::LEASES_TAKEN,
 };
@@ -24,7 +25,7 @@
 /// The lease's times. A holder that is killed is followed after lease, order
 /// timeout and spread; renewals come three times in a lease, so that one slow
 /// answer of the store, 240 ms on the sheets, does not lose it.
-pub(super) const LEASE_TERMS: Terms = Terms {
+const LEASE_TERMS: Terms = Terms {
     lease: Duration::from_millis(1_000),
     order_timeout: ORDER_TIMEOUT,
     watch_interval: Duration::from_millis(250),
@@ -46,15 +47,26 @@
 /// sheets' larger machines have this much.
 const LARGE_CPU_SHARE_RATIO: f64 = 0.5;
 
-/// How much longer than the largest host the smallest waits for a free lease,
-/// more than the time between two looks.
+/// How much longer than the largest host one without a processor would wait for a
+/// free lease: more than the time between two looks of a large one.
 const MAX_HANDICAP: Duration = Duration::from_millis(400);
 
-/// Returns how much longer a host waits for a free lease, so that the one that
-/// leads has the processor for it.
-pub(super) fn handicap(cpu_share_ratio: f64) -> Duration {
+/// How much longer than the largest host one without a processor would wait
+/// between two looks at the lease. Each look is a call to the store, and most
+/// hosts of a large fleet are small.
+const MAX_WATCH_DELAY: Duration = Duration::from_millis(1_000);
+
+/// Makes the machine by which a host competes for the lease, the less eagerly the
+/// less of a processor it has, so that the one that leads has it.
+pub(super) fn competitor(host: HostId, life: u64, cpu_share_ratio: f64) -> Machine {
     let missing = 1.0 - (cpu_share_ratio / LARGE_CPU_SHARE_RATIO).clamp(0.0, 1.0);
-    MAX_HANDICAP.mul_f64(missing)
+    let terms = Terms {
+        watch_interval: LEASE_TERMS.watch_interval + MAX_WATCH_DELAY.mul_f64(missing),
+        ..LEASE_TERMS
+    };
+    Machine::new(host, life, terms)
+        .succeeding_itself()
+        .with_handicap(MAX_HANDICAP.mul_f64(missing))
 }
 
 impl<S: RowStore, W: Wire> Coordinator<S, W> {
--- a/src/ingress/coordinator/mod.rs
+++ b/src/ingress/coordinator/mod.rs
@@ -21,7 +21,6 @@
     time::sleep,
 };
 
-use self::leadership::LEASE_TERMS;
 use crate::{
     batch::{
         job::JobId,
@@ -93,9 +92,8 @@
     /// Makes a coordinator that does not lead yet.
     pub fn new(host: Rc<Host<S, W>>) -> Rc<Self> {
         let life = rand::random();
-        let machine = Machine::new(host.settings.host.clone(), life, LEASE_TERMS)
-            .succeeding_itself()
-            .with_handicap(leadership::handicap(host.settings.cpu_share_ratio));
+        let settings = &host.settings;
+        let machine = leadership::competitor(settings.host.clone(), life, settings.cpu_share_ratio);
         let scheduler: Rc<RefCell<Scheduler>> = Rc::default();
         Rc::new(Self {
             lister: Lister::new(host.store.clone(), scheduler.clone()),
