Stop the runs of items whose time is up

Cause: reading the diff: an item that was given up was listed as failed, but its run went on until its next event.

Change: giving up cancels the runs (tests/item_scheduling.rs overdue_items); an unused question about routes is gone.

--- a/src/batch/scheduler/mod.rs
+++ b/src/batch/scheduler/mod.rs
@@ -272,7 +272,7 @@
         if is_review {
             self.reviewed_at = now;
             actions.extend(self.stop_stalled(now));
-            self.give_up(now);
+            actions.extend(self.give_up(now));
             if rights.may_start {
                 actions.extend(self.leave_slow(now));
                 actions.extend(self.speed_up_long(now));
@@ -299,32 +299,35 @@
         runs.into_iter().map(|run| Action::Cancel { run }).collect()
     }
 
-    /// Lists items as failed whose time is up.
-    fn give_up(&mut self, now: Timestamp) {
-        let mut overdue = Vec::new();
-        for (id, job) in &self.jobs {
-            let age = job.age + now.saturating_sub(job.opened_at);
-            if age >= job.job.head.item_ttl + TTL_MARGIN {
-                overdue.push(id.clone());
-            }
-        }
+    /// Lists items as failed whose time is up, and stops their runs.
+    fn give_up(&mut self, now: Timestamp) -> Vec<Action> {
+        let overdue: Vec<JobId> = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| {
+                let age = job.age + now.saturating_sub(job.opened_at);
+                age >= job.job.head.item_ttl + TTL_MARGIN
+            })
+            .map(|(id, _)| id.clone())
+            .collect();
+        let mut stopped = Vec::new();
         for id in overdue {
             let Some(job) = self.jobs.get_mut(&id) else {
                 continue;
             };
-            let open: Vec<usize> = (0..job.items.len())
-                .filter(|index| !job.items[*index].is_done)
-                .collect();
-            let mut runs = Vec::new();
-            for index in open {
-                runs.extend(job.items[index].run.take());
+            for index in 0..job.items.len() {
+                stopped.extend(job.items[index].run.take());
                 job.finish(index, ItemState::Failed);
             }
             job.queue.clear();
-            for run in runs {
-                self.release(run);
-            }
         }
+        stopped
+            .into_iter()
+            .map(|run| {
+                self.release(run);
+                Action::Cancel { run }
+            })
+            .collect()
     }
 
     /// Takes `run` off its engine and item.
--- a/src/ingress/routes.rs
+++ b/src/ingress/routes.rs
@@ -70,7 +70,8 @@
     pub max_header_bytes: usize,
     /// The longest body of a request.
     pub max_body_bytes: usize,
-    /// How long a head may take to arrive.
+    /// How long a head may take to arrive. The library counts the time between two
+    /// requests as part of it, so that the idle timeout is used for both.
     pub header_timeout: Duration,
     /// How long a connection may stay idle.
     pub idle_timeout: Duration,
@@ -99,13 +100,6 @@
             .filter(|route| path.starts_with(&route.path_prefix))
             .max_by_key(|route| route.path_prefix.len())
     }
-
-    /// Says whether any route takes requests for `authority`.
-    pub fn has_authority(&self, authority: &str) -> bool {
-        self.routes
-            .iter()
-            .any(|route| route.authority.eq_ignore_ascii_case(authority))
-    }
 }
 
 impl Route {
--- a/tests/item_scheduling.rs
+++ b/tests/item_scheduling.rs
@@ -274,3 +274,16 @@
     assert_eq!(started_count, 12);
     assert!(refused_count <= 9, "{refused_count} items were refused");
 }
+
+/// The time of a job's items is up: they are listed as failed, and their runs stop.
+#[test]
+fn overdue_items() {
+    let mut fleet = Fleet::new(2, 12, 100_000);
+    fleet.open("job", 8);
+    fleet.run_for(Duration::from_secs(39));
+    assert!(fleet.scheduler.finished(&"job".into()).is_empty());
+    fleet.run_for(Duration::from_secs(2));
+    assert_eq!(fleet.scheduler.finished(&"job".into()).len(), 8);
+    assert!(fleet.runs.is_empty());
+    assert_eq!(fleet.cancelled.len(), 8);
+}
