Start the long items of all jobs before the short ones of any

Ruled out: the quiet time before orders of a new coordinator. Change: over all jobs, the waiting item starts first that must start soonest to be there when due, by its hint. tests/item_scheduling.rs burst_of_steps fails without it.

--- a/src/batch/scheduler/dispatch.rs
+++ b/src/batch/scheduler/dispatch.rs
@@ -1,6 +1,6 @@
 //! Which item starts next and where, and which weights are ordered.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::collections::BTreeMap;
 
 use super::{
     Action, Run, Scheduler,
@@ -17,88 +17,107 @@
 };
 
 impl Scheduler {
+    /// Starts waiting items, over all jobs the one first that must start soonest.
+    ///
+    /// A step ends with its longest items, so that the short items of one job
+    /// wait rather than the long ones of another.
     pub(super) fn dispatch(&mut self, now: Timestamp, actions: &mut Vec<Action>) {
-        let mut order: Vec<(Duration, JobId)> = self
+        let mut waiting: Vec<JobId> = self
             .jobs
             .iter()
             .filter(|(_, job)| !job.queue.is_empty())
-            .map(|(id, job)| {
-                let age = job.age + now.saturating_sub(job.opened_at);
-                (job.job.head.due.saturating_sub(age), id.clone())
-            })
+            .map(|(id, _)| id.clone())
             .collect();
-        order.sort();
-        for (_, id) in order {
-            self.dispatch_job(&id, now, actions);
+        while let Some(place) = self.most_urgent(&waiting) {
+            if !self.start_first(&waiting[place], now, actions) {
+                waiting.swap_remove(place);
+            }
         }
     }
 
-    fn dispatch_job(&mut self, id: &JobId, now: Timestamp, actions: &mut Vec<Action>) {
+    /// Returns the place in `jobs` of the one whose first waiting item must start
+    /// soonest.
+    fn most_urgent(&self, jobs: &[JobId]) -> Option<usize> {
+        jobs.iter()
+            .enumerate()
+            .filter_map(|(place, id)| {
+                let job = self.jobs.get(id)?;
+                Some((job.start_by(self.tokens_per_event(job))?, id, place))
+            })
+            .min()
+            .map(|(.., place)| place)
+    }
+
+    /// Starts the first waiting item of a job, and says whether another one of it
+    /// may start.
+    fn start_first(&mut self, id: &JobId, now: Timestamp, actions: &mut Vec<Action>) -> bool {
         let Some(job) = self.jobs.get_mut(id) else {
-            return;
+            return false;
+        };
+        let Some(&item_index) = job.queue.front() else {
+            return false;
         };
-        while let Some(&item_index) = job.queue.front() {
-            let item = &job.job.items[item_index];
-            let state = &mut job.items[item_index];
-            let tokens = item.memory_tokens();
-            let head = &job.job.head;
-            let engine = self
-                .engines
-                .values_mut()
-                .filter(|engine| engine.is_usable(head, tokens, now))
-                .filter(|engine| {
-                    let version = engine.version(&head.model);
-                    state.output.admits(head, version)
-                })
-                .min_by(|a, b| {
-                    let cost = |engine: &Engine| engine.cost(item, &state.output, now);
-                    cost(a).cmp(&cost(b))
+        let item = &job.job.items[item_index];
+        let state = &mut job.items[item_index];
+        let tokens = item.memory_tokens();
+        let head = &job.job.head;
+        let engine = self
+            .engines
+            .values_mut()
+            .filter(|engine| engine.is_usable(head, tokens, now))
+            .filter(|engine| {
+                let version = engine.version(&head.model);
+                state.output.admits(head, version)
+            })
+            .min_by(|a, b| {
+                let cost = |engine: &Engine| engine.cost(item, &state.output, now);
+                cost(a).cmp(&cost(b))
+            });
+        let Some(engine) = engine else {
+            // What another engine has made under one version cannot go on
+            // under another.
+            if head.single_version && state.output.last_event() > 0 {
+                let is_lost = self.engines.values().all(|engine| {
+                    engine.is_gone || !state.output.admits(head, engine.version(&head.model))
                 });
-            let Some(engine) = engine else {
-                // What another engine has made under one version cannot go on
-                // under another.
-                if head.single_version && state.output.last_event() > 0 {
-                    let is_lost = self.engines.values().all(|engine| {
-                        engine.is_gone || !state.output.admits(head, engine.version(&head.model))
-                    });
-                    if is_lost {
-                        state.output = Output::default();
-                        state.saved_event = 0;
-                        continue;
-                    }
+                if is_lost {
+                    state.output = Output::default();
+                    state.saved_event = 0;
+                    return true;
                 }
-                return;
-            };
-            job.queue.pop_front();
-            self.next_run += 1;
-            let run = self.next_run;
-            state.run = Some(run);
-            if let Some(unproven) = &mut engine.unproven
-                && unproven.model == head.model
-            {
-                unproven.probe = Some(run);
             }
-            engine.run_count += 1;
-            engine.run_tokens += tokens;
-            self.runs.insert(
-                run,
-                Run {
-                    job: id.clone(),
-                    item_index,
-                    engine: engine.spec.id.clone(),
-                    tokens,
-                    last_event_at: now,
-                    event_count: 0,
-                },
-            );
-            actions.push(Action::Start {
-                run,
+            return false;
+        };
+        job.queue.pop_front();
+        self.next_run += 1;
+        let run = self.next_run;
+        state.run = Some(run);
+        if let Some(unproven) = &mut engine.unproven
+            && unproven.model == head.model
+        {
+            unproven.probe = Some(run);
+        }
+        engine.run_count += 1;
+        engine.run_tokens += tokens;
+        self.runs.insert(
+            run,
+            Run {
                 job: id.clone(),
                 item_index,
                 engine: engine.spec.id.clone(),
-                last_event: state.output.last_event(),
-            });
-        }
+                tokens,
+                last_event_at: now,
+                event_count: 0,
+            },
+        );
+        actions.push(Action::Start {
+            run,
+            job: id.clone(),
+            item_index,
+            engine: engine.spec.id.clone(),
+            last_event: state.output.last_event(),
+        });
+        true
     }
 
     pub(super) fn order(&mut self, now: Timestamp, actions: &mut Vec<Action>) {
--- a/src/batch/scheduler/engine.rs
+++ b/src/batch/scheduler/engine.rs
@@ -43,7 +43,7 @@
 
 /// What stands for the time between two events of an engine that was not seen
 /// lately, from the deployment sheets.
-const USUAL_INTERVAL: Duration = Duration::from_millis(40);
+pub(super) const USUAL_INTERVAL: Duration = Duration::from_millis(40);
 
 /// What the last place of an engine costs: about the time for which the next
 /// short item would wait for one.
@@ -184,12 +184,9 @@
     /// takes, and the place that other items may need.
     pub(super) fn cost(&self, item: &Item, output: &Output, now: Timestamp) -> Duration {
         let interval = self.interval(now).unwrap_or(USUAL_INTERVAL);
-        let hinted = item.length_hint_tokens / self.spec.tokens_per_event.max(1);
-        let made = output.last_event();
-        // Lengths have a long tail: what outlived its hint is far from its end.
-        let left = hinted.saturating_sub(made).max(made / 2).max(1);
+        let left_count = left_event_count(item, output, self.spec.tokens_per_event);
         let fullness = (self.run_count + 1) as f64 / self.spec.slot_count.max(1) as f64;
-        interval.mul_f64(left as f64) + FULL_ENGINE_COST.mul_f64(fullness)
+        interval.mul_f64(left_count as f64) + FULL_ENGINE_COST.mul_f64(fullness)
     }
 
     /// Returns the time between two events of a run, if it was seen lately.
@@ -226,3 +223,11 @@
         self.avoid_until = self.avoid_until.max(now + MIN_AVOIDANCE);
     }
 }
+
+/// Returns how many events `item` has still to make, as its hint says.
+pub(super) fn left_event_count(item: &Item, output: &Output, tokens_per_event: u64) -> u64 {
+    let hinted = item.length_hint_tokens / tokens_per_event.max(1);
+    let made = output.last_event();
+    // Lengths have a long tail: what outlived its hint is far from its end.
+    hinted.saturating_sub(made).max(made / 2).max(1)
+}
--- a/src/batch/scheduler/mod.rs
+++ b/src/batch/scheduler/mod.rs
@@ -29,7 +29,7 @@
     ids::{UpstreamId, WeightVersion},
 };
 
-use self::engine::Engine;
+use self::engine::{Engine, USUAL_INTERVAL, left_event_count};
 pub use self::{engine::EngineSpec, report::ModelLoad};
 
 /// Numbers the runs of one coordinator.
@@ -330,6 +330,14 @@
             .collect()
     }
 
+    /// Returns how many tokens an event of the items of `job` holds.
+    fn tokens_per_event(&self, job: &JobRun) -> u64 {
+        self.engines
+            .values()
+            .find(|engine| engine.spec.service == job.job.head.service)
+            .map_or(1, |engine| engine.spec.tokens_per_event)
+    }
+
     /// Takes `run` off its engine and item.
     fn release(&mut self, run: RunNumber) -> Option<Run> {
         let state = self.runs.remove(&run)?;
@@ -358,6 +366,18 @@
 }
 
 impl JobRun {
+    /// Returns when its first waiting item must start to be there when it is due.
+    fn start_by(&self, tokens_per_event: u64) -> Option<Timestamp> {
+        let item_index = *self.queue.front()?;
+        let left_count = left_event_count(
+            &self.job.items[item_index],
+            &self.items[item_index].output,
+            tokens_per_event,
+        );
+        let left = USUAL_INTERVAL.mul_f64(left_count as f64);
+        Some((self.opened_at + self.job.head.due).saturating_sub(self.age + left))
+    }
+
     fn finish(&mut self, item_index: usize, state: ItemState) {
         let item = &mut self.items[item_index];
         if item.is_done {
--- a/tests/item_scheduling.rs
+++ b/tests/item_scheduling.rs
@@ -141,6 +141,26 @@
     assert!(fleet.cancelled.is_empty());
 }
 
+/// Two steps come at once, to fewer places than items: the long items of both
+/// start before the short ones of either.
+#[test]
+fn burst_of_steps() {
+    let mut fleet = Fleet::new(1, 8, 25);
+    for id in ["first", "second"] {
+        let mut job = job(id, 12, 10);
+        for (index, item) in job.items.iter_mut().enumerate() {
+            item.length_hint_tokens = if index < 4 { 6_100 } else { 610 };
+        }
+        fleet
+            .scheduler
+            .open(job, &Default::default(), Duration::ZERO, fleet.now);
+    }
+    fleet.step();
+    let started: Vec<usize> = fleet.starts.iter().map(|(_, item, ..)| *item).collect();
+    assert_eq!(started.len(), 8);
+    assert!(started.iter().all(|item| *item < 4), "{started:?}");
+}
+
 /// An engine turns four times slower under long items: they go on at others
 /// from the event where they were.
 #[test]
