List results sooner and look for them more often

Cause: a step ends when its last result is read, and each result waited 80 ms to be listed and up to 100 ms more for a read that waits. Over the two steps that a trainer has open this is lost for all later ones. Change: results gather for 20 ms and waiting reads look each 40 ms. No test: it changes two times only; job_interface and job_listing hold.

--- a/src/ingress/jobs.rs
+++ b/src/ingress/jobs.rs
@@ -39,8 +39,9 @@
 /// When a client may read again that found the store away.
 const READ_RETRY_AFTER: Duration = Duration::from_millis(400);
 
-/// How often a read that waits for results looks for them.
-const WAIT_POLL_INTERVAL: Duration = Duration::from_millis(100);
+/// How often a read that waits for results looks for them: no less often than
+/// engines make events, 49 ms on the sheets.
+const WAIT_POLL_INTERVAL: Duration = Duration::from_millis(40);
 
 /// The longest time that a read waits for results.
 const MAX_WAIT: Duration = Duration::from_millis(1_000);
--- a/src/ingress/listing.rs
+++ b/src/ingress/listing.rs
@@ -22,8 +22,9 @@
     rows::{RowError, RowStamp, RowStore},
 };
 
-/// How long results gather before they are listed in one transaction.
-const GATHER: Duration = Duration::from_millis(80);
+/// How long results gather before they are listed in one transaction: less than
+/// the sheets' 49 ms between two events, as a step waits for its last result.
+const GATHER: Duration = Duration::from_millis(20);
 
 /// The pause after the store failed.
 const PAUSE: Duration = Duration::from_millis(150);
