Begin a soak of real processes under faults from outside

mimosavane-soak starts hosts as processes of the real program, with stand-ins of the store and of upstreams (src/platform/standin/) and proxies between them, plays series of faults that overlap, chosen by a seed, and checks what callers and upstreams saw: accepted jobs stay, positions never change, texts are whole and name their versions, refused work never runs, calls that may run once do, one holder gives orders, planned stops cut nothing, all recovers.

--- /dev/null
+++ b/src/bin/mimosavane-soak/trainer.rs
@@ -0,0 +1,196 @@
+//! Trainers: each submits a job a step, reads its groups at any host, and names
+//! the next version.
+
+use std::{
+    collections::BTreeMap,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use mimosavane::platform::standin::{
+    AskError, Client, Exchange, ResultPage, TrainerJob, name_version,
+};
+use rand::Rng as _;
+use tokio::time::sleep;
+
+use crate::scene::Scene;
+
+/// How many items a job has.
+const ITEM_COUNT: usize = 24;
+
+/// The longest item; engines make an event each 20 ms.
+const MAX_EVENT_COUNT: u64 = 60;
+
+/// How long a trainer tries to submit a job.
+const SUBMIT_TIME: Duration = Duration::from_secs(6);
+
+/// How long it reads before it ends the job.
+const READ_TIME: Duration = Duration::from_secs(9);
+
+/// How long it asks that a read waits.
+const READ_WAIT: Duration = Duration::from_millis(500);
+
+/// The pause between two reads, and before another host is tried.
+const PAUSE: Duration = Duration::from_millis(150);
+
+/// How long a job of a calm scene may take.
+const CALM_JOB_TIME: Duration = Duration::from_secs(8);
+
+/// Trains `model` until the scene ends; its jobs go to `path`.
+pub async fn train(scene: Rc<Scene>, model: &'static str, path: &'static str) {
+    let mut step = 0;
+    let mut version = 1;
+    while !scene.is_over.get() {
+        let job = job(model, step, version);
+        let started = Instant::now();
+        let was_calm = scene.is_calm_for(Duration::from_secs(12));
+        if submit(&scene, path, &job).await {
+            read(&scene, &job).await;
+            let completed_count = scene.record.borrow().completed_count(&job.id);
+            let is_calm = was_calm && scene.is_calm_for(started.elapsed());
+            if is_calm && completed_count < ITEM_COUNT && started.elapsed() >= CALM_JOB_TIME {
+                let seen = format!("{}: {completed_count} of {ITEM_COUNT}", job.id);
+                scene.record.borrow_mut().violate("recovers", seen);
+            }
+            end(&scene, &job).await;
+        }
+        step += 1;
+        version += 1;
+        name_version(&scene.store, model, version);
+        sleep(PAUSE).await;
+    }
+}
+
+fn job(model: &str, step: u64, version: u64) -> TrainerJob {
+    let id = format!("{model}-{step}");
+    let event_counts: BTreeMap<String, u64> = (0..ITEM_COUNT)
+        .map(|index| {
+            let events = rand::rng().random_range(1..=MAX_EVENT_COUNT);
+            (format!("{id}-{index:02}"), events)
+        })
+        .collect();
+    TrainerJob {
+        id,
+        model: model.to_owned(),
+        step,
+        min_version: version.saturating_sub(1).max(1),
+        event_counts,
+    }
+}
+
+/// Submits a job at one host after the other, and says whether one accepted it.
+async fn submit(scene: &Scene, path: &str, job: &TrainerJob) -> bool {
+    let end = Instant::now() + SUBMIT_TIME;
+    let mut was_only_refused = true;
+    while Instant::now() < end {
+        let host = scene.any_host();
+        let answer = match Client::connect(host.addresses.clients).await {
+            Ok(mut client) => client.submit(path, job).await,
+            Err(error) => Err(error),
+        };
+        match answer {
+            Ok(answer) if answer.status.as_u16() == 202 => {
+                scene.record.borrow_mut().job_accepted(
+                    &job.id,
+                    job.min_version,
+                    job.event_counts.clone(),
+                );
+                return true;
+            }
+            Ok(answer) if answer.status.is_client_error() && !answer.is_refusal() => {
+                let seen = format!("{}: {}", job.id, answer.status);
+                scene
+                    .record
+                    .borrow_mut()
+                    .violate("proper-jobs-allowed", seen);
+                return false;
+            }
+            Ok(answer) => was_only_refused &= answer.is_refusal(),
+            Err(error) => was_only_refused &= error == AskError::NotConnected,
+        }
+        sleep(PAUSE).await;
+    }
+    if was_only_refused {
+        let items = job.event_counts.keys().cloned();
+        scene.record.borrow_mut().job_refused(items);
+    }
+    false
+}
+
+async fn read(scene: &Scene, job: &TrainerJob) {
+    let end = Instant::now() + READ_TIME;
+    while Instant::now() < end {
+        // Now and then from an earlier position.
+        let read_count = scene.record.borrow().read_count(&job.id);
+        let from = if rand::rng().random_bool(0.1) {
+            rand::rng().random_range(0..=read_count)
+        } else {
+            read_count
+        };
+        read_from(scene, &job.id, from, READ_WAIT).await;
+        if scene.record.borrow().read_count(&job.id) >= ITEM_COUNT {
+            return;
+        }
+        sleep(PAUSE).await;
+    }
+}
+
+/// Reads one page at any host, and says whether there was one.
+pub async fn read_from(scene: &Scene, job: &str, from: usize, wait: Duration) -> bool {
+    let host = scene.any_host();
+    let answer = match Client::connect(host.addresses.clients).await {
+        Ok(mut client) => client.read(job, from, wait).await,
+        Err(error) => Err(error),
+    };
+    let Ok(answer) = answer else {
+        return false;
+    };
+    let mut record = scene.record.borrow_mut();
+    match (answer.status.as_u16(), ResultPage::parse(&answer.body)) {
+        (200, Some(page)) => {
+            if page.total_count != ITEM_COUNT || page.next != from + page.results.len() {
+                let seen = format!("{job}: total {}, next {}", page.total_count, page.next);
+                record.violate("true-positions", seen);
+            }
+            for (index, result) in page.results.into_iter().enumerate() {
+                record.result(job, from + index, result);
+            }
+            true
+        }
+        (200, None) => {
+            record.violate("readable", format!("{job}: {:?}", answer.body));
+            false
+        }
+        (404 | 410, _) => {
+            record.violate("accepted-never-lost", format!("{job} at {}", host.name));
+            false
+        }
+        _ => {
+            record.count("reads refused");
+            false
+        }
+    }
+}
+
+async fn end(scene: &Scene, job: &TrainerJob) {
+    let tries = Instant::now() + SUBMIT_TIME;
+    while Instant::now() < tries {
+        let host = scene.any_host();
+        let ended = match Client::connect(host.addresses.clients).await {
+            Ok(mut client) => client.end(&job.id).await,
+            Err(error) => Err(error),
+        };
+        match ended {
+            Ok(Exchange { status, .. }) if status.is_success() => return,
+            Ok(Exchange { status, .. }) if matches!(status.as_u16(), 404 | 410) => {
+                let seen = format!("{} at its end, at {}", job.id, host.name);
+                scene
+                    .record
+                    .borrow_mut()
+                    .violate("accepted-never-lost", seen);
+                return;
+            }
+            _ => sleep(PAUSE).await,
+        }
+    }
+}
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -8,6 +8,7 @@
 mod documents;
 mod events;
 mod names;
+pub mod standin;
 pub mod store;
 mod wire;
 
--- /dev/null
+++ b/src/platform/standin/engine.rs
@@ -0,0 +1,378 @@
+//! Stand-ins of upstreams: engines that generate, and services that answer calls.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http::{HeaderName, HeaderValue, Request, Response};
+use http_body_util::StreamBody;
+use hyper::body::Frame;
+use rand::Rng as _;
+use serde_json::{Value, json};
+use tokio::{
+    net::TcpListener,
+    sync::mpsc,
+    task::{AbortHandle, spawn_local},
+    time::sleep,
+};
+use tokio_stream::wrappers::ReceiverStream;
+
+use super::{CALLS, ENGINES, MODELS, NoAnswer, Record, Store, header_text, json_reply, serve};
+use crate::{
+    ingress::server::{Reply, ReplyBody, StreamCut},
+    platform::names,
+};
+
+/// The time between two events of a run.
+const EVENT_INTERVAL: Duration = Duration::from_millis(20);
+
+/// How many times slower a slow engine is.
+const SLOW_FACTOR: u32 = 6;
+
+/// How long a load of weights takes.
+const LOAD_TIME: Duration = Duration::from_millis(300);
+
+/// How much later an engine carries out an order that it left unanswered.
+const LATE_ORDER: Duration = Duration::from_millis(1_500);
+
+/// How long a call takes.
+const CALL_TIME: Duration = Duration::from_millis(10);
+
+/// How often an entry is renewed.
+const HEARTBEAT: Duration = Duration::from_millis(1_000);
+
+/// How many requests an engine runs at once.
+const SLOT_COUNT: usize = 8;
+
+/// The part of requests that a grey upstream fails.
+const GREY_RATIO: f64 = 0.4;
+
+/// What an upstream does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum EngineRole {
+    /// It generates.
+    Generates,
+    /// It answers calls.
+    Answers,
+}
+
+/// What is wrong with an upstream.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum EngineFault {
+    /// Nothing.
+    #[default]
+    None,
+    /// It works slowly.
+    Slow,
+    /// It closes the connection of a part of its requests, after it ran them.
+    Grey,
+    /// It leaves orders unanswered and carries them out late.
+    LateOrders,
+}
+
+/// One upstream; each start has a new name.
+#[derive(Debug)]
+pub struct Engine {
+    /// Its name.
+    pub id: String,
+    role: EngineRole,
+    /// Where hosts reach it.
+    address: SocketAddr,
+    store: Store,
+    record: Rc<RefCell<Record>>,
+    fault: Cell<EngineFault>,
+    is_draining: Cell<bool>,
+    versions: RefCell<BTreeMap<String, u64>>,
+    loading: RefCell<Option<String>>,
+    order_count: Cell<u64>,
+    running_count: Cell<usize>,
+    sequence: Cell<u64>,
+    tasks: RefCell<Vec<AbortHandle>>,
+}
+
+/// Counts a request as running for as long as it lives.
+struct Running(Rc<Engine>);
+
+impl Running {
+    fn new(engine: &Rc<Engine>) -> Self {
+        engine.running_count.set(engine.running_count.get() + 1);
+        Self(engine.clone())
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.running_count.set(self.0.running_count.get() - 1);
+    }
+}
+
+impl Engine {
+    /// Starts an upstream on `listener`, which hosts reach at `address`, with the
+    /// weights `versions`.
+    pub fn start(
+        id: String,
+        role: EngineRole,
+        listener: TcpListener,
+        address: SocketAddr,
+        versions: BTreeMap<String, u64>,
+        store: Store,
+        record: Rc<RefCell<Record>>,
+    ) -> Rc<Self> {
+        let engine = Rc::new(Self {
+            id,
+            role,
+            address,
+            store,
+            record,
+            fault: Cell::default(),
+            is_draining: Cell::new(false),
+            versions: RefCell::new(versions),
+            loading: RefCell::default(),
+            order_count: Cell::new(0),
+            running_count: Cell::new(0),
+            sequence: Cell::new(0),
+            tasks: RefCell::default(),
+        });
+        let served = engine.clone();
+        let serving = serve(listener, move |request| served.clone().answer(request));
+        let beating = spawn_local(engine.clone().beat()).abort_handle();
+        engine.tasks.borrow_mut().extend([serving, beating]);
+        engine
+    }
+
+    /// Returns the weights that each engine starts with.
+    pub fn first_versions() -> BTreeMap<String, u64> {
+        MODELS.map(|(model, _)| (model.to_owned(), 1)).into()
+    }
+
+    /// Returns the weights that it holds.
+    pub fn versions(&self) -> BTreeMap<String, u64> {
+        self.versions.borrow().clone()
+    }
+
+    /// Makes it faulty, or sound again.
+    pub fn set_fault(&self, fault: EngineFault) {
+        self.fault.set(fault);
+    }
+
+    /// Reports that it will leave.
+    pub fn drain(&self) {
+        self.is_draining.set(true);
+        self.register();
+    }
+
+    /// Ends it, with all its connections.
+    pub fn stop(&self) {
+        for task in self.tasks.borrow_mut().drain(..) {
+            task.abort();
+        }
+        self.store.remove(names::UPSTREAM_TABLE, &self.id);
+    }
+
+    async fn beat(self: Rc<Self>) {
+        loop {
+            self.register();
+            sleep(HEARTBEAT).await;
+        }
+    }
+
+    fn register(&self) {
+        self.sequence.set(self.sequence.get() + 1);
+        let service = match self.role {
+            EngineRole::Generates => ENGINES,
+            EngineRole::Answers => CALLS,
+        };
+        let entry = json!({
+            "service": service, "address": self.address.to_string(), "zone": "zone-a",
+            "version": "1", "slots": SLOT_COUNT, "cold_remaining_ms": 0,
+            "state": if self.is_draining.get() { "draining" } else { "ready" },
+            "sequence": self.sequence.get(), "born": 1, "models": self.models(),
+        });
+        self.store.write(names::UPSTREAM_TABLE, &self.id, &entry);
+    }
+
+    fn models(&self) -> Vec<Value> {
+        let versions = self.versions.borrow();
+        versions
+            .iter()
+            .map(|(name, version)| json!({"name": name, "version": version, "adapters": []}))
+            .collect()
+    }
+
+    async fn answer(self: Rc<Self>, request: Request<Bytes>) -> Result<Reply, NoAnswer> {
+        let expected = header_text(request.headers(), names::EXPECT_INSTANCE);
+        if expected.is_some_and(|id| id != self.id) {
+            return Ok(json_reply(421, &json!({})));
+        }
+        match (request.uri().path(), self.role) {
+            (names::REPORT_PATH, _) => Ok(json_reply(
+                200,
+                &json!({
+                    "models": self.models(), "busy": self.loading.borrow().is_some(),
+                    "sequence": self.order_count.get(),
+                }),
+            )),
+            (names::ORDER_PATH, EngineRole::Generates) => self.order(request.body()).await,
+            (_, EngineRole::Generates) => self.generate(&request),
+            (_, EngineRole::Answers) => self.call(&request).await,
+        }
+    }
+
+    async fn order(self: Rc<Self>, body: &Bytes) -> Result<Reply, NoAnswer> {
+        let order: Value = serde_json::from_slice(body).map_err(|_| NoAnswer)?;
+        let text = |field: &str| order[field].as_str().unwrap_or_default().to_owned();
+        let fence = order["fence"].as_u64().unwrap_or(0);
+        self.record
+            .borrow_mut()
+            .order(&self.id, &text("holder"), fence);
+        let version = order["version"].as_u64().unwrap_or(0);
+        let expected = order["expected"].as_u64();
+        if self.fault.get() == EngineFault::LateOrders {
+            sleep(LATE_ORDER).await;
+            self.accept(&text("model"), version, expected);
+            return Err(NoAnswer);
+        }
+        let status = self.accept(&text("model"), version, expected);
+        Ok(json_reply(status, &json!({})))
+    }
+
+    fn accept(self: &Rc<Self>, model: &str, version: u64, expected: Option<u64>) -> u16 {
+        let is_held = self.versions.borrow().get(model) == Some(&version);
+        if is_held && self.loading.borrow().is_none() {
+            return 200;
+        }
+        let is_expected = expected.is_none_or(|count| count == self.order_count.get());
+        if self.loading.borrow().is_some() || !is_expected {
+            return 409;
+        }
+        self.order_count.set(self.order_count.get() + 1);
+        *self.loading.borrow_mut() = Some(model.to_owned());
+        let this = self.clone();
+        let model = model.to_owned();
+        let task = spawn_local(async move {
+            sleep(LOAD_TIME).await;
+            this.versions.borrow_mut().insert(model, version);
+            *this.loading.borrow_mut() = None;
+        });
+        self.tasks.borrow_mut().push(task.abort_handle());
+        202
+    }
+
+    fn refuse(&self) -> Reply {
+        let mut reply = json_reply(503, &json!({}));
+        let name = HeaderName::from_static(names::NOT_EXECUTED);
+        reply
+            .headers_mut()
+            .insert(name, HeaderValue::from_static("1"));
+        reply
+    }
+
+    fn sign(&self, reply: &mut Reply, attempt: &str) {
+        let headers = reply.headers_mut();
+        for (name, value) in [
+            (names::ATTEMPT_ID, attempt),
+            (names::SERVER_STAMP, &*self.id),
+        ] {
+            if let Ok(value) = HeaderValue::from_str(value) {
+                headers.insert(HeaderName::from_static(name), value);
+            }
+        }
+    }
+
+    fn generate(self: Rc<Self>, request: &Request<Bytes>) -> Result<Reply, NoAnswer> {
+        let headers = request.headers();
+        let Some(item) = header_text(headers, names::ATTEMPT_ID).map(str::to_owned) else {
+            return Ok(json_reply(400, &json!({})));
+        };
+        let body: Value = serde_json::from_slice(request.body()).map_err(|_| NoAnswer)?;
+        let model = body["model"].as_str().unwrap_or_default().to_owned();
+        let event_count = body["events"].as_u64().unwrap_or(0);
+        let is_loading = self.loading.borrow().as_deref() == Some(&*model);
+        if is_loading || self.running_count.get() >= SLOT_COUNT {
+            return Ok(self.refuse());
+        }
+        let last_event = header_text(headers, names::LAST_EVENT_ID)
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(0);
+        self.record.borrow_mut().item_runs(&item);
+        let is_cut = self.fault.get() == EngineFault::Grey && rand::rng().random_bool(GREY_RATIO);
+        let (sender, receiver) = mpsc::channel(1);
+        let version = self.versions.borrow().get(&model).copied().unwrap_or(0);
+        let mut reply = Response::new(ReplyBody::Right(StreamBody::new(ReceiverStream::new(
+            receiver,
+        ))));
+        self.sign(&mut reply, &item);
+        reply.headers_mut().insert(
+            HeaderName::from_static(names::WEIGHT_VERSIONS),
+            HeaderValue::from(version),
+        );
+        let running = Running::new(&self);
+        let run = async move {
+            let engine = &running.0;
+            let mut made_under = version;
+            for number in last_event + 1..=event_count {
+                let is_slow = engine.fault.get() == EngineFault::Slow;
+                sleep(EVENT_INTERVAL * if is_slow { SLOW_FACTOR } else { 1 }).await;
+                while engine.loading.borrow().as_deref() == Some(&*model) {
+                    sleep(EVENT_INTERVAL).await;
+                }
+                let now_under = engine.versions.borrow().get(&model).copied().unwrap_or(0);
+                let mut event = String::new();
+                if now_under != made_under {
+                    made_under = now_under;
+                    event = format!("{}: {now_under}\n", names::WEIGHT_VERSIONS);
+                }
+                event.push_str(&format!(
+                    "id: {number}\ndata: {item}:{number}:{now_under}\n\n"
+                ));
+                if is_cut && number == event_count {
+                    // The last event is torn.
+                    event.truncate(event.len() / 2);
+                    let _ = sender.send(Ok(Frame::data(event.into()))).await;
+                    let _ = sender.send(Err(StreamCut)).await;
+                    return;
+                }
+                if sender.send(Ok(Frame::data(event.into()))).await.is_err() {
+                    return;
+                }
+            }
+        };
+        let task = self.running_task(run);
+        self.tasks.borrow_mut().push(task);
+        Ok(reply)
+    }
+
+    fn running_task(&self, run: impl Future<Output = ()> + 'static) -> AbortHandle {
+        let mut tasks = self.tasks.borrow_mut();
+        tasks.retain(|task| !task.is_finished());
+        drop(tasks);
+        spawn_local(run).abort_handle()
+    }
+
+    async fn call(self: Rc<Self>, request: &Request<Bytes>) -> Result<Reply, NoAnswer> {
+        let Some(attempt) = header_text(request.headers(), names::ATTEMPT_ID) else {
+            return Ok(json_reply(400, &json!({})));
+        };
+        if self.running_count.get() >= SLOT_COUNT {
+            return Ok(self.refuse());
+        }
+        let running = Running::new(&self);
+        self.record.borrow_mut().call_runs(attempt);
+        let is_slow = self.fault.get() == EngineFault::Slow;
+        sleep(CALL_TIME * if is_slow { SLOW_FACTOR } else { 1 }).await;
+        drop(running);
+        if self.fault.get() == EngineFault::Grey && rand::rng().random_bool(GREY_RATIO) {
+            return Err(NoAnswer);
+        }
+        let mut reply = json_reply(200, &json!({"attempt": attempt}));
+        self.sign(&mut reply, attempt);
+        Ok(reply)
+    }
+}
--- /dev/null
+++ b/src/platform/standin/mod.rs
@@ -0,0 +1,207 @@
+//! Stand-ins of the platform, for soaks and tests: its store, engines, services,
+//! clients and trainers, as the protocol describes them.
+//!
+//! They run on one thread, speak HTTP on loopback, and note in a [`Record`] what
+//! callers and upstreams saw, from which promises are checked.
+
+mod client;
+mod engine;
+mod record;
+mod store;
+
+pub use self::{
+    client::{AskError, Client, Exchange, ResultPage, TrainerJob},
+    engine::{Engine, EngineFault, EngineRole},
+    record::{Record, SeenResult, Violation},
+    store::{Store, StoreFault},
+};
+
+use std::{fmt, future::Future, net::SocketAddr, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, Response, header};
+use http_body_util::{BodyExt as _, Limited};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use serde_json::{Value, json};
+use tokio::{
+    net::TcpListener,
+    task::{AbortHandle, spawn_local},
+};
+
+use crate::{
+    ingress::server::{Reply, ReplyBody},
+    platform::names,
+};
+
+/// The longest body that a stand-in reads.
+const MAX_BODY_BYTES: usize = 8 << 20;
+
+/// A request whose connection is closed without an answer.
+#[derive(Debug)]
+pub struct NoAnswer;
+
+impl fmt::Display for NoAnswer {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("the connection is closed on purpose")
+    }
+}
+
+impl std::error::Error for NoAnswer {}
+
+/// Serves HTTP on `listener` until the handle is used.
+fn serve<F, R>(listener: TcpListener, answer: F) -> AbortHandle
+where
+    F: Fn(Request<Bytes>) -> R + 'static,
+    R: Future<Output = Result<Reply, NoAnswer>> + 'static,
+{
+    let answer = Rc::new(answer);
+    let task = spawn_local(async move {
+        // The connections end with the listener, as those of a process do.
+        let mut connections = tokio::task::JoinSet::new();
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                continue;
+            };
+            let answer = answer.clone();
+            connections.spawn_local(async move {
+                let service = service_fn(move |request: Request<Incoming>| {
+                    let answer = answer.clone();
+                    async move {
+                        let (parts, body) = request.into_parts();
+                        let body = Limited::new(body, MAX_BODY_BYTES)
+                            .collect()
+                            .await
+                            .map_err(|_| NoAnswer)?;
+                        answer(Request::from_parts(parts, body.to_bytes())).await
+                    }
+                });
+                // A client may leave at any time.
+                let _ = http1::Builder::new()
+                    .timer(TokioTimer::new())
+                    .serve_connection(TokioIo::new(stream), service)
+                    .await;
+            });
+            while connections.try_join_next().is_some() {}
+        }
+    });
+    task.abort_handle()
+}
+
+/// Makes a JSON answer.
+fn json_reply(status: u16, body: &Value) -> Reply {
+    let mut reply = Response::new(ReplyBody::Left(body.to_string().into_bytes().into()));
+    *reply.status_mut() = http::StatusCode::from_u16(status).unwrap_or_default();
+    reply.headers_mut().insert(
+        header::CONTENT_TYPE,
+        header::HeaderValue::from_static("application/json"),
+    );
+    reply
+}
+
+fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+/// The addresses of one host.
+#[derive(Clone, Copy, Debug)]
+pub struct HostAddresses {
+    /// Where clients come in.
+    pub clients: SocketAddr,
+    /// Where the platform asks whether it is ready.
+    pub ready: SocketAddr,
+    /// Where it reaches the store.
+    pub store: SocketAddr,
+}
+
+/// Returns the settings file of a host, as the platform lays it down.
+pub fn boot_file(name: &str, zone: &str, addresses: HostAddresses, grace: Duration) -> String {
+    json!({
+        "node": name, "role": "entry", "zone": zone,
+        "listen": {
+            "front": addresses.clients.to_string(),
+            "ready": addresses.ready.to_string(),
+        },
+        "limits": {"cpu_share": 0.5, "cores": 1, "memory_mb": 340},
+        "heartbeat_ms": 1_000,
+        "bounds": {"grace_s": grace.as_secs_f64(), "lease_ms": 3_000, "status_ttl_s": 120},
+        "provider": {"address": addresses.store.to_string()},
+    })
+    .to_string()
+}
+
+/// Returns the variable that tells a host where its settings are.
+pub const fn boot_variable() -> &'static str {
+    super::boot::PATH_VARIABLE
+}
+
+/// The value of the header `Host` of all requests.
+pub const AUTHORITY: &str = "soak.example";
+
+/// The service whose engines generate.
+pub const ENGINES: &str = "engines";
+
+/// The service that answers calls.
+pub const CALLS: &str = "calls";
+
+/// The models that are trained, each with the path of its batch jobs.
+pub const MODELS: [(&str, &str); 2] = [("writer", "/writer/"), ("reader", "/reader/")];
+
+/// The path of calls that may be repeated.
+pub const REPEATABLE_PATH: &str = "/look/";
+
+/// The path of calls that may run once at most.
+pub const ONCE_PATH: &str = "/sign/";
+
+/// Returns the operator's configuration as of `version`; later versions have one
+/// more route each.
+pub fn configuration(version: u64) -> Value {
+    let mut routes = vec![
+        json!({"name": "look", "host": AUTHORITY, "path_prefix": REPEATABLE_PATH,
+            "kind": "idempotent", "service": CALLS, "max_attempts": 3,
+            "timeout_ms": 3_000, "target_latency_ms": 150}),
+        json!({"name": "sign", "host": AUTHORITY, "path_prefix": ONCE_PATH,
+            "kind": "non_idempotent", "service": CALLS, "max_attempts": 2,
+            "timeout_ms": 3_000, "target_latency_ms": 150}),
+    ];
+    for (model, path) in MODELS {
+        routes.push(
+            json!({"name": model, "host": AUTHORITY, "path_prefix": path,
+            "kind": "rollout", "service": ENGINES, "max_attempts": 3, "resumable": true,
+            "timeout_ms": 10_000, "target_latency_ms": 400,
+            "result_due_ms": 7_500, "item_ttl_s": 40}),
+        );
+    }
+    for added in 2..=version {
+        routes.push(json!({"name": format!("added-{added}"), "host": AUTHORITY,
+            "path_prefix": added_path(added), "kind": "idempotent", "service": CALLS,
+            "max_attempts": 3, "timeout_ms": 3_000, "target_latency_ms": 150}));
+    }
+    json!({
+        "version": version, "routes": routes,
+        "services": [
+            {"name": CALLS},
+            {"name": ENGINES, "engine": {"slots": 8, "kv_capacity_tokens": 40_000, "stride": 1}},
+        ],
+        "limits": {"max_header_bytes": 16_384, "max_body_bytes": 1 << 20,
+            "header_timeout_ms": 5_000, "idle_timeout_ms": 10_000},
+    })
+}
+
+/// Returns the path of the route that version `version` adds.
+pub fn added_path(version: u64) -> String {
+    format!("/added-{version}/")
+}
+
+/// Writes what the operator configured.
+pub fn configure(store: &Store, version: u64) {
+    let body = configuration(version);
+    store.write(names::OPERATOR_TABLE, names::CONFIGURATION_KEY, &body);
+}
+
+/// Writes that a trainer named a version.
+pub fn name_version(store: &Store, model: &str, version: u64) {
+    let key = format!("{}{model}", names::VERSION_PREFIX);
+    let body = json!({"model": model, "version": version});
+    store.write(names::OPERATOR_TABLE, &key, &body);
+}
--- /dev/null
+++ b/src/platform/standin/record.rs
@@ -0,0 +1,264 @@
+//! What callers and upstreams saw, and what it says of the promises.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::{Duration, Instant},
+};
+
+/// How soon after an order of one host another one's may follow.
+const TURN_TIME: Duration = Duration::from_millis(3_000);
+
+/// A promise that was broken.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Violation {
+    /// The promise.
+    pub promise: &'static str,
+    /// What was seen.
+    pub seen: String,
+}
+
+/// The result at one position of a job.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SeenResult {
+    /// The item.
+    pub item: String,
+    /// Whether it is whole.
+    pub is_completed: bool,
+    /// Its text.
+    pub text: String,
+    /// The versions that it names.
+    pub versions: Vec<u64>,
+}
+
+/// An accepted job.
+#[derive(Clone, Debug, Default)]
+struct SeenJob {
+    event_counts: BTreeMap<String, u64>,
+    min_version: u64,
+    positions: BTreeMap<usize, SeenResult>,
+    items: BTreeMap<String, usize>,
+}
+
+#[derive(Clone, Debug)]
+struct Order {
+    at: Instant,
+    holder: String,
+    fence: u64,
+}
+
+/// What was seen over one soak.
+#[derive(Debug, Default)]
+pub struct Record {
+    violations: Vec<Violation>,
+    jobs: BTreeMap<String, SeenJob>,
+    refused_items: BTreeSet<String>,
+    run_items: BTreeSet<String>,
+    orders: BTreeMap<String, Order>,
+    executions: BTreeMap<String, u32>,
+    refused_calls: BTreeSet<String>,
+    once_calls: BTreeSet<String>,
+    counts: BTreeMap<&'static str, u64>,
+}
+
+impl Record {
+    /// Notes that `promise` was broken.
+    pub fn violate(&mut self, promise: &'static str, seen: impl Into<String>) {
+        self.violations.push(Violation {
+            promise,
+            seen: seen.into(),
+        });
+    }
+
+    /// Counts something that the summary tells.
+    pub fn count(&mut self, what: &'static str) {
+        *self.counts.entry(what).or_default() += 1;
+    }
+
+    /// Returns the counts.
+    pub const fn counts(&self) -> &BTreeMap<&'static str, u64> {
+        &self.counts
+    }
+
+    /// Notes that an engine works on an item.
+    pub fn item_runs(&mut self, item: &str) {
+        self.count("runs");
+        self.run_items.insert(item.to_owned());
+    }
+
+    /// Notes an order that reached an engine, under the name of its start.
+    pub fn order(&mut self, engine: &str, holder: &str, fence: u64) {
+        self.count("orders");
+        let order = Order {
+            at: Instant::now(),
+            holder: holder.to_owned(),
+            fence,
+        };
+        if let Some(last) = self.orders.insert(engine.to_owned(), order) {
+            if fence < last.fence {
+                let seen = format!("{engine}: fence {fence} of {holder} after {}", last.fence);
+                self.violate("one-holder", seen);
+            }
+            if last.holder != holder && last.at.elapsed() < TURN_TIME {
+                let seen = format!(
+                    "{engine}: {holder} {} ms after {}",
+                    last.at.elapsed().as_millis(),
+                    last.holder
+                );
+                self.violate("one-holder", seen);
+            }
+        }
+    }
+
+    /// Notes that a service carries a call out.
+    pub fn call_runs(&mut self, attempt: &str) {
+        *self.executions.entry(attempt.to_owned()).or_default() += 1;
+    }
+
+    /// Returns how often a call was carried out.
+    pub fn run_count(&self, attempt: &str) -> u32 {
+        self.executions.get(attempt).copied().unwrap_or(0)
+    }
+
+    /// Notes that a call was sent that may run once at most.
+    pub fn once(&mut self, attempt: &str) {
+        self.once_calls.insert(attempt.to_owned());
+    }
+
+    /// Notes that a client was told that its call has not run and never will.
+    pub fn call_refused(&mut self, attempt: &str) {
+        self.count("calls refused");
+        self.refused_calls.insert(attempt.to_owned());
+    }
+
+    /// Notes that each attempt to submit a job was refused.
+    pub fn job_refused(&mut self, items: impl Iterator<Item = String>) {
+        self.count("jobs refused");
+        self.refused_items.extend(items);
+    }
+
+    /// Notes that a job was accepted, and how many events its items make.
+    pub fn job_accepted(
+        &mut self,
+        job: &str,
+        min_version: u64,
+        event_counts: BTreeMap<String, u64>,
+    ) {
+        self.count("jobs accepted");
+        let seen = SeenJob {
+            event_counts,
+            min_version,
+            ..SeenJob::default()
+        };
+        self.jobs.entry(job.to_owned()).or_insert(seen);
+    }
+
+    /// Returns the jobs that were accepted.
+    pub fn accepted_jobs(&self) -> Vec<String> {
+        self.jobs.keys().cloned().collect()
+    }
+
+    /// Returns how many positions of `job` were read, from the first without a gap.
+    pub fn read_count(&self, job: &str) -> usize {
+        let positions = self.jobs.get(job).map(|job| &job.positions);
+        positions.map_or(0, |read| {
+            (0..).take_while(|at| read.contains_key(at)).count()
+        })
+    }
+
+    /// Returns how many items of `job` were read as completed.
+    pub fn completed_count(&self, job: &str) -> usize {
+        let positions = self.jobs.get(job).map(|job| &job.positions);
+        positions.map_or(0, |read| read.values().filter(|r| r.is_completed).count())
+    }
+
+    /// Notes the result that was read at `position` of `job`.
+    pub fn result(&mut self, job_id: &str, position: usize, result: SeenResult) {
+        let Some(job) = self.jobs.get_mut(job_id) else {
+            return;
+        };
+        let mut broken: Vec<(&'static str, String)> = Vec::new();
+        match job.positions.get(&position) {
+            Some(before) if *before != result => {
+                broken.push(("positions-never-change", format!("{job_id}[{position}]")));
+            }
+            Some(_) => return,
+            None => {}
+        }
+        if let Some(before) = job.items.insert(result.item.clone(), position)
+            && before != position
+        {
+            let seen = format!("{job_id}: {} at {before} and {position}", result.item);
+            broken.push(("listed-once", seen));
+        }
+        match job.event_counts.get(&result.item) {
+            None => broken.push(("own-items", format!("{job_id}: {}", result.item))),
+            Some(count) if result.is_completed => {
+                if let Some(fault) = text_fault(&result, *count, job.min_version) {
+                    broken.push(("true-text", format!("{job_id}: {}: {fault}", result.item)));
+                }
+            }
+            // No engine fails at an item here, and no item is given up in time.
+            Some(_) => broken.push(("never-errored", format!("{job_id}: {}", result.item))),
+        }
+        job.positions.insert(position, result);
+        for (promise, seen) in broken {
+            self.violate(promise, seen);
+        }
+        self.count("results");
+    }
+
+    /// Returns all violations, with those that show at the end only.
+    pub fn close(mut self) -> Vec<Violation> {
+        let ran: Vec<String> = self
+            .refused_items
+            .intersection(&self.run_items)
+            .cloned()
+            .collect();
+        for item in ran {
+            self.violate("refused-never-runs", item);
+        }
+        let ran: Vec<String> = self
+            .refused_calls
+            .iter()
+            .filter(|attempt| self.run_count(attempt) > 0)
+            .cloned()
+            .collect();
+        for attempt in ran {
+            self.violate("refused-never-runs", attempt);
+        }
+        let repeated: Vec<String> = self
+            .once_calls
+            .iter()
+            .filter(|attempt| self.run_count(attempt) > 1)
+            .cloned()
+            .collect();
+        for attempt in repeated {
+            self.violate("once-at-most", attempt);
+        }
+        self.violations
+    }
+}
+
+/// Says what is wrong with the text of a completed result.
+///
+/// Event n of an item made under version v reads `ITEM:n:v`.
+fn text_fault(result: &SeenResult, event_count: u64, min_version: u64) -> Option<String> {
+    let mut versions = BTreeSet::new();
+    let lines: Vec<&str> = result.text.split('\n').collect();
+    if lines.len() as u64 != event_count {
+        return Some(format!("{} events instead of {event_count}", lines.len()));
+    }
+    for (index, line) in lines.iter().enumerate() {
+        let start = format!("{}:{}:", result.item, index + 1);
+        let Some(version) = line.strip_prefix(&start).and_then(|v| v.parse().ok()) else {
+            return Some(format!("event {} reads {line:?}", index + 1));
+        };
+        versions.insert(version);
+    }
+    let named: BTreeSet<u64> = result.versions.iter().copied().collect();
+    if named != versions {
+        return Some(format!("made under {versions:?}, named {named:?}"));
+    }
+    let oldest = versions.first().copied().unwrap_or(0);
+    (oldest < min_version).then(|| format!("made under {oldest}, allowed from {min_version}"))
+}
--- /dev/null
+++ b/src/platform/standin/store.rs
@@ -0,0 +1,333 @@
+//! A stand-in of the platform's store.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::{BTreeMap, BTreeSet},
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use base64::{Engine as _, engine::general_purpose::STANDARD};
+use bytes::Bytes;
+use http::{Method, Request};
+use serde_json::{Value, json};
+use tokio::{
+    net::TcpListener,
+    sync::Notify,
+    task::spawn_local,
+    time::{sleep, timeout},
+};
+
+use super::{NoAnswer, json_reply, serve};
+use crate::{ingress::server::Reply, platform::names};
+
+/// How long an answer takes, as the sheets say.
+const ANSWER_TIME: Duration = Duration::from_millis(4);
+
+/// How long an answer takes while the store is slow, as the sheets' `platform_slow`.
+const SLOW_ANSWER_TIME: Duration = Duration::from_millis(240);
+
+/// How much later a write whose caller got no answer may be carried out.
+const LATE: Duration = Duration::from_millis(1_200);
+
+/// The most rows in one answer.
+const MAX_ROWS_COUNT: usize = 500;
+
+/// What is wrong with the store.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum StoreFault {
+    /// Nothing.
+    #[default]
+    None,
+    /// It refuses all calls.
+    Down,
+    /// It answers late.
+    Slow,
+    /// It carries writes out and closes the connection instead of answering.
+    LosesAnswers,
+    /// It closes the connection and carries writes out later.
+    Late,
+}
+
+/// The table, partition and key of a row.
+type RowKey = (String, String, String);
+
+/// A row and what it shall hold; none to remove it.
+type Change<'a> = ((&'a str, &'a str, &'a str), Option<String>);
+
+#[derive(Clone, Debug)]
+struct Row {
+    value: String,
+    ver: u64,
+    is_removed: bool,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    rows: BTreeMap<RowKey, Row>,
+    ver: u64,
+    /// The oldest version from which a feed can go on.
+    oldest: u64,
+}
+
+/// The stand-in; clones share one store.
+#[derive(Clone, Debug)]
+pub struct Store {
+    shared: Rc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    state: RefCell<State>,
+    fault: Cell<StoreFault>,
+    changed: Notify,
+    started: Instant,
+}
+
+impl Store {
+    /// Serves an empty store on `listener`.
+    pub fn start(listener: TcpListener) -> Self {
+        let store = Self {
+            shared: Rc::new(Shared {
+                state: RefCell::default(),
+                fault: Cell::default(),
+                changed: Notify::new(),
+                started: Instant::now(),
+            }),
+        };
+        let served = store.clone();
+        serve(listener, move |request| served.clone().answer(request));
+        store
+    }
+
+    /// Makes the store faulty, or sound again.
+    pub fn set_fault(&self, fault: StoreFault) {
+        self.shared.fault.set(fault);
+    }
+
+    /// Drops the history, so that feeds have to read anew.
+    pub fn forget_history(&self) {
+        let mut state = self.shared.state.borrow_mut();
+        state.oldest = state.ver;
+        drop(state);
+        self.shared.changed.notify_waiters();
+    }
+
+    /// Writes a row as the operator or an upstream does, for whom the store always
+    /// answers.
+    pub fn write(&self, table: &str, key: &str, value: &Value) {
+        let value = STANDARD.encode(value.to_string());
+        self.apply(&[((table, "", key), Some(value))]);
+    }
+
+    /// Removes a row as the platform does.
+    pub fn remove(&self, table: &str, key: &str) {
+        self.apply(&[((table, "", key), None)]);
+    }
+
+    fn apply(&self, changes: &[Change<'_>]) -> u64 {
+        let mut state = self.shared.state.borrow_mut();
+        state.ver += 1;
+        let ver = state.ver;
+        for ((table, part, key), value) in changes {
+            let name = ((*table).to_owned(), (*part).to_owned(), (*key).to_owned());
+            let row = Row {
+                value: value.clone().unwrap_or_default(),
+                ver,
+                is_removed: value.is_none(),
+            };
+            state.rows.insert(name, row);
+        }
+        drop(state);
+        self.shared.changed.notify_waiters();
+        ver
+    }
+
+    async fn answer(self, request: Request<Bytes>) -> Result<Reply, NoAnswer> {
+        let fault = self.shared.fault.get();
+        sleep(if fault == StoreFault::Slow {
+            SLOW_ANSWER_TIME
+        } else {
+            ANSWER_TIME
+        })
+        .await;
+        if fault == StoreFault::Down {
+            return Ok(json_reply(503, &json!({})));
+        }
+        if request.method() == Method::POST {
+            let body: Value = serde_json::from_slice(request.body()).map_err(|_| NoAnswer)?;
+            return match fault {
+                StoreFault::LosesAnswers => {
+                    self.commit(&body);
+                    Err(NoAnswer)
+                }
+                StoreFault::Late => {
+                    spawn_local(async move {
+                        sleep(LATE).await;
+                        self.commit(&body);
+                    });
+                    Err(NoAnswer)
+                }
+                _ => Ok(self.commit(&body)),
+            };
+        }
+        let query: BTreeMap<&str, &str> = request
+            .uri()
+            .query()
+            .unwrap_or_default()
+            .split('&')
+            .filter_map(|pair| pair.split_once('='))
+            .collect();
+        let text = |name: &str| query.get(name).copied().unwrap_or_default();
+        let number = |name: &str| text(name).parse::<u64>().unwrap_or(0);
+        let reply = match request.uri().path() {
+            "/-/rows-get" => self.read(
+                text("table"),
+                text("part"),
+                text("from"),
+                text("to"),
+                number("limit") as usize,
+            ),
+            "/-/rows-parts" => self.parts(text("table"), text("after")),
+            "/-/rows-feed" => {
+                let wait = Duration::from_millis(number("wait_ms"));
+                self.feed(text("table"), number("after"), wait).await
+            }
+            _ => json_reply(404, &json!({})),
+        };
+        match fault {
+            StoreFault::LosesAnswers => Err(NoAnswer),
+            _ => Ok(reply),
+        }
+    }
+
+    fn reply(&self, status: u16, mut body: Value) -> Reply {
+        body["ver"] = json!(self.shared.state.borrow().ver);
+        body["now_ms"] = json!(self.shared.started.elapsed().as_secs_f64() * 1_000.0);
+        json_reply(status, &body)
+    }
+
+    fn commit(&self, body: &Value) -> Reply {
+        let name = |entry: &Value| {
+            let text = |field: &str| entry[field].as_str().unwrap_or_default().to_owned();
+            (text("table"), text("part"), text("key"))
+        };
+        let list = |field: &str| body[field].as_array().cloned().unwrap_or_default();
+        let expected: Vec<(RowKey, u64)> = list("expected")
+            .iter()
+            .map(|entry| (name(entry), entry["ver"].as_u64().unwrap_or(0)))
+            .collect();
+        let puts: Vec<(RowKey, String)> = list("put")
+            .iter()
+            .map(|entry| {
+                let value = entry["value"].as_str().unwrap_or_default();
+                (name(entry), value.to_owned())
+            })
+            .collect();
+        let removals: Vec<RowKey> = list("remove").iter().map(name).collect();
+        let is_foreign =
+            |(table, ..): &RowKey| table == names::OPERATOR_TABLE || table == names::UPSTREAM_TABLE;
+        if puts.iter().any(|(name, _)| is_foreign(name)) || removals.iter().any(is_foreign) {
+            return self.reply(403, json!({}));
+        }
+        let mut parts: BTreeSet<&str> = expected.iter().map(|((_, part, _), _)| &**part).collect();
+        parts.extend(puts.iter().map(|((_, part, _), _)| &**part));
+        parts.extend(removals.iter().map(|(_, part, _)| &**part));
+        if parts.len() > 1 {
+            return self.reply(400, json!({}));
+        }
+        let state = self.shared.state.borrow();
+        let current = |name: &RowKey| state.rows.get(name).filter(|row| !row.is_removed);
+        let is_met = expected
+            .iter()
+            .all(|(name, ver)| current(name).map_or(0, |row| row.ver) == *ver);
+        if !is_met {
+            let rows: Vec<Value> = expected
+                .iter()
+                .filter_map(|(name, _)| Some(document(name, current(name)?)))
+                .collect();
+            drop(state);
+            return self.reply(412, json!({"rows": rows}));
+        }
+        drop(state);
+        let mut changes: Vec<Change<'_>> = Vec::new();
+        for ((table, part, key), value) in &puts {
+            changes.push(((table, part, key), Some(value.clone())));
+        }
+        for (table, part, key) in &removals {
+            changes.push(((table, part, key), None));
+        }
+        self.apply(&changes);
+        self.reply(200, json!({}))
+    }
+
+    fn read(&self, table: &str, part: &str, from: &str, to: &str, limit: usize) -> Reply {
+        let limit = limit.clamp(1, MAX_ROWS_COUNT);
+        let state = self.shared.state.borrow();
+        let mut rows: Vec<Value> = state
+            .rows
+            .iter()
+            .filter(|((t, p, key), row)| {
+                t == table
+                    && p == part
+                    && !row.is_removed
+                    && key.as_str() >= from
+                    && (to.is_empty() || key.as_str() < to)
+            })
+            .take(limit + 1)
+            .map(|(name, row)| document(name, row))
+            .collect();
+        drop(state);
+        let has_more = rows.len() > limit;
+        rows.truncate(limit);
+        self.reply(200, json!({"rows": rows, "has_more": has_more}))
+    }
+
+    fn parts(&self, table: &str, after: &str) -> Reply {
+        let state = self.shared.state.borrow();
+        let parts: BTreeSet<&str> = state
+            .rows
+            .iter()
+            .filter(|((t, part, _), row)| t == table && !row.is_removed && &**part > after)
+            .map(|((_, part, _), _)| &**part)
+            .collect();
+        let body = json!({"parts": parts});
+        drop(state);
+        self.reply(200, body)
+    }
+
+    async fn feed(&self, table: &str, after: u64, wait: Duration) -> Reply {
+        let end = Instant::now() + wait;
+        loop {
+            let changed = self.shared.changed.notified();
+            if after < self.shared.state.borrow().oldest {
+                return self.reply(410, json!({}));
+            }
+            let mut rows: Vec<(u64, Value)> = self
+                .shared
+                .state
+                .borrow()
+                .rows
+                .iter()
+                .filter(|((t, ..), row)| t == table && row.ver > after)
+                .map(|(name, row)| (row.ver, document(name, row)))
+                .collect();
+            let left = end.saturating_duration_since(Instant::now());
+            if !rows.is_empty() || left.is_zero() {
+                rows.sort_by_key(|(ver, _)| *ver);
+                let rows: Vec<Value> = rows.into_iter().map(|(_, row)| row).collect();
+                return self.reply(200, json!({"rows": rows}));
+            }
+            // The time being over is found above.
+            let _ = timeout(left, changed).await;
+        }
+    }
+}
+
+fn document((_, part, key): &RowKey, row: &Row) -> Value {
+    json!({
+        "part": part, "key": key, "ver": row.ver,
+        "value": row.value, "deleted": row.is_removed,
+    })
+}
