--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -2,7 +2,7 @@
 
 use criterion::Criterion;
 use fixture::{Node, WholeStep};
-use mimosavane::routing::Policy as _;
+use mimosavane::engine::routing::Policy as _;
 
 #[path = "../src/bin/mimosavane-bench/fixture.rs"]
 mod fixture;
--- a/examples/membership_cost.rs
+++ b/examples/membership_cost.rs
@@ -6,7 +6,7 @@
 use std::{sync::Arc, time::Duration};
 
 use anyhow::{Context, Result};
-use mimosavane::blackboard::{HostState, Served, ServedCount};
+use mimosavane::control::blackboard::{HostState, Served, ServedCount};
 
 #[path = "../tests/support/fleet.rs"]
 #[expect(dead_code, reason = "the membership tests use the rest")]
--- a/examples/rollout_trial.rs
+++ b/examples/rollout_trial.rs
@@ -7,8 +7,7 @@
 
 use mimosavane::{
     experiment::{Outcome, Scenario, run},
-    staleness::Gate,
-    step::Policy,
+    step::{Policy, staleness::Gate},
 };
 
 /// Seeds that each comparison runs over.
--- a/examples/serve_table.rs
+++ b/examples/serve_table.rs
@@ -11,15 +11,19 @@
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
 use mimosavane::{
-    blackboard::{HostState, TableStanding},
-    change::{Change, RowEdit},
-    controller::Rng,
-    edit,
-    follower::{Peer, Report},
+    control::{
+        blackboard::{HostState, TableStanding},
+        controller::Rng,
+    },
     settings::Settings,
     standin::table_service::{MemoryTable, TableServiceStandin},
-    table,
-    table_server::{Server, State},
+    store::follower::{Peer, Report},
+    table::{
+        self,
+        change::{Change, RowEdit},
+        edit,
+        server::{Server, State},
+    },
 };
 use rand::SeedableRng as _;
 
--- a/examples/step_cost.rs
+++ b/examples/step_cost.rs
@@ -11,14 +11,18 @@
 use anyhow::Context as _;
 use mimosavane::{
     Blackboard, Controller as _, Row,
-    attach::Pull,
-    blackboard::EngineReport,
-    controller::{Rng, Round},
-    evidence::Segment,
-    sample::{FinishReason, Sample, id},
-    slot::State,
-    spec::{PromptGroup, StepSpec},
-    step::{Action, Controller, Dispatch, Event},
+    control::{
+        blackboard::EngineReport,
+        controller::{Rng, Round},
+    },
+    engine::evidence::Segment,
+    step::{
+        Action, Controller, Dispatch, Event,
+        attach::Pull,
+        sample::{FinishReason, Sample, id},
+        slot::State,
+        spec::{PromptGroup, StepSpec},
+    },
 };
 use rand::SeedableRng;
 
--- a/examples/table_cost.rs
+++ b/examples/table_cost.rs
@@ -9,10 +9,12 @@
 
 use mimosavane::{
     Blackboard, Controller as _, Row,
-    blackboard::{Host, HostState, Hosts},
-    controller::{Rng, Round},
-    follower::{Controller, Event},
+    control::{
+        blackboard::{Host, HostState, Hosts},
+        controller::{Rng, Round},
+    },
     ids::HostId,
+    store::follower::{Controller, Event},
 };
 use rand::SeedableRng as _;
 
--- a/src/platform_api.rs
+++ b/src/api/platform.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    blackboard::{UpstreamKind, UpstreamState},
+    control::blackboard::{UpstreamKind, UpstreamState},
     ids::{FailureDomain, UpstreamId},
 };
 
--- a/src/batch/layout.rs
+++ b/src/batch/layout.rs
@@ -25,7 +25,7 @@
         output::{Output, OutputPart},
     },
     ids::FenceNumber,
-    rows::{RowName, RowRange, RowStamp, RowTransaction, StoredRow},
+    store::rows::{RowName, RowRange, RowStamp, RowTransaction, StoredRow},
 };
 
 /// Heads, tallies and ends of jobs.
--- a/src/bin/mimosavane-bench/fixture.rs
+++ b/src/bin/mimosavane-bench/fixture.rs
@@ -4,21 +4,30 @@
 
 use mimosavane::{
     Blackboard, Controller as _, Row,
-    attach::Pull,
-    blackboard::{
-        EngineReport, Engines, Host, HostState, Hosts, Rows, Upstream, UpstreamKind, UpstreamState,
-        Upstreams,
+    control::{
+        blackboard::{
+            EngineReport, Engines, Host, HostState, Hosts, Rows, Upstream, UpstreamKind,
+            UpstreamState, Upstreams,
+        },
+        controller::{Rng, Round},
+    },
+    engine::{
+        cache_index::{BlockHash, CacheEvent, MAX_ENGINES},
+        rendezvous,
+        routing::{Request, Router},
     },
-    cache_index::{BlockHash, CacheEvent, MAX_ENGINES},
-    controller::{Rng, Round},
-    dispatch, fairness,
-    fairness::{Class, Cost, Entry, Queue},
     ids::{HostId, RowId, UpstreamId},
-    ledger, quota, rendezvous,
-    routing::{Request, Router},
-    sample::{FinishReason, Sample},
-    spec::{PromptGroup, StepSpec},
-    step,
+    share::{
+        dispatch,
+        fairness::{self, Class, Cost, Entry, Queue},
+        ledger, quota,
+    },
+    step::{
+        self,
+        attach::Pull,
+        sample::{FinishReason, Sample},
+        spec::{PromptGroup, StepSpec},
+    },
 };
 use rand::SeedableRng as _;
 
@@ -400,7 +409,7 @@
         slot: work.slot.clone(),
         id: work.attempt.to_string().into(),
         tokens: vec![7; 8].into(),
-        segments: vec![mimosavane::evidence::Segment {
+        segments: vec![mimosavane::engine::evidence::Segment {
             weight_version: 5,
             first_token: 0,
             token_count: 8,
--- a/src/bin/mimosavane-bench/measure.rs
+++ b/src/bin/mimosavane-bench/measure.rs
@@ -7,7 +7,7 @@
 };
 
 use hdrhistogram::Histogram;
-use mimosavane::{cache_index::BlockHash, routing::Policy as _};
+use mimosavane::engine::{cache_index::BlockHash, routing::Policy as _};
 
 use crate::{
     allocation,
--- a/src/bin/mimosavane-capacity/fleet.rs
+++ b/src/bin/mimosavane-capacity/fleet.rs
@@ -9,19 +9,18 @@
 
 use mimosavane::{
     Row,
-    blackboard::{EngineReport, UpstreamKind},
-    charge::Weighted,
-    control::{Control, Effect, Input, MODEL_POOL, TICK},
-    engine_watch,
+    control::{
+        Control, Effect, Input, MODEL_POOL, TICK,
+        blackboard::{EngineReport, UpstreamKind},
+    },
+    engine::{routing::Router, upstream_list, watch},
     entry::messages,
-    follower,
-    gossip::Heartbeat,
+    host::{gossip::Heartbeat, membership},
     ids::HostId,
-    membership,
     proto::peer,
-    routing::Router,
     settings::{HostSettings, Settings},
-    upstream_list,
+    share::charge::Weighted,
+    store::follower,
 };
 use prost::Message as _;
 
@@ -246,7 +245,7 @@
                     token_time: Duration::from_millis(25),
                     ..EngineReport::default()
                 };
-                let reported = engine_watch::Event::Reported { engine, report };
+                let reported = watch::Event::Reported { engine, report };
                 self.nodes[from].inbox.push(Input::Engine(reported));
             }
             _ => {}
--- a/src/bin/mimosavane-capacity/main.rs
+++ b/src/bin/mimosavane-capacity/main.rs
@@ -11,7 +11,7 @@
 mod rollout;
 
 use clap::{Arg, Command, builder::PossibleValuesParser, value_parser};
-use mimosavane::capacity;
+use mimosavane::observe::capacity;
 
 #[global_allocator]
 static ALLOCATOR: allocation::Counting = allocation::Counting;
--- a/src/bin/mimosavane-capacity/measure.rs
+++ b/src/bin/mimosavane-capacity/measure.rs
@@ -7,13 +7,15 @@
 
 use futures_util::FutureExt as _;
 use mimosavane::{
-    capacity::{
+    call::{
+        claim::{Claim, ClaimStore as _, Expected, Key, Record},
+        claim_store::TableClaims,
+    },
+    engine::routing::Policy as _,
+    observe::capacity::{
         ENGINE_COUNT, Figure, HOST_COUNT, MAX_MEMORY_BYTES, MAX_PROCESSOR_RATIO, MAX_READS_PER_S,
         MAX_TRAFFIC_BYTES_PER_S, MAX_WRITES_PER_S, Role,
     },
-    claim::{Claim, ClaimStore as _, Expected, Key, Record},
-    claim_store::TableClaims,
-    routing::Policy as _,
     standin::table_service::MemoryTable,
     store::TableService as _,
 };
--- a/src/bin/mimosavane-capacity/rollout.rs
+++ b/src/bin/mimosavane-capacity/rollout.rs
@@ -8,10 +8,12 @@
 
 use mimosavane::{
     ids::UpstreamId,
-    lease::{self, Terms, Versioned, Wrote},
-    order::{End, Order, Report, Swap, Wanted},
-    shard::{Action, Event, Shard},
-    wave::Limits,
+    weights::{
+        lease::{self, Terms, Versioned, Wrote},
+        order::{End, Order, Report, Swap, Wanted},
+        shard::{Action, Event, Shard},
+        wave::Limits,
+    },
 };
 
 const TERMS: Terms = Terms {
--- a/src/bin/mimosavane-entry.rs
+++ b/src/bin/mimosavane-entry.rs
@@ -9,16 +9,16 @@
 use anyhow::{Context, Result};
 use clap::{Arg, Command, value_parser};
 use mimosavane::{
-    drain::Requester,
     entry::Running,
+    host::drain::Requester,
     ingress::{
         host::{Host, HostSettings},
         log,
         metrics::Exposition,
     },
+    observe::telemetry::{self, Metrics},
     platform::{PlatformWire, boot, store::PlatformStore},
     settings::Settings,
-    telemetry::{self, Metrics},
 };
 use tokio::signal::unix::{SignalKind, signal};
 
--- a/src/bin/mimosavane-load.rs
+++ b/src/bin/mimosavane-load.rs
@@ -4,7 +4,7 @@
 
 use anyhow::Context as _;
 use clap::{Arg, ArgMatches, Command, value_parser};
-use mimosavane::load::{self, Options, Report};
+use mimosavane::experiment::load::{self, Options, Report};
 
 fn command() -> Command {
     Command::new("mimosavane-load")
--- a/src/bin/mimosavane-soak/fault.rs
+++ b/src/bin/mimosavane-soak/fault.rs
@@ -111,6 +111,7 @@
 async fn carry_out(scene: &Scene, fault: Fault) {
     let host = scene.hosts[fault.choice % scene.hosts.len()].clone();
     let slot = fault.choice % scene.engines.borrow().len();
+    scene.touch();
     if !PLANNED.contains(&fault.kind) {
         scene.disturb();
     }
@@ -177,6 +178,7 @@
             engine.set_fault(EngineFault::None);
         }
     }
+    scene.touch();
     if !PLANNED.contains(&fault.kind) {
         scene.disturb();
     }
--- a/src/bin/mimosavane-soak/scene.rs
+++ b/src/bin/mimosavane-soak/scene.rs
@@ -40,11 +40,11 @@
 const SERVICE_COUNT: usize = 2;
 
 /// How long the hosts have to start, and to recover: the sheets' `recovery_s`.
-const RECOVERY: Duration = Duration::from_secs(12);
+pub const RECOVERY: Duration = Duration::from_secs(12);
 
 /// How long the traffic goes on behind the last fault: time to recover, and for a
 /// whole step.
-const CALM_TIME: Duration = Duration::from_secs(14);
+const CALM_TIME: Duration = Duration::from_secs(15);
 
 /// How long the final look at all jobs may take.
 const AUDIT_TIME: Duration = Duration::from_secs(10);
@@ -79,6 +79,8 @@
     pub is_over: Cell<bool>,
     started: Instant,
     disturbed_at: Cell<Option<Instant>>,
+    /// When a fault or planned work last began or ended.
+    touched_at: Cell<Option<Instant>>,
     configuration: Cell<u64>,
     engine_number: Cell<u64>,
     notes: RefCell<fs::File>,
@@ -183,6 +185,7 @@
             is_over: Cell::new(false),
             started: Instant::now(),
             disturbed_at: Cell::new(None),
+            touched_at: Cell::new(None),
             configuration: Cell::new(1),
             engine_number: Cell::new(0),
             notes: RefCell::new(
@@ -271,6 +274,16 @@
             .is_none_or(|at| at.elapsed() >= time)
     }
 
+    /// Notes that a fault or planned work began or ended.
+    pub fn touch(&self) {
+        self.touched_at.set(Some(Instant::now()));
+    }
+
+    /// Says whether there was neither a fault nor planned work for `time`.
+    pub fn is_quiet_for(&self, time: Duration) -> bool {
+        self.touched_at.get().is_none_or(|at| at.elapsed() >= time)
+    }
+
     /// Returns a host, drawn at random.
     pub fn any_host(&self) -> Rc<Host> {
         self.hosts[rand::rng().random_range(0..self.hosts.len())].clone()
--- a/src/bin/mimosavane-soak/trainer.rs
+++ b/src/bin/mimosavane-soak/trainer.rs
@@ -13,7 +13,7 @@
 use rand::Rng as _;
 use tokio::time::sleep;
 
-use crate::scene::Scene;
+use crate::scene::{RECOVERY, Scene};
 
 /// How many items a job has.
 const ITEM_COUNT: usize = 24;
@@ -33,8 +33,8 @@
 /// The pause between two reads, and before another host is tried.
 const PAUSE: Duration = Duration::from_millis(150);
 
-/// How long a job of a calm scene may take.
-const CALM_JOB_TIME: Duration = Duration::from_secs(8);
+/// How long a job of a quiet scene may take.
+const QUIET_JOB_TIME: Duration = Duration::from_secs(8);
 
 /// Trains `model` until the scene ends; its jobs go to `path`.
 pub async fn train(scene: Rc<Scene>, model: &'static str, path: &'static str) {
@@ -43,12 +43,12 @@
     while !scene.is_over.get() {
         let job = job(model, step, version);
         let started = Instant::now();
-        let was_calm = scene.is_calm_for(Duration::from_secs(12));
+        let was_quiet = scene.is_quiet_for(RECOVERY);
         if submit(&scene, path, &job).await {
             read(&scene, &job).await;
             let completed_count = scene.record.borrow().completed_count(&job.id);
-            let is_calm = was_calm && scene.is_calm_for(started.elapsed());
-            if is_calm && completed_count < ITEM_COUNT && started.elapsed() >= CALM_JOB_TIME {
+            let is_quiet = was_quiet && scene.is_quiet_for(started.elapsed());
+            if is_quiet && completed_count < ITEM_COUNT && started.elapsed() >= QUIET_JOB_TIME {
                 let seen = format!("{}: {completed_count} of {ITEM_COUNT}", job.id);
                 scene.record.borrow_mut().violate("recovers", seen);
             }
--- a/src/bin/mimosavane-steward.rs
+++ b/src/bin/mimosavane-steward.rs
@@ -5,10 +5,10 @@
 use anyhow::Context as _;
 use clap::{Arg, Command, value_parser};
 use mimosavane::{
+    observe::telemetry,
     settings::Settings,
-    steward,
-    store_client::{Budget, HttpTableService},
-    telemetry,
+    store::client::{Budget, HttpTableService},
+    weights::steward,
 };
 use tokio::signal::unix::{SignalKind, signal};
 
--- a/src/bin/mimosavane-table.rs
+++ b/src/bin/mimosavane-table.rs
@@ -5,9 +5,9 @@
 use anyhow::{Context as _, Result};
 use clap::{Arg, Command, value_parser};
 use mimosavane::{
+    observe::telemetry,
     settings::Settings,
-    table_server::{Server, State},
-    telemetry,
+    table::server::{Server, State},
 };
 use tokio::signal::unix::{SignalKind, signal};
 
--- a/src/bin/mimosavane.rs
+++ b/src/bin/mimosavane.rs
@@ -4,7 +4,11 @@
 
 use anyhow::{Context as _, Result};
 use clap::ArgMatches;
-use mimosavane::{cli, host_command, table_command, telemetry, trial_command};
+use mimosavane::{
+    command::{cli, host, trial},
+    observe::telemetry,
+    table::command,
+};
 
 /// The exit code of what was asked and did not hold.
 const NOT_HELD: u8 = 1;
@@ -30,12 +34,12 @@
     let code = match matches.subcommand() {
         Some(("table", matches)) => run_table(&runtime, matches),
         Some((name @ ("demo" | "replay" | "check-config"), matches)) => {
-            let output = runtime.block_on(trial_command::run(name, matches))?;
+            let output = runtime.block_on(trial::run(name, matches))?;
             print!("{}", output.text);
             if output.is_held { 0 } else { NOT_HELD }
         }
         Some((name, matches)) => {
-            let output = runtime.block_on(host_command::run(name, matches))?;
+            let output = runtime.block_on(host::run(name, matches))?;
             print!("{}", output.text);
             if output.is_held { 0 } else { NOT_HELD }
         }
@@ -46,7 +50,7 @@
 }
 
 fn run_table(runtime: &tokio::runtime::Runtime, matches: &ArgMatches) -> u8 {
-    match runtime.block_on(table_command::run(matches)) {
+    match runtime.block_on(command::run(matches)) {
         Ok(text) => {
             print!("{text}");
             0
--- a/src/admission.rs
+++ b/src/call/admission.rs
@@ -12,11 +12,13 @@
 use rand::Rng as _;
 
 use crate::{
-    attempt::Reason,
+    call::{
+        attempt::Reason,
+        concurrency::{Limiter, Sample},
+        ejection::{self, Change, Standing},
+    },
     clock::Timestamp,
-    concurrency::{Limiter, Sample},
-    controller::Rng,
-    ejection::{self, Change, Standing},
+    control::controller::Rng,
     ids::UpstreamId,
     retry::{Budget, Deadline},
 };
@@ -105,8 +107,8 @@
 /// use std::time::Duration;
 ///
 /// use mimosavane::{
-///     admission::{Ask, Pool, Verdict},
-///     controller::Rng,
+///     call::admission::{Ask, Pool, Verdict},
+///     control::controller::Rng,
 ///     retry::Deadline,
 /// };
 /// use rand::SeedableRng;
--- a/src/attempt.rs
+++ b/src/call/attempt.rs
@@ -133,7 +133,7 @@
 /// # Examples
 ///
 /// ```
-/// use mimosavane::attempt::{Attempt, Event, Outcome, Reason};
+/// use mimosavane::call::attempt::{Attempt, Event, Outcome, Reason};
 ///
 /// let mut attempt = Attempt::default();
 /// attempt.apply(Event::Handed);
--- a/src/claim.rs
+++ b/src/call/claim.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    attempt::Reason,
+    call::attempt::Reason,
     ids::{AttemptId, HostId, RowId},
 };
 
@@ -173,7 +173,7 @@
 /// # Examples
 ///
 /// ```
-/// use mimosavane::claim::{Event, Expected, Machine, Step, Written};
+/// use mimosavane::call::claim::{Event, Expected, Machine, Step, Written};
 ///
 /// let mut machine = Machine::new(7, "digest");
 /// assert_eq!(machine.step(), Step::Put(Expected::Absent));
--- a/src/claim_store.rs
+++ b/src/call/claim_store.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 
 use crate::{
-    claim::{Claim, ClaimStore, Expected, Key, Record, StoreError, Written},
+    call::claim::{Claim, ClaimStore, Expected, Key, Record, StoreError, Written},
     ids::AttemptId,
     store::{self, RecordKey, TableService, Transaction},
 };
@@ -19,7 +19,10 @@
 /// # Examples
 ///
 /// ```
-/// use mimosavane::{claim_store::TableClaims, standin::table_service::MemoryTable};
+/// use mimosavane::{
+///     call::claim_store::TableClaims,
+///     standin::table_service::MemoryTable,
+/// };
 ///
 /// let claims = TableClaims::new(MemoryTable::default());
 /// ```
--- a/src/concurrency.rs
+++ b/src/call/concurrency.rs
@@ -51,7 +51,7 @@
 /// ```
 /// use std::time::Duration;
 ///
-/// use mimosavane::concurrency::{Limiter, Sample};
+/// use mimosavane::call::concurrency::{Limiter, Sample};
 ///
 /// let mut limiter = Limiter::default();
 /// assert!(limiter.try_start());
--- a/src/ejection.rs
+++ b/src/call/ejection.rs
@@ -6,7 +6,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use crate::{clock::Timestamp, controller::Rng, ids::UpstreamId};
+use crate::{clock::Timestamp, control::controller::Rng, ids::UpstreamId};
 use rand::Rng as _;
 
 /// Failures in a row that eject an upstream.
@@ -67,7 +67,7 @@
 /// ```
 /// use std::time::Duration;
 ///
-/// use mimosavane::ejection::{Pool, Standing};
+/// use mimosavane::call::ejection::{Pool, Standing};
 ///
 /// let mut pool = Pool::default();
 /// pool.set_members(["roll-1".into(), "roll-2".into()]);
--- a/src/exchange.rs
+++ b/src/call/exchange.rs
@@ -13,14 +13,16 @@
 use hyper::body::{Body, Incoming};
 
 use crate::{
-    attempt::{Event, Outcome, Reason},
-    call::Payload,
+    call::{
+        attempt::{Event, Outcome, Reason},
+        gate::Pass,
+        payload::Payload,
+        problem::OUTCOME_HEADER,
+        relay::{Exchange, Relay},
+        terms::{self, ATTEMPT_HEADER, DEADLINE_HEADER, Terms},
+    },
     connection::{Connection, Pool, Protocol, SendError, Target, UpstreamRequest},
-    gate::Pass,
     ids::AttemptId,
-    problem::OUTCOME_HEADER,
-    relay::{Exchange, Relay},
-    terms::{self, ATTEMPT_HEADER, DEADLINE_HEADER, Terms},
 };
 
 /// The longest answer that is read whole before the caller sees its head, so
--- a/src/gate.rs
+++ b/src/call/gate.rs
@@ -16,12 +16,16 @@
 };
 
 use crate::{
-    admission::{self, Ask, End, Grant, Ticket, Verdict},
-    attempt::Reason,
-    blackboard::{Snapshot, UpstreamKind, UpstreamState, Upstreams},
+    call::{
+        admission::{self, Ask, End, Grant, Ticket, Verdict},
+        attempt::Reason,
+    },
     clock::{Clock, Timestamp},
-    controller::Rng,
-    decision::{Decision, Kind},
+    control::{
+        blackboard::{Snapshot, UpstreamKind, UpstreamState, Upstreams},
+        controller::Rng,
+        decision::{Decision, Kind},
+    },
     ids::UpstreamId,
     retry::Deadline,
 };
--- a/src/call.rs
+++ b/src/call/mod.rs
@@ -2,9 +2,27 @@
 //!
 //! [`serve`] claims a keyed call, waits for an upstream, sends the request and
 //! tells the caller one of three outcomes (see docs/design/calls.md).
+//!
+//! Read in this order: `attempt` and `problem` for the outcomes, `admission` and `gate` for who
+//! may go when, `exchange` and `relay` for the sending, `claim` for keyed calls. `admission`,
+//! `concurrency`, `ejection` and `progress` decide and do no I/O.
+
+pub mod admission;
+pub mod attempt;
+pub mod claim;
+pub mod claim_store;
+pub mod concurrency;
+pub mod ejection;
+pub mod exchange;
+pub mod gate;
+pub mod payload;
+pub mod problem;
+pub mod progress;
+pub mod relay;
+pub mod terms;
 
 use std::{
-    pin::{Pin, pin},
+    pin::pin,
     sync::Arc,
     task::{Context as TaskContext, Poll},
     time::{Duration, SystemTime, UNIX_EPOCH},
@@ -13,22 +31,24 @@
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::Full;
-use hyper::body::{Body, Frame, SizeHint};
+use hyper::body::Body as _;
 use tokio::time::timeout;
 
+pub use crate::call::payload::Payload;
 use crate::{
-    attempt::{Outcome, Reason},
-    claim::{self, Answer, Claim, ClaimStore, Key, MAX_RECORDED_BODY_BYTES, Record, Step},
+    call::{
+        attempt::{Outcome, Reason},
+        claim::{Answer, Claim, ClaimStore, Key, MAX_RECORDED_BODY_BYTES, Record, Step},
+        exchange::Sending,
+        gate::{Entry, Gate, Refused},
+        problem::OUTCOME_HEADER,
+        terms::Terms,
+    },
     connection::Pool,
-    decision::{Decision, Kind},
-    exchange::{self, Sending},
-    gate::{self, Entry, Gate, Refused},
+    control::decision::{Decision, Kind},
     ids::{HostId, RowId, UpstreamId},
-    problem::{self, OUTCOME_HEADER},
-    relay::{Cut, Relay},
     retry,
     settings::{PoolSettings, Settings},
-    terms::Terms,
 };
 
 /// How long the answer to a keyed call waits for its record to be written.
@@ -65,47 +85,6 @@
     pub claims: S,
 }
 
-/// The body of a response: made here, or passed on as it arrives.
-#[derive(Debug)]
-pub enum Payload {
-    /// All of it.
-    Whole(Full<Bytes>),
-    /// It follows; an error means that it is not whole.
-    Streamed(Box<Relay>),
-}
-
-impl Body for Payload {
-    type Data = Bytes;
-    type Error = Cut;
-
-    fn poll_frame(
-        self: Pin<&mut Self>,
-        cx: &mut TaskContext<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
-        match self.get_mut() {
-            // A body that is held in memory cannot fail.
-            Self::Whole(body) => Pin::new(body)
-                .poll_frame(cx)
-                .map_err(|error| match error {}),
-            Self::Streamed(relay) => Pin::new(relay.as_mut()).poll_frame(cx),
-        }
-    }
-
-    fn is_end_stream(&self) -> bool {
-        match self {
-            Self::Whole(body) => body.is_end_stream(),
-            Self::Streamed(relay) => relay.is_end_stream(),
-        }
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        match self {
-            Self::Whole(body) => body.size_hint(),
-            Self::Streamed(relay) => relay.size_hint(),
-        }
-    }
-}
-
 /// How a call ended without an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Failure {
--- a/src/problem.rs
+++ b/src/call/problem.rs
@@ -12,7 +12,7 @@
 };
 use serde::{Deserialize, Serialize};
 
-use crate::attempt::{Outcome, Reason};
+use crate::call::attempt::{Outcome, Reason};
 
 /// The header that names the outcome: `answered`, `not-run` or `unknown`.
 ///
--- a/src/progress.rs
+++ b/src/call/progress.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use crate::{attempt::Reason, clock::Timestamp};
+use crate::{call::attempt::Reason, clock::Timestamp};
 
 /// What a fresh connection showed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -35,7 +35,7 @@
 /// ```
 /// use std::time::Duration;
 ///
-/// use mimosavane::{attempt::Reason, progress::{Check, Step, Watch}};
+/// use mimosavane::call::{attempt::Reason, progress::{Check, Step, Watch}};
 ///
 /// let mut watch = Watch::new(Duration::from_secs(5), Duration::ZERO);
 /// assert_eq!(watch.poll(Duration::from_secs(5)), Step::CheckFresh);
--- a/src/relay.rs
+++ b/src/call/relay.rs
@@ -20,13 +20,15 @@
 };
 
 use crate::{
-    admission::End,
-    attempt::{Attempt, Event, Outcome, Reason},
+    call::{
+        admission::End,
+        attempt::{Attempt, Event, Outcome, Reason},
+        gate::Pass,
+        progress::{self, Check, Step, Watch},
+    },
     clock::Timestamp,
     connection::{Connection, Pool, Target},
-    decision::{Decision, Kind},
-    gate::Pass,
-    progress::{self, Check, Step, Watch},
+    control::decision::{Decision, Kind},
     retry::Deadline,
 };
 
--- a/src/cli.rs
+++ b/src/command/cli.rs
@@ -27,7 +27,7 @@
 /// # Examples
 ///
 /// ```
-/// let matches = mimosavane::cli::build()
+/// let matches = mimosavane::command::cli::build()
 ///     .try_get_matches_from(["mimosavane", "demo", "--seed", "7"])?;
 /// assert_eq!(matches.subcommand_name(), Some("demo"));
 /// # Ok::<(), clap::Error>(())
--- a/src/host_command.rs
+++ b/src/command/host.rs
@@ -14,15 +14,19 @@
 use serde_json::Value;
 
 use crate::{
-    burn_page::{self, PageError},
-    burn_report::Report,
-    cli::{self, Format},
+    command::{
+        cli::{self, Format},
+        trial::Output,
+    },
     entry::collect::Windows,
-    explain::{Account, RecordingError},
-    log_story::Story,
+    observe::{
+        burn_page::{self, PageError},
+        burn_report::Report,
+        explain::{Account, RecordingError},
+        log_story::Story,
+    },
     settings::ObjectiveSettings,
     standin::client::{CallError, Client},
-    trial_command::Output,
 };
 
 /// The variable that holds the operator's key where no file is named.
--- a/src/trial_command.rs
+++ b/src/command/trial.rs
@@ -10,10 +10,11 @@
 use clap::ArgMatches;
 
 use crate::{
-    cli::{self, Format},
+    command::cli::{self, Format},
     demo::{self, Options, cluster::ClusterError, fault::Fault},
-    replay, settings_check,
-    trace::{Trace, TraceError},
+    observe::trace::{Trace, TraceError},
+    replay,
+    settings::check,
 };
 
 /// What a command prints, and whether what was asked held.
@@ -142,7 +143,7 @@
     let mut text = String::new();
     for path in files(matches) {
         let settings = std::fs::read_to_string(path).map_err(|source| file_error(path, source))?;
-        for mistake in settings_check::check(&path.display().to_string(), &settings) {
+        for mistake in check::check(&path.display().to_string(), &settings) {
             text.push_str(&format!("{mistake}\n"));
         }
     }
--- a/src/blackboard.rs
+++ b/src/control/blackboard.rs
@@ -15,7 +15,7 @@
         BootId, FailureDomain, HostId, Incarnation, Region, Revision, RowId, UpstreamId,
         WeightVersion,
     },
-    row::Row,
+    table::row::Row,
 };
 
 /// All sections.
--- a/src/controller.rs
+++ b/src/control/controller.rs
@@ -1,6 +1,9 @@
 //! The shape that all decisions share.
 
-use crate::{blackboard::Blackboard, clock::Timestamp, decision::Decision};
+use crate::{
+    clock::Timestamp,
+    control::{blackboard::Blackboard, decision::Decision},
+};
 
 /// The seeded generator that controllers draw from.
 pub type Rng = rand_chacha::ChaCha8Rng;
--- a/src/decision.rs
+++ b/src/control/decision.rs
@@ -73,7 +73,7 @@
 /// # Examples
 ///
 /// ```
-/// use mimosavane::decision::{Decision, Kind};
+/// use mimosavane::control::decision::{Decision, Kind};
 /// use std::time::Duration;
 ///
 /// let decision = Decision::new(Kind::Sample, Duration::ZERO, "dispatched")
--- a/src/control_message.rs
+++ b/src/control/message.rs
@@ -3,14 +3,13 @@
 use std::net::SocketAddr;
 
 use crate::{
-    attach::Reply,
-    blackboard::UpstreamKind,
-    decision::Decision,
-    dispatch, drain, engine_watch, follower,
-    gossip::Heartbeat,
-    handover::Handover,
+    control::{blackboard::UpstreamKind, decision::Decision},
+    engine::{upstream_list, watch},
+    host::{drain, gossip::Heartbeat, membership},
     ids::{AttemptNumber, CallNumber, HostId, UpstreamId},
-    ledger, membership, quota, step, upstream_list,
+    share::{dispatch, ledger, quota},
+    step::{self, attach::Reply, handover::Handover},
+    store::follower,
 };
 
 /// A message between the controllers of two hosts beside heartbeats.
@@ -30,7 +29,7 @@
     /// Something for the dispatcher.
     Dispatch(dispatch::Event),
     /// An engine reported or failed to.
-    Engine(engine_watch::Event),
+    Engine(watch::Event),
     /// The store or a peer answered about the table.
     Table(follower::Event),
     /// A heartbeat arrived, or the platform listed a host.
--- a/src/control.rs
+++ b/src/control/mod.rs
@@ -2,6 +2,14 @@
 //!
 //! The entry host's control thread and the replay of traces run the same
 //! [`Control`]: inputs go in, effects come out (see docs/ARCHITECTURE.md).
+//!
+//! Read in this order: `blackboard` for the beliefs, `controller` for the trait, `decision` for
+//! what a decision says of itself, `message` for the inputs and effects.
+
+pub mod blackboard;
+pub mod controller;
+pub mod decision;
+pub mod message;
 
 use std::{collections::BTreeMap, mem, sync::Arc, time::Duration};
 
@@ -9,24 +17,32 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
-    allowance::Kind,
-    blackboard::{Blackboard, TableStanding},
-    cache_index::BlockHash,
     clock::Timestamp,
-    controller::{Controller as _, Rng, Round},
-    decision::{Decision, Ring},
-    dispatch::{self, Dispatcher},
-    drain, engine_watch,
-    fairness::{Class, Ranking, Ticket},
-    follower,
+    control::{
+        blackboard::{Blackboard, TableStanding},
+        controller::{Controller as _, Rng, Round},
+        decision::{Decision, Ring},
+    },
+    engine::{
+        cache_index::BlockHash,
+        rendezvous,
+        routing::{self, Policy},
+        upstream_list, watch,
+    },
+    host::{drain, membership},
     ids::{AttemptNumber, HostId, Incarnation, RowId, TokenId, UpstreamId},
-    ledger, membership, quota, rendezvous,
-    routing::{self, Policy},
     settings::Settings,
-    step, upstream_list,
+    share::{
+        allowance::Kind,
+        dispatch::{self, Dispatcher},
+        fairness::{Class, Ranking, Ticket},
+        ledger, quota,
+    },
+    step,
+    store::follower,
 };
 
-pub use crate::control_message::{Effect, Exchange, Input};
+pub use crate::control::message::{Effect, Exchange, Input};
 
 /// The pool that trainers' samples are generated in.
 pub const MODEL_POOL: &str = "base";
@@ -52,7 +68,7 @@
 struct Inboxes {
     steps: Vec<step::Event>,
     dispatch: Vec<dispatch::Event>,
-    engines: Vec<engine_watch::Event>,
+    engines: Vec<watch::Event>,
     table: Vec<follower::Event>,
     members: Vec<membership::Event>,
     upstreams: Vec<upstream_list::Event>,
@@ -81,7 +97,7 @@
     router: P,
     steps: step::Controller,
     dispatch: Dispatcher<R>,
-    engines: engine_watch::Controller,
+    engines: watch::Controller,
     table: follower::Controller,
     members: membership::Controller,
     upstreams: upstream_list::Controller,
@@ -124,7 +140,7 @@
             router,
             steps: step::Controller::default().of_host(own.clone()),
             dispatch: Dispatcher::default(),
-            engines: engine_watch::Controller::new(own.clone()),
+            engines: watch::Controller::new(own.clone()),
             table: follower::Controller::new(own.clone()),
             members: membership::Controller::new(membership::Config::from_settings(
                 settings,
@@ -358,8 +374,8 @@
         }
     }
 
-    fn act_on_engine(&mut self, action: engine_watch::Action) {
-        let engine_watch::Action::Poll { engine } = action;
+    fn act_on_engine(&mut self, action: watch::Action) {
+        let watch::Action::Poll { engine } = action;
         let known = self.board.upstreams.members.get(&engine);
         let address = known.map(|known| known.address);
         self.effects.push(Effect::PollEngine { engine, address });
--- a/src/demo/caller.rs
+++ b/src/demo/caller.rs
@@ -11,7 +11,7 @@
     cluster::{CALLER_ROW, SERVICE_POOL, row_token},
 };
 use crate::{
-    controller::Rng,
+    control::controller::Rng,
     entry::problem::OUTCOME_HEADER,
     standin::{
         balancer::Balancer,
--- a/src/demo/cluster.rs
+++ b/src/demo/cluster.rs
@@ -15,14 +15,14 @@
 
 use super::steward::{Steward, StewardError};
 use crate::{
-    blackboard::{UpstreamKind, UpstreamState},
-    change::{Change, RowEdit},
-    controller::Rng,
-    drain::Requester,
-    edit::{self, EditError},
+    api::platform::Listed,
+    control::{
+        blackboard::{UpstreamKind, UpstreamState},
+        controller::Rng,
+    },
     entry::{Running, Shared, StartError},
+    host::drain::Requester,
     ids::RowId,
-    platform_api::Listed,
     settings::{Settings, SettingsError},
     standin::{
         balancer::Balancer,
@@ -31,7 +31,11 @@
         service::Service,
         table_service::{MemoryTable, TableServiceStandin},
     },
-    store_client::AddressError,
+    store::client::AddressError,
+    table::{
+        change::{Change, RowEdit},
+        edit::{self, EditError},
+    },
 };
 
 /// Hosts of the service.
--- a/src/demo/editor.rs
+++ b/src/demo/editor.rs
@@ -14,13 +14,17 @@
     cluster::{CALLER_ROW, Cluster},
 };
 use crate::{
-    change::{Change, RowEdit},
-    controller::Rng,
-    edit::{self, EditError},
+    control::controller::Rng,
     ids::{HostId, Incarnation, Revision, RowVersion},
-    store::TableService,
-    store_client::{Budget, HttpTableService},
-    table,
+    store::{
+        TableService,
+        client::{Budget, HttpTableService},
+    },
+    table::{
+        self,
+        change::{Change, RowEdit},
+        edit::{self, EditError},
+    },
 };
 
 /// The time between two edits.
@@ -70,7 +74,7 @@
     /// # Errors
     ///
     /// Fails where the table service's address is not valid.
-    pub fn new(cluster: &Cluster, seed: u64) -> Result<Self, crate::store_client::AddressError> {
+    pub fn new(cluster: &Cluster, seed: u64) -> Result<Self, crate::store::client::AddressError> {
         let url = cluster.table_url();
         Ok(Self {
             store: HttpTableService::new(url, STORE_TIMEOUT, Budget::default(), seed)?,
--- a/src/demo/mod.rs
+++ b/src/demo/mod.rs
@@ -15,9 +15,9 @@
 
 use crate::{
     control::MODEL_POOL,
+    observe::trace::Trace,
     standin::trainer::{self, Trainer},
     store::{RecordKey, TableService as _, Transaction},
-    trace::Trace,
 };
 
 pub use crate::standin::trainer::Stop;
--- a/src/demo/recording.rs
+++ b/src/demo/recording.rs
@@ -12,10 +12,10 @@
 use crate::{
     entry::collect,
     ids::UpstreamId,
-    row::Row,
-    trace::{
+    observe::trace::{
         EnginePart, Event, FORMAT, Figure, Header, HostPart, Outcome, Record, Timed, Trace, World,
     },
+    table::row::Row,
 };
 
 /// Tokens of each prompt of the stand-in trainers.
--- a/src/demo/steward.rs
+++ b/src/demo/steward.rs
@@ -6,8 +6,8 @@
 
 use crate::{
     settings::Settings,
-    steward,
-    store_client::{AddressError, Budget, HttpTableService},
+    store::client::{AddressError, Budget, HttpTableService},
+    weights::steward,
 };
 
 /// A running steward; dropping it ends it without giving its leases up.
--- a/src/baseline.rs
+++ b/src/engine/baseline.rs
@@ -3,13 +3,14 @@
 use rand::Rng as _;
 
 use crate::{
-    blackboard::Blackboard,
     clock::Timestamp,
-    controller::Rng,
-    fairness::Ranking,
+    control::{blackboard::Blackboard, controller::Rng},
+    engine::{
+        routing::{Policy, Request},
+        targets::{Target, Targets},
+    },
     ids::UpstreamId,
-    routing::{Policy, Request},
-    targets::{Target, Targets},
+    share::fairness::Ranking,
 };
 
 /// Serves requests in the order of their arrival, whatever their row.
@@ -100,7 +101,7 @@
 /// # Examples
 ///
 /// ```
-/// use mimosavane::{baseline::{Baseline, Random}, routing::Policy};
+/// use mimosavane::engine::{baseline::{Baseline, Random}, routing::Policy};
 ///
 /// assert_eq!(Baseline::<Random>::NAME, "random");
 /// ```
--- a/src/cache_index.rs
+++ b/src/engine/cache_index.rs
@@ -8,8 +8,8 @@
 
 use crate::{
     clock::Timestamp,
+    engine::integer_hash::IntegerSet,
     ids::{BootId, UpstreamId},
-    integer_hash::IntegerSet,
 };
 
 /// Identifies one block of a prompt together with all blocks before it.
@@ -156,7 +156,7 @@
 /// # Examples
 ///
 /// ```
-/// use mimosavane::cache_index::{CacheEvent, Index};
+/// use mimosavane::engine::cache_index::{CacheEvent, Index};
 /// use std::time::Duration;
 ///
 /// let mut index = Index::default();
--- a/src/evidence.rs
+++ b/src/engine/evidence.rs
@@ -7,7 +7,7 @@
 
 use crate::ids::{AdapterId, BootId, TokenId, WeightVersion};
 
-pub use crate::segment::{Proved, Segment, is_single_version, oldest_version};
+pub use crate::engine::segment::{Proved, Segment, is_single_version, oldest_version};
 
 /// How many chunks may wait for an earlier one.
 pub const MAX_EARLY_CHUNKS: usize = 16;
@@ -112,7 +112,7 @@
 /// # Examples
 ///
 /// ```
-/// use mimosavane::evidence::{Chunk, Evidence};
+/// use mimosavane::engine::evidence::{Chunk, Evidence};
 ///
 /// let mut evidence = Evidence::new(true);
 /// for (version, token) in [(4, 17), (4, 18), (5, 19)] {
@@ -127,7 +127,7 @@
 /// let whole = evidence.finish()?;
 /// assert_eq!(whole.segments.len(), 2);
 /// assert_eq!(whole.oldest_version(), Some(4));
-/// # Ok::<(), mimosavane::evidence::EvidenceError>(())
+/// # Ok::<(), mimosavane::engine::evidence::EvidenceError>(())
 /// ```
 #[derive(Clone, Debug)]
 pub struct Evidence {
--- a/src/integer_hash.rs
+++ b/src/engine/integer_hash.rs
@@ -19,7 +19,7 @@
 /// # Examples
 ///
 /// ```
-/// let mut set = mimosavane::integer_hash::IntegerSet::default();
+/// let mut set = mimosavane::engine::integer_hash::IntegerSet::default();
 /// assert!(set.insert(7_u64));
 /// assert!(set.contains(&7));
 /// ```
--- a/src/rendezvous.rs
+++ b/src/engine/rendezvous.rs
@@ -17,7 +17,7 @@
 /// # Examples
 ///
 /// ```
-/// use mimosavane::rendezvous::key;
+/// use mimosavane::engine::rendezvous::key;
 ///
 /// assert_ne!(key([b"ab".as_slice(), b"c"]), key([b"a".as_slice(), b"bc"]));
 /// ```
@@ -37,7 +37,7 @@
 /// # Examples
 ///
 /// ```
-/// use mimosavane::{ids::HostId, rendezvous::owner};
+/// use mimosavane::{engine::rendezvous::owner, ids::HostId};
 ///
 /// let hosts: Vec<HostId> = vec!["a".into(), "b".into(), "c".into()];
 /// assert_eq!(owner(7, &hosts), owner(7, hosts.iter().rev()));
--- a/src/routing.rs
+++ b/src/engine/routing.rs
@@ -13,14 +13,18 @@
 use rand::Rng as _;
 
 use crate::{
-    blackboard::{Blackboard, Hosts},
-    cache_index::{BlockHash, Index, MAX_ENGINES},
     clock::Timestamp,
-    controller::Rng,
-    fairness::{Class, PROMPT_COST_RATIO},
+    control::{
+        blackboard::{Blackboard, Hosts},
+        controller::Rng,
+    },
+    engine::{
+        cache_index::{BlockHash, Index, MAX_ENGINES},
+        rendezvous,
+        targets::{Target, Targets},
+    },
     ids::{HostId, Region, RowId, UpstreamId, WeightVersion},
-    rendezvous,
-    targets::{Target, Targets},
+    share::fairness::{Class, PROMPT_COST_RATIO},
 };
 
 /// How many engines are drawn at random.
@@ -105,9 +109,9 @@
 /// ```
 /// use mimosavane::{
 ///     Blackboard,
-///     controller::Rng,
-///     fairness::Class,
-///     routing::{Policy as _, Request, Router},
+///     control::controller::Rng,
+///     engine::routing::{Policy as _, Request, Router},
+///     share::fairness::Class,
 /// };
 /// use rand::SeedableRng;
 /// use std::time::Duration;
--- a/src/targets.rs
+++ b/src/engine/targets.rs
@@ -9,8 +9,10 @@
 };
 
 use crate::{
-    blackboard::{Blackboard, EngineReport, Engines, UpstreamKind, UpstreamState, Upstreams},
     clock::Timestamp,
+    control::blackboard::{
+        Blackboard, EngineReport, Engines, UpstreamKind, UpstreamState, Upstreams,
+    },
     ids::{UpstreamId, WeightVersion},
 };
 
@@ -90,7 +92,7 @@
 /// # Examples
 ///
 /// ```
-/// use mimosavane::{Blackboard, targets::Targets};
+/// use mimosavane::{Blackboard, engine::targets::Targets};
 ///
 /// let mut targets = Targets::default();
 /// targets.refresh(&Blackboard::default());
--- a/src/upstream_list.rs
+++ b/src/engine/upstream_list.rs
@@ -16,11 +16,13 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
-    blackboard::{Blackboard, Upstream, UpstreamKind, UpstreamState},
     clock::Timestamp,
-    controller::Round,
-    decision::{Decision, Kind},
-    gossip::{NoticeVersion, UpstreamNotice},
+    control::{
+        blackboard::{Blackboard, Upstream, UpstreamKind, UpstreamState},
+        controller::Round,
+        decision::{Decision, Kind},
+    },
+    host::gossip::{NoticeVersion, UpstreamNotice},
     ids::{FailureDomain, HostId, UpstreamId},
 };
 
@@ -112,7 +114,7 @@
 /// # Examples
 ///
 /// ```
-/// use mimosavane::upstream_list::Controller;
+/// use mimosavane::engine::upstream_list::Controller;
 ///
 /// let controller = Controller::new("entry-1".into());
 /// assert_eq!(controller.upstream_count(), 0);
--- a/src/engine_watch.rs
+++ b/src/engine/watch.rs
@@ -11,12 +11,14 @@
 };
 
 use crate::{
-    blackboard::{Blackboard, EngineReport, Hosts, UpstreamKind, UpstreamState, Upstreams},
     clock::Timestamp,
-    controller::{self, Round},
-    decision::{Decision, Kind},
+    control::{
+        blackboard::{Blackboard, EngineReport, Hosts, UpstreamKind, UpstreamState, Upstreams},
+        controller::{self, Round},
+        decision::{Decision, Kind},
+    },
+    engine::rendezvous,
     ids::{HostId, UpstreamId},
-    rendezvous,
 };
 
 /// The time between two reports of an engine that this host dispatches for.
@@ -66,11 +68,16 @@
 /// # Examples
 ///
 /// ```
-/// use mimosavane::{Blackboard, Controller as _, controller::{Rng, Round}, engine_watch};
+/// use mimosavane::{
+///     Blackboard,
+///     Controller as _,
+///     control::controller::{Rng, Round},
+///     engine::watch,
+/// };
 /// use rand::SeedableRng as _;
 /// use std::time::Duration;
 ///
-/// let mut watch = engine_watch::Controller::new("entry-1");
+/// let mut watch = watch::Controller::new("entry-1");
 /// let round = Round {
 ///     board: &mut Blackboard::default(),
 ///     now: Duration::ZERO,
--- a/src/entry/api.rs
+++ b/src/entry/api.rs
@@ -16,7 +16,7 @@
 };
 
 use super::{Shared, body, problem::Problem};
-use crate::{auth::Role, follower::REPORT_PATH};
+use crate::{store::follower::REPORT_PATH, table::auth::Role};
 
 /// The time that a sender may take over the head of a request.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
--- a/src/entry/burn_meter.rs
+++ b/src/entry/burn_meter.rs
@@ -7,9 +7,9 @@
 };
 
 use crate::{
-    burn::{HostWindows, Objective, Recorder, Tally},
     clock::{Clock, Timestamp, millis},
     ids::{HostId, RowId},
+    observe::burn::{HostWindows, Objective, Recorder, Tally},
 };
 
 /// The longest time between two pulls that counts as one trainer's time.
--- a/src/entry/call_rate.rs
+++ b/src/entry/call_rate.rs
@@ -11,7 +11,7 @@
 
 use governor::{DefaultDirectRateLimiter, Quota, RateLimiter};
 
-use crate::{allowance::Split, ids::RowId, row::Row};
+use crate::{ids::RowId, share::allowance::Split, table::row::Row};
 
 /// The limiters of one host.
 #[derive(Debug)]
--- a/src/entry/calls.rs
+++ b/src/entry/calls.rs
@@ -19,11 +19,10 @@
     problem::{OUTCOME_HEADER, Problem},
 };
 use crate::{
-    auth::Role,
-    call::{self, Payload},
+    call::{self, Payload, relay::Cut},
     ids::RowId,
-    relay::Cut,
-    telemetry::{self, Metric},
+    observe::telemetry::{self, Metric},
+    table::auth::Role,
 };
 
 /// Where the path of the upstream begins, behind `/v1/pools/{pool}`.
--- a/src/entry/collect.rs
+++ b/src/entry/collect.rs
@@ -8,11 +8,12 @@
 
 use super::{Host, owners, thread::Input};
 use crate::{
-    blackboard::HostState,
-    burn::HostWindows,
-    decision::Decision,
-    explain::{Account, Answer, Missing},
+    control::{blackboard::HostState, decision::Decision},
     ids::HostId,
+    observe::{
+        burn::HostWindows,
+        explain::{Account, Answer, Missing},
+    },
     proto::peer,
 };
 
--- a/src/entry/effects.rs
+++ b/src/entry/effects.rs
@@ -7,16 +7,16 @@
 
 use super::{Host, Shared, engine_client::EngineError, generate, messages, owners, thread::Input};
 use crate::{
-    blackboard::{EngineReport, UpstreamKind},
-    control::{self, Exchange},
-    engine_api::Report,
-    engine_watch, follower,
-    handover::Handover,
+    control::{
+        self, Exchange,
+        blackboard::{EngineReport, UpstreamKind},
+    },
+    engine::{api::Report, upstream_list, watch},
     ids::{AttemptNumber, HostId, Revision, UpstreamId},
     proto::peer::{self, generate_event::Event},
-    row::Row,
-    step::{self, Dispatch, Failure},
-    upstream_list,
+    step::{self, Dispatch, Failure, handover::Handover},
+    store::follower,
+    table::row::Row,
 };
 
 /// Events of one attempt that may wait for the control thread.
@@ -199,16 +199,16 @@
     shared.runtime.spawn(async move {
         let event = match address {
             Some(address) => match host.engines.report(address).await {
-                Ok(report) => engine_watch::Event::Reported {
+                Ok(report) => watch::Event::Reported {
                     engine,
                     report: read_report(&report),
                 },
                 Err(error) => {
                     tracing::debug!(%engine, %error, "an engine did not report");
-                    engine_watch::Event::Failed { engine }
+                    watch::Event::Failed { engine }
                 }
             },
-            None => engine_watch::Event::Failed { engine },
+            None => watch::Event::Failed { engine },
         };
         host.control
             .tell(Input::Control(control::Input::Engine(event)))
--- a/src/entry/engine_client.rs
+++ b/src/entry/engine_client.rs
@@ -11,7 +11,7 @@
 };
 use serde::de::DeserializeOwned;
 
-use crate::engine_api::{CompletionChunk, CompletionRequest, Report};
+use crate::engine::api::{CompletionChunk, CompletionRequest, Report};
 
 /// The longest line of an event stream.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
--- a/src/entry/generate.rs
+++ b/src/entry/generate.rs
@@ -18,12 +18,16 @@
 };
 use crate::{
     clock::millis,
-    dispatch,
-    engine_api::CompletionRequest,
-    evidence::{Evidence, EvidenceError, Proved},
-    fairness::{Class, Ticket},
+    engine::{
+        api::CompletionRequest,
+        evidence::{Evidence, EvidenceError, Proved},
+    },
+    observe::telemetry,
     proto::peer::{self, generate_event::Event},
-    telemetry,
+    share::{
+        dispatch,
+        fairness::{Class, Ticket},
+    },
 };
 
 /// The time between two reports of progress to the step's owner.
--- a/src/entry/messages.rs
+++ b/src/entry/messages.rs
@@ -3,20 +3,22 @@
 use std::{sync::Arc, time::Duration};
 
 use crate::{
-    allowance::Kind,
-    attach::{HeldGroup, Pull, Reply},
     clock::millis,
     control::Exchange,
-    engine_api::CompletionChunk,
-    evidence::{Chunk, Proved, Segment},
-    handover::{Handover, Partial},
+    engine::{
+        api::CompletionChunk,
+        evidence::{Chunk, Proved, Segment},
+    },
     ids::Slot,
-    ledger,
     proto::peer,
-    quota,
-    sample::{self, FinishReason, Sample},
-    spec::{PromptGroup, StepSpec},
-    step::{Dispatch, Failure},
+    share::{allowance::Kind, ledger, quota},
+    step::{
+        Dispatch, Failure,
+        attach::{HeldGroup, Pull, Reply},
+        handover::{Handover, Partial},
+        sample::{self, FinishReason, Sample},
+        spec::{PromptGroup, StepSpec},
+    },
 };
 
 /// How long an attempt may take in all; the owner gives up earlier where it
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -25,25 +25,29 @@
 use tokio_stream::wrappers::TcpListenerStream;
 
 use crate::{
-    auth::Keys,
-    blackboard::{Blackboard, Snapshot},
-    call,
-    claim_store::TableClaims,
+    api::platform::Listed,
+    call::{
+        self,
+        claim_store::TableClaims,
+        gate::{self, Gate},
+    },
     clock::Clock,
-    connection, control,
-    controller::Rng,
-    datagram::{Key, Receiver, Transport},
-    decision::Decision,
-    drain,
-    fairness::Ticket,
-    gate::{self, Gate},
+    connection,
+    control::{
+        self,
+        blackboard::{Blackboard, Snapshot},
+        controller::Rng,
+        decision::Decision,
+    },
+    entry::transport::{Receiver, Transport},
+    host::{datagram::Key, drain, membership},
     ids::Incarnation,
-    membership,
-    platform_api::Listed,
+    observe::telemetry::{self, Metrics, TelemetryError},
     proto::peer::peer_server::PeerServer,
     settings::Settings,
-    store_client::{AddressError, Budget, HttpTableService},
-    telemetry::{self, Metrics, TelemetryError},
+    share::fairness::Ticket,
+    store::client::{AddressError, Budget, HttpTableService},
+    table::auth::Keys,
 };
 
 mod api;
@@ -64,6 +68,7 @@
 pub mod problem;
 pub mod thread;
 mod trainers;
+pub mod transport;
 
 use burn_meter::Meter;
 use call_rate::CallRates;
--- a/src/entry/operators.rs
+++ b/src/entry/operators.rs
@@ -10,9 +10,13 @@
     thread::Input,
 };
 use crate::{
-    blackboard::{HostState, StoreCondition, UpstreamState},
-    control, drain, follower,
+    control::{
+        self,
+        blackboard::{HostState, StoreCondition, UpstreamState},
+    },
+    host::drain,
     ids::{HostId, Revision, UpstreamId},
+    store::follower,
 };
 
 /// What a host believes of the fleet.
@@ -79,7 +83,7 @@
 /// Tells which revision of the table is in force here.
 pub async fn in_force(ctx: &Context<'_>) -> WebResponse {
     let shared = ctx.state();
-    let token = crate::auth::bearer(ctx.req().headers());
+    let token = crate::table::auth::bearer(ctx.req().headers());
     let is_table_server = token.is_some_and(|token| shared.keys.is_fleet(token));
     if !is_table_server && api::admit_operator(ctx).is_err() {
         return Problem::Unauthorized.respond("this needs an operator's key", None);
--- a/src/entry/owners.rs
+++ b/src/entry/owners.rs
@@ -14,9 +14,9 @@
     thread::{ControlError, Input},
 };
 use crate::{
+    engine::rendezvous,
     ids::{HostId, RowId, StepNumber},
     proto::peer,
-    rendezvous,
 };
 
 /// Hosts that are tried for one request.
--- a/src/entry/thread.rs
+++ b/src/entry/thread.rs
@@ -8,21 +8,17 @@
     time::{Instant, sleep, timeout_at},
 };
 
-use super::{Shared, effects, messages};
+use super::{Shared, effects, messages, transport::Transport};
 use crate::{
-    blackboard::UpstreamState,
-    charge::Weighted,
+    api::platform::Listed,
     clock::Timestamp,
-    control::{self, Control, Effect, TICK},
-    datagram::Transport,
-    decision::Decision,
-    dispatch,
-    fairness::Ticket,
+    control::{self, Control, Effect, TICK, blackboard::UpstreamState, decision::Decision},
+    engine::{routing::Router, upstream_list},
     ids::{AttemptNumber, CallNumber},
-    platform_api::Listed,
+    observe::telemetry,
     proto::peer,
-    routing::Router,
-    step, telemetry, upstream_list,
+    share::{charge::Weighted, dispatch, fairness::Ticket},
+    step,
 };
 
 /// Inputs that may wait for the control thread.
--- a/src/entry/trainers.rs
+++ b/src/entry/trainers.rs
@@ -10,10 +10,10 @@
     problem::Problem,
 };
 use crate::{
+    api::trainer::{Pull, Pulled, Sample, Submission, Submitted},
     ids::{RowId, StepNumber, WeightVersion},
+    observe::telemetry,
     proto::peer,
-    telemetry,
-    trainer_api::{Pull, Pulled, Sample, Submission, Submitted},
 };
 
 /// When to ask again after a refusal that another host may not give.
--- a/src/experiment_engine.rs
+++ b/src/experiment/engine.rs
@@ -8,10 +8,12 @@
 
 use crate::{
     clock::Timestamp,
-    evidence::{Chunk, Evidence},
+    engine::evidence::{Chunk, Evidence},
     ids::{TokenId, UpstreamId, WeightVersion},
-    sample::{FinishReason, Sample, id},
-    step::{Dispatch, Event, Failure},
+    step::{
+        Dispatch, Event, Failure,
+        sample::{FinishReason, Sample, id},
+    },
 };
 
 /// The time between two reports of progress.
--- a/src/load.rs
+++ b/src/experiment/load.rs
@@ -32,19 +32,23 @@
 };
 
 use crate::{
-    blackboard::{UpstreamKind, UpstreamState},
-    change::{Change, RowEdit},
-    column::Cells,
-    controller::Rng,
-    edit::{self, EditError},
+    api::platform::Listed,
+    control::{
+        blackboard::{UpstreamKind, UpstreamState},
+        controller::Rng,
+    },
     entry::{Running, StartError},
-    platform_api::Listed,
     settings::{Settings, SettingsError},
     standin::{
         host_list::HostList,
         service::Service,
         table_service::{MemoryTable, TableServiceStandin},
     },
+    table::{
+        change::{Change, RowEdit},
+        column::Cells,
+        edit::{self, EditError},
+    },
 };
 
 /// The highest added latency at the 99th percentile.
--- a/src/experiment.rs
+++ b/src/experiment/mod.rs
@@ -3,6 +3,11 @@
 //! One trainer runs against model engines, so that policies can be compared on
 //! the same lengths, speeds and faults. The figures stand in
 //! docs/design/stragglers.md and docs/design/staleness.md.
+//!
+//! `engine` is the model of an engine; `load` measures real processes instead.
+
+pub mod engine;
+pub mod load;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -13,16 +18,20 @@
 use rand::{Rng as _, SeedableRng};
 
 use crate::{
-    attach::{HeldGroup, Pull, Reply},
-    blackboard::Blackboard,
     clock::Timestamp,
-    controller::{Controller as _, Rng, Round},
-    experiment_engine::Engine,
+    control::{
+        blackboard::Blackboard,
+        controller::{Controller as _, Rng, Round},
+    },
+    experiment::engine::Engine,
     ids::{GroupNumber, RowId, SampleIndex, StepNumber, WeightVersion},
-    row::Row,
-    spec::{PromptGroup, StepSpec},
-    staleness::age_versions,
-    step::{Action, Controller, Counters, Dispatch, Event, Policy},
+    step::{
+        Action, Controller, Counters, Dispatch, Event, Policy,
+        attach::{HeldGroup, Pull, Reply},
+        spec::{PromptGroup, StepSpec},
+        staleness::age_versions,
+    },
+    table::row::Row,
 };
 
 /// The span of one turn of the experiment.
--- a/src/broadcast.rs
+++ b/src/host/broadcast.rs
@@ -50,9 +50,8 @@
 ///
 /// ```
 /// use mimosavane::{
-///     blackboard::HostState,
-///     broadcast::{Priority, Queue},
-///     gossip::Update,
+///     control::blackboard::HostState,
+///     host::{broadcast::{Priority, Queue}, gossip::Update},
 /// };
 ///
 /// let mut queue = Queue::default();
--- a/src/datagram.rs
+++ b/src/host/datagram.rs
@@ -4,13 +4,12 @@
 //! receiver's address. The receiver refuses what is forged, meant for another
 //! host, repeated, or from an earlier life; see docs/design/membership.md.
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
+use std::{collections::BTreeMap, net::SocketAddr};
 
 use prost::Message as _;
-use tokio::net::UdpSocket;
 
 use crate::{
-    gossip::{Heartbeat, Malformed},
+    host::gossip::{Heartbeat, Malformed},
     ids::{HostId, Incarnation},
     proto::peer,
 };
@@ -133,10 +132,7 @@
 /// # Examples
 ///
 /// ```
-/// use mimosavane::{
-///     datagram::{Key, Opener, Sealer},
-///     gossip::{Body, Heartbeat},
-/// };
+/// use mimosavane::host::{datagram::{Key, Opener, Sealer}, gossip::{Body, Heartbeat}};
 ///
 /// let key = Key::derive("a secret of the fleet");
 /// let receiver = "127.0.0.1:9080".parse()?;
@@ -298,74 +294,3 @@
         Ok(())
     }
 }
-
-/// A socket that sends and receives signed heartbeats.
-#[derive(Debug)]
-pub struct Transport {
-    socket: Arc<UdpSocket>,
-    sealer: Sealer,
-}
-
-/// The receiving side of a [`Transport`].
-#[derive(Debug)]
-pub struct Receiver {
-    socket: Arc<UdpSocket>,
-    opener: Opener,
-}
-
-impl Transport {
-    /// Binds `own` and returns both sides.
-    ///
-    /// # Errors
-    ///
-    /// Fails where the system does not give the address.
-    pub async fn bind(own: SocketAddr, key: Key) -> std::io::Result<(Self, Receiver)> {
-        let socket = Arc::new(UdpSocket::bind(own).await?);
-        // Without this, the first datagrams would be held for not sendable.
-        socket.writable().await?;
-        let own = socket.local_addr()?;
-        let transport = Self {
-            socket: socket.clone(),
-            sealer: Sealer::new(key.clone()),
-        };
-        let receiver = Receiver {
-            socket,
-            opener: Opener::new(key, own),
-        };
-        Ok((transport, receiver))
-    }
-
-    /// Returns the address that was bound.
-    ///
-    /// # Errors
-    ///
-    /// Fails where the system does not tell.
-    pub fn local_address(&self) -> std::io::Result<SocketAddr> {
-        self.socket.local_addr()
-    }
-
-    /// Sends one heartbeat; a full socket buffer counts as loss.
-    ///
-    /// # Errors
-    ///
-    /// Fails where the heartbeat is too long or the system refuses it.
-    pub fn send(&mut self, heartbeat: &Heartbeat, to: SocketAddr) -> Result<usize, SendError> {
-        let bytes = self.sealer.seal(heartbeat, to)?;
-        self.socket
-            .try_send_to(&bytes, to)
-            .map_err(|source| SendError::Socket { to, source })
-    }
-}
-
-impl Receiver {
-    /// Waits for one datagram.
-    ///
-    /// # Errors
-    ///
-    /// Fails where the socket does; a refused datagram is an inner error.
-    pub async fn receive(&mut self) -> std::io::Result<(Result<Heartbeat, Refusal>, SocketAddr)> {
-        let mut buffer = [0; MAX_DATAGRAM_BYTES + 1];
-        let (length_bytes, source) = self.socket.recv_from(&mut buffer).await?;
-        Ok((self.opener.open(&buffer[..length_bytes]), source))
-    }
-}
--- a/src/drain.rs
+++ b/src/host/drain.rs
@@ -12,8 +12,10 @@
 
 use crate::{
     clock::Timestamp,
-    controller::Round,
-    decision::{Decision, Kind},
+    control::{
+        controller::Round,
+        decision::{Decision, Kind},
+    },
     ids::{HostId, RowId, StepNumber},
 };
 
@@ -143,7 +145,7 @@
 /// # Examples
 ///
 /// ```
-/// use mimosavane::drain::{Config, Controller, Phase};
+/// use mimosavane::host::drain::{Config, Controller, Phase};
 /// use std::time::Duration;
 ///
 /// let config = Config {
--- a/src/flap.rs
+++ b/src/host/flap.rs
@@ -28,7 +28,7 @@
 /// # Examples
 ///
 /// ```
-/// use mimosavane::flap::{Damper, RETURN_PENALTY};
+/// use mimosavane::host::flap::{Damper, RETURN_PENALTY};
 /// use std::time::Duration;
 ///
 /// let mut damper = Damper::default();
--- a/src/gossip.rs
+++ b/src/host/gossip.rs
@@ -6,8 +6,8 @@
 use std::net::SocketAddr;
 
 use crate::{
-    blackboard::{Host, HostState, ServedCount},
-    broadcast::News,
+    control::blackboard::{Host, HostState, ServedCount},
+    host::broadcast::News,
     ids::{FailureDomain, HostId, Incarnation, Region, Revision, RowId, UpstreamId},
     proto::peer::{self, heartbeat, member_update},
 };
--- a/src/member.rs
+++ b/src/host/member.rs
@@ -8,10 +8,12 @@
 };
 
 use crate::{
-    blackboard::{Blackboard, Host, HostState},
     clock::Timestamp,
-    flap::{Damper, REFUTE_PENALTY, RETURN_PENALTY},
-    gossip::{Place, Update},
+    control::blackboard::{Blackboard, Host, HostState},
+    host::{
+        flap::{Damper, REFUTE_PENALTY, RETURN_PENALTY},
+        gossip::{Place, Update},
+    },
     ids::{HostId, Incarnation, Region},
 };
 
--- a/src/member/selection.rs
+++ b/src/host/member/selection.rs
@@ -6,8 +6,10 @@
 
 use super::List;
 use crate::{
-    blackboard::{Host, HostState},
-    controller::Rng,
+    control::{
+        blackboard::{Host, HostState},
+        controller::Rng,
+    },
     ids::{HostId, Incarnation},
 };
 
--- a/src/membership.rs
+++ b/src/host/membership.rs
@@ -7,17 +7,21 @@
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use crate::{
-    blackboard::{Host, HostState},
-    broadcast::{Priority, Queue},
     clock::Timestamp,
-    controller::Round,
-    datagram::Refusal,
-    decision::{Decision, Kind},
-    gossip::{Body, Heartbeat, NoticeVersion, ServedReport, Update, UpstreamNotice},
+    control::{
+        blackboard::{Host, HostState},
+        controller::Round,
+        decision::{Decision, Kind},
+    },
+    host::{
+        broadcast::{Priority, Queue},
+        datagram::Refusal,
+        gossip::{Body, Heartbeat, NoticeVersion, ServedReport, Update, UpstreamNotice},
+        member::{List, Transition},
+        prober::{Prober, Waiter},
+        refusals::Tally,
+    },
     ids::{HostId, Incarnation, Region, Revision, RowId, UpstreamId},
-    member::{List, Transition},
-    prober::{Prober, Waiter},
-    refusals::Tally,
     settings::Settings,
 };
 
@@ -166,7 +170,7 @@
 /// # Examples
 ///
 /// ```
-/// use mimosavane::{membership, settings::Settings};
+/// use mimosavane::{host::membership, settings::Settings};
 ///
 /// # let text = "
 /// # host: {id: a, region: r, failure_domain: f, http_address: 127.0.0.1:1, peer_address: 127.0.0.1:2}
--- a/src/membership/detection.rs
+++ b/src/host/membership/detection.rs
@@ -3,11 +3,15 @@
 use std::time::Duration;
 
 use crate::{
-    blackboard::HostState,
-    decision::{Decision, Kind},
-    gossip::{Body, ProbeId},
+    control::{
+        blackboard::HostState,
+        decision::{Decision, Kind},
+    },
+    host::{
+        gossip::{Body, ProbeId},
+        prober::{Failure, Waiter},
+    },
     ids::HostId,
-    prober::{Failure, Waiter},
 };
 
 use super::{Controller, RELAY_COUNT, Turn};
--- a/src/membership/dissemination.rs
+++ b/src/host/membership/dissemination.rs
@@ -5,12 +5,16 @@
 use rand::Rng as _;
 
 use crate::{
-    blackboard::{Blackboard, HostState, ServedCount},
-    broadcast::{News as _, Priority},
-    decision::{Decision, Kind},
-    gossip::{Body, Heartbeat, ProbeId, ServedReport, Update, UpstreamNotice},
+    control::{
+        blackboard::{Blackboard, HostState, ServedCount},
+        decision::{Decision, Kind},
+    },
+    host::{
+        broadcast::{News as _, Priority},
+        gossip::{Body, Heartbeat, ProbeId, ServedReport, Update, UpstreamNotice},
+        prober::Waiter,
+    },
     ids::{HostId, RowId},
-    prober::Waiter,
 };
 
 use super::{
--- a/src/prober.rs
+++ b/src/host/prober.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
-use crate::{clock::Timestamp, gossip::ProbeId, ids::HostId};
+use crate::{clock::Timestamp, host::gossip::ProbeId, ids::HostId};
 
 /// The most probes that wait at once, own and relayed.
 const MAX_OPEN_COUNT: usize = 256;
@@ -56,7 +56,7 @@
 /// # Examples
 ///
 /// ```
-/// use mimosavane::prober::{Prober, Waiter};
+/// use mimosavane::host::prober::{Prober, Waiter};
 /// use std::time::Duration;
 ///
 /// let mut prober = Prober::default();
--- a/src/refusals.rs
+++ b/src/host/refusals.rs
@@ -4,8 +4,8 @@
 
 use crate::{
     clock::Timestamp,
-    datagram::RefusalKind,
-    decision::{Decision, Kind},
+    control::decision::{Decision, Kind},
+    host::datagram::RefusalKind,
 };
 
 /// The time over which refusals of one kind make one record.
--- a/src/ingress/calls.rs
+++ b/src/ingress/calls.rs
@@ -11,19 +11,19 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
+    call::terms,
     clock::{Timestamp, millis},
     connection::{ConnectError, Connection, Protocol, SendError, Target, UpstreamRequest},
     ids::UpstreamId,
     ingress::{
         directory::Upstream,
         host::Host,
+        replies::{Reply, StreamCut, refusal, reply},
         routes::{Route, RouteKind},
-        server::{Reply, StreamCut, refusal, reply},
         wire::{Addressee, AnswerHead, ClientHead, Wire},
     },
-    rows::RowStore,
-    telemetry::{CALL_TIME, CALLS_ANSWERED, CALLS_NOT_RUN, CALLS_UNKNOWN},
-    terms,
+    observe::telemetry::{CALL_TIME, CALLS_ANSWERED, CALLS_NOT_RUN, CALLS_UNKNOWN},
+    store::rows::RowStore,
 };
 
 /// How many times its latency objective an idempotent call waits for one upstream
--- a/src/ingress/coordinator/jobs.rs
+++ b/src/ingress/coordinator/jobs.rs
@@ -13,8 +13,8 @@
     clock::millis,
     ids::FenceNumber,
     ingress::{stored, wire::Wire},
-    rows::{RowError, RowRange, RowStamp, RowStore},
-    telemetry::{RESULT_AGE, RESULTS_LISTED},
+    observe::telemetry::{RESULT_AGE, RESULTS_LISTED},
+    store::rows::{RowError, RowRange, RowStamp, RowStore},
 };
 
 /// The pause after the store failed.
--- a/src/ingress/coordinator/leadership.rs
+++ b/src/ingress/coordinator/leadership.rs
@@ -10,9 +10,9 @@
     clock::{Timestamp, millis},
     ids::HostId,
     ingress::{orders::ORDER_TIMEOUT, retention, stored, wire::Wire},
-    lease::{self, Machine, Terms, Versioned, Wrote},
-    rows::{RowError, RowName, RowPage, RowRange, RowStore, RowTransaction},
-    telemetry::LEASES_TAKEN,
+    observe::telemetry::LEASES_TAKEN,
+    store::rows::{RowError, RowName, RowPage, RowRange, RowStore, RowTransaction},
+    weights::lease::{self, Machine, Terms, Versioned, Wrote},
 };
 
 /// The table, partition and key of the lease.
--- a/src/ingress/coordinator/mod.rs
+++ b/src/ingress/coordinator/mod.rs
@@ -36,9 +36,11 @@
         runs::{self, Run},
         wire::Wire,
     },
-    lease::Machine,
-    rows::RowStore,
-    telemetry::{ITEMS_WAITING, JOBS_LED, ORDERS_SENT, RUNS_BROKEN, RUNS_OPEN, RUNS_STARTED},
+    observe::telemetry::{
+        ITEMS_WAITING, JOBS_LED, ORDERS_SENT, RUNS_BROKEN, RUNS_OPEN, RUNS_STARTED,
+    },
+    store::rows::RowStore,
+    weights::lease::Machine,
 };
 
 /// How long after its lease lapsed a coordinator still starts runs; by then
--- a/src/ingress/feeds.rs
+++ b/src/ingress/feeds.rs
@@ -12,8 +12,8 @@
         stored,
         wire::{OperatorChange, Wire},
     },
-    rows::{RowError, RowPage, RowRange, RowStamp, RowStore, StoredRow},
-    telemetry::STORE_LOST,
+    observe::telemetry::STORE_LOST,
+    store::rows::{RowError, RowPage, RowRange, RowStamp, RowStore, StoredRow},
 };
 
 /// How long a feed waits for a change. A connection that fell silent is found
--- a/src/ingress/host.rs
+++ b/src/ingress/host.rs
@@ -10,23 +10,16 @@
     time::Duration,
 };
 
-use tokio::{
-    sync::Notify,
-    task::{LocalSet, spawn_local},
-    time::sleep,
-};
+use tokio::sync::Notify;
 
 use crate::{
     batch::job::{JobId, ModelId},
     clock::{Clock, Timestamp},
     connection::{Limits, Pool},
     ids::{FailureDomain, HostId, WeightVersion},
-    ingress::{
-        coordinator::Coordinator, directory::Directory, feeds, metrics::Exposition,
-        routes::Configuration, server, wire::Wire,
-    },
-    rows::RowStore,
-    telemetry::Metrics,
+    ingress::{directory::Directory, metrics::Exposition, routes::Configuration, wire::Wire},
+    observe::telemetry::Metrics,
+    store::rows::RowStore,
 };
 
 /// How long an upstream may leave written bytes unacknowledged.
@@ -36,16 +29,6 @@
 /// and a lost opening packet is sent again after a second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// The part of the stop's grace during which new connections still come, since
-/// the platform finds out only after two missed questions, a second apart.
-const ACCEPTING_RATIO: f64 = 0.45;
-
-/// The part of the stop's grace after which the process ends whatever is open.
-const STOP_RATIO: f64 = 0.9;
-
-/// How often a stopping host looks whether anything is open.
-const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
-
 /// The settings of one host.
 #[derive(Clone, Debug, PartialEq)]
 pub struct HostSettings {
@@ -189,62 +172,4 @@
     pub fn is_ready(&self) -> bool {
         !self.is_stopping.get() && self.beliefs.borrow().configuration.is_some()
     }
-
-    /// Runs the host until `stop` ends, and then stops it without cutting off a
-    /// request.
-    ///
-    /// # Errors
-    ///
-    /// Fails where an address cannot be listened on.
-    pub async fn run(self: Rc<Self>, stop: impl Future<Output = ()>) -> std::io::Result<()> {
-        let local = LocalSet::new();
-        local.run_until(self.run_local(stop)).await
-    }
-
-    async fn run_local(self: Rc<Self>, stop: impl Future<Output = ()>) -> std::io::Result<()> {
-        tracing::info!(
-            event = "host.start",
-            host = &*self.settings.host,
-            failure_domain = &*self.settings.failure_domain,
-            store = %self.settings.store_address,
-            memory_limit_mb = self.settings.memory_limit_mb,
-        );
-        let clients = server::bind(self.settings.client_address)?;
-        let ready = server::bind(self.settings.ready_address)?;
-        if let Some(address) = self.settings.metrics_address {
-            let listener = server::bind(address)?;
-            spawn_local(server::serve_ready(self.clone(), listener));
-        }
-        let coordinator = Coordinator::new(self.clone());
-        spawn_local(feeds::follow_operator(self.clone()));
-        spawn_local(feeds::follow_upstreams(self.clone()));
-        spawn_local(server::serve_ready(self.clone(), ready));
-        let accepting = spawn_local(server::serve_clients(self.clone(), clients));
-        spawn_local(coordinator.clone().run());
-        stop.await;
-        tracing::info!(
-            event = "host.stopping",
-            host = &*self.settings.host,
-            open_count = self.open_count.get(),
-        );
-        self.is_stopping.set(true);
-        coordinator.hand_over().await;
-        sleep(self.settings.stop_grace.mul_f64(ACCEPTING_RATIO)).await;
-        accepting.abort();
-        self.stopping.notify_waiters();
-        let limit = self
-            .settings
-            .stop_grace
-            .mul_f64(STOP_RATIO - ACCEPTING_RATIO);
-        let stop_at = self.now() + limit;
-        while self.open_count.get() > 0 && self.now() < stop_at {
-            sleep(STOP_POLL_INTERVAL).await;
-        }
-        tracing::info!(
-            event = "host.stop",
-            host = &*self.settings.host,
-            open_count = self.open_count.get(),
-        );
-        Ok(())
-    }
 }
--- a/src/ingress/jobs.rs
+++ b/src/ingress/jobs.rs
@@ -18,12 +18,12 @@
     clock::millis,
     ingress::{
         host::Host,
+        replies::{Reply, as_json, refusal, reply},
         routes::Route,
-        server::{Reply, as_json, refusal, reply},
         wire::{ClientHead, JobCall, Wire},
     },
-    rows::{RowError, RowPage, RowRange, RowStore, RowTransaction},
-    telemetry::{JOB_ACCEPT_TIME, JOBS_ACCEPTED, JOBS_REFUSED},
+    observe::telemetry::{JOB_ACCEPT_TIME, JOBS_ACCEPTED, JOBS_REFUSED},
+    store::rows::{RowError, RowPage, RowRange, RowStore, RowTransaction},
 };
 
 /// How often a call to the store is tried where trying again is safe.
--- a/src/ingress/listing.rs
+++ b/src/ingress/listing.rs
@@ -19,7 +19,7 @@
         scheduler::{Action, Scheduler},
     },
     ingress::stored,
-    rows::{RowError, RowStamp, RowStore},
+    store::rows::{RowError, RowStamp, RowStore},
 };
 
 /// How long results gather before they are listed in one transaction: less than
--- a/src/ingress/mod.rs
+++ b/src/ingress/mod.rs
@@ -17,6 +17,8 @@
 pub mod log;
 pub mod metrics;
 pub mod orders;
+mod process;
+pub mod replies;
 pub mod retention;
 pub mod routes;
 pub mod runs;
--- a/src/ingress/orders.rs
+++ b/src/ingress/orders.rs
@@ -14,7 +14,7 @@
         host::Host,
         wire::{Addressee, EngineReport, LoadOrder, OrderAnswer, Wire},
     },
-    rows::RowStore,
+    store::rows::RowStore,
 };
 
 /// How long an engine may leave an order or a question unanswered.
--- a/src/ingress/retention.rs
+++ b/src/ingress/retention.rs
@@ -11,7 +11,7 @@
     },
     clock::millis,
     ingress::{host::Host, stored, wire::Wire},
-    rows::{RowError, RowName, RowStore, RowTransaction},
+    store::rows::{RowError, RowName, RowStore, RowTransaction},
 };
 
 /// How often jobs are looked through; a tenth of the sheets' 120 s for which
--- a/src/ingress/runs.rs
+++ b/src/ingress/runs.rs
@@ -18,7 +18,7 @@
         host::Host,
         wire::{Addressee, EventParser as _, Wire},
     },
-    rows::RowStore,
+    store::rows::RowStore,
 };
 
 /// What a run needs.
--- a/src/ingress/server.rs
+++ b/src/ingress/server.rs
@@ -7,13 +7,9 @@
 use std::{convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use http::{HeaderValue, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt as _, Either, Full, Limited, StreamBody};
-use hyper::{
-    body::{Frame, Incoming},
-    server::conn::http1,
-    service::service_fn,
-};
+use http::{HeaderValue, Request, StatusCode, header};
+use http_body_util::{BodyExt as _, Limited};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
     net::{TcpListener, TcpSocket, TcpStream},
@@ -21,17 +17,17 @@
     task::spawn_local,
     time::sleep,
 };
-use tokio_stream::wrappers::ReceiverStream;
 
 use crate::{
     ingress::{
         calls,
         host::{Host, OpenRequest},
         jobs,
+        replies::{Reply, refusal, reply},
         routes::RouteKind,
         wire::Wire,
     },
-    rows::RowStore,
+    store::rows::RowStore,
 };
 
 /// How many connections may wait to be accepted.
@@ -56,18 +52,6 @@
 /// The path of the page of metrics.
 const METRICS_PATH: &str = "/metrics";
 
-/// That a stream broke off.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("the stream broke off")]
-pub struct StreamCut;
-
-/// The body of an answer: whole, or as it arrives.
-pub type ReplyBody =
-    Either<Full<Bytes>, StreamBody<ReceiverStream<Result<Frame<Bytes>, StreamCut>>>>;
-
-/// An answer to a client.
-pub type Reply = Response<ReplyBody>;
-
 /// Listens on `address`.
 ///
 /// # Errors
@@ -83,32 +67,6 @@
     socket.listen(BACKLOG_COUNT)
 }
 
-/// Makes an answer without a body.
-pub fn reply(status: StatusCode, body: impl Into<Bytes>) -> Reply {
-    let mut response = Response::new(Either::Left(Full::new(body.into())));
-    *response.status_mut() = status;
-    response
-}
-
-/// Makes a refusal that tells when to come back.
-pub fn refusal(retry_after: Duration) -> Reply {
-    let mut response = reply(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
-    let seconds = format!("{:.3}", retry_after.as_secs_f64());
-    if let Ok(value) = HeaderValue::from_str(&seconds) {
-        response.headers_mut().insert(header::RETRY_AFTER, value);
-    }
-    response
-}
-
-/// Marks an answer as JSON.
-pub fn as_json(mut response: Reply) -> Reply {
-    response.headers_mut().insert(
-        header::CONTENT_TYPE,
-        HeaderValue::from_static("application/json"),
-    );
-    response
-}
-
 /// Answers the platform's questions whether this host is ready.
 pub async fn serve_ready<S: RowStore, W: Wire>(host: Rc<Host<S, W>>, listener: TcpListener) {
     loop {
--- a/src/ingress/stored.rs
+++ b/src/ingress/stored.rs
@@ -8,7 +8,7 @@
         layout::{self, LayoutError, Tally},
         output::Output,
     },
-    rows::{RowError, RowPage, RowRange, RowStamp, RowStore, StoredRow},
+    store::rows::{RowError, RowPage, RowRange, RowStamp, RowStore, StoredRow},
 };
 
 /// A job as the store has it.
--- a/src/ingress/wire.rs
+++ b/src/ingress/wire.rs
@@ -16,7 +16,7 @@
         directory::Upstream,
         routes::{Configuration, Route},
     },
-    rows::StoredRow,
+    store::rows::StoredRow,
 };
 
 /// What a client's request says about itself.
--- a/src/burn.rs
+++ b/src/observe/burn.rs
@@ -160,7 +160,7 @@
 /// # Examples
 ///
 /// ```
-/// use mimosavane::burn::{Objective, Recorder, Tally};
+/// use mimosavane::observe::burn::{Objective, Recorder, Tally};
 /// use std::time::Duration;
 ///
 /// let mut recorder = Recorder::new(1.0);
--- a/src/burn_page.rs
+++ b/src/observe/burn_page.rs
@@ -12,8 +12,10 @@
 use strum::IntoEnumIterator as _;
 
 use crate::{
-    burn::{Objective, Window},
-    burn_report::{Alert, Line, Report, Scope, burn_ratio},
+    observe::{
+        burn::{Objective, Window},
+        burn_report::{Alert, Line, Report, Scope, burn_ratio},
+    },
     settings::ObjectiveSettings,
 };
 
--- a/src/burn_report.rs
+++ b/src/observe/burn_report.rs
@@ -7,9 +7,11 @@
 use strum::IntoEnumIterator as _;
 
 use crate::{
-    burn::{HostWindows, Objective, Tally, Window},
-    explain::{Missing, RecordingError},
     ids::{HostId, RowId},
+    observe::{
+        burn::{HostWindows, Objective, Tally, Window},
+        explain::{Missing, RecordingError},
+    },
     settings::ObjectiveSettings,
 };
 
@@ -89,8 +91,7 @@
 ///
 /// ```
 /// use mimosavane::{
-///     burn::{Objective, Recorder, Tally},
-///     burn_report::{Alert, Report},
+///     observe::{burn::{Objective, Recorder, Tally}, burn_report::{Alert, Report}},
 ///     settings::ObjectiveSettings,
 /// };
 /// use std::time::Duration;
--- a/src/capacity.rs
+++ b/src/observe/capacity.rs
@@ -69,7 +69,7 @@
     /// # Examples
     ///
     /// ```
-    /// use mimosavane::capacity::Line;
+    /// use mimosavane::observe::capacity::Line;
     ///
     /// let line = Line::fit(&[(0.0, 1.0), (1.0, 3.0)]);
     /// assert_eq!(line.at(10.0), 21.0);
--- a/src/explain.rs
+++ b/src/observe/explain.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    decision::{Decision, Figure, Kind},
+    control::decision::{Decision, Figure, Kind},
     ids::HostId,
 };
 
@@ -56,8 +56,8 @@
 ///
 /// ```
 /// use mimosavane::{
-///     decision::{Decision, Kind},
-///     explain::{Account, Answer},
+///     control::decision::{Decision, Kind},
+///     observe::explain::{Account, Answer},
 /// };
 /// use std::time::Duration;
 ///
--- a/src/log_story.rs
+++ b/src/observe/log_story.rs
@@ -70,7 +70,7 @@
     /// # Examples
     ///
     /// ```
-    /// use mimosavane::log_story::Story;
+    /// use mimosavane::observe::log_story::Story;
     ///
     /// let log = r#"{"timestamp":"2026-01-01T00:00:00Z","event":"call.failed","id":"7c"}"#;
     /// assert!(Story::read("7c", [log]).is_known());
--- a/src/telemetry.rs
+++ b/src/observe/telemetry.rs
@@ -140,13 +140,13 @@
 ///
 /// ```
 /// use mimosavane::{
+///     observe::telemetry::{CALLS_ANSWERED, Metrics},
 ///     settings::TelemetrySettings,
-///     telemetry::{CALLS_ANSWERED, Metrics},
 /// };
 ///
 /// let metrics = Metrics::start(&TelemetrySettings::default(), &"entry-1".into())?;
 /// metrics.count(CALLS_ANSWERED, 1);
-/// # Ok::<(), mimosavane::telemetry::TelemetryError>(())
+/// # Ok::<(), mimosavane::observe::telemetry::TelemetryError>(())
 /// ```
 #[derive(Clone, Debug)]
 pub struct Metrics {
@@ -219,7 +219,7 @@
         "# Metrics\n\n\
          Metrics go as StatsD datagrams to `telemetry.statsd_address`, each with the tag `host`.\n\
          Names end in their unit. This page is written by `cargo run --example pages` from\n\
-         `src/telemetry.rs`.\n\n\
+         `src/observe/telemetry.rs`.\n\n\
          | Name | Kind | Meaning |\n|---|---|---|\n",
     );
     for metric in METRICS {
--- a/src/trace.rs
+++ b/src/observe/trace.rs
@@ -8,9 +8,9 @@
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use serde_json::{Map, Value};
 
-use crate::{burn::HostWindows, clock::Timestamp, decision::Decision};
+use crate::{clock::Timestamp, control::decision::Decision, observe::burn::HostWindows};
 
-pub use crate::trace_event::{
+pub use crate::observe::trace_event::{
     EnginePart, Event, Figure, Header, HostPart, ListedState, Outcome, World,
 };
 
@@ -57,7 +57,7 @@
 /// # Examples
 ///
 /// ```
-/// use mimosavane::trace::Trace;
+/// use mimosavane::observe::trace::Trace;
 ///
 /// let text = r#"{"format":"mimosavane-trace/1","title":"none","promise":"none","seed":1,"duration_ms":10,"settings":{},"outcomes":[]}
 /// {"at_ms":5,"event":"new-weights","version":2}
@@ -67,7 +67,7 @@
 /// let wrong = text.replace("version", "wersion");
 /// let error = Trace::parse(&wrong).unwrap_err().to_string();
 /// assert!(error.starts_with("line 2, field"), "{error}");
-/// # Ok::<(), mimosavane::trace::TraceError>(())
+/// # Ok::<(), mimosavane::observe::trace::TraceError>(())
 /// ```
 #[derive(Clone, Debug, PartialEq)]
 pub struct Trace {
--- a/src/trace_event.rs
+++ b/src/observe/trace_event.rs
@@ -4,20 +4,20 @@
 use serde_json::{Map, Value};
 
 use crate::{
-    blackboard::UpstreamState,
+    api::trainer::Held,
+    control::blackboard::UpstreamState,
     ids::{
         AttachNumber, ChangeId, FailureDomain, HostId, Region, RowId, RowVersion, StepNumber,
         UpstreamId, WeightVersion,
     },
-    row::Row,
-    trainer_api::Held,
+    table::row::Row,
 };
 
 /// The first line of a trace.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Header {
-    /// [`crate::trace::FORMAT`].
+    /// [`crate::observe::trace::FORMAT`].
     pub format: String,
     /// What the trace is about, in one line.
     pub title: String,
--- a/src/platform/standin/engine.rs
+++ b/src/platform/standin/engine.rs
@@ -24,7 +24,7 @@
 
 use super::{CALLS, ENGINES, MODELS, NoAnswer, Record, Store, header_text, json_reply, serve};
 use crate::{
-    ingress::server::{Reply, ReplyBody, StreamCut},
+    ingress::replies::{Reply, ReplyBody, StreamCut},
     platform::names,
 };
 
--- a/src/platform/standin/mod.rs
+++ b/src/platform/standin/mod.rs
@@ -30,7 +30,7 @@
 };
 
 use crate::{
-    ingress::server::{Reply, ReplyBody},
+    ingress::replies::{Reply, ReplyBody},
     platform::names,
 };
 
--- a/src/platform/standin/store.rs
+++ b/src/platform/standin/store.rs
@@ -19,7 +19,7 @@
 };
 
 use super::{NoAnswer, json_reply, serve};
-use crate::{ingress::server::Reply, platform::names};
+use crate::{ingress::replies::Reply, platform::names};
 
 /// How long an answer takes, as the sheets say.
 const ANSWER_TIME: Duration = Duration::from_millis(4);
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -15,7 +15,7 @@
         ChangeDocument, ExpectedDocument, NameDocument, PartitionsDocument, PutDocument,
         RowDocument, RowsDocument,
     },
-    rows::{
+    store::rows::{
         Applied, NotAppliedReason, RowError, RowPage, RowRange, RowStamp, RowStore, RowTransaction,
         StoredRow,
     },
--- a/src/platform/wire.rs
+++ b/src/platform/wire.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     batch::job::{EventNumber, Item, ItemId, ItemResult, ItemState, Job, JobHead, JobId},
+    call::terms,
     connection::UpstreamRequest,
     ingress::{
         directory::Upstream,
@@ -27,8 +28,7 @@
         events::PlatformEvents,
         names,
     },
-    rows::StoredRow,
-    terms,
+    store::rows::StoredRow,
 };
 
 /// What stands for a time that the configuration leaves out.
--- a/src/replay/effect.rs
+++ b/src/replay/effect.rs
@@ -6,16 +6,12 @@
 
 use super::world::{Task, World};
 use crate::{
-    attach::Reply,
-    blackboard::EngineReport,
-    control::{Effect, Input},
-    engine_watch,
-    fairness::Ranking,
-    follower,
-    handover::Handover,
+    control::{Effect, Input, blackboard::EngineReport},
+    engine::{routing::Policy, upstream_list, watch},
     ids::{CallNumber, HostId, Revision, UpstreamId},
-    routing::Policy,
-    step, upstream_list,
+    share::fairness::Ranking,
+    step::{self, attach::Reply, handover::Handover},
+    store::follower,
 };
 
 impl<P: Policy, R: Ranking> World<'_, P, R> {
@@ -125,9 +121,9 @@
                     ..EngineReport::default()
                 };
                 let lag = Duration::from_millis(known.part().report_lag_ms);
-                (engine_watch::Event::Reported { engine, report }, lag)
+                (watch::Event::Reported { engine, report }, lag)
             }
-            None => (engine_watch::Event::Failed { engine }, Duration::ZERO),
+            None => (watch::Event::Failed { engine }, Duration::ZERO),
         };
         self.send(host, self.delay() * 2 + lag, Input::Engine(event));
     }
--- a/src/replay/engine.rs
+++ b/src/replay/engine.rs
@@ -6,12 +6,11 @@
 
 use crate::{
     clock::Timestamp,
-    engine_api::Report,
-    evidence::Chunk,
-    fairness::Ticket,
+    engine::{api::Report, evidence::Chunk},
     ids::{BootId, TokenId, WeightVersion},
+    observe::trace::EnginePart,
+    share::fairness::Ticket,
     standin::engine::VERSION_FACTOR,
-    trace::EnginePart,
 };
 
 /// Tokens a chunk.
--- a/src/replay/fault.rs
+++ b/src/replay/fault.rs
@@ -8,14 +8,14 @@
     world::{Fault, Task, World},
 };
 use crate::{
-    attach::{HeldGroup, Pull},
     clock::Timestamp,
     control::Input,
-    drain,
-    fairness::Ranking,
-    routing::Policy,
+    engine::routing::Policy,
+    host::drain,
+    observe::trace::Event,
+    share::fairness::Ranking,
     standin::table_service::LoseAnswers,
-    trace::Event,
+    step::attach::{HeldGroup, Pull},
 };
 
 impl<P: Policy, R: Ranking> World<'_, P, R> {
--- a/src/replay/generation.rs
+++ b/src/replay/generation.rs
@@ -6,13 +6,19 @@
 use crate::{
     clock::Timestamp,
     control::{self, Input},
-    dispatch,
-    evidence::{Chunk, Evidence},
-    fairness::{Ranking, Ticket},
+    engine::{
+        evidence::{Chunk, Evidence},
+        routing::Policy,
+    },
     ids::{AttemptNumber, HostId, UpstreamId},
-    routing::Policy,
-    sample::{self, FinishReason, Sample},
-    step::{Event, Failure},
+    share::{
+        dispatch,
+        fairness::{Ranking, Ticket},
+    },
+    step::{
+        Event, Failure,
+        sample::{self, FinishReason, Sample},
+    },
 };
 
 /// The time between two reports of progress to the owner.
--- a/src/replay/mod.rs
+++ b/src/replay/mod.rs
@@ -9,12 +9,13 @@
 use serde::Serialize;
 
 use crate::{
-    baseline::{Baseline, FirstCome, LeastRequests, PowerOfTwo, Random, RoundRobin},
-    charge::Weighted,
-    fairness::Ranking,
+    engine::{
+        baseline::{Baseline, FirstCome, LeastRequests, PowerOfTwo, Random, RoundRobin},
+        routing::{Policy, Router},
+    },
     ids::{HostId, RowId},
-    routing::{Policy, Router},
-    trace::{Figure, Outcome, Trace},
+    observe::trace::{Figure, Outcome, Trace},
+    share::{charge::Weighted, fairness::Ranking},
 };
 
 mod effect;
@@ -177,12 +178,12 @@
 /// # Examples
 ///
 /// ```
-/// use mimosavane::{replay, trace::Trace};
+/// use mimosavane::{observe::trace::Trace, replay};
 ///
 /// let text = r#"{"format":"mimosavane-trace/1","title":"calm","promise":"none","seed":1,"duration_ms":100,"settings":{},"outcomes":[{"figure":"revert_count","max":0}]}"#;
 /// let report = replay::play(&Trace::parse(text)?, true);
 /// assert!(report.is_held());
-/// # Ok::<(), mimosavane::trace::TraceError>(())
+/// # Ok::<(), mimosavane::observe::trace::TraceError>(())
 /// ```
 pub fn play(trace: &Trace, with_baselines: bool) -> Report {
     let (figures, real) =
--- a/src/replay/route.rs
+++ b/src/replay/route.rs
@@ -10,10 +10,9 @@
 };
 use crate::{
     control::Input,
-    fairness::Ranking,
+    engine::{rendezvous, routing::Policy},
     ids::{HostId, RowId, StepNumber},
-    rendezvous,
-    routing::Policy,
+    share::fairness::Ranking,
     step,
 };
 
--- a/src/replay/table.rs
+++ b/src/replay/table.rs
@@ -7,13 +7,15 @@
 
 use super::world::{Task, World};
 use crate::{
-    change::{Change, RowEdit},
-    claim::{self, Answer, Claim, ClaimStore as _, Key, Record, Step},
-    edit::{self, Attempt, EditError},
-    fairness::Ranking,
+    call::claim::{self, Answer, Claim, ClaimStore as _, Key, Record, Step},
+    engine::routing::Policy,
     ids::{ChangeId, HostId, RowId, RowVersion},
-    routing::Policy,
-    trace::Event,
+    observe::trace::Event,
+    share::fairness::Ranking,
+    table::{
+        change::{Change, RowEdit},
+        edit::{self, Attempt, EditError},
+    },
 };
 
 /// The pool of the calls in a trace.
--- a/src/replay/tally.rs
+++ b/src/replay/tally.rs
@@ -4,11 +4,11 @@
 
 use super::{table::Calls, world::World};
 use crate::{
-    blackboard::HostState,
     clock::Timestamp,
-    fairness::Ranking,
+    control::blackboard::HostState,
+    engine::routing::Policy,
     ids::{HostId, Revision},
-    routing::Policy,
+    share::fairness::Ranking,
 };
 
 /// How long after a disturbance a host may still be held for dead.
--- a/src/replay/trainer.rs
+++ b/src/replay/trainer.rs
@@ -7,12 +7,14 @@
 };
 
 use crate::{
-    attach::{HeldGroup, Pull},
     clock::Timestamp,
     ids::{AttachNumber, GroupNumber, RowId, SampleIndex, StepNumber, TokenId, WeightVersion},
-    sample::Sample,
-    spec::{PromptGroup, StepSpec},
     standin::engine::true_version,
+    step::{
+        attach::{HeldGroup, Pull},
+        sample::Sample,
+        spec::{PromptGroup, StepSpec},
+    },
 };
 
 /// The longest wait of one pull.
--- a/src/replay/world.rs
+++ b/src/replay/world.rs
@@ -18,22 +18,21 @@
     trainer::{Request, Trainer},
 };
 use crate::{
-    blackboard::UpstreamState,
-    change::{Change, RowEdit},
-    claim_store::TableClaims,
+    call::claim_store::TableClaims,
     clock::Timestamp,
-    control::{Control, Input},
-    controller::Rng,
-    edit,
-    fairness::{Ranking, Ticket},
+    control::{Control, Input, blackboard::UpstreamState, controller::Rng},
+    engine::{routing::Policy, upstream_list},
+    host::membership,
     ids::{CallNumber, HostId, RowId, StepNumber, UpstreamId, WeightVersion},
-    membership,
-    routing::Policy,
+    observe::trace::{Event, HostPart, Trace},
     settings::Settings,
+    share::fairness::{Ranking, Ticket},
     standin::table_service::MemoryTable,
     step,
-    trace::{Event, HostPart, Trace},
-    upstream_list,
+    table::{
+        change::{Change, RowEdit},
+        edit,
+    },
 };
 
 /// The step of virtual time.
@@ -104,7 +103,7 @@
     /// An answer arrives at a trainer.
     Accepted(RowId, StepNumber, bool),
     /// Samples arrive at a trainer.
-    Reply(RowId, StepNumber, crate::attach::Reply),
+    Reply(RowId, StepNumber, crate::step::attach::Reply),
     /// A host starts with nothing.
     Start(HostId),
     /// A fault ends.
@@ -376,7 +375,7 @@
             let state = self.listed.get(&part.id).copied().unwrap_or_default();
             (state != UpstreamState::Gone).then(|| upstream_list::Listed {
                 id: part.id.clone(),
-                kind: crate::blackboard::UpstreamKind::Engine,
+                kind: crate::control::blackboard::UpstreamKind::Engine,
                 pool: crate::control::MODEL_POOL.into(),
                 address: SocketAddr::from(([127, 1, 0, 1], port)),
                 failure_domain: part.failure_domain.clone(),
@@ -433,7 +432,7 @@
         &mut self,
         from: &HostId,
         to: SocketAddr,
-        heartbeat: crate::gossip::Heartbeat,
+        heartbeat: crate::host::gossip::Heartbeat,
     ) {
         let is_lost = self.rng.random_bool(self.loss_ratio.clamp(0.0, 1.0));
         let target = self
--- a/src/settings_check.rs
+++ b/src/settings/check.rs
@@ -1,15 +1,16 @@
 //! Finds all that is wrong with a settings file at once.
 //!
-//! The checks follow the table of [`crate::settings_field`]; see
+//! The checks follow the table of [`crate::settings::field`]; see
 //! docs/SETTINGS.md.
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
 use saphyr::{LoadableYamlNode as _, MarkedYaml, Scalar, YamlData};
 
-use crate::{
-    settings::Settings,
-    settings_field::{BELOW, FIELDS, Field, Presence, Shape},
+use crate::settings::{
+    Settings,
+    field::{BELOW, FIELDS, Field, Presence, Shape},
+    mistake::{Fault, Mistake},
 };
 
 /// The longest name.
@@ -17,78 +18,12 @@
 /// The shortest secret.
 const MIN_SECRET_BYTES: usize = 16;
 
-/// One mistake, and where it is.
-#[derive(Clone, Debug, PartialEq, thiserror::Error)]
-#[error("{file}:{line}: {field}: {fault}")]
-pub struct Mistake {
-    /// The file as it was named.
-    pub file: Arc<str>,
-    /// The line, from 1.
-    pub line: usize,
-    /// The path of the field, with dots.
-    pub field: String,
-    /// What is wrong.
-    pub fault: Fault,
-}
-
-/// What can be wrong with a field.
-#[derive(Clone, Debug, PartialEq, thiserror::Error)]
-pub enum Fault {
-    /// The text is not YAML.
-    #[error("not YAML: {reason}")]
-    Syntax {
-        /// What the parser said.
-        reason: String,
-    },
-    /// A section is not a mapping.
-    #[error("must be a mapping of fields")]
-    NotMapping,
-    /// The section has no such field.
-    #[error("unknown; the section has {known}")]
-    Unknown {
-        /// The fields that it has.
-        known: String,
-    },
-    /// A field that has no default is not there.
-    #[error("is missing and has no default; it takes {shape}")]
-    Missing {
-        /// What it takes.
-        shape: Shape,
-    },
-    /// A value does not fit; it is not repeated, since it may be a secret.
-    #[error("must be {shape}")]
-    Misfit {
-        /// What it takes.
-        shape: Shape,
-    },
-    /// A secret stands for two names.
-    #[error("has the same secret as {other}")]
-    SharedSecret {
-        /// The other name.
-        other: String,
-    },
-    /// A field is not below another one.
-    #[error("must be below {upper}, which is {upper_value}")]
-    NotBelow {
-        /// The other field.
-        upper: &'static str,
-        /// Its value.
-        upper_value: i64,
-    },
-    /// The text cannot be read into settings for another reason.
-    #[error("{reason}")]
-    Other {
-        /// What the reader said.
-        reason: String,
-    },
-}
-
 /// Returns all mistakes in `text`, in the order of their lines.
 ///
 /// # Examples
 ///
 /// ```
-/// let mistakes = mimosavane::settings_check::check("host.yaml", "hots: {}\n");
+/// let mistakes = mimosavane::settings::check::check("host.yaml", "hots: {}\n");
 /// assert_eq!(mistakes[0].line, 1);
 /// assert_eq!(mistakes[0].field, "hots");
 /// ```
--- a/src/settings_field.rs
+++ b/src/settings/field.rs
@@ -221,7 +221,7 @@
          Every program reads one YAML file. All mistakes in it are reported at once, each with\n\
          file, line and field; `mimosavane check-config FILE...` does only that. Unknown fields\n\
          are refused. This page is written by `cargo run --example pages` from\n\
-         `src/settings_field.rs`.\n\n\
+         `src/settings/field.rs`.\n\n\
          | Field | Takes | Unit | Default | Meaning |\n|---|---|---|---|---|\n",
     );
     for field in FIELDS {
--- a/src/settings.rs
+++ b/src/settings/mod.rs
@@ -2,6 +2,12 @@
 //!
 //! Each field carries its unit as a suffix and has a documented default; see
 //! docs/SETTINGS.md. Unknown fields are refused.
+//!
+//! `field` holds the ranges and sources of the fields, `check` finds all mistakes at once.
+
+pub mod check;
+pub mod field;
+pub mod mistake;
 
 use std::{
     collections::BTreeMap,
@@ -14,7 +20,7 @@
 use crate::{
     connection::Protocol,
     ids::{FailureDomain, HostId, Region, RowId},
-    settings_check::{self, Mistake},
+    settings::mistake::Mistake,
 };
 
 /// All settings of one host.
@@ -362,15 +368,15 @@
 
 /// Defaults of single fields, which serde takes as functions.
 mod defaults {
-    pub(super) const fn platform_timeout_ms() -> u64 {
+    pub(crate) const fn platform_timeout_ms() -> u64 {
         1_000
     }
 
-    pub(super) const fn table_service_max_reads_per_s() -> u32 {
+    pub(crate) const fn table_service_max_reads_per_s() -> u32 {
         2_000
     }
 
-    pub(super) const fn table_service_max_writes_per_s() -> u32 {
+    pub(crate) const fn table_service_max_writes_per_s() -> u32 {
         300
     }
 }
@@ -434,7 +440,7 @@
     ///
     /// # Errors
     ///
-    /// Fails with all mistakes that [`settings_check::check`] finds.
+    /// Fails with all mistakes that [`check::check`] finds.
     pub fn parse(text: &str) -> Result<Self, SettingsError> {
         Self::parse_named(UNNAMED_FILE, text)
     }
@@ -453,7 +459,7 @@
     }
 
     fn parse_named(file: &str, text: &str) -> Result<Self, SettingsError> {
-        let mistakes = settings_check::check(file, text);
+        let mistakes = check::check(file, text);
         if mistakes.is_empty() {
             Ok(serde_norway::from_str(text)?)
         } else {
--- a/src/allowance.rs
+++ b/src/share/allowance.rs
@@ -4,7 +4,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use crate::{ids::RowId, rendezvous, row::Row};
+use crate::{engine::rendezvous, ids::RowId, table::row::Row};
 
 /// A limit of a row.
 #[derive(
@@ -62,7 +62,7 @@
     /// # Examples
     ///
     /// ```
-    /// use mimosavane::quota::Split;
+    /// use mimosavane::share::quota::Split;
     ///
     /// let part = |ordinal| {
     ///     let max_run = std::time::Duration::from_secs(120);
--- a/src/charge.rs
+++ b/src/share/charge.rs
@@ -40,7 +40,7 @@
     /// # Examples
     ///
     /// ```
-    /// use mimosavane::fairness::Cost;
+    /// use mimosavane::share::fairness::Cost;
     ///
     /// let long = Cost { prompt_tokens: 10_000, generated_tokens: 10 };
     /// let short = Cost { prompt_tokens: 10, generated_tokens: 10 };
--- a/src/correction.rs
+++ b/src/share/correction.rs
@@ -5,7 +5,10 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use crate::{ids::RowId, ledger::Counts, share::Shares};
+use crate::{
+    ids::RowId,
+    share::{Shares, ledger_message::Counts},
+};
 
 /// How far ahead a row must be for its share to fall by the factor e.
 const PROPORTIONAL_TIME_S: f64 = 10.0;
@@ -41,7 +44,7 @@
 /// # Examples
 ///
 /// ```
-/// use mimosavane::{correction::Corrector, ledger::{Count, Counts}};
+/// use mimosavane::share::{correction::Corrector, ledger::{Count, Counts}};
 /// use std::time::Duration;
 ///
 /// let shares = [("guides".into(), 0.5), ("menus".into(), 0.5)].into();
--- a/src/dispatch.rs
+++ b/src/share/dispatch.rs
@@ -7,17 +7,22 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-pub use crate::queue_event::{Action, Event, Refusal, Request};
+pub use crate::share::queue_event::{Action, Event, Refusal, Request};
 use crate::{
-    blackboard::{Blackboard, UpstreamState},
     clock::Timestamp,
-    controller::{self, Round},
-    decision::{Decision, Kind},
-    fairness::{Cost, Entry, Ranking, Ticket, Weighted},
+    control::{
+        blackboard::{Blackboard, UpstreamState},
+        controller::{self, Round},
+        decision::{Decision, Kind},
+    },
     ids::{RowId, UpstreamId},
-    lane::{Lane, Pending, Running},
-    quota::Allowances,
-    share::{Shares, shares},
+    share::{
+        Shares,
+        fairness::{Cost, Entry, Ranking, Ticket, Weighted},
+        lane::{Lane, Pending, Running},
+        quota::Allowances,
+        shares,
+    },
 };
 
 /// The most requests of one row that wait for one engine.
@@ -36,11 +41,9 @@
 ///
 /// ```
 /// use mimosavane::{
-///     blackboard::{Blackboard, Rows, Upstream, UpstreamKind, UpstreamState, Upstreams},
-///     controller::{Controller as _, Rng, Round},
-///     dispatch::{Action, Controller, Event, Request},
-///     fairness::Class,
 ///     Row,
+///     control::{blackboard::{Blackboard, Rows, Upstream, UpstreamKind, UpstreamState, Upstreams}, controller::{Controller as _, Rng, Round}},
+///     share::{dispatch::{Action, Controller, Event, Request}, fairness::Class},
 /// };
 /// use rand::SeedableRng;
 /// use std::time::Duration;
--- a/src/fairness.rs
+++ b/src/share/fairness.rs
@@ -11,14 +11,16 @@
     marker::PhantomData,
 };
 
-pub use crate::charge::{
+pub use crate::share::charge::{
     Class, Cost, Entry, PROMPT_COST_RATIO, REQUEST_COST_TOKENS, Ranking, Ticket, Weighted,
 };
 use crate::{
+    engine::integer_hash::IntegerMap,
     ids::RowId,
-    integer_hash::IntegerMap,
-    row_queue::{Position, RowState, Sums, Tag},
-    share::Shares,
+    share::{
+        Shares,
+        row_queue::{Position, RowState, Sums, Tag},
+    },
 };
 
 /// How far interactive work may get above its part while rollouts wait.
@@ -51,7 +53,7 @@
 /// # Examples
 ///
 /// ```
-/// use mimosavane::fairness::{Class, Cost, Entry, Queue};
+/// use mimosavane::share::fairness::{Class, Cost, Entry, Queue};
 ///
 /// let mut queue = Queue::new();
 /// queue.set_shares(&[("guides".into(), 0.75), ("menus".into(), 0.25)].into());
--- a/src/lane.rs
+++ b/src/share/lane.rs
@@ -8,11 +8,13 @@
 };
 
 use crate::{
-    blackboard::EngineReport,
     clock::Timestamp,
-    fairness::{Entry, Queue, Ranking, Ticket},
+    control::blackboard::EngineReport,
     ids::RowId,
-    share::Shares,
+    share::{
+        Shares,
+        fairness::{Entry, Queue, Ranking, Ticket},
+    },
 };
 
 /// How long one token takes on an engine that has not reported yet.
--- a/src/ledger.rs
+++ b/src/share/ledger.rs
@@ -7,17 +7,17 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-pub use crate::ledger_message::{Action, Count, Counts, Event, Level, Message};
+pub use crate::share::ledger_message::{Action, Count, Counts, Event, Level, Message};
 use crate::{
-    blackboard::{Blackboard, ServedCount},
     clock::Timestamp,
-    controller::{self, Round},
-    correction::Corrector,
-    decision::{Decision, Kind},
-    dispatch::RowLoad,
+    control::{
+        blackboard::{Blackboard, ServedCount},
+        controller::{self, Round},
+        decision::{Decision, Kind},
+    },
+    engine::rendezvous,
     ids::{HostId, Incarnation, RowId},
-    rendezvous,
-    share::shares,
+    share::{correction::Corrector, dispatch::RowLoad, shares},
 };
 
 /// The most hosts or groups that one group gathers, about.
@@ -114,7 +114,7 @@
 /// # Examples
 ///
 /// ```
-/// use mimosavane::ledger::Controller;
+/// use mimosavane::share::ledger::Controller;
 ///
 /// let ledger = Controller::new("entry-1", 1);
 /// assert!(ledger.corrections().is_empty());
--- a/src/ledger_message.rs
+++ b/src/share/ledger_message.rs
@@ -3,8 +3,8 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 use crate::{
-    dispatch::RowLoad,
     ids::{HostId, Incarnation, RowId},
+    share::dispatch::RowLoad,
 };
 
 /// Numbers the levels of the tree; hosts report at level 0.
--- a/src/share.rs
+++ b/src/share/mod.rs
@@ -1,10 +1,26 @@
 //! The part of the engines that the table gives each row.
 //!
 //! See docs/design/shares.md for how weights and fixed parts combine.
+//!
+//! Read in this order: `allowance` and `quota` for what each host may give out, `fairness` and
+//! `dispatch` for who is next, `ledger` and `correction` for what was given. Everything here
+//! decides and does no I/O.
+
+pub mod allowance;
+pub mod charge;
+pub mod correction;
+pub mod dispatch;
+pub mod fairness;
+pub(crate) mod lane;
+pub mod ledger;
+pub mod ledger_message;
+pub mod queue_event;
+pub mod quota;
+pub(crate) mod row_queue;
 
 use std::collections::BTreeMap;
 
-use crate::{blackboard::Rows, ids::RowId};
+use crate::{control::blackboard::Rows, ids::RowId};
 
 /// The most that fixed parts take together while other rows go by weight.
 const MAX_FIXED_RATIO: f64 = 0.95;
@@ -23,7 +39,7 @@
 /// # Examples
 ///
 /// ```
-/// use mimosavane::{blackboard::Rows, row::Row, share::shares};
+/// use mimosavane::{control::blackboard::Rows, share::shares, table::row::Row};
 ///
 /// let mut rows = Rows::default();
 /// let mut fixed = Row::new("guides");
--- a/src/queue_event.rs
+++ b/src/share/queue_event.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use crate::{
-    charge::{Class, Ticket},
     clock::Timestamp,
     ids::{RowId, UpstreamId},
+    share::charge::{Class, Ticket},
 };
 
 /// A request for one engine.
--- a/src/quota.rs
+++ b/src/share/quota.rs
@@ -9,12 +9,14 @@
 
 use rand::{Rng as _, seq::IteratorRandom};
 
-pub use crate::allowance::{Allowance, Allowances, Kind, Split};
+pub use crate::share::allowance::{Allowance, Allowances, Kind, Split};
 use crate::{
-    blackboard::Rows,
     clock::Timestamp,
-    controller::{self, Round},
-    decision::{Decision, Kind as DecisionKind},
+    control::{
+        blackboard::Rows,
+        controller::{self, Round},
+        decision::{Decision, Kind as DecisionKind},
+    },
     ids::{HostId, RowId},
 };
 
@@ -25,7 +27,7 @@
 const RENEW_AFTER: Duration = Duration::from_secs(5);
 
 /// What a lender adds to each wait: clocks drift, and the borrower may send a
-/// start up to [`START_VALIDITY`](crate::dispatch::START_VALIDITY) late.
+/// start up to [`START_VALIDITY`](crate::share::dispatch::START_VALIDITY) late.
 const LENDER_MARGIN: Duration = Duration::from_secs(2);
 
 /// The time between two asks for the same limit.
@@ -150,7 +152,7 @@
 /// # Examples
 ///
 /// ```
-/// use mimosavane::{Row, blackboard::Rows, quota::{Controller, Split}};
+/// use mimosavane::{Row, control::blackboard::Rows, share::quota::{Controller, Split}};
 /// use std::time::Duration;
 ///
 /// let mut row = Row::new("guides");
--- a/src/row_queue.rs
+++ b/src/share/row_queue.rs
@@ -2,7 +2,7 @@
 
 use std::{cmp::Reverse, collections::BTreeMap};
 
-use crate::charge::{Class, Entry, Ranking};
+use crate::share::charge::{Class, Entry, Ranking};
 
 /// An f64 with the total order, for sorted sets.
 #[derive(Clone, Copy, Debug)]
--- a/src/standin/balancer.rs
+++ b/src/standin/balancer.rs
@@ -8,7 +8,7 @@
 use tokio::task::JoinHandle;
 
 use super::client::Client;
-use crate::controller::Rng;
+use crate::control::controller::Rng;
 
 /// The time between two readiness checks of a host.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -22,8 +22,8 @@
 
 use super::listener::{Body, Broken, Listener, json, read};
 use crate::{
-    controller::Rng,
-    engine_api::{CompletionChunk, CompletionRequest, Order, Report},
+    control::controller::Rng,
+    engine::api::{CompletionChunk, CompletionRequest, Order, Report},
     ids::{BootId, FenceNumber, WeightVersion},
 };
 
--- a/src/standin/host_list.rs
+++ b/src/standin/host_list.rs
@@ -8,7 +8,7 @@
 use hyper::{Request, Response, body::Incoming};
 
 use super::listener::{Body, Listener, json};
-use crate::platform_api::Listed;
+use crate::api::platform::Listed;
 
 /// A running stand-in of the list.
 #[derive(Debug)]
--- a/src/standin/table_service.rs
+++ b/src/standin/table_service.rs
@@ -21,9 +21,11 @@
 
 use crate::{
     ids::Revision,
-    store::{Committed, Condition, Record, RecordKey, Scan, StoreError, TableService, Transaction},
-    store_client::{
-        COMMIT_PATH, GET_PATH, LATEST_PATH, LatestRequest, Refusal, SCAN_PATH, ScanRequest,
+    store::{
+        Committed, Condition, Record, RecordKey, Scan, StoreError, TableService, Transaction,
+        client::{
+            COMMIT_PATH, GET_PATH, LATEST_PATH, LatestRequest, Refusal, SCAN_PATH, ScanRequest,
+        },
     },
 };
 
@@ -69,7 +71,10 @@
 /// # Examples
 ///
 /// ```
-/// use mimosavane::{standin::table_service::MemoryTable, store::{RecordKey, TableService, Transaction}};
+/// use mimosavane::{
+///     standin::table_service::MemoryTable,
+///     store::{RecordKey, TableService, Transaction},
+/// };
 ///
 /// # tokio::runtime::Builder::new_current_thread().build()?.block_on(async {
 /// let table = MemoryTable::default();
--- a/src/standin/trainer.rs
+++ b/src/standin/trainer.rs
@@ -19,10 +19,10 @@
     engine::true_version,
 };
 use crate::{
+    api::trainer::{Group, Held, Pull, Pulled, Sample, Segment, Submission},
     clock::millis,
-    controller::Rng,
+    control::controller::Rng,
     ids::{GroupNumber, RowId, SampleIndex, StepNumber, WeightVersion},
-    trainer_api::{Group, Held, Pull, Pulled, Sample, Segment, Submission},
 };
 
 /// How long a trainer waits before it asks again after a refusal.
--- a/src/attach.rs
+++ b/src/step/attach.rs
@@ -7,7 +7,7 @@
 use crate::{
     clock::Timestamp,
     ids::{AttachNumber, CallNumber, GroupNumber, RowId, SampleIndex, StepNumber, WeightVersion},
-    sample::Sample,
+    step::sample::Sample,
 };
 
 /// The slots of one group that the trainer holds.
--- a/src/step_attempt.rs
+++ b/src/step/attempt.rs
@@ -4,14 +4,16 @@
 
 use crate::{
     clock::Timestamp,
-    decision::{Decision, Kind},
-    evidence::Proved,
+    control::decision::{Decision, Kind},
+    engine::evidence::Proved,
     ids::{AttemptNumber, UpstreamId},
-    sample::Sample,
-    slot::Phase,
-    step_message::{Action, Failure},
-    step_registry::{Registry, Turn, backoff},
-    step_state::{Place, Step},
+    step::{
+        message::{Action, Failure},
+        registry::{Registry, Turn, backoff},
+        sample::Sample,
+        slot::Phase,
+        state::{Place, Step},
+    },
 };
 
 impl Step {
--- a/src/step_delivery.rs
+++ b/src/step/delivery.rs
@@ -3,15 +3,17 @@
 use std::{sync::Arc, time::Duration};
 
 use crate::{
-    attach::{Pull, Reply},
-    decision::{Decision, Kind},
+    control::decision::{Decision, Kind},
     ids::CallNumber,
-    sample::Sample,
-    slot::Phase,
-    staleness::{age_versions, is_deliverable},
-    step_message::Action,
-    step_registry::{Registry, Turn},
-    step_state::{Place, Step},
+    step::{
+        attach::{Pull, Reply},
+        message::Action,
+        registry::{Registry, Turn},
+        sample::Sample,
+        slot::Phase,
+        staleness::{age_versions, is_deliverable},
+        state::{Place, Step},
+    },
 };
 
 /// How long the first whole sample waits for others, so that one answer
--- a/src/step_dispatch.rs
+++ b/src/step/dispatch.rs
@@ -4,17 +4,21 @@
 
 use crate::{
     clock::Timestamp,
-    decision::{Decision, Kind},
-    evidence::Proved,
+    control::decision::{Decision, Kind},
+    engine::evidence::Proved,
     ids::{RowId, UpstreamId, WeightVersion},
-    slot::{Attempt, Phase, Race},
-    staleness::{
-        Forecast, Gate, Verdict, is_deliverable, judge, max_late_ratio, max_late_ratio_in_spread,
+    step::{
+        key::StepKey,
+        message::{Action, Dispatch},
+        registry::{Model, Registry, Target, Turn},
+        slot::{Attempt, Phase, Race},
+        staleness::{
+            Forecast, Gate, Verdict, is_deliverable, judge, max_late_ratio,
+            max_late_ratio_in_spread,
+        },
+        state::{Place, Step},
+        straggler::{DEFAULT_STARTUP, DEFAULT_TOKEN_TIME, Norm, priority},
     },
-    step_message::{Action, Dispatch},
-    step_registry::{Model, Registry, StepKey, Target, Turn},
-    step_state::{Place, Step},
-    straggler::{DEFAULT_STARTUP, DEFAULT_TOKEN_TIME, Norm, priority},
 };
 
 /// The most slots that one step looks at in one round without starting them.
--- a/src/handover.rs
+++ b/src/step/handover.rs
@@ -6,13 +6,10 @@
 use std::sync::Arc;
 
 use crate::{
-    blackboard::Hosts,
-    evidence::Proved,
+    control::blackboard::Hosts,
+    engine::{evidence::Proved, rendezvous},
     ids::{AttachNumber, GroupNumber, HostId, SampleIndex, WeightVersion},
-    rendezvous,
-    sample::Sample,
-    spec::StepSpec,
-    step_registry::StepKey,
+    step::{key::StepKey, sample::Sample, spec::StepSpec},
 };
 
 /// Tokens that an unfinished slot may resume from.
--- a/src/length.rs
+++ b/src/step/length.rs
@@ -47,7 +47,7 @@
 /// # Examples
 ///
 /// ```
-/// use mimosavane::length::Estimator;
+/// use mimosavane::step::length::Estimator;
 ///
 /// let mut estimator = Estimator::default();
 /// for tokens in [100, 110, 120, 900] {
--- a/src/step_message.rs
+++ b/src/step/message.rs
@@ -3,12 +3,14 @@
 use std::{sync::Arc, time::Duration};
 
 use crate::{
-    attach::{Pull, Reply},
-    evidence::Proved,
-    handover::Handover,
+    engine::evidence::Proved,
     ids::{AttemptNumber, CallNumber, RowId, Slot, StepNumber, TokenId, UpstreamId, WeightVersion},
-    sample::Sample,
-    spec::{SpecError, StepSpec},
+    step::{
+        attach::{Pull, Reply},
+        handover::Handover,
+        sample::Sample,
+        spec::{SpecError, StepSpec},
+    },
 };
 
 /// Why a step was not taken on.
--- a/src/step.rs
+++ b/src/step/mod.rs
@@ -2,6 +2,27 @@
 //!
 //! The ways that were weighed, and what each piece of state is, stand in
 //! docs/design/steps.md.
+//!
+//! Read in this order: `spec` and `message` for the types, `registry` and `state` for what is
+//! kept, `dispatch`, `attempt`, `delivery` and `watch` for what happens to a slot, `staleness` and
+//! `straggler` for the policies. Everything here decides and does no I/O.
+
+pub mod attach;
+pub(crate) mod attempt;
+pub(crate) mod delivery;
+pub(crate) mod dispatch;
+pub mod handover;
+pub mod key;
+pub mod length;
+pub mod message;
+pub mod registry;
+pub mod sample;
+pub mod slot;
+pub mod spec;
+pub mod staleness;
+pub mod state;
+pub mod straggler;
+pub(crate) mod watch;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -10,25 +31,30 @@
 };
 
 use crate::{
-    attach::{Pull, Reply},
-    blackboard::Blackboard,
     clock::Timestamp,
-    controller::{self, Round},
-    decision::{Decision, Kind},
-    evidence::Proved,
-    handover::{Handover, Ownership},
+    control::{
+        blackboard::Blackboard,
+        controller::{self, Round},
+        decision::{Decision, Kind},
+    },
+    engine::evidence::Proved,
     ids::{AttemptNumber, CallNumber, HostId, RowId, StepNumber, UpstreamId, WeightVersion},
-    row::Row,
-    sample::Sample,
-    slot::Phase,
-    spec::StepSpec,
-    step_registry::{Registry, Turn},
-    step_state::{Place, Step},
+    step::{
+        attach::{Pull, Reply},
+        handover::{Handover, Ownership},
+        registry::{Registry, Turn},
+        sample::Sample,
+        slot::Phase,
+        spec::StepSpec,
+        state::{Place, Step},
+    },
+    table::row::Row,
 };
 
-pub use crate::{
-    step_message::{Action, Dispatch, Event, Failure, SubmitError},
-    step_registry::{Counters, Model, Policy, StepKey},
+pub use crate::step::{
+    key::StepKey,
+    message::{Action, Dispatch, Event, Failure, SubmitError},
+    registry::{Counters, Model, Policy},
 };
 
 /// How long a step without a pull is kept.
--- a/src/step_registry.rs
+++ b/src/step/registry.rs
@@ -5,17 +5,17 @@
 use rand::{Rng as _, RngCore as _};
 
 use crate::{
-    blackboard::Blackboard,
     clock::Timestamp,
-    controller::Rng,
-    decision::Decision,
-    ids::{AttemptNumber, RowId, StepNumber, UpstreamId, WeightVersion},
-    length::{Average, Estimator},
-    spec::StepSpec,
-    staleness::{Cadence, Gate},
-    step_message::Action,
-    step_state::Place,
-    straggler::Paces,
+    control::{blackboard::Blackboard, controller::Rng, decision::Decision},
+    ids::{AttemptNumber, RowId, UpstreamId, WeightVersion},
+    step::{
+        key::StepKey,
+        length::{Average, Estimator},
+        message::Action,
+        staleness::{Cadence, Gate},
+        state::Place,
+        straggler::Paces,
+    },
 };
 
 /// The first delay before a failed slot is dispatched again.
@@ -75,15 +75,6 @@
     }
 }
 
-/// Names a step.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct StepKey {
-    /// The trainer.
-    pub trainer: RowId,
-    /// Its step.
-    pub step: StepNumber,
-}
-
 /// What was learned of a row's samples and its trainer.
 #[derive(Clone, Debug, Default)]
 pub struct Model {
@@ -174,19 +165,3 @@
     let ceiling = MIN_BACKOFF.saturating_mul(1 << exponent).min(MAX_BACKOFF);
     retry_after + ceiling.mul_f64(rng.random_range(0.5..1.0))
 }
-
-impl StepKey {
-    /// Returns the name of the step that `spec` asks for.
-    pub fn of(spec: &StepSpec) -> Self {
-        Self {
-            trainer: Arc::clone(&spec.trainer),
-            step: spec.step,
-        }
-    }
-}
-
-impl std::fmt::Display for StepKey {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(f, "{}/{}", self.trainer, self.step)
-    }
-}
--- a/src/sample.rs
+++ b/src/step/sample.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    evidence::{Segment, is_single_version, oldest_version},
+    engine::evidence::{Segment, is_single_version, oldest_version},
     ids::{AttemptNumber, BootId, Slot, TokenId, UpstreamId, WeightVersion},
 };
 
@@ -36,7 +36,7 @@
 /// # Examples
 ///
 /// ```
-/// use mimosavane::{ids::Slot, sample};
+/// use mimosavane::{ids::Slot, step::sample};
 ///
 /// let slot = Slot { trainer: "guides".into(), step: 3, group: 0, index: 7 };
 /// assert_eq!(&*sample::id(&slot, 26), "guides/3/0/7/1a");
--- a/src/slot.rs
+++ b/src/step/slot.rs
@@ -7,10 +7,12 @@
 
 use crate::{
     clock::Timestamp,
-    evidence::Proved,
+    engine::evidence::Proved,
     ids::{AttemptNumber, UpstreamId},
-    sample::Sample,
-    straggler::{PACE_SMOOTHING_RATIO, Runner},
+    step::{
+        sample::Sample,
+        straggler::{PACE_SMOOTHING_RATIO, Runner},
+    },
 };
 
 /// One attempt at a slot.
--- a/src/spec.rs
+++ b/src/step/spec.rs
@@ -27,7 +27,7 @@
 /// # Examples
 ///
 /// ```
-/// use mimosavane::spec::{PromptGroup, StepSpec};
+/// use mimosavane::step::spec::{PromptGroup, StepSpec};
 ///
 /// let group = PromptGroup {
 ///     group: 0,
--- a/src/staleness.rs
+++ b/src/step/staleness.rs
@@ -8,7 +8,7 @@
 use crate::{
     clock::Timestamp,
     ids::{StepNumber, WeightVersion},
-    row::Row,
+    table::row::Row,
 };
 
 /// The part that a new observation has in the mean interval.
@@ -45,7 +45,7 @@
 /// # Examples
 ///
 /// ```
-/// use mimosavane::staleness::is_deliverable;
+/// use mimosavane::step::staleness::is_deliverable;
 ///
 /// assert!(is_deliverable(7, 5, 2));
 /// assert!(!is_deliverable(8, 5, 2));
@@ -230,7 +230,7 @@
 /// # Examples
 ///
 /// ```
-/// use mimosavane::staleness::{Forecast, Verdict, judge};
+/// use mimosavane::step::staleness::{Forecast, Verdict, judge};
 ///
 /// let forecast = Forecast {
 ///     stated: 7,
--- a/src/step_state.rs
+++ b/src/step/state.rs
@@ -3,16 +3,18 @@
 use std::sync::Arc;
 
 use crate::{
-    attach::{Attachment, HeldGroup},
     clock::Timestamp,
-    handover::{Handover, Partial},
     ids::{AttemptNumber, GroupNumber, SampleIndex, Slot},
-    length::GroupLengths,
-    row::Row,
-    slot::{Phase, State},
-    spec::{PromptGroup, StepSpec},
-    staleness::Verdict,
-    straggler::{Standing, is_eager},
+    step::{
+        attach::{Attachment, HeldGroup},
+        handover::{Handover, Partial},
+        length::GroupLengths,
+        slot::{Phase, State},
+        spec::{PromptGroup, StepSpec},
+        staleness::Verdict,
+        straggler::{Standing, is_eager},
+    },
+    table::row::Row,
 };
 
 /// The place of a slot among all slots of its step.
--- a/src/straggler.rs
+++ b/src/step/straggler.rs
@@ -4,7 +4,7 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use crate::{clock::Timestamp, ids::UpstreamId, row::Row};
+use crate::{clock::Timestamp, ids::UpstreamId, table::row::Row};
 
 /// The part of a step's slots that counts as its tail.
 pub const TAIL_RATIO: f64 = 0.1;
@@ -101,7 +101,7 @@
     /// # Examples
     ///
     /// ```
-    /// use mimosavane::straggler::Standing;
+    /// use mimosavane::step::straggler::Standing;
     ///
     /// let last = Standing {
     ///     is_pulled: true,
--- a/src/step_watch.rs
+++ b/src/step/watch.rs
@@ -4,16 +4,19 @@
 
 use crate::{
     clock::Timestamp,
-    decision::{Decision, Kind},
+    control::decision::{Decision, Kind},
     ids::AttemptNumber,
-    slot::{Attempt, Phase},
-    staleness::{Verdict, judge},
-    step_dispatch::norm,
-    step_message::Action,
-    step_registry::{Model, Registry, StepKey, Turn},
-    step_state::{Place, Step},
-    straggler::{
-        Advice, MAX_MOVE_COUNT, Norm, Runner, SILENCE_TIMEOUT, advise, hedge_budget_count,
+    step::{
+        dispatch::norm,
+        key::StepKey,
+        message::Action,
+        registry::{Model, Registry, Turn},
+        slot::{Attempt, Phase},
+        staleness::{Verdict, judge},
+        state::{Place, Step},
+        straggler::{
+            Advice, MAX_MOVE_COUNT, Norm, Runner, SILENCE_TIMEOUT, advise, hedge_budget_count,
+        },
     },
 };
 
--- a/src/store_client.rs
+++ b/src/store/client.rs
@@ -26,16 +26,14 @@
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 use crate::{
-    blackboard::StoreCondition,
     clock::Clock,
-    controller::Rng,
+    control::{blackboard::StoreCondition, controller::Rng},
     ids::Revision,
     settings::PlatformSettings,
     store::{
         Committed, Condition, NotSentReason, Record, RecordKey, Scan, StoreError, TableService,
-        Transaction,
+        Transaction, condition::Tracker,
     },
-    store_condition::Tracker,
 };
 
 /// The path of a transaction.
@@ -128,7 +126,7 @@
 /// # Examples
 ///
 /// ```
-/// use mimosavane::store_client::{Budget, HttpTableService};
+/// use mimosavane::store::client::{Budget, HttpTableService};
 /// use std::time::Duration;
 ///
 /// let store = HttpTableService::new(
@@ -138,7 +136,7 @@
 ///     7,
 /// )?;
 /// store.set_live_hosts(12);
-/// # Ok::<(), mimosavane::store_client::AddressError>(())
+/// # Ok::<(), mimosavane::store::client::AddressError>(())
 /// ```
 #[derive(Clone)]
 pub struct HttpTableService {
--- a/src/store_condition.rs
+++ b/src/store/condition.rs
@@ -8,7 +8,10 @@
 
 use rand::Rng as _;
 
-use crate::{blackboard::StoreCondition, clock::Timestamp, controller::Rng};
+use crate::{
+    clock::Timestamp,
+    control::{blackboard::StoreCondition, controller::Rng},
+};
 
 /// The failures in a row after which the service is held for down.
 const DOWN_AFTER_FAILURES: u32 = 3;
@@ -30,7 +33,7 @@
 /// # Examples
 ///
 /// ```
-/// use mimosavane::{blackboard::StoreCondition, store_condition::Tracker};
+/// use mimosavane::{control::blackboard::StoreCondition, store::condition::Tracker};
 /// use std::time::Duration;
 ///
 /// let mut tracker = Tracker::default();
--- a/src/follower.rs
+++ b/src/store/follower.rs
@@ -14,14 +14,15 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    blackboard::{Blackboard, HostState, Rows, TableStanding},
     clock::Timestamp,
-    controller::{self, Rng, Round},
-    decision::{Decision, Kind},
+    control::{
+        blackboard::{Blackboard, HostState, Rows, TableStanding},
+        controller::{self, Rng, Round},
+        decision::{Decision, Kind},
+    },
     ids::{HostId, Revision},
-    row::Row,
-    store::TableService,
-    store_condition, table,
+    store::{TableService, condition},
+    table::{self, row::Row},
 };
 
 /// Polls of the whole fleet a second, far below what the store bears.
@@ -128,7 +129,12 @@
 /// # Examples
 ///
 /// ```
-/// use mimosavane::{Blackboard, Controller as _, controller::{Rng, Round}, follower};
+/// use mimosavane::{
+///     Blackboard,
+///     Controller as _,
+///     control::controller::{Rng, Round},
+///     store::follower,
+/// };
 /// use rand::SeedableRng as _;
 /// use std::time::Duration;
 ///
@@ -212,7 +218,7 @@
 
     fn store_failed(&mut self, round: &mut Round<'_>) {
         self.poll_given_up_at = None;
-        let backoff = store_condition::backoff(self.failed_polls_count, round.rng);
+        let backoff = condition::backoff(self.failed_polls_count, round.rng);
         let pause = backoff.max(poll_interval(round.board, round.rng));
         self.failed_polls_count = self.failed_polls_count.saturating_add(1);
         self.next_poll_at = round.now + pause;
--- a/src/store.rs
+++ b/src/store/mod.rs
@@ -1,8 +1,16 @@
 //! What the service needs of the platform's transactional table service.
 //!
 //! The trait is small so that tests put an in-process fake behind it; over the
-//! network it is [`crate::store_client::HttpTableService`]. The interface is
+//! network it is [`crate::store::client::HttpTableService`]. The interface is
 //! described in docs/design/table.md.
+//!
+//! Read in this order: this file and `client` for the table service, `rows` for the users'
+//! platform, `condition` and `follower` for what is believed while it is away.
+
+pub mod client;
+pub mod condition;
+pub mod follower;
+pub mod rows;
 
 use std::{future::Future, sync::Arc, time::Duration};
 
--- a/src/rows.rs
+++ b/src/store/rows.rs
@@ -54,7 +54,7 @@
 /// # Examples
 ///
 /// ```
-/// use mimosavane::rows::{RowName, RowTransaction};
+/// use mimosavane::store::rows::{RowName, RowTransaction};
 ///
 /// let name = RowName::new("jobs", "7c41e0", "head");
 /// let transaction = RowTransaction::default()
--- a/src/table_api.rs
+++ b/src/table/api.rs
@@ -5,14 +5,16 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    blackboard::{HostState, StoreCondition, TableStanding},
-    change::{Conflict, PlanError, RowEdit},
-    column::CellErrorBody,
-    edit::EditError,
+    control::blackboard::{HostState, StoreCondition, TableStanding},
     ids::{ChangeId, HostId, Revision},
-    row::Row,
     store::{NotSentReason, StoreError},
-    table::{ChangeRecord, ReadError},
+    table::{
+        ChangeRecord, ReadError,
+        change::{Conflict, PlanError, RowEdit},
+        column::CellErrorBody,
+        edit::EditError,
+        row::Row,
+    },
 };
 
 /// The path of the page.
--- a/src/auth.rs
+++ b/src/table/auth.rs
@@ -47,7 +47,7 @@
 /// # Examples
 ///
 /// ```
-/// use mimosavane::{auth::{Keys, Role}, settings::KeySettings};
+/// use mimosavane::{settings::KeySettings, table::auth::{Keys, Role}};
 ///
 /// let mut settings = KeySettings::default();
 /// settings.operators.insert("ana".to_owned(), "s3cret-of-ana".to_owned());
--- a/src/change.rs
+++ b/src/table/change.rs
@@ -6,12 +6,13 @@
 use serde_json::Value;
 
 use crate::{
-    column::{self, CellError, CellFault, Cells},
     ids::{ChangeId, Revision, RowId, RowVersion},
-    row::Row,
     store::Transaction,
     table::{
-        CellChange, ChangeRecord, RevisionRecord, Table, change_key, history_key, revision_key,
+        CellChange, ChangeRecord, RevisionRecord, Table, change_key,
+        column::{self, CellError, CellFault, Cells},
+        history_key, revision_key,
+        row::Row,
         row_key,
     },
 };
@@ -43,7 +44,11 @@
 /// # Examples
 ///
 /// ```
-/// use mimosavane::{controller::Rng, change::{Change, RowEdit}, edit, standin::table_service::MemoryTable};
+/// use mimosavane::{
+///     control::controller::Rng,
+///     standin::table_service::MemoryTable,
+///     table::{change::{Change, RowEdit}, edit},
+/// };
 /// use rand::SeedableRng as _;
 ///
 /// # tokio::runtime::Builder::new_current_thread().build()?.block_on(async {
--- a/src/table_client.rs
+++ b/src/table/client.rs
@@ -13,12 +13,14 @@
 use serde::{Serialize, de::DeserializeOwned};
 
 use crate::{
-    change::{Accepted, RowEdit},
-    column::{CellError, CellFault, Cells, Column},
     ids::RowId,
-    table_api::{
-        CHANGE_HEADER, CHANGES_PATH, CSV_PATH, ChangeBody, DRY_RUN_PATH, HISTORY_PATH, HistoryBody,
-        Problem, ProblemKind, STATUS_PATH, StatusBody, TABLE_PATH, TableBody,
+    table::{
+        api::{
+            CHANGE_HEADER, CHANGES_PATH, CSV_PATH, ChangeBody, DRY_RUN_PATH, HISTORY_PATH,
+            HistoryBody, Problem, ProblemKind, STATUS_PATH, StatusBody, TABLE_PATH, TableBody,
+        },
+        change::{Accepted, RowEdit},
+        column::{CellError, CellFault, Cells, Column},
     },
 };
 
@@ -95,7 +97,7 @@
 /// # Examples
 ///
 /// ```
-/// use mimosavane::table_client::TableClient;
+/// use mimosavane::table::client::TableClient;
 /// use std::time::Duration;
 ///
 /// let client = TableClient::new("http://127.0.0.1:8090", "s3cret", Duration::from_secs(10));
--- a/src/column.rs
+++ b/src/table/column.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::{Map, Number, Value};
 
-use crate::{ids::RowId, row::Row};
+use crate::{ids::RowId, table::row::Row};
 
 /// The values of a row by column name.
 pub type Cells = Map<String, Value>;
@@ -251,12 +251,12 @@
     /// # Examples
     ///
     /// ```
-    /// use mimosavane::column::Column;
+    /// use mimosavane::table::column::Column;
     ///
     /// let weight = Column::find("weight_ratio").expect("a known column");
     /// assert_eq!(weight.parse("2.5")?, 2.5);
     /// assert!(weight.parse("heavy").is_err());
-    /// # Ok::<(), mimosavane::column::CellFault>(())
+    /// # Ok::<(), mimosavane::table::column::CellFault>(())
     /// ```
     pub fn parse(&self, text: &str) -> Result<Value, CellFault> {
         let text = text.trim();
--- a/src/table_command.rs
+++ b/src/table/command.rs
@@ -10,11 +10,13 @@
 use serde::Serialize;
 
 use crate::{
-    cli::{self, Format},
-    column::{CellError, CellFault},
-    table_api::TableBody,
-    table_client::{ClientError, TableClient},
-    table_view,
+    command::cli::{self, Format},
+    table::{
+        api::TableBody,
+        client::{ClientError, TableClient},
+        column::{CellError, CellFault},
+        view,
+    },
 };
 
 /// The variable that holds the operator's key where no file is named.
@@ -67,7 +69,7 @@
 
 fn describe(error: &ClientError) -> String {
     match error {
-        ClientError::Refused(problem) => table_view::problem(problem).trim_end().to_owned(),
+        ClientError::Refused(problem) => view::problem(problem).trim_end().to_owned(),
         other => other.to_string(),
     }
 }
@@ -89,9 +91,7 @@
         "get" => {
             let row = argument(matches, "row");
             let table = select(client.get().await?, row)?;
-            let text = row.map_or(table_view::table as fn(&TableBody) -> String, |_| {
-                table_view::rows
-            });
+            let text = row.map_or(view::table as fn(&TableBody) -> String, |_| view::rows);
             show(format, &table, text)
         }
         "set" => {
@@ -99,24 +99,24 @@
             let cells: Vec<_> = cells.collect();
             let row = argument(matches, "row").unwrap_or_default();
             let accepted = client.set(row, &cells, dry_run).await?;
-            show(format, &accepted, |one| table_view::accepted(one, dry_run))
+            show(format, &accepted, |one| view::accepted(one, dry_run))
         }
         "remove" => {
             let row = argument(matches, "row").unwrap_or_default();
             let accepted = client.remove(row, dry_run).await?;
-            show(format, &accepted, |one| table_view::accepted(one, dry_run))
+            show(format, &accepted, |one| view::accepted(one, dry_run))
         }
         "history" => {
             let history = client.history(HISTORY_CHANGES_COUNT).await?;
-            show(format, &history, table_view::history)
+            show(format, &history, view::history)
         }
-        "status" => show(format, &client.status().await?, table_view::status),
+        "status" => show(format, &client.status().await?, view::status),
         "export" => Ok(client.export().await?),
         "import" => {
             let path = matches.get_one::<PathBuf>("file");
             let text = read(path.ok_or(CommandError::Unknown)?)?;
             let accepted = client.import(&text, dry_run).await?;
-            show(format, &accepted, |one| table_view::accepted(one, dry_run))
+            show(format, &accepted, |one| view::accepted(one, dry_run))
         }
         _ => Err(CommandError::Unknown),
     }
--- a/src/table_csv.rs
+++ b/src/table/csv.rs
@@ -8,10 +8,12 @@
 use serde_json::Value;
 
 use crate::{
-    change::RowEdit,
-    column::{self, COLUMNS, CellError, CellFault, Cells, Column},
     ids::RowId,
-    row::Row,
+    table::{
+        change::RowEdit,
+        column::{self, COLUMNS, CellError, CellFault, Cells, Column},
+        row::Row,
+    },
 };
 
 /// The column with the row's name.
@@ -45,9 +47,9 @@
 /// # Examples
 ///
 /// ```
-/// let text = mimosavane::table_csv::write(&[mimosavane::Row::new("guides")])?;
+/// let text = mimosavane::table::csv::write(&[mimosavane::Row::new("guides")])?;
 /// assert!(text.starts_with("id,version,enabled,weight_ratio"));
-/// # Ok::<(), mimosavane::table_csv::CsvError>(())
+/// # Ok::<(), mimosavane::table::csv::CsvError>(())
 /// ```
 pub fn write(rows: &[Row]) -> Result<String, CsvError> {
     let mut writer = csv::Writer::from_writer(Vec::new());
--- a/src/edit.rs
+++ b/src/table/edit.rs
@@ -9,11 +9,14 @@
 use rand::Rng as _;
 
 use crate::{
-    change::{self, Accepted, Change, Plan, PlanError, guard, plan},
-    controller::Rng,
+    control::controller::Rng,
     ids::ChangeId,
     store::{StoreError, TableService},
-    table::{self, ChangeRecord, ReadError, Table, change_key, read_table},
+    table::{
+        self, ChangeRecord, ReadError, Table,
+        change::{self, Accepted, Change, Plan, PlanError, guard, plan},
+        change_key, read_table,
+    },
 };
 
 /// How often a change is tried while others are accepted in between.
--- a/src/table.rs
+++ b/src/table/mod.rs
@@ -2,6 +2,21 @@
 //!
 //! One record holds the revision, one record holds each row, and each accepted
 //! change stands under its id and under its revision (see docs/design/table.md).
+//!
+//! Read in this order: `row` and `column` for what it holds, `change` and `edit` for how it
+//! changes, `server` and `client` for the interface, `view` and `csv` for how it is shown.
+
+pub mod api;
+pub mod auth;
+pub mod change;
+pub mod client;
+pub mod column;
+pub mod command;
+pub mod csv;
+pub mod edit;
+pub mod row;
+pub mod server;
+pub mod view;
 
 use std::collections::BTreeMap;
 
@@ -10,8 +25,8 @@
 
 use crate::{
     ids::{ChangeId, Revision, RowId},
-    row::Row,
     store::{Record, RecordKey, RecordVersion, StoreError, TableService},
+    table::row::Row,
 };
 
 /// The table of the service that holds rows and their revision.
--- a/src/row.rs
+++ b/src/table/row.rs
@@ -56,23 +56,23 @@
 
 /// Defaults of the columns, which serde takes as functions.
 mod defaults {
-    pub(super) const fn weight_ratio() -> f64 {
+    pub(crate) const fn weight_ratio() -> f64 {
         1.0
     }
 
-    pub(super) const fn staleness_bound_versions() -> u64 {
+    pub(crate) const fn staleness_bound_versions() -> u64 {
         2
     }
 
-    pub(super) const fn mixed_versions() -> bool {
+    pub(crate) const fn mixed_versions() -> bool {
         true
     }
 
-    pub(super) const fn idle_preference_ratio() -> f64 {
+    pub(crate) const fn idle_preference_ratio() -> f64 {
         0.5
     }
 
-    pub(super) const fn enabled() -> bool {
+    pub(crate) const fn enabled() -> bool {
         true
     }
 }
--- a/src/table_server.rs
+++ b/src/table/server.rs
@@ -17,12 +17,14 @@
 use xitca_web::{App, handler::handler_service};
 
 use crate::{
-    auth::Keys,
     settings::Settings,
-    store_client::{AddressError, Budget, HttpTableService},
-    table_api::{
-        CHANGES_PATH, COLUMNS_PATH, CSV_PATH, DRY_RUN_PATH, HISTORY_PATH, LIVE_PATH, PAGE_PATH,
-        STATUS_PATH, TABLE_PATH,
+    store::client::{AddressError, Budget, HttpTableService},
+    table::{
+        api::{
+            CHANGES_PATH, COLUMNS_PATH, CSV_PATH, DRY_RUN_PATH, HISTORY_PATH, LIVE_PATH, PAGE_PATH,
+            STATUS_PATH, TABLE_PATH,
+        },
+        auth::Keys,
     },
 };
 
@@ -143,8 +145,8 @@
 
 /// Paths with a name at the end.
 mod named_path {
-    /// One change; see [`crate::table_api::CHANGES_PATH`].
-    pub(super) const CHANGE: &str = "/v1/table/changes/{id}";
-    /// One row; see [`crate::table_api::ROWS_PATH`].
-    pub(super) const ROW: &str = "/v1/table/rows/{id}";
+    /// One change; see [`crate::table::api::CHANGES_PATH`].
+    pub(crate) const CHANGE: &str = "/v1/table/changes/{id}";
+    /// One row; see [`crate::table::api::ROWS_PATH`].
+    pub(crate) const ROW: &str = "/v1/table/rows/{id}";
 }
--- a/src/table_server/handlers.rs
+++ b/src/table/server/handlers.rs
@@ -16,21 +16,20 @@
 
 use super::{Shared, State, body, refusal::Refusal};
 use crate::{
-    auth::Role,
-    blackboard::TableStanding,
-    change::{Accepted, Change, RowAction, RowEdit},
-    column::{self, COLUMNS, Cells},
-    controller::Rng,
-    edit,
+    control::{blackboard::TableStanding, controller::Rng},
     ids::{ChangeId, Revision, RowId, RowVersion},
-    row::Row,
-    table::{read_change, read_history, read_revision, read_table},
-    table_api::{CHANGE_HEADER, ChangeBody, HistoryBody, HostStatus, StatusBody, TableBody},
-    table_csv,
+    table::{
+        api::{CHANGE_HEADER, ChangeBody, HistoryBody, HostStatus, StatusBody, TableBody},
+        auth::Role,
+        change::{Accepted, Change, RowAction, RowEdit},
+        column::{self, COLUMNS, Cells},
+        csv, edit, read_change, read_history, read_revision, read_table,
+        row::Row,
+    },
 };
 
 /// The page, which loads nothing from elsewhere.
-const PAGE: &str = include_str!("../assets/table.html");
+const PAGE: &str = include_str!("../../assets/table.html");
 
 /// What the page may do: run its own script and style, and ask this server.
 const PAGE_POLICY: &str = "default-src 'none'; script-src 'unsafe-inline'; style-src \
@@ -175,7 +174,7 @@
     let is_csv = ctx.req().headers().get(CONTENT_TYPE);
     let is_csv = is_csv.is_some_and(|media_type| media_type.as_bytes().starts_with(b"text/csv"));
     let edits = if is_csv {
-        table_csv::read(std::str::from_utf8(&body)?)?
+        csv::read(std::str::from_utf8(&body)?)?
     } else {
         serde_json::from_slice::<ChangeBody>(&body)?.edits
     };
@@ -216,14 +215,14 @@
     admit(ctx)?;
     let table = read_table(&shared(ctx).store).await?;
     let rows: Vec<_> = table.rows.into_values().collect();
-    let response = with_type(table_csv::write(&rows)?, "text/csv; charset=utf-8");
+    let response = with_type(csv::write(&rows)?, "text/csv; charset=utf-8");
     Ok(tagged(response, table.revision))
 }
 
 async fn put_csv(ctx: &Context<'_>) -> Answer {
     let who = admit(ctx)?;
     let body = read_bytes(ctx).await?;
-    let edits = table_csv::read(std::str::from_utf8(&body)?)?;
+    let edits = csv::read(std::str::from_utf8(&body)?)?;
     accept(ctx, who, edits).await
 }
 
--- a/src/table_server/hosts.rs
+++ b/src/table/server/hosts.rs
@@ -12,8 +12,8 @@
 };
 
 use crate::{
-    follower::{REPORT_PATH, Report},
-    table_api::HostStatus,
+    store::follower::{REPORT_PATH, Report},
+    table::api::HostStatus,
 };
 
 /// How many hosts are asked at once.
--- a/src/table_server/refusal.rs
+++ b/src/table/server/refusal.rs
@@ -3,12 +3,12 @@
 use http::{HeaderValue, header};
 use xitca_web::{body::ResponseBody, http::WebResponse};
 
-use crate::{
+use crate::table::{
+    ReadError,
+    api::{Problem, ProblemKind},
     change::PlanError,
+    csv::CsvError,
     edit::EditError,
-    table::ReadError,
-    table_api::{Problem, ProblemKind},
-    table_csv::CsvError,
 };
 
 /// Why a request is refused.
--- a/src/table_view.rs
+++ b/src/table/view.rs
@@ -5,12 +5,12 @@
 use comfy_table::{Cell, CellAlignment, Table, presets::ASCII_MARKDOWN};
 use serde_json::Value;
 
-use crate::{
+use crate::table::{
+    CellChange, ChangeRecord,
+    api::{HistoryBody, HostStatus, Problem, StatusBody, TableBody},
     change::{Accepted, Conflict},
     column::{self, COLUMNS},
     row::Row,
-    table::{CellChange, ChangeRecord},
-    table_api::{HistoryBody, HostStatus, Problem, StatusBody, TableBody},
 };
 
 /// What stands for a value that is not there.
@@ -29,10 +29,10 @@
 /// # Examples
 ///
 /// ```
-/// use mimosavane::{Row, table_api::TableBody, table_view};
+/// use mimosavane::{Row, table::{api::TableBody, view}};
 ///
 /// let body = TableBody { revision: 4, rows: vec![Row::new("guides")] };
-/// let shown = table_view::table(&body);
+/// let shown = view::table(&body);
 /// assert!(shown.contains("guides") && shown.contains("revision 4"));
 /// ```
 pub fn table(body: &TableBody) -> String {
--- a/src/lease.rs
+++ b/src/weights/lease.rs
@@ -126,7 +126,7 @@
 /// ```
 /// use std::time::Duration;
 ///
-/// use mimosavane::lease::{Action, Event, Machine, Terms, Wrote};
+/// use mimosavane::weights::lease::{Action, Event, Machine, Terms, Wrote};
 ///
 /// let terms = Terms {
 ///     lease: Duration::from_secs(10),
--- a/src/order.rs
+++ b/src/weights/order.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     clock::Timestamp,
-    engine_api,
+    engine::api,
     ids::{BootId, FenceNumber, WeightVersion},
 };
 
@@ -54,8 +54,8 @@
     pub swap: Swap,
 }
 
-impl From<&engine_api::Report> for Report {
-    fn from(report: &engine_api::Report) -> Self {
+impl From<&api::Report> for Report {
+    fn from(report: &api::Report) -> Self {
         Self {
             boot: report.boot_id,
             version: report.weight_version,
@@ -118,12 +118,12 @@
     }
 
     /// Writes the order as engines read it, under a fencing number.
-    pub fn message(&self, fence: FenceNumber) -> engine_api::Order {
+    pub fn message(&self, fence: FenceNumber) -> api::Order {
         let kind: &'static str = self.into();
-        let mut message = engine_api::Order {
+        let mut message = api::Order {
             fence,
             kind: kind.to_owned(),
-            ..engine_api::Order::default()
+            ..api::Order::default()
         };
         match self {
             Self::LoadWeights { version } => message.version = *version,
@@ -174,7 +174,7 @@
 /// ```
 /// use std::time::Duration;
 ///
-/// use mimosavane::order::{Engine, Need, Order, Report, Swap, Wanted};
+/// use mimosavane::weights::order::{Engine, Need, Order, Report, Swap, Wanted};
 ///
 /// let mut engine = Engine::default();
 /// let report = Report { boot: 1, version: 3, swap: Swap::Idle };
--- a/src/order_client.rs
+++ b/src/weights/order_client.rs
@@ -18,9 +18,9 @@
 
 use crate::{
     connection::{ConnectError, Connection, Pool, Protocol, SendError, Target, UpstreamRequest},
-    engine_api,
+    engine::api,
     ids::FenceNumber,
-    order::{End, Order},
+    weights::order::{End, Order},
 };
 
 /// Why a report or a list could not be had.
@@ -75,7 +75,7 @@
     /// # Errors
     ///
     /// Fails where no whole report arrives in time.
-    pub async fn report(&self, engine: SocketAddr) -> Result<engine_api::Report, FetchError> {
+    pub async fn report(&self, engine: SocketAddr) -> Result<api::Report, FetchError> {
         timeout(self.timeout, self.fetch_report(engine))
             .await
             .map_err(|_| FetchError::TimedOut)?
@@ -119,7 +119,7 @@
             .unwrap_or(End::Failed)
     }
 
-    async fn fetch_report(&self, engine: SocketAddr) -> Result<engine_api::Report, FetchError> {
+    async fn fetch_report(&self, engine: SocketAddr) -> Result<api::Report, FetchError> {
         let mut connection = self.connections.checkout(http1(engine)).await?;
         let request = request(engine, Method::GET, "/v1/report", Vec::new());
         let answer = connection.send(request).await?;
--- a/src/shard.rs
+++ b/src/weights/shard.rs
@@ -11,9 +11,11 @@
 use crate::{
     clock::Timestamp,
     ids::{FenceNumber, HostId, UpstreamId},
-    lease,
-    order::{End, Engine, Order, Report, Wanted},
-    wave::{Limits, Member, Planner},
+    weights::{
+        lease,
+        order::{End, Engine, Order, Report, Wanted},
+        wave::{Limits, Member, Planner},
+    },
 };
 
 /// The time between two reports of an engine that loads or is behind.
@@ -75,7 +77,7 @@
 /// ```
 /// use std::time::Duration;
 ///
-/// use mimosavane::{lease::Terms, shard::Shard, wave::Limits};
+/// use mimosavane::weights::{lease::Terms, shard::Shard, wave::Limits};
 ///
 /// let terms = Terms {
 ///     lease: Duration::from_secs(10),
--- a/src/steward.rs
+++ b/src/weights/steward.rs
@@ -18,20 +18,21 @@
 };
 
 use crate::{
-    blackboard::{UpstreamKind, UpstreamState},
-    call,
-    claim_store::TableClaims,
+    api::platform::Listed,
+    call::{self, claim_store::TableClaims},
     clock::Clock,
     connection::{self, Pool},
+    control::blackboard::{UpstreamKind, UpstreamState},
     ids::{Revision, UpstreamId},
-    lease::{self, Terms, Versioned, Wrote},
-    order::{End, Order, Wanted},
-    order_client::Client,
-    platform_api::Listed,
     settings::{Settings, StewardSettings},
-    shard::{Action, Event, Shard, shard_of},
     store::{Record, RecordKey, StoreError, TableService, Transaction},
-    wave::Limits,
+    weights::{
+        lease::{self, Terms, Versioned, Wrote},
+        order::{End, Order, Wanted},
+        order_client::Client,
+        shard::{Action, Event, Shard, shard_of},
+        wave::Limits,
+    },
 };
 
 /// The table of leases, one record a shard.
--- a/src/wave.rs
+++ b/src/weights/wave.rs
@@ -9,7 +9,7 @@
 use crate::{
     clock::Timestamp,
     ids::{UpstreamId, WeightVersion},
-    order::{Engine, Need, Order, Wanted},
+    weights::order::{Engine, Need, Order, Wanted},
 };
 
 /// The bounds of a rollout.
@@ -46,7 +46,7 @@
 /// ```
 /// use std::{collections::BTreeMap, time::Duration};
 ///
-/// use mimosavane::wave::{Limits, Planner};
+/// use mimosavane::weights::wave::{Limits, Planner};
 ///
 /// let limits = Limits { capacity_floor_ratio: 0.75, max_rate_loads_per_s: 10.0 };
 /// let mut planner = Planner::new(limits);
--- a/tests/attempt.rs
+++ b/tests/attempt.rs
@@ -1,6 +1,6 @@
 //! What may be said of an attempt after any course of events.
 
-use mimosavane::attempt::{Attempt, Event, Outcome, Reason, State};
+use mimosavane::call::attempt::{Attempt, Event, Outcome, Reason, State};
 
 const EVENTS: [Event; 8] = [
     Event::Handed,
--- a/tests/auth.rs
+++ b/tests/auth.rs
@@ -2,8 +2,8 @@
 
 use http::{HeaderMap, HeaderValue, header::AUTHORIZATION};
 use mimosavane::{
-    auth::{Keys, Role},
     settings::KeySettings,
+    table::auth::{Keys, Role},
 };
 
 fn keys() -> Keys {
--- a/tests/burn.rs
+++ b/tests/burn.rs
@@ -3,10 +3,12 @@
 use std::time::Duration;
 
 use mimosavane::{
-    burn::{HostWindows, Objective, Recorder, Tally},
-    burn_page,
-    burn_report::{Alert, Report, Scope},
-    explain::Missing,
+    observe::{
+        burn::{HostWindows, Objective, Recorder, Tally},
+        burn_page,
+        burn_report::{Alert, Report, Scope},
+        explain::Missing,
+    },
     settings::ObjectiveSettings,
 };
 
--- a/tests/cache_index.rs
+++ b/tests/cache_index.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeSet, time::Duration};
 
 use mimosavane::{
-    cache_index::{Action, BlockHash, CacheEvent, Index, Listing, MAX_ENGINES, Trust},
+    engine::cache_index::{Action, BlockHash, CacheEvent, Index, Listing, MAX_ENGINES, Trust},
     ids::UpstreamId,
 };
 
--- a/tests/call.rs
+++ b/tests/call.rs
@@ -22,7 +22,9 @@
 use http_body_util::BodyExt;
 use hyper::{server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
-use mimosavane::{connection::Protocol, decision::Kind, gate::Entry, retry::Deadline};
+use mimosavane::{
+    call::gate::Entry, connection::Protocol, control::decision::Kind, retry::Deadline,
+};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
--- a/tests/call_rate.rs
+++ b/tests/call_rate.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use mimosavane::{Row, allowance::Split, entry::call_rate::CallRates};
+use mimosavane::{Row, entry::call_rate::CallRates, share::allowance::Split};
 
 fn rates(ordinal: u32, host_count: u32) -> CallRates {
     CallRates::new(Split {
--- a/tests/capacity.rs
+++ b/tests/capacity.rs
@@ -2,7 +2,7 @@
 
 use std::process::Command;
 
-use mimosavane::capacity::{Figure, Line, Role, Verdict};
+use mimosavane::observe::capacity::{Figure, Line, Role, Verdict};
 use strum::IntoEnumIterator as _;
 
 #[test]
--- a/tests/claim.rs
+++ b/tests/claim.rs
@@ -7,10 +7,13 @@
 
 use claims::{Claims, Fault, Table};
 use mimosavane::{
-    attempt::Reason,
-    call::remove_expired,
-    claim::{
-        Answer, Claim, ClaimStore, Event, Expected, Key, Machine, Record, Step, StoreError, acquire,
+    call::{
+        attempt::Reason,
+        claim::{
+            Answer, Claim, ClaimStore, Event, Expected, Key, Machine, Record, Step, StoreError,
+            acquire,
+        },
+        remove_expired,
     },
     ids::AttemptId,
 };
@@ -76,7 +79,7 @@
         });
     }
 
-    fn deliver(&mut self, write: &Write) -> Option<mimosavane::claim::Written> {
+    fn deliver(&mut self, write: &Write) -> Option<mimosavane::call::claim::Written> {
         match write {
             Write::Put(claim, expected) => Some(self.table.put(claim, *expected)),
             Write::Complete(attempt, record) => {
@@ -91,7 +94,7 @@
         &mut self,
         write: Write,
         chance: u8,
-    ) -> Result<Option<mimosavane::claim::Written>, StoreError> {
+    ) -> Result<Option<mimosavane::call::claim::Written>, StoreError> {
         match chance % 6 {
             0 => Err(StoreError::Unavailable),
             1 => Err(StoreError::AnswerLost),
@@ -217,7 +220,7 @@
 
     for seed in 0..5_000 {
         let mut bytes = [0; 200];
-        mimosavane::controller::Rng::seed_from_u64(seed).fill_bytes(&mut bytes);
+        mimosavane::control::controller::Rng::seed_from_u64(seed).fill_bytes(&mut bytes);
         play(&bytes);
     }
 }
--- a/tests/claim_store.rs
+++ b/tests/claim_store.rs
@@ -1,8 +1,10 @@
 //! Claims of keyed calls in the table service.
 
 use mimosavane::{
-    claim::{Claim, ClaimStore as _, Expected, Key, Record, StoreError, Written},
-    claim_store::TableClaims,
+    call::{
+        claim::{Claim, ClaimStore as _, Expected, Key, Record, StoreError, Written},
+        claim_store::TableClaims,
+    },
     standin::table_service::{LoseAnswers, MemoryTable},
 };
 
--- a/tests/concurrency.rs
+++ b/tests/concurrency.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use mimosavane::concurrency::{Limiter, Sample};
+use mimosavane::call::concurrency::{Limiter, Sample};
 
 /// Runs full windows of calls that are as many at once as the limit allows.
 fn saturate(limiter: &mut Limiter, rounds: u32, sample: impl Fn(u32) -> Sample) {
--- a/tests/datagram.rs
+++ b/tests/datagram.rs
@@ -3,8 +3,11 @@
 use std::net::SocketAddr;
 
 use mimosavane::{
-    datagram::{Key, MAX_DATAGRAM_BYTES, Opener, Refusal, Sealer, SendError, Transport},
-    gossip::{Body, Heartbeat, Update},
+    entry::transport::Transport,
+    host::{
+        datagram::{Key, MAX_DATAGRAM_BYTES, Opener, Refusal, Sealer, SendError},
+        gossip::{Body, Heartbeat, Update},
+    },
     proto::peer,
 };
 use prost::Message as _;
@@ -158,7 +161,7 @@
     let update = Update {
         host: "h".repeat(64).into(),
         incarnation: 1,
-        state: mimosavane::blackboard::HostState::Suspect,
+        state: mimosavane::control::blackboard::HostState::Suspect,
         place: None,
     };
     long.updates = vec![update; 30];
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -4,12 +4,18 @@
 
 use mimosavane::{
     Blackboard, Row,
-    blackboard::{EngineReport, Engines, Rows, Upstream, UpstreamKind, UpstreamState, Upstreams},
-    controller::{Controller as _, Rng, Round},
-    decision::Decision,
-    dispatch::{Action, Controller, Event, MAX_WAITING_PER_ROW, Refusal, Request},
-    fairness::{Class, Ticket},
-    quota::Allowance,
+    control::{
+        blackboard::{
+            EngineReport, Engines, Rows, Upstream, UpstreamKind, UpstreamState, Upstreams,
+        },
+        controller::{Controller as _, Rng, Round},
+        decision::Decision,
+    },
+    share::{
+        dispatch::{Action, Controller, Event, MAX_WAITING_PER_ROW, Refusal, Request},
+        fairness::{Class, Ticket},
+        quota::Allowance,
+    },
 };
 use rand::SeedableRng;
 
--- a/tests/doubles/claims.rs
+++ b/tests/doubles/claims.rs
@@ -6,7 +6,7 @@
 };
 
 use mimosavane::{
-    claim::{Claim, ClaimStore, Expected, Key, Record, StoreError, Written},
+    call::claim::{Claim, ClaimStore, Expected, Key, Record, StoreError, Written},
     ids::AttemptId,
 };
 
--- a/tests/doubles/mod.rs
+++ b/tests/doubles/mod.rs
@@ -12,13 +12,17 @@
 use http::{Request, Response};
 use http_body_util::BodyExt;
 use mimosavane::{
-    blackboard::{Blackboard, Upstream, UpstreamKind, UpstreamState, Upstreams},
-    call::{Caller, Context, Payload},
+    call::{
+        Caller, Context, Payload,
+        gate::{self, Gate},
+    },
     clock::Clock,
     connection::{self, Protocol},
-    controller::Rng,
-    decision::Decision,
-    gate::{self, Gate},
+    control::{
+        blackboard::{Blackboard, Upstream, UpstreamKind, UpstreamState, Upstreams},
+        controller::Rng,
+        decision::Decision,
+    },
     settings::{PoolSettings, Settings},
 };
 use rand::SeedableRng;
--- a/tests/drain.rs
+++ b/tests/drain.rs
@@ -4,8 +4,8 @@
 
 use mimosavane::{
     Blackboard, Controller as _,
-    controller::{Rng, Round},
-    drain::{Action, Config, Controller, Event, OpenWork, Outcome, OwnedStep, Requester},
+    control::controller::{Rng, Round},
+    host::drain::{Action, Config, Controller, Event, OpenWork, Outcome, OwnedStep, Requester},
 };
 use rand::SeedableRng;
 
--- a/tests/edit.rs
+++ b/tests/edit.rs
@@ -5,13 +5,16 @@
 use std::{sync::Arc, time::Duration};
 
 use mimosavane::{
-    change::{Accepted, Change, PlanError, RowEdit},
-    column::{CellFault, Cells},
-    controller::Rng,
-    edit::{self, EditError},
+    control::controller::Rng,
     standin::table_service::{LoseAnswers, MemoryTable},
     store::{RecordKey, StoreError, TableService, Transaction},
-    table::{ReadError, read_change, read_history, read_table},
+    table::{
+        ReadError,
+        change::{Accepted, Change, PlanError, RowEdit},
+        column::{CellFault, Cells},
+        edit::{self, EditError},
+        read_change, read_history, read_table,
+    },
 };
 use rand::SeedableRng as _;
 use serde_json::json;
--- a/tests/ejection.rs
+++ b/tests/ejection.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use mimosavane::{
-    controller::Rng,
-    ejection::{Change, Pool, Standing},
+    call::ejection::{Change, Pool, Standing},
+    control::controller::Rng,
     ids::UpstreamId,
 };
 use rand::SeedableRng;
--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -9,15 +9,17 @@
 
 use hyper::Method;
 use mimosavane::{
-    change::{Change, RowEdit},
-    controller::Rng,
-    edit,
+    control::controller::Rng,
     entry::{Running, problem::Details},
     settings::Settings,
     standin::{
         client::{Answer, Client},
         table_service::{MemoryTable, TableServiceStandin},
     },
+    table::{
+        change::{Change, RowEdit},
+        edit,
+    },
 };
 use rand::SeedableRng as _;
 use tokio::runtime::Runtime;
--- a/tests/evidence.rs
+++ b/tests/evidence.rs
@@ -1,7 +1,7 @@
 //! Segments name the weights that truly made each token, or the token is cut.
 
 use bolero::check;
-use mimosavane::evidence::{Chunk, Evidence, EvidenceError, Proved, Segment};
+use mimosavane::engine::evidence::{Chunk, Evidence, EvidenceError, Proved, Segment};
 
 fn chunk(index: u32, tokens: &[u32], version: u64) -> Chunk {
     Chunk {
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use mimosavane::{
-    decision::{Decision, Kind},
-    explain::{Account, Answer, Missing},
+    control::decision::{Decision, Kind},
+    observe::explain::{Account, Answer, Missing},
 };
 
 fn record(at_ms: u64, what: &str, id: &str) -> Decision {
--- a/tests/fairness.rs
+++ b/tests/fairness.rs
@@ -7,8 +7,8 @@
 use std::collections::BTreeSet;
 
 use mimosavane::{
-    baseline::FirstCome,
-    fairness::{Class, Cost, Entry, Queue, Ranking, Ticket, Weighted},
+    engine::baseline::FirstCome,
+    share::fairness::{Class, Cost, Entry, Queue, Ranking, Ticket, Weighted},
 };
 use support::virtual_engines::{Demand, Fleet, Shape, shares_of};
 
--- a/tests/follower.rs
+++ b/tests/follower.rs
@@ -4,11 +4,13 @@
 
 use mimosavane::{
     Blackboard, Controller as _,
-    blackboard::{HostState, TableStanding},
-    controller::{Rng, Round},
-    follower::{self, Action, Event, ISOLATION_TIMEOUT, Report},
+    control::{
+        blackboard::{HostState, TableStanding},
+        controller::{Rng, Round},
+    },
     ids::Revision,
     standin::table_service::MemoryTable,
+    store::follower::{self, Action, Event, ISOLATION_TIMEOUT, Report},
 };
 use rand::SeedableRng as _;
 
--- a/tests/job_interface.rs
+++ b/tests/job_interface.rs
@@ -18,13 +18,13 @@
         host::{Host, HostSettings},
         jobs,
         metrics::Exposition,
+        replies::Reply,
         routes::{Route, RouteKind},
-        server::Reply,
         wire::{ClientHead, JobCall},
     },
+    observe::telemetry::Metrics,
     platform::PlatformWire,
-    rows::RowStore as _,
-    telemetry::Metrics,
+    store::rows::RowStore as _,
 };
 use rows_support::{Fault, Rows};
 
--- a/tests/job_listing.rs
+++ b/tests/job_listing.rs
@@ -10,7 +10,7 @@
 use mimosavane::{
     batch::{job::ItemResult, layout},
     ingress::stored,
-    rows::{RowName, RowRange, RowStore, RowTransaction},
+    store::rows::{RowName, RowRange, RowStore, RowTransaction},
 };
 use rows_support::{
     Fault, Rows, job,
--- a/tests/job_retention.rs
+++ b/tests/job_retention.rs
@@ -9,7 +9,7 @@
 use mimosavane::{
     batch::layout,
     ingress::retention::{Expiries, sweep},
-    rows::RowStore as _,
+    store::rows::RowStore as _,
 };
 use rows_support::{Fault, Rows, job};
 
--- a/tests/job_schedule.rs
+++ b/tests/job_schedule.rs
@@ -14,7 +14,7 @@
         layout,
     },
     ingress::stored,
-    rows::RowStore as _,
+    store::rows::RowStore as _,
 };
 use rows_support::{
     Fault, Rows,
--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -4,9 +4,9 @@
 
 use mimosavane::{
     clock::Timestamp,
-    controller::Rng,
+    control::controller::Rng,
     ids::FenceNumber,
-    lease::{Action, Event, Machine, Record, Terms, Versioned, Wrote},
+    weights::lease::{Action, Event, Machine, Record, Terms, Versioned, Wrote},
 };
 use rand::{Rng as _, SeedableRng};
 
--- a/tests/ledger.rs
+++ b/tests/ledger.rs
@@ -8,11 +8,15 @@
 
 use mimosavane::{
     Blackboard, Row,
-    blackboard::{Host, HostState, Hosts, Rows},
-    controller::{Controller as _, Rng, Round},
-    dispatch::RowLoad,
+    control::{
+        blackboard::{Host, HostState, Hosts, Rows},
+        controller::{Controller as _, Rng, Round},
+    },
     ids::HostId,
-    ledger::{Action, Controller, Event, Message, depth},
+    share::{
+        dispatch::RowLoad,
+        ledger::{Action, Controller, Event, Message, depth},
+    },
 };
 use rand::{Rng as _, SeedableRng};
 
@@ -232,7 +236,7 @@
             sequence,
             counts: [(
                 "row-00".into(),
-                mimosavane::ledger::Count {
+                mimosavane::share::ledger::Count {
                     served_tokens: tokens,
                     backlog_tokens: 0,
                 },
--- a/tests/load.rs
+++ b/tests/load.rs
@@ -1,6 +1,6 @@
 //! The report of the load tool.
 
-use mimosavane::load::{Options, run};
+use mimosavane::experiment::load::{Options, run};
 
 #[tokio::test]
 async fn both_lines() {
--- a/tests/log_story.rs
+++ b/tests/log_story.rs
@@ -1,6 +1,6 @@
 //! The story of an id, from the logs of several hosts.
 
-use mimosavane::log_story::Story;
+use mimosavane::observe::log_story::Story;
 
 const ENTRY: &str = r#"   0.02 edge-a {"timestamp":"T01","event":"job.accepted","job":"7c","model":"m","took_ms":13}
    9.99 edge-a {"timestamp":"T09","event":"job.call","job":"7c","call":"end","status":200}
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -8,11 +8,13 @@
 
 use bolero::TypeGenerator;
 use mimosavane::{
-    blackboard::HostState,
-    datagram::Refusal,
-    flap,
+    control::blackboard::HostState,
+    host::{
+        datagram::Refusal,
+        flap,
+        membership::{Action, Event, Listing},
+    },
     ids::{HostId, Incarnation},
-    membership::{Action, Event, Listing},
 };
 use support::fleet::Fleet;
 
@@ -178,7 +180,7 @@
 #[test]
 fn table_revision() {
     let mut fleet = settled(12, 3, 14);
-    let rows = mimosavane::blackboard::Rows {
+    let rows = mimosavane::control::blackboard::Rows {
         revision: 7,
         ..Default::default()
     };
@@ -257,11 +259,11 @@
     let mut own = fleet.nodes[11].own.clone();
     own.incarnation += 50_000;
     own.id = fleet.nodes[10].own.id.clone();
-    let update = mimosavane::gossip::Update::of(&own);
-    let heartbeat = mimosavane::gossip::Heartbeat {
+    let update = mimosavane::host::gossip::Update::of(&own);
+    let heartbeat = mimosavane::host::gossip::Heartbeat {
         from: own.id.clone(),
         incarnation: own.incarnation,
-        body: mimosavane::gossip::Body::Gossip,
+        body: mimosavane::host::gossip::Body::Gossip,
         updates: vec![update],
         table_revision: 0,
         served: Vec::new(),
--- a/tests/order.rs
+++ b/tests/order.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use mimosavane::order::{End, Engine, Need, Order, Report, Swap, Wanted};
+use mimosavane::weights::order::{End, Engine, Need, Order, Report, Swap, Wanted};
 
 const LOAD: Order = Order::LoadWeights { version: 4 };
 
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -13,9 +13,9 @@
 };
 
 use mimosavane::{
-    admission::{Ask, End, Grant, Pool, Ticket, Verdict},
+    call::admission::{Ask, End, Grant, Pool, Ticket, Verdict},
     clock::Timestamp,
-    controller::Rng,
+    control::controller::Rng,
     ids::UpstreamId,
     retry::Deadline,
 };
--- a/tests/platform_wire.rs
+++ b/tests/platform_wire.rs
@@ -15,7 +15,7 @@
         },
     },
     platform::{PlatformWire, boot},
-    rows::StoredRow,
+    store::rows::StoredRow,
 };
 
 const CONFIGURATION: &str = r#"{"version":7,"routes":[
--- a/tests/progress.rs
+++ b/tests/progress.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use mimosavane::{
+use mimosavane::call::{
     attempt::Reason,
     progress::{Check, Step, Watch, counts_against_upstream},
 };
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -4,10 +4,12 @@
 
 use mimosavane::{
     Blackboard, Row,
-    blackboard::{Host, HostState, Hosts, Rows},
-    controller::{Controller as _, Rng, Round},
+    control::{
+        blackboard::{Host, HostState, Hosts, Rows},
+        controller::{Controller as _, Rng, Round},
+    },
     ids::{HostId, RowId},
-    quota::{Action, Controller, Event, Kind, LOAN_DURATION, Message, Split},
+    share::quota::{Action, Controller, Event, Kind, LOAN_DURATION, Message, Split},
 };
 use rand::{Rng as _, SeedableRng};
 
--- a/tests/replay.rs
+++ b/tests/replay.rs
@@ -2,7 +2,7 @@
 
 use std::{fs, path::PathBuf, thread};
 
-use mimosavane::{replay, trace::Trace};
+use mimosavane::{observe::trace::Trace, replay};
 
 fn traces() -> Vec<PathBuf> {
     let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/traces");
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -4,17 +4,21 @@
 
 use mimosavane::{
     Blackboard,
-    baseline::{Baseline, LeastRequests, PowerOfTwo, Random, RoundRobin},
-    blackboard::{
-        EngineReport, Engines, Host, HostState, Hosts, Upstream, UpstreamKind, UpstreamState,
-        Upstreams,
+    control::{
+        blackboard::{
+            EngineReport, Engines, Host, HostState, Hosts, Upstream, UpstreamKind, UpstreamState,
+            Upstreams,
+        },
+        controller::Rng,
+    },
+    engine::{
+        baseline::{Baseline, LeastRequests, PowerOfTwo, Random, RoundRobin},
+        cache_index::{BlockHash, CacheEvent},
+        rendezvous,
+        routing::{Policy, Request, Router, SUBSET_ENGINE_COUNT},
     },
-    cache_index::{BlockHash, CacheEvent},
-    controller::Rng,
-    fairness::Class,
     ids::{HostId, RowId, UpstreamId},
-    rendezvous,
-    routing::{Policy, Request, Router, SUBSET_ENGINE_COUNT},
+    share::fairness::Class,
 };
 use rand::{Rng as _, SeedableRng};
 
--- a/tests/rows_support/member.rs
+++ b/tests/rows_support/member.rs
@@ -16,7 +16,7 @@
         scheduler::{Action, EngineSpec, Rights, RunEnd, RunNumber, Scheduler},
     },
     ingress::{listing::Lister, stored},
-    rows::RowStore,
+    store::rows::RowStore,
 };
 
 use super::{Rows, job};
--- a/tests/rows_support/mod.rs
+++ b/tests/rows_support/mod.rs
@@ -14,7 +14,7 @@
 use bytes::Bytes;
 use mimosavane::{
     batch::job::{Item, Job, JobHead},
-    rows::{
+    store::rows::{
         Applied, NotAppliedReason, RowError, RowPage, RowRange, RowStamp, RowStore, RowTransaction,
         StoredRow,
     },
@@ -107,7 +107,7 @@
     }
 
     fn apply(&mut self, transaction: &RowTransaction) -> Result<Applied, RowError> {
-        let name = |name: &mimosavane::rows::RowName| -> Name {
+        let name = |name: &mimosavane::store::rows::RowName| -> Name {
             (
                 name.table.to_owned(),
                 name.partition.clone(),
--- a/tests/saved_output.rs
+++ b/tests/saved_output.rs
@@ -7,7 +7,7 @@
 use mimosavane::{
     batch::{layout, output::Output},
     ingress::stored,
-    rows::RowStore as _,
+    store::rows::RowStore as _,
 };
 use rows_support::Rows;
 
--- a/tests/settings_check.rs
+++ b/tests/settings_check.rs
@@ -2,10 +2,9 @@
 
 use std::{collections::BTreeSet, path::Path};
 
-use mimosavane::{
-    settings::{PoolSettings, Settings, SettingsError},
-    settings_check,
-    settings_field::{self, FIELDS, Presence},
+use mimosavane::settings::{
+    PoolSettings, Settings, SettingsError, check,
+    field::{self, FIELDS, Presence},
 };
 use serde_json::Value;
 
@@ -15,7 +14,7 @@
 
 #[test]
 fn all_at_once() {
-    let mistakes = settings_check::check("host.yaml", MISTAKES);
+    let mistakes = check::check("host.yaml", MISTAKES);
     let told: Vec<String> = mistakes.iter().map(ToString::to_string).collect();
     for line in EXPECTED.lines() {
         let start = format!("host.yaml:{line}");
@@ -28,24 +27,24 @@
 
 #[test]
 fn secrets_untold() {
-    let told = format!("{:?}", settings_check::check("host.yaml", MISTAKES));
+    let told = format!("{:?}", check::check("host.yaml", MISTAKES));
     assert!(!told.contains("0123456789abcdef"));
     assert!(!told.contains("short\""));
 }
 
 #[test]
 fn broken_yaml() {
-    let mistakes = settings_check::check("host.yaml", "host:\n  id: [a\nplatform: {}\n");
+    let mistakes = check::check("host.yaml", "host:\n  id: [a\nplatform: {}\n");
     assert_eq!(mistakes.len(), 1, "{mistakes:?}");
     assert!(mistakes[0].line >= 2);
-    assert!(!settings_check::check("host.yaml", "").is_empty());
-    assert!(!settings_check::check("host.yaml", "- 1\n- 2\n").is_empty());
+    assert!(!check::check("host.yaml", "").is_empty());
+    assert!(!check::check("host.yaml", "- 1\n- 2\n").is_empty());
 }
 
 #[test]
 fn repeated_section() {
     let text = format!("{MINIMAL}platform:\n  timeout_ms: 1\n");
-    assert!(!settings_check::check("host.yaml", &text).is_empty());
+    assert!(!check::check("host.yaml", &text).is_empty());
 }
 
 #[test]
@@ -109,9 +108,5 @@
 #[test]
 fn page_is_current() {
     let page = std::fs::read_to_string("docs/SETTINGS.md").unwrap();
-    assert_eq!(
-        page,
-        settings_field::page(),
-        "run cargo run --example pages"
-    );
+    assert_eq!(page, field::page(), "run cargo run --example pages");
 }
--- a/tests/staleness.rs
+++ b/tests/staleness.rs
@@ -7,8 +7,10 @@
 use mimosavane::{
     Row,
     experiment::{Scenario, run},
-    staleness::{Cadence, Forecast, Gate, Verdict, age_versions, is_deliverable, judge},
-    step::Policy,
+    step::{
+        Policy,
+        staleness::{Cadence, Forecast, Gate, Verdict, age_versions, is_deliverable, judge},
+    },
 };
 use step_support::{Owner, Trainer, at, dispatches, finished, proved, replies, spec};
 
--- a/tests/step.rs
+++ b/tests/step.rs
@@ -4,11 +4,10 @@
 
 use mimosavane::{
     Row,
-    attach::Reply,
-    blackboard::StoreCondition,
+    control::blackboard::StoreCondition,
+    engine::rendezvous::step_owner,
     ids::HostId,
-    rendezvous::step_owner,
-    step::{Action, Controller, Event, Failure, StepKey, SubmitError},
+    step::{Action, Controller, Event, Failure, StepKey, SubmitError, attach::Reply},
 };
 use step_support::{
     Owner, STEP, Trainer, at, cancels, dispatches, finished, progressed, proved, replies, sample,
--- a/tests/step_support/mod.rs
+++ b/tests/step_support/mod.rs
@@ -6,16 +6,20 @@
 
 use mimosavane::{
     Blackboard, Controller as _, Row,
-    attach::{HeldGroup, Pull, Reply},
-    blackboard::{EngineReport, Host, HostState, Hosts},
     clock::Timestamp,
-    controller::{Rng, Round},
-    decision::Decision,
-    evidence::{Proved, Segment},
+    control::{
+        blackboard::{EngineReport, Host, HostState, Hosts},
+        controller::{Rng, Round},
+        decision::Decision,
+    },
+    engine::evidence::{Proved, Segment},
     ids::WeightVersion,
-    sample::{FinishReason, Sample, id},
-    spec::{PromptGroup, StepSpec},
-    step::{Action, Controller, Dispatch, Event},
+    step::{
+        Action, Controller, Dispatch, Event,
+        attach::{HeldGroup, Pull, Reply},
+        sample::{FinishReason, Sample, id},
+        spec::{PromptGroup, StepSpec},
+    },
 };
 use rand::SeedableRng;
 
--- a/tests/steward.rs
+++ b/tests/steward.rs
@@ -8,16 +8,16 @@
 };
 
 use mimosavane::{
-    blackboard::{UpstreamKind, UpstreamState},
-    platform_api::Listed,
+    api::platform::Listed,
+    control::blackboard::{UpstreamKind, UpstreamState},
     settings::Settings,
     standin::{
         engine::{Config, Engine},
         host_list::HostList,
         table_service::MemoryTable,
     },
-    steward,
     store::{RecordKey, TableService, Transaction},
+    weights::steward,
 };
 use tokio::{sync::oneshot, task::JoinHandle, time::sleep};
 
--- a/tests/store.rs
+++ b/tests/store.rs
@@ -5,13 +5,14 @@
 use std::time::Duration;
 
 use mimosavane::{
-    blackboard::StoreCondition,
     clock::Timestamp,
-    controller::Rng,
+    control::{blackboard::StoreCondition, controller::Rng},
     standin::table_service::{LoseAnswers, MemoryTable, TableServiceStandin},
-    store::{NotSentReason, RecordKey, StoreError, TableService, Transaction},
-    store_client::{Budget, HttpTableService},
-    store_condition::{MAX_BACKOFF, Tracker, backoff},
+    store::{
+        NotSentReason, RecordKey, StoreError, TableService, Transaction,
+        client::{Budget, HttpTableService},
+        condition::{MAX_BACKOFF, Tracker, backoff},
+    },
 };
 use rand::SeedableRng as _;
 use serde_json::json;
--- a/tests/straggler.rs
+++ b/tests/straggler.rs
@@ -5,9 +5,11 @@
 use mimosavane::{
     Row,
     experiment::{Scenario, run},
-    length::{Estimator, GroupLengths},
-    step::{Action, Dispatch, Event, Policy},
-    straggler::{Standing, hedge_budget_count},
+    step::{
+        Action, Dispatch, Event, Policy,
+        length::{Estimator, GroupLengths},
+        straggler::{Standing, hedge_budget_count},
+    },
 };
 use step_support::{Owner, Trainer, at, cancels, dispatches, finished, progressed, proved, spec};
 
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -9,12 +9,16 @@
 
 use mimosavane::{
     Blackboard, Controller as _,
-    blackboard::{Host, HostState},
     clock::Timestamp,
-    controller::{Rng, Round},
-    datagram::{Key, Opener, Sealer},
-    decision::Decision,
-    membership::{Action, Config, Controller, Event},
+    control::{
+        blackboard::{Host, HostState},
+        controller::{Rng, Round},
+        decision::Decision,
+    },
+    host::{
+        datagram::{Key, Opener, Sealer},
+        membership::{Action, Config, Controller, Event},
+    },
 };
 use rand::{Rng as _, SeedableRng};
 
--- a/tests/support/real_fleet.rs
+++ b/tests/support/real_fleet.rs
@@ -6,14 +6,15 @@
 };
 
 use mimosavane::{
-    blackboard::TableStanding,
-    change::{Change, RowEdit},
-    controller::Rng,
-    edit,
+    control::{blackboard::TableStanding, controller::Rng},
     entry::Running,
     ids::Revision,
     settings::Settings,
     standin::table_service::{MemoryTable, TableServiceStandin},
+    table::{
+        change::{Change, RowEdit},
+        edit,
+    },
 };
 use rand::SeedableRng as _;
 
--- a/tests/support/virtual_engines.rs
+++ b/tests/support/virtual_engines.rs
@@ -8,16 +8,20 @@
 
 use mimosavane::{
     Blackboard, Row,
-    blackboard::{
-        EngineReport, Engines, Host, HostState, Hosts, Rows, Upstream, UpstreamKind, UpstreamState,
-        Upstreams,
+    control::{
+        blackboard::{
+            EngineReport, Engines, Host, HostState, Hosts, Rows, Upstream, UpstreamKind,
+            UpstreamState, Upstreams,
+        },
+        controller::{Controller as _, Rng, Round},
     },
-    controller::{Controller as _, Rng, Round},
-    dispatch::{Action, Dispatcher, Event, Request},
-    fairness::{Class, PROMPT_COST_RATIO, Ranking, Ticket},
+    engine::rendezvous,
     ids::{HostId, RowId, UpstreamId},
-    ledger, rendezvous,
-    share::shares,
+    share::{
+        dispatch::{Action, Dispatcher, Event, Request},
+        fairness::{Class, PROMPT_COST_RATIO, Ranking, Ticket},
+        ledger, shares,
+    },
 };
 use rand::{Rng as _, SeedableRng};
 
--- a/tests/support/virtual_fleet.rs
+++ b/tests/support/virtual_fleet.rs
@@ -9,10 +9,12 @@
 
 use mimosavane::{
     Blackboard, Controller as _, Row,
-    blackboard::{Host, HostState, Hosts},
-    controller::{Rng, Round},
-    follower::{Action, Controller, Event},
+    control::{
+        blackboard::{Host, HostState, Hosts},
+        controller::{Rng, Round},
+    },
     ids::{HostId, Revision},
+    store::follower::{Action, Controller, Event},
 };
 use rand::{Rng as _, SeedableRng as _};
 
--- a/tests/table_fleet.rs
+++ b/tests/table_fleet.rs
@@ -6,9 +6,11 @@
 };
 
 use mimosavane::{
-    blackboard::TableStanding,
-    table_client::TableClient,
-    table_server::{Server, State},
+    control::blackboard::TableStanding,
+    table::{
+        client::TableClient,
+        server::{Server, State},
+    },
 };
 
 use support::{OPERATOR_KEY, RealFleet};
--- a/tests/table_server.rs
+++ b/tests/table_server.rs
@@ -16,15 +16,17 @@
     rt::{TokioExecutor, TokioIo},
 };
 use mimosavane::{
-    blackboard::{HostState, TableStanding},
-    follower::{Peer, Report},
+    control::blackboard::{HostState, TableStanding},
     settings::Settings,
     standin::table_service::{LoseAnswers, MemoryTable, TableServiceStandin},
-    table_api::{Problem, ProblemKind, TableBody},
-    table_client::{ClientError, TableClient},
-    table_command,
-    table_server::{Server, State},
-    table_view,
+    store::follower::{Peer, Report},
+    table::{
+        api::{Problem, ProblemKind, TableBody},
+        client::{ClientError, TableClient},
+        command,
+        server::{Server, State},
+        view,
+    },
 };
 use serde_json::{Value, json};
 
@@ -403,7 +405,7 @@
         let Err(ClientError::Refused(problem)) = client.import(text, false).await else {
             panic!("accepted: {text}");
         };
-        let shown = table_view::problem(&problem);
+        let shown = view::problem(&problem);
         assert!(shown.contains(expected), "{shown}");
     }
 }
@@ -414,7 +416,7 @@
     let client = running.client();
     let cells = ["weight_ratio=2", "mixed_versions=false"];
     let planned = client.set("guides", &cells, true).await.unwrap();
-    assert!(table_view::accepted(&planned, true).contains("nothing was changed"));
+    assert!(view::accepted(&planned, true).contains("nothing was changed"));
     client.set("guides", &cells, false).await.unwrap();
     client
         .set("guides", &["weight_ratio=3"], false)
@@ -425,7 +427,7 @@
         (table.rows[0].weight_ratio, table.rows[0].mixed_versions),
         (3.0, false)
     );
-    let history = table_view::history(&client.history(10).await.unwrap());
+    let history = view::history(&client.history(10).await.unwrap());
     assert!(
         history.contains("guides weight_ratio: 2.0 -> 3.0"),
         "{history}"
@@ -458,8 +460,8 @@
             "--key-file",
             key.path().to_str().unwrap(),
         ];
-        let matches = mimosavane::cli::build().get_matches_from(words.chain(options));
-        table_command::run(matches.subcommand().unwrap().1).await
+        let matches = mimosavane::command::cli::build().get_matches_from(words.chain(options));
+        command::run(matches.subcommand().unwrap().1).await
     };
     for (words, expected) in [
         (
@@ -564,7 +566,7 @@
     );
     let revisions: Vec<_> = status.hosts.iter().map(|host| host.revision).collect();
     assert_eq!(revisions, [Some(2), Some(1), None]);
-    let shown = table_view::status(&status);
+    let shown = view::status(&status);
     assert!(
         shown.contains("revision 2 is in force on 1 of 3 hosts"),
         "{shown}"
--- a/tests/telemetry.rs
+++ b/tests/telemetry.rs
@@ -3,8 +3,10 @@
 use std::{collections::BTreeSet, net::UdpSocket, time::Duration};
 
 use mimosavane::{
+    observe::telemetry::{
+        self, CALL_TIME, CALLS_ANSWERED, HOSTS_LIVE, METRICS, Metrics, TelemetryError,
+    },
     settings::TelemetrySettings,
-    telemetry::{self, CALL_TIME, CALLS_ANSWERED, HOSTS_LIVE, METRICS, Metrics, TelemetryError},
 };
 
 #[test]
--- a/tests/trace.rs
+++ b/tests/trace.rs
@@ -1,6 +1,6 @@
 //! Wrong lines of a trace are refused with their number and field.
 
-use mimosavane::trace::{Trace, TraceError};
+use mimosavane::observe::trace::{Trace, TraceError};
 
 const HEADER: &str = r#"{"format":"mimosavane-trace/1","title":"t","promise":"p","seed":1,"duration_ms":10,"settings":{},"outcomes":[]}"#;
 
--- a/tests/upstream_list.rs
+++ b/tests/upstream_list.rs
@@ -9,11 +9,13 @@
 
 use mimosavane::{
     Blackboard, Controller as _,
-    blackboard::{UpstreamKind, UpstreamState},
     clock::Timestamp,
-    controller::{Rng, Round},
-    membership,
-    upstream_list::{Action, Controller, Event, Listed},
+    control::{
+        blackboard::{UpstreamKind, UpstreamState},
+        controller::{Rng, Round},
+    },
+    engine::upstream_list::{Action, Controller, Event, Listed},
+    host::membership,
 };
 use rand::SeedableRng;
 use support::fleet::Fleet;
--- a/tests/wave.rs
+++ b/tests/wave.rs
@@ -11,10 +11,12 @@
 use mimosavane::{
     clock::Timestamp,
     ids::UpstreamId,
-    lease::{self, Terms, Versioned, Wrote},
-    order::{End, Order, Report, Swap, Wanted},
-    shard::{Action, Event, Shard, shard_of},
-    wave::Limits,
+    weights::{
+        lease::{self, Terms, Versioned, Wrote},
+        order::{End, Order, Report, Swap, Wanted},
+        shard::{Action, Event, Shard, shard_of},
+        wave::Limits,
+    },
 };
 
 const TERMS: Terms = Terms {
