Reach the store through other hosts where it turns this one away

Cause: a host that the store refuses, or that is cut off from it, served no jobs, and as the coordinator lost its lease: 1.4 s until another one took it, up to 2 s of events to make again, 3.2 s without orders.

--- a/src/bin/mimosavane-entry.rs
+++ b/src/bin/mimosavane-entry.rs
@@ -12,6 +12,7 @@
     entry::Running,
     host::drain::Requester,
     ingress::{
+        detour::Detour,
         host::{Host, HostSettings},
         log,
         metrics::Exposition,
@@ -115,8 +116,9 @@
     let exposition = Exposition::default();
     let metrics = Metrics::to_sink(exposition.clone());
     let store_address = settings.store_address;
+    let (name, relay_address) = (settings.host.clone(), settings.relay_address);
     let host = Host::<_, PlatformWire>::with_store(settings, metrics, exposition, |pool| {
-        PlatformStore::new(pool, store_address)
+        Detour::new(PlatformStore::new(pool, store_address), name, relay_address)
     });
     tokio::select! {
         result = host.run(async { drop(stop_signal().await) }) => result.context("listening"),
--- a/src/bin/mimosavane-soak/scene.rs
+++ b/src/bin/mimosavane-soak/scene.rs
@@ -52,6 +52,9 @@
 /// How long an instance that ended stays unreachable.
 const REPLACE_TIME: Duration = Duration::from_millis(300);
 
+/// How many violations of one seed are printed.
+const MAX_PRINTED_COUNT: usize = 20;
+
 /// How a seed is played.
 #[derive(Clone, Debug)]
 pub struct Plan {
@@ -119,7 +122,7 @@
         violations.len(),
         folder.display()
     );
-    for violation in &violations {
+    for violation in violations.iter().take(MAX_PRINTED_COUNT) {
         println!("seed {seed}: {}: {}", violation.promise, violation.seen);
     }
     Ok(false)
--- /dev/null
+++ b/src/ingress/detour.rs
@@ -0,0 +1,385 @@
+//! The way to the store through other hosts, for a host that the store turns away.
+//!
+//! The store may refuse some hosts, or be cut off from them, while it serves the
+//! others. Each host passes on calls for the others at an address that it writes
+//! to the store, as long as the store answers it (see docs/design/platform.md,
+//! "A store that turns a host away").
+
+use std::{
+    cell::{Cell, RefCell},
+    future::Future,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt as _, Full, Limited};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use rand::Rng as _;
+use tokio::{
+    net::TcpListener,
+    task::spawn_local,
+    time::{Instant, sleep, timeout},
+};
+
+use crate::{
+    batch::layout,
+    ids::HostId,
+    ingress::{server, stored},
+    store::rows::{
+        Applied, NotAppliedReason, RelayedStore, RowError, RowName, RowPage, RowRange, RowStamp,
+        RowStore, RowTransaction,
+    },
+};
+
+/// The table in which hosts say where they pass on calls.
+const HOSTS: &str = "hosts";
+
+const HOSTS_PARTITION: &str = "fleet";
+
+/// How many other hosts each one knows; a fifth of a fleet may be turned away at
+/// once, so that all of them are with a probability of 1 in 400,000.
+const PEER_COUNT: usize = 8;
+
+/// How often the other hosts are read anew.
+const LEARN_INTERVAL: Duration = Duration::from_secs(10);
+
+/// How often a host that the store turned away tries it again.
+const TRY_INTERVAL: Duration = Duration::from_millis(300);
+
+/// How long such a try may take.
+const TRY_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// How long a call may stay unanswered whose caller gave up, before the store
+/// counts as lost; the sheets' slow store answers in 240 ms.
+const SILENCE: Duration = Duration::from_millis(350);
+
+/// How long a connection of another host may stay idle.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// The longest body of a call: the platform takes 1 MB.
+const MAX_BODY_BYTES: usize = 2 << 20;
+
+/// A store that is reached directly, or else through another host.
+#[derive(Clone, Debug)]
+pub struct Detour<S> {
+    shared: Rc<Shared<S>>,
+}
+
+#[derive(Debug)]
+struct Shared<S> {
+    direct: S,
+    host: HostId,
+    relay_address: Option<SocketAddr>,
+    /// Whether the store turned this host away when it was last asked.
+    is_lost: Cell<bool>,
+    peers: RefCell<Vec<SocketAddr>>,
+    /// Which of them is asked next.
+    turn: Cell<usize>,
+}
+
+/// Takes the store as lost if its caller gives up on a call that got no answer.
+struct Watch<'a, S> {
+    shared: &'a Shared<S>,
+    started_at: Instant,
+    is_answered: bool,
+}
+
+impl<S> Drop for Watch<'_, S> {
+    fn drop(&mut self) {
+        if !self.is_answered && self.started_at.elapsed() >= SILENCE {
+            self.shared.lose("silent");
+        }
+    }
+}
+
+impl<S> Shared<S> {
+    fn lose(&self, reason: &str) {
+        if !self.is_lost.replace(true) {
+            let peer_count = self.peers.borrow().len();
+            tracing::warn!(event = "store.turned_away", reason, peer_count);
+        }
+    }
+
+    fn regain(&self) {
+        if self.is_lost.replace(false) {
+            tracing::info!(event = "store.direct_again");
+        }
+    }
+}
+
+/// Says why the store counts as lost to this host; none where it answered.
+fn loss<T>(result: &Result<T, RowError>) -> Option<&'static str> {
+    match result {
+        Err(RowError::NotApplied { reason }) => match reason {
+            NotAppliedReason::Unreachable => Some("unreachable"),
+            NotAppliedReason::RateLimited => Some("rate-limited"),
+            NotAppliedReason::Unavailable => Some("unavailable"),
+            NotAppliedReason::Rejected | NotAppliedReason::Full => None,
+        },
+        Err(RowError::Unknown) => Some("answer-lost"),
+        _ => None,
+    }
+}
+
+impl<S: RelayedStore> Detour<S> {
+    /// Makes a client of `direct` for `host`, which passes on calls of others at
+    /// `relay_address`, if it has one.
+    pub fn new(direct: S, host: HostId, relay_address: Option<SocketAddr>) -> Self {
+        Self {
+            shared: Rc::new(Shared {
+                direct,
+                host,
+                relay_address,
+                is_lost: Cell::new(false),
+                peers: RefCell::default(),
+                turn: Cell::new(0),
+            }),
+        }
+    }
+
+    /// Returns whether the store turned this host away when it was last asked.
+    pub fn is_lost(&self) -> bool {
+        self.shared.is_lost.get()
+    }
+
+    /// Makes a call, which may be made once more where `is_repeatable`.
+    async fn ask<T, F>(&self, is_repeatable: bool, call: impl Fn(S) -> F) -> Result<T, RowError>
+    where
+        F: Future<Output = Result<T, RowError>>,
+    {
+        if self.is_lost()
+            && let Some(result) = self.ask_around(&call).await
+        {
+            return result;
+        }
+        let was_lost = self.is_lost();
+        let mut watch = Watch {
+            shared: &self.shared,
+            started_at: Instant::now(),
+            is_answered: false,
+        };
+        let result = call(self.shared.direct.clone()).await;
+        watch.is_answered = true;
+        let Some(reason) = loss(&result) else {
+            self.shared.regain();
+            return result;
+        };
+        self.shared.lose(reason);
+        let may_repeat = is_repeatable || !matches!(result, Err(RowError::Unknown));
+        if was_lost || !may_repeat {
+            return result;
+        }
+        self.ask_around(&call).await.unwrap_or(result)
+    }
+
+    /// Makes a call through another host; none where it did not take it.
+    async fn ask_around<T, F>(&self, call: &impl Fn(S) -> F) -> Option<Result<T, RowError>>
+    where
+        F: Future<Output = Result<T, RowError>>,
+    {
+        let turn = self.shared.turn.get();
+        let peer = {
+            let peers = self.shared.peers.borrow();
+            *peers.get(turn % peers.len().max(1))?
+        };
+        let result = call(self.shared.direct.through(peer)).await;
+        let Some(reason) = loss(&result) else {
+            return Some(result);
+        };
+        tracing::debug!(event = "store.peer_failed", %peer, reason);
+        self.shared.turn.set(turn.wrapping_add(1));
+        // A write that may have been carried out is for the caller to repeat.
+        matches!(result, Err(RowError::Unknown)).then_some(result)
+    }
+
+    /// Asks the store directly whether it takes this host again.
+    pub async fn try_direct(&self) {
+        let range = peer_range("", 1);
+        let asked = timeout(TRY_TIMEOUT, self.shared.direct.read(&range)).await;
+        if asked.is_ok_and(|result| loss(&result).is_none()) {
+            self.shared.regain();
+        }
+    }
+
+    /// Writes where this host passes on calls.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the store does not say that it is written.
+    pub async fn announce(&self) -> Result<(), RowError> {
+        let Some(address) = self.shared.relay_address else {
+            return Ok(());
+        };
+        let name = RowName::new(HOSTS, HOSTS_PARTITION, &*self.shared.host);
+        let value = layout::encode(&address).map_err(stored::unreadable)?;
+        // An older address that is written late costs a call that fails.
+        let transaction = RowTransaction::default().put(name, value);
+        self.commit(&transaction).await.map(drop)
+    }
+
+    /// Reads which hosts come behind this one, in the order of their names.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the store gives no readable answer.
+    pub async fn learn(&self) -> Result<(), RowError> {
+        let own = &*self.shared.host;
+        let mut rows = self.read(&peer_range(own, PEER_COUNT + 1)).await?.rows;
+        if rows.len() <= PEER_COUNT {
+            rows.extend(self.read(&peer_range("", PEER_COUNT)).await?.rows);
+        }
+        let mut peers: Vec<SocketAddr> = Vec::new();
+        for row in rows.iter().filter(|row| row.key != own) {
+            match layout::decode::<SocketAddr>(&row.key, &row.value) {
+                Ok(address) if !peers.contains(&address) => peers.push(address),
+                Ok(_) => {}
+                Err(error) => tracing::warn!(event = "store.peer_unreadable", %error),
+            }
+        }
+        peers.truncate(PEER_COUNT);
+        *self.shared.peers.borrow_mut() = peers;
+        Ok(())
+    }
+
+    /// Keeps the list of other hosts, and tries the store again when it is lost.
+    async fn follow(&self) {
+        let mut is_announced = false;
+        let mut learned_at: Option<Instant> = None;
+        loop {
+            if self.is_lost() {
+                self.try_direct().await;
+            } else {
+                if !is_announced {
+                    is_announced = self.announce().await.is_ok();
+                }
+                if learned_at.is_none_or(|at| at.elapsed() >= LEARN_INTERVAL) {
+                    match self.learn().await {
+                        Ok(()) => learned_at = Some(Instant::now()),
+                        Err(error) => tracing::debug!(event = "store.peers_not_read", %error),
+                    }
+                }
+            }
+            let spread = rand::rng().random_range(1.0..2.0);
+            sleep(TRY_INTERVAL.mul_f64(spread)).await;
+        }
+    }
+
+    /// Passes on calls of other hosts.
+    async fn serve(&self, listener: TcpListener) {
+        loop {
+            let Some(stream) = server::accept(&listener).await else {
+                continue;
+            };
+            let this = self.clone();
+            spawn_local(async move {
+                let service = service_fn(|request: Request<Incoming>| this.pass(request));
+                let connection = http1::Builder::new()
+                    .timer(TokioTimer::new())
+                    .header_read_timeout(IDLE_TIMEOUT)
+                    .serve_connection(TokioIo::new(stream), service);
+                // The other host notices when its connection ends.
+                let _ = connection.await;
+            });
+        }
+    }
+
+    /// Passes on one call; closes the connection where its outcome is unknown.
+    async fn pass(&self, request: Request<Incoming>) -> Result<Response<Full<Bytes>>, RowError> {
+        let (parts, body) = request.into_parts();
+        let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+        let body = Limited::new(body, MAX_BODY_BYTES)
+            .collect()
+            .await
+            .map_err(|_| RowError::Unknown)?;
+        let passed = self.forward(parts.method, path, body.to_bytes()).await;
+        let (status, body) = match passed {
+            Ok(Some(answer)) => answer,
+            Ok(None) => (StatusCode::NOT_FOUND, Bytes::new()),
+            Err(RowError::NotApplied { .. }) => (StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
+            Err(error) => return Err(error),
+        };
+        let mut response = Response::new(Full::new(body));
+        *response.status_mut() = status;
+        Ok(response)
+    }
+
+    /// Carries out a call of another host, if the store answers this one.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the store gives no answer.
+    pub async fn forward(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<Option<(StatusCode, Bytes)>, RowError> {
+        if self.is_lost() {
+            return Err(RowError::NotApplied {
+                reason: NotAppliedReason::Unavailable,
+            });
+        }
+        self.shared.direct.forward(method, path, body).await
+    }
+}
+
+fn peer_range(from: &str, limit_count: usize) -> RowRange {
+    RowRange {
+        table: HOSTS,
+        partition: HOSTS_PARTITION.to_owned(),
+        from: from.to_owned(),
+        to: String::new(),
+        limit_count,
+    }
+}
+
+impl<S: RelayedStore> RowStore for Detour<S> {
+    async fn commit(&self, transaction: &RowTransaction) -> Result<Applied, RowError> {
+        self.ask(
+            false,
+            |store| async move { store.commit(transaction).await },
+        )
+        .await
+    }
+
+    async fn read(&self, range: &RowRange) -> Result<RowPage, RowError> {
+        self.ask(true, |store| async move { store.read(range).await })
+            .await
+    }
+
+    async fn partitions(&self, table: &str, after: &str) -> Result<Vec<String>, RowError> {
+        self.ask(
+            true,
+            |store| async move { store.partitions(table, after).await },
+        )
+        .await
+    }
+
+    async fn changes(
+        &self,
+        table: &str,
+        after: RowStamp,
+        wait: Duration,
+    ) -> Result<RowPage, RowError> {
+        self.ask(true, |store| async move {
+            store.changes(table, after, wait).await
+        })
+        .await
+    }
+
+    async fn attend(&self) {
+        let relay = self.shared.relay_address.map(server::bind);
+        let serve = async {
+            match relay {
+                Some(Ok(listener)) => self.serve(listener).await,
+                Some(Err(error)) => tracing::error!(event = "store.no_relay", %error),
+                None => {}
+            }
+        };
+        tokio::join!(self.follow(), serve);
+    }
+}
--- a/src/ingress/host.rs
+++ b/src/ingress/host.rs
@@ -42,6 +42,8 @@
     pub ready_address: SocketAddr,
     /// Where it serves its metrics, if it does.
     pub metrics_address: Option<SocketAddr>,
+    /// Where it passes on calls to the store for hosts that the store turns away.
+    pub relay_address: Option<SocketAddr>,
     /// Where the platform's store answers.
     pub store_address: SocketAddr,
     /// How long a planned stop may take before the platform kills the process.
--- a/src/ingress/mod.rs
+++ b/src/ingress/mod.rs
@@ -4,11 +4,13 @@
 //! machine has one core. Read in this order: [`wire`] for what the platform has
 //! to translate, [`routes`] and [`directory`] for what a host knows, [`calls`]
 //! for requests that are passed on, [`jobs`] for batch jobs as clients see them,
+//! [`detour`] for a store that turns a host away,
 //! [`coordinator`] for the host that runs their items, [`host`] for how it all
 //! starts and stops (see docs/design/platform.md).
 
 pub mod calls;
 pub mod coordinator;
+pub mod detour;
 pub mod directory;
 pub mod feeds;
 pub mod host;
--- a/src/ingress/process.rs
+++ b/src/ingress/process.rs
@@ -49,6 +49,8 @@
             spawn_local(server::serve_ready(self.clone(), listener));
         }
         let coordinator = Coordinator::new(self.clone());
+        let store = self.store.clone();
+        spawn_local(async move { store.attend().await });
         spawn_local(feeds::follow_operator(self.clone()));
         spawn_local(feeds::follow_upstreams(self.clone()));
         spawn_local(server::serve_ready(self.clone(), ready));
--- a/src/ingress/server.rs
+++ b/src/ingress/server.rs
@@ -108,7 +108,8 @@
     }
 }
 
-async fn accept(listener: &TcpListener) -> Option<TcpStream> {
+/// Waits for a connection; none where the system refused it, after a pause.
+pub async fn accept(listener: &TcpListener) -> Option<TcpStream> {
     match listener.accept().await {
         Ok((stream, _)) => {
             if let Err(error) = stream.set_nodelay(true) {
--- a/src/platform/boot.rs
+++ b/src/platform/boot.rs
@@ -56,6 +56,9 @@
     provider: Provider,
     /// How often upstreams renew their entries.
     heartbeat_ms: u64,
+    /// The first and the last port that hosts may use among themselves.
+    #[serde(default)]
+    internal_ports: Vec<u16>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -157,6 +160,10 @@
             client_address: self.listen.front,
             ready_address: self.listen.ready,
             metrics_address: None,
+            relay_address: self
+                .internal_ports
+                .first()
+                .map(|port| SocketAddr::new(self.listen.front.ip(), *port)),
             store_address: self.provider.address,
             stop_grace: Duration::from_secs_f64(self.bounds.grace_s),
             order_quiet: Duration::from_millis(self.bounds.lease_ms),
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -16,8 +16,8 @@
         RowDocument, RowsDocument,
     },
     store::rows::{
-        Applied, NotAppliedReason, RowError, RowPage, RowRange, RowStamp, RowStore, RowTransaction,
-        StoredRow,
+        Applied, NotAppliedReason, RelayedStore, RowError, RowPage, RowRange, RowStamp, RowStore,
+        RowTransaction, StoredRow,
     },
 };
 
@@ -29,6 +29,13 @@
 /// silent.
 const FEED_MARGIN: Duration = Duration::from_millis(1_000);
 
+/// How long a call may take that is carried out for another host, whose own limit
+/// comes first: a feed's wait and its margin.
+const FORWARD_TIMEOUT: Duration = Duration::from_millis(3_000);
+
+/// The start of the paths of calls about rows.
+const ROWS_PATH: &str = "/-/rows-";
+
 /// The longest answer: 1 MB of rows, in base64 and JSON.
 const MAX_ANSWER_BYTES: usize = 4 << 20;
 
@@ -198,6 +205,26 @@
     }
 }
 
+impl RelayedStore for PlatformStore {
+    fn through(&self, peer: SocketAddr) -> Self {
+        Self::new(self.pool.clone(), peer)
+    }
+
+    async fn forward(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<Option<(StatusCode, Bytes)>, RowError> {
+        if !path.starts_with(ROWS_PATH) {
+            return Ok(None);
+        }
+        self.call(method, path, body, FORWARD_TIMEOUT)
+            .await
+            .map(Some)
+    }
+}
+
 fn change(transaction: &RowTransaction) -> Bytes {
     let document = ChangeDocument {
         expected: transaction
--- a/src/store/rows.rs
+++ b/src/store/rows.rs
@@ -4,9 +4,10 @@
 //! the versions that it expects, so that a write which is carried out late, or
 //! twice, does no harm (see docs/design/platform.md).
 
-use std::{future::Future, time::Duration};
+use std::{future::Future, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
+use http::{Method, StatusCode};
 
 /// The version of a row, drawn from one counter of the whole store; 0 stands
 /// for a row that is absent.
@@ -219,4 +220,28 @@
         after: RowStamp,
         wait: Duration,
     ) -> impl Future<Output = Result<RowPage, RowError>>;
+
+    /// Does what the client needs done beside its calls, for as long as it runs.
+    fn attend(&self) -> impl Future<Output = ()> {
+        std::future::ready(())
+    }
+}
+
+/// A store that can be reached by way of other hosts.
+pub trait RelayedStore: RowStore {
+    /// Returns a client that reaches the store through the host at `peer`.
+    fn through(&self, peer: SocketAddr) -> Self;
+
+    /// Carries out a call of another host as it came; none where it is no call to
+    /// the store.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the store gives no answer, as [`RowStore::commit`] does.
+    fn forward(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> impl Future<Output = Result<Option<(StatusCode, Bytes)>, RowError>>;
 }
--- a/tests/job_interface.rs
+++ b/tests/job_interface.rs
@@ -37,6 +37,7 @@
         client_address: "127.0.0.1:1".parse().unwrap(),
         ready_address: "127.0.0.1:2".parse().unwrap(),
         metrics_address: None,
+        relay_address: None,
         store_address: "127.0.0.1:3".parse().unwrap(),
         stop_grace: Duration::from_secs(8),
         order_quiet: Duration::from_secs(3),
