Let the soak's hosts pass on calls to the store; tighten lost_peer

Cause: the soak's settings named no port for hosts among themselves, so that the way around a cut link was not soaked; lost_peer held also without the check that it is for, as its store refused anyway (seen by switching it off). Change: each soaked host has a port; the test counts what reaches the store.

--- a/src/bin/mimosavane-soak/fleet.rs
+++ b/src/bin/mimosavane-soak/fleet.rs
@@ -59,6 +59,7 @@
             addresses: HostAddresses {
                 clients: free_address()?,
                 ready: free_address()?,
+                relay: free_address()?,
                 store: link.address,
             },
             name,
--- a/src/platform/standin/mod.rs
+++ b/src/platform/standin/mod.rs
@@ -110,6 +110,8 @@
     pub clients: SocketAddr,
     /// Where the platform asks whether it is ready.
     pub ready: SocketAddr,
+    /// Where it passes on calls of other hosts.
+    pub relay: SocketAddr,
     /// Where it reaches the store.
     pub store: SocketAddr,
 }
@@ -124,6 +126,7 @@
         },
         "limits": {"cpu_share": 0.5, "cores": 1, "memory_mb": 340},
         "heartbeat_ms": 1_000,
+        "internal_ports": [addresses.relay.port(), addresses.relay.port()],
         "bounds": {"grace_s": grace.as_secs_f64(), "lease_ms": 3_000, "status_ttl_s": 120},
         "provider": {"address": addresses.store.to_string()},
     })
--- a/tests/store_detour.rs
+++ b/tests/store_detour.rs
@@ -35,6 +35,7 @@
     rows: Rows,
     treatment: Rc<Cell<Treatment>>,
     relayed_count: Rc<Cell<usize>>,
+    forwarded_count: Rc<Cell<usize>>,
     is_relayed: bool,
 }
 
@@ -100,9 +101,7 @@
         _: &str,
         body: Bytes,
     ) -> Result<Option<(StatusCode, Bytes)>, RowError> {
-        if self.is_refused() {
-            return Err(REFUSED);
-        }
+        self.forwarded_count.set(self.forwarded_count.get() + 1);
         Ok(Some((StatusCode::OK, body)))
     }
 }
@@ -219,6 +218,7 @@
         host.commit(&write("a")).await.unwrap();
         let passed = host.forward(Method::GET, "/", Bytes::new()).await;
         assert_eq!(passed, Err(REFUSED));
+        assert_eq!(reached.forwarded_count.get(), 1);
     });
 }
 
