Say in a failed call's line whose time was over; bound each kind of line

Nothing showed that a flood of lines neither blocks nor grows, and one kind of line could fill the queue for all others. Change: call.failed carries the route's timeout and the client's patience; each kind of line is written up to 500 times a second, what is over is counted; tests/log_flood.rs has a reader that takes nothing, and fails without the bound by kind (2,048 lines kept instead of 510).

--- a/src/bin/mimosavane-entry.rs
+++ b/src/bin/mimosavane-entry.rs
@@ -1,6 +1,7 @@
 //! The entry host: callers, trainers and peers.
 
 use std::{
+    io::stdout,
     net::SocketAddr,
     path::{Path, PathBuf},
     process::ExitCode,
@@ -103,7 +104,7 @@
     let mut settings = boot::load(&path).context("reading the settings")?;
     let own = settings.client_address.ip();
     settings.metrics_address = metrics_port.map(|port| SocketAddr::new(own, port));
-    let log = log::start(DEFAULT_LOG_FILTER).context("starting the log")?;
+    let log = log::start(DEFAULT_LOG_FILTER, stdout()).context("starting the log")?;
     // A machine has one core, so that a second thread would only add wake-ups.
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
--- a/src/ingress/calls.rs
+++ b/src/ingress/calls.rs
@@ -188,6 +188,8 @@
         tried_count,
         may_have_run,
         held_ms = millis(host.now().saturating_sub(call.arrived_at)),
+        timeout_ms = millis(call.route.timeout),
+        patience_ms = call.head.patience.map(millis),
     );
     if may_have_run {
         host.metrics.count(CALLS_UNKNOWN, 1);
--- a/src/ingress/log.rs
+++ b/src/ingress/log.rs
@@ -2,18 +2,41 @@
 //!
 //! A line tells of one decision that touches a request or changes what this host
 //! believes; docs/LOGS.md lists them. Writing never blocks: a thread of its own
-//! writes, and what its bounded queue does not take is counted and said.
+//! writes, and what its bounded queue does not take is counted and said. So is
+//! what one kind of line makes beyond its lines a second.
 
-use std::{io::stdout, time::Duration};
+use std::{
+    collections::HashMap,
+    io::Write,
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
 
 use tokio::time::{MissedTickBehavior, interval};
+use tracing::callsite::Identifier;
 use tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard};
-use tracing_subscriber::{EnvFilter, filter::ParseError, util::TryInitError};
+use tracing_subscriber::{
+    EnvFilter, Layer as _,
+    filter::{DynFilterFn, ParseError},
+    layer::SubscriberExt as _,
+    util::{SubscriberInitExt as _, TryInitError},
+};
 
 /// How many lines wait for the writer; more are dropped and counted. At about
 /// 250 bytes a line this bounds the queue to half a megabyte.
 const QUEUED_LINE_COUNT: usize = 2_048;
 
+/// How many lines of one kind are written a second; more are dropped and counted.
+/// A host of the sheets takes up to 20 requests a second, each with a few lines; a
+/// coordinator starts and lists up to 400 items in one.
+const KIND_LINES_PER_S: u32 = 500;
+
+/// The time over which lines of one kind are counted.
+const PACE_WINDOW: Duration = Duration::from_secs(1);
+
 /// How often dropped lines are reported.
 const DROP_REPORT_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -28,42 +51,80 @@
     Subscriber(#[from] TryInitError),
 }
 
-/// Keeps the writer alive, and knows how many lines it dropped.
+/// Keeps the writer alive, and knows how many lines were dropped.
 #[derive(Debug)]
 pub struct Log {
     _guard: WorkerGuard,
-    dropped: ErrorCounter,
+    unwritten: ErrorCounter,
+    pace: Arc<Pace>,
+}
+
+/// Bounds the lines a second of each kind, which is a place in the code.
+#[derive(Debug, Default)]
+struct Pace {
+    kinds: Mutex<HashMap<Identifier, (Instant, u32)>>,
+    dropped_count: AtomicU64,
 }
 
-/// Starts logging with `filter`, in the syntax of `tracing`.
+impl Pace {
+    fn admits(&self, kind: Identifier) -> bool {
+        let now = Instant::now();
+        let mut kinds = self.kinds.lock().unwrap_or_else(PoisonError::into_inner);
+        let (since, count) = kinds.entry(kind).or_insert((now, 0));
+        if now.saturating_duration_since(*since) >= PACE_WINDOW {
+            (*since, *count) = (now, 0);
+        }
+        *count += 1;
+        let is_admitted = *count <= KIND_LINES_PER_S;
+        if !is_admitted {
+            self.dropped_count.fetch_add(1, Ordering::Relaxed);
+        }
+        is_admitted
+    }
+}
+
+/// Starts logging to `output` with `filter`, in the syntax of `tracing`.
 ///
 /// # Errors
 ///
 /// Fails where the filter does not parse, and where logging was started before.
-pub fn start(filter: &str) -> Result<Log, LogError> {
-    use tracing_subscriber::util::SubscriberInitExt as _;
+pub fn start(filter: &str, output: impl Write + Send + 'static) -> Result<Log, LogError> {
     let filter = EnvFilter::try_new(filter)?;
     let (writer, guard) = NonBlockingBuilder::default()
         .lossy(true)
         .buffered_lines_limit(QUEUED_LINE_COUNT)
         .thread_name("log")
-        .finish(stdout());
-    let dropped = writer.error_counter();
-    tracing_subscriber::fmt()
+        .finish(output);
+    let unwritten = writer.error_counter();
+    let pace = Arc::new(Pace::default());
+    let counted = pace.clone();
+    let paced = DynFilterFn::new(move |metadata, _| {
+        !metadata.is_event() || counted.admits(metadata.callsite())
+    });
+    let lines = tracing_subscriber::fmt::layer()
         .json()
         .flatten_event(true)
         .with_target(false)
-        .with_env_filter(filter)
         .with_writer(writer)
-        .finish()
+        .with_filter(paced);
+    tracing_subscriber::registry()
+        .with(filter)
+        .with(lines)
         .try_init()?;
     Ok(Log {
         _guard: guard,
-        dropped,
+        unwritten,
+        pace,
     })
 }
 
 impl Log {
+    /// Returns how many lines were dropped.
+    pub fn dropped_count(&self) -> u64 {
+        let paced_count = self.pace.dropped_count.load(Ordering::Relaxed);
+        self.unwritten.dropped_lines() as u64 + paced_count
+    }
+
     /// Reports dropped lines for as long as it runs.
     pub async fn report_drops(&self) {
         let mut ticks = interval(DROP_REPORT_INTERVAL);
@@ -71,7 +132,7 @@
         let mut reported_count = 0;
         loop {
             ticks.tick().await;
-            let dropped_count = self.dropped.dropped_lines();
+            let dropped_count = self.dropped_count();
             if dropped_count > reported_count {
                 let new_count = dropped_count - reported_count;
                 tracing::warn!(event = "log.dropped", new_count, dropped_count);
--- /dev/null
+++ b/tests/log_flood.rs
@@ -0,0 +1,77 @@
+//! A flood of log lines neither blocks the host nor grows its memory.
+
+#![expect(clippy::unwrap_used, reason = "a step that fails fails the test")]
+
+use std::{
+    io::Write,
+    sync::{
+        Arc, Condvar, Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use mimosavane::ingress::log;
+
+/// More lines than the queue and the pace of one kind take together.
+const LINE_COUNT: u64 = 20_000;
+
+/// How many lines of one kind are kept a second, as docs/LOGS.md states.
+const KIND_LINES_PER_S: u64 = 500;
+
+/// A reader that takes nothing until it is told to, as a stuck pipe does.
+#[derive(Clone, Default)]
+struct StuckPipe {
+    is_open: Arc<(Mutex<bool>, Condvar)>,
+    written_bytes: Arc<AtomicUsize>,
+}
+
+impl StuckPipe {
+    fn open(&self) {
+        *self.is_open.0.lock().unwrap() = true;
+        self.is_open.1.notify_all();
+    }
+}
+
+impl Write for StuckPipe {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        let mut is_open = self.is_open.0.lock().unwrap();
+        while !*is_open {
+            is_open = self.is_open.1.wait(is_open).unwrap();
+        }
+        self.written_bytes.fetch_add(bytes.len(), Ordering::Relaxed);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+/// The reader of the log is stuck and two kinds of lines come at once: the calls
+/// return, what is kept is bounded by kind and by the queue, and what is dropped
+/// is counted.
+#[test]
+fn stuck_reader() {
+    let pipe = StuckPipe::default();
+    let log = log::start("info", pipe.clone()).unwrap();
+    let started_at = Instant::now();
+    for number in 0..LINE_COUNT {
+        tracing::info!(event = "flood.first", number);
+        if number < 10 {
+            tracing::info!(event = "flood.second", number);
+        }
+    }
+    // A blocked call would never return; a microsecond or two a line is usual.
+    assert!(started_at.elapsed() < Duration::from_secs(5));
+    let kept_count = LINE_COUNT + 10 - log.dropped_count();
+    let begun_seconds = started_at.elapsed().as_secs() + 1;
+    let max_count = KIND_LINES_PER_S * begun_seconds + 10;
+    assert!(kept_count <= max_count, "{kept_count} lines are kept");
+    // A flood of one kind does not drop lines of another one.
+    assert!(kept_count >= KIND_LINES_PER_S + 10, "{kept_count} lines are kept");
+    pipe.open();
+    drop(log);
+    let written_bytes = pipe.written_bytes.load(Ordering::Relaxed);
+    assert!(written_bytes > 510 * 60, "{written_bytes} bytes");
+}
