Plan an engine's memory two seconds ahead

Cause: an item was counted with all tokens that its hint allows. Ruled out: the number of engines with the version (their places were free).

--- a/src/batch/job.rs
+++ b/src/batch/job.rs
@@ -42,13 +42,6 @@
     pub length_hint_tokens: u64,
 }
 
-impl Item {
-    /// Returns the estimate of the memory that it takes on an engine.
-    pub const fn memory_tokens(&self) -> u64 {
-        self.prompt_tokens + self.length_hint_tokens
-    }
-}
-
 /// A batch job without its items.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobHead {
--- a/src/batch/scheduler/dispatch.rs
+++ b/src/batch/scheduler/dispatch.rs
@@ -4,7 +4,7 @@
 
 use super::{
     Action, Run, Scheduler,
-    engine::{Engine, LOAD_TIMEOUT, Loading, Unproven},
+    engine::{Engine, LOAD_TIMEOUT, Loading, Unproven, near_tokens},
 };
 use crate::{
     batch::{
@@ -52,6 +52,9 @@
     /// Starts the first waiting item of a job, and says whether another one of it
     /// may start.
     fn start_first(&mut self, id: &JobId, now: Timestamp, actions: &mut Vec<Action>) -> bool {
+        let Some(tokens_per_event) = self.jobs.get(id).map(|job| self.tokens_per_event(job)) else {
+            return false;
+        };
         let Some(job) = self.jobs.get_mut(id) else {
             return false;
         };
@@ -60,7 +63,7 @@
         };
         let item = &job.job.items[item_index];
         let state = &mut job.items[item_index];
-        let tokens = item.memory_tokens();
+        let tokens = near_tokens(item, &state.output, tokens_per_event);
         let head = &job.job.head;
         let engine = self
             .engines
@@ -179,6 +182,26 @@
         needs
     }
 
+    /// Takes in how much memory the runs take by now.
+    pub(super) fn count_memory(&mut self) {
+        for engine in self.engines.values_mut() {
+            engine.run_tokens = 0;
+        }
+        for run in self.runs.values_mut() {
+            let (Some(job), Some(engine)) =
+                (self.jobs.get(&run.job), self.engines.get_mut(&run.engine))
+            else {
+                continue;
+            };
+            run.tokens = near_tokens(
+                &job.job.items[run.item_index],
+                &job.items[run.item_index].output,
+                engine.spec.tokens_per_event,
+            );
+            engine.run_tokens += run.tokens;
+        }
+    }
+
     pub(super) fn finish_loads(&mut self, now: Timestamp) {
         for engine in self.engines.values_mut() {
             let Some(loading) = &engine.loading else {
--- a/src/batch/scheduler/engine.rs
+++ b/src/batch/scheduler/engine.rs
@@ -11,6 +11,7 @@
     },
     clock::Timestamp,
     ids::{UpstreamId, WeightVersion},
+    retry,
 };
 
 /// How long what was seen of an engine's speed counts.
@@ -53,6 +54,10 @@
 /// from the deployment sheets.
 pub(super) const USUAL_INTERVAL: Duration = Duration::from_millis(40);
 
+/// How many events ahead an engine's memory is planned: two seconds at the sheets'
+/// rates, in which most items end.
+const NEAR_EVENT_COUNT: u64 = 40;
+
 /// What the last place of an engine costs: about the time for which the next
 /// short item would wait for one.
 const FULL_ENGINE_COST: Duration = Duration::from_millis(500);
@@ -240,8 +245,8 @@
                 self.avoid_until = self.avoid_until.max(now + BUSY_PAUSE);
             }
             RunEnd::Failed | RunEnd::Broken | RunEnd::WrongEngine => {
-                let pause = MIN_AVOIDANCE.saturating_mul(1 << self.failure_count.min(6));
-                self.avoid_until = self.avoid_until.max(now + pause.min(MAX_AVOIDANCE));
+                let pause = retry::doubled(MIN_AVOIDANCE, MAX_AVOIDANCE, self.failure_count);
+                self.avoid_until = self.avoid_until.max(now + pause);
                 self.failure_count += 1;
             }
         }
@@ -260,3 +265,15 @@
     // to make.
     hinted.saturating_sub(made).max(made).max(1)
 }
+
+/// Returns the tokens of an engine's memory that a run of `item` takes soon: what
+/// it has read and made, and what it makes in the next seconds.
+///
+/// The most that it may ever take is no measure, since others will have ended by
+/// then; an engine whose memory runs out puts its newest run back, which reads a
+/// full-length item again in 35 ms at the sheets' rates.
+pub(super) fn near_tokens(item: &Item, output: &Output, tokens_per_event: u64) -> u64 {
+    let left_count = left_event_count(item, output, tokens_per_event);
+    let near_count = output.last_event() + left_count.min(NEAR_EVENT_COUNT);
+    item.prompt_tokens + near_count * tokens_per_event
+}
--- a/src/batch/scheduler/mod.rs
+++ b/src/batch/scheduler/mod.rs
@@ -275,6 +275,7 @@
         let is_review = now.saturating_sub(self.reviewed_at) >= REVIEW_INTERVAL;
         if is_review {
             self.reviewed_at = now;
+            self.count_memory();
             actions.extend(self.stop_stalled(now));
             actions.extend(self.give_up(now));
             if rights.may_start {
--- a/src/batch/scheduler/moves.rs
+++ b/src/batch/scheduler/moves.rs
@@ -5,7 +5,10 @@
     time::Duration,
 };
 
-use super::{Action, RunEnd, RunNumber, Scheduler, engine::Engine};
+use super::{
+    Action, RunEnd, RunNumber, Scheduler,
+    engine::{Engine, near_tokens},
+};
 use crate::{clock::Timestamp, ids::UpstreamId};
 
 /// How long a run may make no event before it goes on elsewhere. A load of
@@ -182,7 +185,11 @@
                 return false;
             };
             let head = &job.job.head;
-            let tokens = job.job.items[first].memory_tokens();
+            let tokens = near_tokens(
+                &job.job.items[first],
+                &job.items[first].output,
+                engine.spec.tokens_per_event,
+            );
             job.start_by(first, engine.spec.tokens_per_event) < start_by
                 && engine.is_usable(head, tokens, now)
                 && job.items[first]
--- a/tests/item_scheduling.rs
+++ b/tests/item_scheduling.rs
@@ -62,6 +62,20 @@
         fleet
     }
 
+    /// Gives `engine-0` that many places and that much memory.
+    fn set_memory(&mut self, slot_count: usize, memory_tokens: u64) {
+        self.scheduler.set_engines(vec![EngineSpec {
+            id: "engine-0".into(),
+            started_at_ms: 1,
+            service: "engines".into(),
+            slot_count,
+            memory_tokens,
+            tokens_per_event: 61,
+            is_draining: false,
+            versions: BTreeMap::from([("writer".into(), 1)]),
+        }]);
+    }
+
     fn open(&mut self, id: &str, item_count: usize) {
         let job = job(id, item_count, 10);
         self.scheduler
@@ -339,6 +353,39 @@
     assert!(refused_count <= 9, "{refused_count} items were refused");
 }
 
+/// A step's long items come first, and each may fill a third of an engine's memory
+/// in the end: all places are taken at once, as the memory lasts for seconds.
+#[test]
+fn burst_of_long_items() {
+    let mut fleet = Fleet::new(1, 8, 140);
+    fleet.set_memory(8, 27_000);
+    let mut job = job("job", 16, 10);
+    for item in &mut job.items {
+        item.length_hint_tokens = 9_000;
+    }
+    fleet
+        .scheduler
+        .open(job, &Default::default(), Duration::ZERO, fleet.now);
+    fleet.step();
+    assert_eq!(fleet.starts.len(), 8);
+}
+
+/// Long items have filled an engine's memory: nothing more starts there, though
+/// places are free.
+#[test]
+fn full_memory() {
+    let mut fleet = Fleet::new(1, 8, 140);
+    fleet.set_memory(8, 27_000);
+    fleet.long_count = 4;
+    fleet.open("first", 8);
+    fleet.run_for(Duration::from_secs(4));
+    assert_eq!(fleet.runs.len(), 4);
+    fleet.starts.clear();
+    fleet.open("second", 8);
+    fleet.run_for(Duration::from_millis(500));
+    assert!(fleet.starts.is_empty(), "{:?}", fleet.starts);
+}
+
 /// Nothing asks for the loaded weights for seconds: that does not count as a long
 /// load, and as many engines load at once as before.
 #[test]
