Look for faster engines 20 times a second only

Cause: runs were compared with free engines on each round of the scheduler, also between two reviews, which costs time in proportion to both. Change: this is done at reviews, each 50 ms, with the other moves.

--- a/src/batch/scheduler/mod.rs
+++ b/src/batch/scheduler/mod.rs
@@ -280,10 +280,10 @@
             actions.extend(self.give_up(now));
             if rights.may_start {
                 actions.extend(self.leave_slow(now));
+                actions.extend(self.speed_up_long(now));
             }
         }
         if rights.may_start {
-            actions.extend(self.speed_up_long(now));
             self.dispatch(now, &mut actions);
         }
         if is_review && rights.may_order {
