--- a/src/batch/scheduler/dispatch.rs
+++ b/src/batch/scheduler/dispatch.rs
@@ -170,7 +170,6 @@
         }
         for (model, need) in &mut needs {
             need.named = self.named.get(model).copied().unwrap_or(0);
-            need.job_tokens = self.job_tokens.get(model).copied().unwrap_or(0);
         }
         for job in self.jobs.values() {
             let Some(need) = needs.get_mut(&job.job.head.model) else {
--- a/src/batch/scheduler/mod.rs
+++ b/src/batch/scheduler/mod.rs
@@ -138,8 +138,6 @@
     jobs: BTreeMap<JobId, JobRun>,
     runs: BTreeMap<RunNumber, Run>,
     named: BTreeMap<ModelId, WeightVersion>,
-    /// How many tokens the newest job of each model is expected to make.
-    job_tokens: BTreeMap<ModelId, u64>,
     carried: BTreeMap<ItemId, Output>,
     carried_order: VecDeque<ItemId>,
     next_run: RunNumber,
@@ -189,8 +187,6 @@
         if self.jobs.contains_key(&job.id) {
             return;
         }
-        let job_tokens = job.items.iter().map(|item| item.length_hint_tokens).sum();
-        self.job_tokens.insert(job.head.model.clone(), job_tokens);
         let mut items = Vec::with_capacity(job.items.len());
         for item in &job.items {
             let carried = self
--- a/src/batch/weights.rs
+++ b/src/batch/weights.rs
@@ -47,8 +47,6 @@
     pub min_version: WeightVersion,
     /// How many items wait for an engine.
     pub waiting_count: usize,
-    /// How many tokens its newest job is expected to make; 0 where none was seen.
-    pub job_tokens: u64,
 }
 
 /// One load to order.
@@ -101,18 +99,17 @@
         .saturating_sub(fewer_count)
         .max(1);
     let left_count = max_count.saturating_sub(loading_count);
-    let targets = fresh_targets(engines.len(), needs);
+    let target_count = fresh_target_count(engines.len(), needs.len());
     let mut plans: Vec<Plan<'_>> = needs
         .iter()
-        .zip(targets)
-        .map(|((model, need), target_count)| Plan::new(engines, model, *need, needs, target_count))
+        .map(|(model, need)| Plan::new(engines, model, *need, needs))
         .collect();
     let mut taken: BTreeSet<&UpstreamId> = BTreeSet::new();
     let mut loads: Vec<Load> = Vec::new();
     while loads.len() < left_count {
         let next = plans
             .iter_mut()
-            .filter(|plan| plan.urgency.fresh_count < plan.target_count)
+            .filter(|plan| plan.urgency.fresh_count < target_count)
             .filter_map(|plan| Some((plan.urgency, plan.candidate(&taken)?, plan)))
             .min_by_key(|(urgency, ..)| *urgency);
         let Some((_, engine, plan)) = next else {
@@ -134,8 +131,6 @@
     model: &'a ModelId,
     named: WeightVersion,
     urgency: Urgency,
-    /// How many engines shall hold the newest version.
-    target_count: usize,
     /// The best engine comes last.
     candidates: Vec<&'a EngineWeights>,
 }
@@ -146,7 +141,6 @@
         model: &'a ModelId,
         need: ModelNeed,
         needs: &BTreeMap<ModelId, ModelNeed>,
-        target_count: usize,
     ) -> Self {
         let mut candidates: Vec<&EngineWeights> = engines
             .iter()
@@ -163,7 +157,6 @@
                 fresh_count: fresh_count(engines, model, &need),
                 idle_rank: usize::MAX - need.waiting_count,
             },
-            target_count,
             candidates,
         }
     }
@@ -189,31 +182,13 @@
         .count()
 }
 
-/// Returns how many engines shall hold each model's newest version: a part of what
-/// can load between two versions, by the work of the model's jobs.
-///
-/// It is at most what there are for one model if all share alike, which are the
-/// loads that cost nothing, and at least half of that, as a job's items come at
-/// once.
-fn fresh_targets(
-    engine_count: usize,
-    needs: &BTreeMap<ModelId, ModelNeed>,
-) -> impl Iterator<Item = usize> {
-    let model_count = needs.len().max(1);
-    let share_count = (engine_count / model_count).max(1);
+/// Returns how many engines shall hold a model's newest version: as many as there
+/// are for one model if all share alike, which are the loads that cost nothing,
+/// and no more than can load before the next version.
+fn fresh_target_count(engine_count: usize, model_count: usize) -> usize {
+    let share_count = engine_count / model_count.max(1);
     let feasible = max_loading_count(engine_count) as f64 * LOADS_PER_VERSION_RATIO;
-    let even_count = feasible.min(share_count as f64);
-    let all_tokens: u64 = needs.values().map(|need| need.job_tokens).sum();
-    let is_known = needs.values().all(|need| need.job_tokens > 0);
-    needs.values().map(move |need| {
-        let part = if is_known {
-            need.job_tokens as f64 / all_tokens as f64
-        } else {
-            1.0 / model_count as f64
-        };
-        let count = (even_count * model_count as f64 * part).round() as usize;
-        count.clamp(share_count.div_ceil(2), share_count)
-    })
+    share_count.min(feasible.round() as usize).max(1)
 }
 
 /// Returns how many of `engine_count` engines may load at once.
--- a/tests/weight_division.rs
+++ b/tests/weight_division.rs
@@ -23,7 +23,6 @@
         named,
         min_version: named.saturating_sub(1),
         waiting_count: 0,
-        job_tokens: 0,
     };
     MODELS.map(|model| (model.into(), need)).into()
 }
@@ -76,26 +75,6 @@
     }
 }
 
-/// Steps of one model make half as much as those of the two others: each version
-/// of it goes to fewer engines, and theirs to as many as cost nothing.
-#[test]
-fn uneven_steps() {
-    let mut engines = engines(45);
-    let mut needs = needs(2);
-    for (model, job_tokens) in MODELS.into_iter().zip([100, 200, 200]) {
-        needs.get_mut(model).expect("a model").job_tokens = job_tokens;
-    }
-    loop {
-        let loads = loads(&engines, &needs, 0);
-        if loads.is_empty() {
-            break;
-        }
-        carry_out(&mut engines, &loads);
-    }
-    let counts = MODELS.map(|model| usable_count(&engines, model, 2));
-    assert_eq!(counts, [8, 14, 14]);
-}
-
 /// The model that most items wait for loads first.
 #[test]
 fn most_waiting_first() {
