--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! This folder translates and decides nothing. Nothing outside it knows the
 //! platform's names, but for the program that starts a host here; a test holds
-//! that (see docs/design/platform.md).
+//! that (see docs/design/platform.md). [`standin`] is no part of a host: it plays
+//! the other side of the protocol for the soak (see docs/SOAK.md).
 
 pub mod boot;
 mod documents;
