Heed an upstream's own word that it is leaving

Cause: upstreams now state in every answer that they leave (Server-Leaving), and a host that passed on such an answer must send nothing more there, also while it cannot read the store. The header was unknown; only the store's listing counted. Ruled out: a statement that a newer listing undoes (the listing lags, and a start never takes leaving back); telling peers (each host learns by its first answer, and the store lists it too). Change: read where every answer's head arrives; the directory keeps the statement by id and start, beyond the removal of the entry; a new start clears it; a 421 of another upstream at the address does not count.

--- a/src/ingress/calls.rs
+++ b/src/ingress/calls.rs
@@ -433,7 +433,14 @@
     loop {
         let was_reused = connection.is_reused();
         match connection.send(request).await {
-            Ok(answer) => return Ok((connection, answer)),
+            Ok(answer) => {
+                let (parts, body) = answer.into_parts();
+                let head = W::answer_head(&parts);
+                if head.is_leaving && !head.is_misdirected {
+                    record_leaving(host, upstream);
+                }
+                return Ok((connection, Response::from_parts(parts, body)));
+            }
             Err(SendError::HandedBack(back)) if was_reused => {
                 request = *back;
                 connection = host.pool.open(target).await.map_err(connect_failure)?;
@@ -445,6 +452,21 @@
     }
 }
 
+/// Records that an answer of `upstream` states that it is leaving.
+fn record_leaving<S: RowStore, W: Wire>(host: &Rc<Host<S, W>>, upstream: &Upstream) {
+    if host.view.borrow_mut().directory.record_leaving(upstream) {
+        tracing::info!(
+            event = "upstream.leaving",
+            upstream = &*upstream.id,
+            service = &*upstream.service,
+            address = %upstream.address,
+            started_at_ms = upstream.started_at_ms,
+            origin = "answer",
+        );
+        host.view_changed.notify_waiters();
+    }
+}
+
 fn connect_failure(error: ConnectError) -> SendFailure {
     match error {
         ConnectError::TimedOut(_) => SendFailure::NotRun("connect-timed-out"),
--- a/src/ingress/directory.rs
+++ b/src/ingress/directory.rs
@@ -40,6 +40,9 @@
 /// The number of upstreams of equal rank that take turns.
 const TURN_COUNT: u64 = 16;
 
+/// How many upstreams without an entry are remembered as leaving.
+const MAX_LEFT_COUNT: usize = 4_096;
+
 /// One upstream as the platform lists it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Upstream {
@@ -55,7 +58,8 @@
     pub failure_domain: FailureDomain,
     /// How many requests it runs concurrently.
     pub slot_count: usize,
-    /// Whether it is draining and must get no new calls.
+    /// Whether it is leaving, as listed or by its own answers, and must get no new
+    /// calls.
     pub is_draining: bool,
     /// The loaded version of each model.
     pub versions: BTreeMap<ModelId, WeightVersion>,
@@ -108,11 +112,27 @@
     lapse_grace_until: Timestamp,
     /// Increments whenever an upstream is added, changed or removed.
     revision: u64,
+    /// The upstreams that stated in an answer that they are leaving, with the
+    /// Unix time in milliseconds at which they started.
+    ///
+    /// An upstream never takes this back, so that no listing of the same start
+    /// overrides it, also not one that follows the removal of the entry.
+    leaving: BTreeMap<UpstreamId, u64>,
 }
 
 impl Directory {
     /// Adds or updates an upstream.
-    pub fn put(&mut self, upstream: Upstream) {
+    pub fn put(&mut self, listed: Upstream) {
+        let mut upstream = listed;
+        match self.leaving.get(&upstream.id) {
+            Some(started_at_ms) if *started_at_ms == upstream.started_at_ms => {
+                upstream.is_draining = true;
+            }
+            Some(_) => {
+                self.leaving.remove(&upstream.id);
+            }
+            None => {}
+        }
         let is_unchanged = self
             .entries
             .get(&upstream.id)
@@ -134,6 +154,30 @@
         }
     }
 
+    /// Records that `upstream` stated in an answer that it is leaving, and returns
+    /// whether that was new. It gets no new calls from then on (see
+    /// docs/design/platform.md, "Upstreams that leave").
+    pub fn record_leaving(&mut self, upstream: &Upstream) -> bool {
+        let known = self.leaving.get(&upstream.id).copied();
+        // A late answer of an earlier start says nothing of the present one.
+        if known >= Some(upstream.started_at_ms) {
+            return false;
+        }
+        self.leaving
+            .insert(upstream.id.clone(), upstream.started_at_ms);
+        if self.leaving.len() > MAX_LEFT_COUNT {
+            self.leaving.retain(|id, _| self.entries.contains_key(id));
+        }
+        if let Some(entry) = self.entries.get_mut(&upstream.id)
+            && entry.upstream.started_at_ms == upstream.started_at_ms
+            && !entry.upstream.is_draining
+        {
+            Arc::make_mut(&mut entry.upstream).is_draining = true;
+            self.revision += 1;
+        }
+        true
+    }
+
     /// Records that the store answers again after an outage.
     pub fn record_store_recovery(&mut self, now: Timestamp) {
         self.lapse_grace_until = now + LAPSE_GRACE;
--- a/src/ingress/feeds.rs
+++ b/src/ingress/feeds.rs
@@ -241,7 +241,11 @@
         }
         match W::upstream(row) {
             Ok(upstream) => {
-                let known = directory.get(&id);
+                let known = directory.get(&id).cloned();
+                directory.put(upstream);
+                let Some(upstream) = directory.get(&id) else {
+                    continue;
+                };
                 let has_changed = known.is_none_or(|known| {
                     known.is_draining != upstream.is_draining
                         || known.started_at_ms != upstream.started_at_ms
@@ -257,7 +261,6 @@
                         stamp = row.stamp,
                     );
                 }
-                directory.put(upstream);
             }
             Err(error) => {
                 tracing::warn!(event = "upstream.unreadable", upstream = row.key, %error);
--- a/src/ingress/wire.rs
+++ b/src/ingress/wire.rs
@@ -70,6 +70,8 @@
     pub is_not_run: bool,
     /// Whether a different upstream answered at the address.
     pub is_misdirected: bool,
+    /// Whether the upstream that answered states that it is leaving.
+    pub is_leaving: bool,
     /// The upstream's signature, if it signed the answer.
     pub signature: Option<Score>,
     /// The weight version that generates the answer.
--- a/src/platform/names.rs
+++ b/src/platform/names.rs
@@ -13,6 +13,8 @@
 pub const EXPECT_INSTANCE: &str = "expect-instance";
 /// The header that is present if the upstream did not run the request.
 pub const NOT_EXECUTED: &str = "not-executed";
+/// The header that is present if the upstream is leaving.
+pub const SERVER_LEAVING: &str = "server-leaving";
 /// The header with the upstream's signature.
 pub const SERVER_STAMP: &str = "server-stamp";
 /// The header or event field with the version of the weights that generate.
--- a/src/platform/standin/engine.rs
+++ b/src/platform/standin/engine.rs
@@ -223,6 +223,17 @@
     }
 
     async fn answer(self: Rc<Self>, request: Request<Bytes>) -> Result<Reply, NoAnswer> {
+        let mut reply = self.clone().answer_as_present(request).await?;
+        if self.is_draining.get() {
+            reply.headers_mut().insert(
+                HeaderName::from_static(names::SERVER_LEAVING),
+                HeaderValue::from_static("1"),
+            );
+        }
+        Ok(reply)
+    }
+
+    async fn answer_as_present(self: Rc<Self>, request: Request<Bytes>) -> Result<Reply, NoAnswer> {
         let expected = header_text(request.headers(), names::EXPECT_INSTANCE);
         if expected.is_some_and(|id| id != self.id) {
             return Ok(json_reply(421, &json!({})));
--- a/src/platform/wire.rs
+++ b/src/platform/wire.rs
@@ -265,6 +265,7 @@
             is_not_run: headers.contains_key(names::NOT_EXECUTED)
                 || parts.status == http::StatusCode::MISDIRECTED_REQUEST,
             is_misdirected: parts.status == http::StatusCode::MISDIRECTED_REQUEST,
+            is_leaving: header_text(headers, names::SERVER_LEAVING) == Some("1"),
             signature: header_text(headers, names::SERVER_STAMP).map(Into::into),
             version: header_number(headers, names::WEIGHT_VERSIONS),
         }
