List the last results of a step together

The last outputs are whole at about the same time and their scores trickle in; a trainer that was given one result reads on half a second later, and ends the step half a second after that. Change: the number of groups that the trainer waits for is stored behind the head of a job. While that many groups are whole or wait for scores only, results gather for up to 300 ms, or until the step is complete; never beyond the time when it is due.

--- a/src/ingress/listing.rs
+++ b/src/ingress/listing.rs
@@ -19,6 +19,7 @@
         layout::{self, Listing, Tally},
         scheduler::{Action, Scheduler},
     },
+    clock::Timestamp,
     ingress::stored,
     store::rows::{RowError, RowStamp, RowStore},
 };
@@ -87,9 +88,9 @@
 
     /// Returns the jobs that have unlisted results and no listing in progress,
     /// and marks them as being listed.
-    pub fn claim(&self) -> Vec<JobId> {
+    pub fn claim(&self, now: Timestamp) -> Vec<JobId> {
         let mut in_progress = self.in_progress.borrow_mut();
-        let mut jobs = self.scheduler.borrow().unlisted_jobs();
+        let mut jobs = self.scheduler.borrow().unlisted_jobs(now);
         jobs.retain(|job| in_progress.insert(job.clone()));
         jobs
     }
