--- a/src/ingress/coordinator/leadership.rs
+++ b/src/ingress/coordinator/leadership.rs
@@ -99,9 +99,7 @@
         }
         let now = self.host.now();
         if self.lease.borrow().is_held(now) {
-            let mut permit = self.start_permit.get();
-            permit.record_held(now);
-            self.start_permit.set(permit);
+            self.last_held_at.set(now);
         }
     }
 
@@ -114,9 +112,6 @@
             (lease::Event::Read(None), None)
         });
         let now = self.host.now();
-        let mut permit = self.start_permit.get();
-        permit.record_call(is_answered(&event), self.host.store.is_outage(), now);
-        self.start_permit.set(permit);
         self.lease.borrow_mut().apply(event, now);
         let is_held = self.lease.borrow().is_held(now);
         if is_held && !self.is_leading.get() {
@@ -213,15 +208,6 @@
     }
 }
 
-/// Returns whether the store answered a call about the lease.
-const fn is_answered(event: &lease::Event) -> bool {
-    matches!(
-        event,
-        lease::Event::Read(Some(_))
-            | lease::Event::Wrote(WriteOutcome::DoneAt(_) | WriteOutcome::Refused)
-    )
-}
-
 /// Returns the range that contains only the lease record.
 pub(super) fn lease_range() -> RowRange {
     RowRange {
--- a/src/ingress/coordinator/mod.rs
+++ b/src/ingress/coordinator/mod.rs
@@ -9,7 +9,6 @@
 
 mod jobs;
 mod leadership;
-mod permit;
 mod rewards;
 
 use std::{
@@ -25,7 +24,6 @@
     time::sleep,
 };
 
-pub use self::permit::StartPermit;
 use crate::{
     batch::{
         job::JobId,
@@ -48,6 +46,10 @@
     weights::lease::Machine,
 };
 
+/// How long a coordinator continues to start runs after its lease expired;
+/// later, another host may run the same items.
+const START_GRACE: Duration = Duration::from_millis(600);
+
 /// How often the lease state machine is polled.
 const LEASE_TICK: Duration = Duration::from_millis(50);
 
@@ -71,7 +73,8 @@
     life: u64,
     /// Whether this host is the coordinator.
     is_leading: Cell<bool>,
-    start_permit: Cell<StartPermit>,
+    /// The last time at which this host held the lease.
+    last_held_at: Cell<Timestamp>,
     /// The tasks of the runs and reward calls in progress.
     runs: RefCell<HashMap<RunNumber, AbortHandle>>,
     unrouted_logged_at: Cell<Timestamp>,
@@ -117,7 +120,7 @@
             lease: RefCell::new(machine),
             life,
             is_leading: Cell::new(false),
-            start_permit: Cell::default(),
+            last_held_at: Cell::new(Duration::ZERO),
             runs: RefCell::default(),
             unrouted_logged_at: Cell::new(Duration::ZERO),
             order_counts: RefCell::default(),
@@ -223,7 +226,7 @@
 
     /// Returns whether this host may start runs and reward calls.
     fn may_start(&self, now: Timestamp) -> bool {
-        self.start_permit.get().allows(now) && !self.host.is_stopping.get()
+        now.saturating_sub(self.last_held_at.get()) < START_GRACE && !self.host.is_stopping.get()
     }
 
     /// Logs the load of each model.
--- a/src/ingress/detour.rs
+++ b/src/ingress/detour.rs
@@ -74,10 +74,6 @@
 /// answers in 540 ms.
 const WRITE_SILENCE_TIMEOUT: Duration = Duration::from_millis(700);
 
-/// How long the refusal of a peer shows that it cannot reach the store either. A
-/// host that is cut off calls its peers several times in that time.
-const PEER_REFUSAL_TTL: Duration = Duration::from_millis(1_500);
-
 /// The idle timeout of a connection from another host.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 
@@ -104,8 +100,6 @@
     peers: RefCell<Vec<SocketAddr>>,
     /// Selects the peer for the next relayed call, modulo their number.
     next_peer: Cell<usize>,
-    /// When a peer last answered that it cannot reach the store either.
-    peer_refused_at: Cell<Option<Instant>>,
 }
 
 /// Marks the store as unavailable if the caller drops a call that was
@@ -156,9 +150,6 @@
     }
 }
 
-/// The reason that the store, or a peer in its place, refused a call.
-const UNAVAILABLE: &str = "unavailable";
-
 /// Returns why the result shows that the store is unavailable to this host, or
 /// `None` if the store answered.
 fn unavailability_reason<T>(result: &Result<T, RowError>) -> Option<&'static str> {
@@ -166,7 +157,7 @@
         Err(RowError::NotApplied { reason }) => match reason {
             NotAppliedReason::Unreachable => Some("unreachable"),
             NotAppliedReason::RateLimited => Some("rate-limited"),
-            NotAppliedReason::Unavailable => Some(UNAVAILABLE),
+            NotAppliedReason::Unavailable => Some("unavailable"),
             NotAppliedReason::Rejected | NotAppliedReason::Full => None,
         },
         Err(RowError::Unknown) => Some("answer-lost"),
@@ -188,7 +179,6 @@
                 became_available: Notify::new(),
                 peers: RefCell::default(),
                 next_peer: Cell::new(0),
-                peer_refused_at: Cell::default(),
             }),
         }
     }
@@ -289,12 +279,8 @@
         };
         let result = call(self.shared.direct.through(peer)).await;
         let Some(reason) = unavailability_reason(&result) else {
-            self.shared.peer_refused_at.set(None);
             return Some(result);
         };
-        if reason == UNAVAILABLE {
-            self.shared.peer_refused_at.set(Some(Instant::now()));
-        }
         tracing::debug!(event = "store.peer_failed", %peer, reason);
         self.shared.next_peer.set(next_peer.wrapping_add(1));
         // Only the caller may repeat a write that may have been applied.
@@ -505,11 +491,6 @@
         .await
     }
 
-    fn is_outage(&self) -> bool {
-        let refused_at = self.shared.peer_refused_at.get();
-        self.is_store_unavailable() && refused_at.is_some_and(|at| at.elapsed() < PEER_REFUSAL_TTL)
-    }
-
     async fn run_background(&self) {
         let relay = self.shared.relay_address.map(server::bind);
         let serve = async {
--- a/src/store/rows.rs
+++ b/src/store/rows.rs
@@ -226,12 +226,6 @@
         wait: Duration,
     ) -> impl Future<Output = Result<RowPage, RowError>>;
 
-    /// Returns whether the store is out of reach of other hosts too, as far as this
-    /// one knows.
-    fn is_outage(&self) -> bool {
-        false
-    }
-
     /// Runs the background work of the client. The future may never complete.
     fn run_background(&self) -> impl Future<Output = ()> {
         std::future::ready(())
