--- a/src/ingress/detour.rs
+++ b/src/ingress/detour.rs
@@ -6,6 +6,8 @@
 //! address that it publishes in the store, while it can reach the store itself
 //! (see docs/design/platform.md, "A store that turns a host away").
 
+mod relay;
+
 use std::{
     cell::{Cell, RefCell},
     future::Future,
@@ -14,16 +16,9 @@
     time::Duration,
 };
 
-use bytes::Bytes;
-use http::{Method, Request, Response, StatusCode};
-use http_body_util::{BodyExt as _, Full, Limited};
-use hyper::{body::Incoming, server::conn::http1, service::service_fn};
-use hyper_util::rt::{TokioIo, TokioTimer};
 use rand::Rng as _;
 use tokio::{
-    net::TcpListener,
     sync::Notify,
-    task::spawn_local,
     time::{Instant, sleep, timeout},
 };
 use xxhash_rust::xxh3::xxh3_64;
@@ -74,12 +69,6 @@
 /// answers in 540 ms.
 const WRITE_SILENCE_TIMEOUT: Duration = Duration::from_millis(700);
 
-/// The idle timeout of a connection from another host.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
-
-/// The largest body of a relayed call; the platform accepts 1 MB.
-const MAX_BODY_BYTES: usize = 2 << 20;
-
 /// A store that is called directly or, if that fails, through another host.
 #[derive(Clone, Debug)]
 pub struct FallbackStore<S> {
@@ -372,70 +361,6 @@
             sleep(PROBE_INTERVAL.mul_f64(jitter_factor)).await;
         }
     }
-
-    /// Serves calls that other hosts relay through this one.
-    async fn serve(&self, listener: TcpListener) {
-        loop {
-            let Some(stream) = server::accept(&listener).await else {
-                continue;
-            };
-            let this = self.clone();
-            spawn_local(async move {
-                let service =
-                    service_fn(|request: Request<Incoming>| this.handle_relayed_call(request));
-                let connection = http1::Builder::new()
-                    .timer(TokioTimer::new())
-                    .header_read_timeout(IDLE_TIMEOUT)
-                    .serve_connection(TokioIo::new(stream), service);
-                // The other host notices that its connection ended.
-                let _ = connection.await;
-            });
-        }
-    }
-
-    /// Handles one relayed call. The error closes the connection if the outcome
-    /// of the call is unknown.
-    async fn handle_relayed_call(
-        &self,
-        request: Request<Incoming>,
-    ) -> Result<Response<Full<Bytes>>, RowError> {
-        let (parts, body) = request.into_parts();
-        let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
-        let body = Limited::new(body, MAX_BODY_BYTES)
-            .collect()
-            .await
-            .map_err(|_| RowError::Unknown)?;
-        let forwarded = self.forward(parts.method, path, body.to_bytes()).await;
-        let (status, body) = match forwarded {
-            Ok(Some(answer)) => answer,
-            Ok(None) => (StatusCode::NOT_FOUND, Bytes::new()),
-            Err(RowError::NotApplied { .. }) => (StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
-            Err(error) => return Err(error),
-        };
-        let mut response = Response::new(Full::new(body));
-        *response.status_mut() = status;
-        Ok(response)
-    }
-
-    /// Forwards a call of another host to the store, if the store is available
-    /// to this one.
-    ///
-    /// # Errors
-    ///
-    /// Fails where the store gives no answer.
-    pub async fn forward(
-        &self,
-        method: Method,
-        path: &str,
-        body: Bytes,
-    ) -> Result<Option<(StatusCode, Bytes)>, RowError> {
-        if self.is_store_unavailable() {
-            return Err(RowError::NotApplied {
-                reason: NotAppliedReason::Unavailable,
-            });
-        }
-        self.shared.direct.forward(method, path, body).await
-    }
 }
 
 fn partition_index(host: &str) -> u64 {
