Take no signed answer without the attempt's name

Cause: operators of similar systems saw a second copy of an answer arrive late on a connection that was in use again, and go to the next caller. Here a copy with another attempt id was refused, but one without an id was taken as the answer of the next call or run, if it was signed. Ruled out: a copy that lies in the connection before the next request is sent; the HTTP library closes such a connection (tests/client_calls.rs, copy_before_next_request). Change: a signed answer must name the attempt; unsigned refusals and failures need not. Calls and runs share the check; reward calls had it. Figures: tests/client_calls.rs copy_in_place_of_answer failed before for idempotent calls (the next caller got the first one's body) and passes now; answers that are lost or broken off at each place of head, chunks, trailer and body give 502 for either kind, and the call is not sent again to the upstream.

--- a/src/ingress/calls.rs
+++ b/src/ingress/calls.rs
@@ -346,10 +346,7 @@
 
 /// Returns the outcome of the attempt if the answer must not be forwarded.
 fn check_answer(call: &Call, parts: &response::Parts, head: &AnswerHead) -> Option<AttemptOutcome> {
-    // An answer with another attempt id is a late one to an earlier request.
-    if let (Some(answered), Some(asked)) = (head.attempt_id.as_deref(), call.id())
-        && answered != asked
-    {
+    if call.id().is_some_and(|id| !head.may_answer(id)) {
         return Some(AttemptOutcome::Unknown("answer-mismatched"));
     }
     if let Some(reason) = head.not_run_reason() {
--- a/src/ingress/runs.rs
+++ b/src/ingress/runs.rs
@@ -71,11 +71,7 @@
     };
     let (parts, mut body) = answer.into_parts();
     let head = W::answer_head(&parts);
-    let is_other_attempt = head
-        .attempt_id
-        .as_deref()
-        .is_some_and(|answered| *answered != *run.item.id);
-    if is_other_attempt {
+    if !head.may_answer(&run.item.id) {
         return outcome(RunEnd::Broken, "answer-mismatched");
     }
     let refused = match parts.status {
--- a/src/ingress/wire.rs
+++ b/src/ingress/wire.rs
@@ -82,6 +82,17 @@
 pub const FULL: &str = "full";
 
 impl AnswerHead {
+    /// Returns whether the answer may be that to the attempt `id`.
+    ///
+    /// Upstreams name the attempt in what they sign. A signed answer without a name
+    /// may be a late copy of another one, as one with another name is.
+    pub fn may_answer(&self, id: &str) -> bool {
+        match &self.attempt_id {
+            Some(answered) => answered == id,
+            None => self.signature.is_none(),
+        }
+    }
+
     /// Returns why the upstream did not run the request, or `None` if it may have.
     pub const fn not_run_reason(&self) -> Option<&'static str> {
         match (self.is_misdirected, self.is_not_run) {
--- a/tests/rows_support/mod.rs
+++ b/tests/rows_support/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod host;
 pub mod member;
+pub mod page;
 
 use std::{
     cell::RefCell,
