--- a/src/batch/job.rs
+++ b/src/batch/job.rs
@@ -94,10 +94,6 @@
     pub accepted_at: Duration,
     /// The number of items.
     pub item_count: usize,
-    /// How many whole groups the trainer waits for, or 0 if it waits for all. It is
-    /// encoded apart from the other fields, as [`Item::reward`] is.
-    #[serde(skip)]
-    pub wanted_group_count: usize,
 }
 
 /// A batch job with its items.
--- a/src/batch/layout.rs
+++ b/src/batch/layout.rs
@@ -15,9 +15,8 @@
 //! | `open` | `job`, `end` | empty | on acceptance and end; marks work for the coordinator |
 //!
 //! A value may be followed by fields of a later version, which earlier versions
-//! ignore: a head by the number of groups that the trainer waits for, items by their
-//! reward requests, a result by its score, and a part of an output by whether it is
-//! the last.
+//! ignore: items by their reward requests, a result by its score, and a part of
+//! an output by whether it is the last.
 
 mod outputs;
 
@@ -164,24 +163,6 @@
     Ok((decoded, postcard::from_bytes(rest).map_err(failure)?))
 }
 
-fn encode_head(head: &JobHead) -> Result<Bytes, LayoutError> {
-    let wanted_group_count = (head.wanted_group_count > 0).then_some(&head.wanted_group_count);
-    encode_extended(head, wanted_group_count)
-}
-
-/// Decodes a job's head.
-///
-/// # Errors
-///
-/// Fails if the bytes are not an encoded head.
-pub fn decode_head(value: &[u8]) -> Result<JobHead, LayoutError> {
-    let (head, wanted_group_count) = decode_extended::<JobHead, _>(HEAD_KEY, value)?;
-    Ok(JobHead {
-        wanted_group_count,
-        ..head
-    })
-}
-
 /// Returns the transactions that accept `job`, in the order of their commits.
 ///
 /// The items are written first; only the last transaction makes the job exist.
@@ -209,7 +190,7 @@
     transactions.push(
         current
             .expect(head.clone(), 0)
-            .put(head, encode_head(&job.head)?)
+            .put(head, encode(&job.head)?)
             .put(RowName::new(OPEN, &*job.id, JOB_KEY), Bytes::new()),
     );
     Ok(transactions)
--- a/src/batch/scheduler/events.rs
+++ b/src/batch/scheduler/events.rs
@@ -120,11 +120,11 @@
         let item = &mut job.items[state.item_index];
         match end {
             RunEnd::Completed => job.complete(state.item_index, now),
-            RunEnd::Impossible => job.finish(state.item_index, ItemState::Failed, None, now),
+            RunEnd::Impossible => job.finish(state.item_index, ItemState::Failed, None),
             RunEnd::Failed => {
                 item.failed_count += 1;
                 if item.failed_count >= max_attempts {
-                    job.finish(state.item_index, ItemState::Failed, None, now);
+                    job.finish(state.item_index, ItemState::Failed, None);
                 } else {
                     job.queue.push_front(state.item_index);
                 }
--- a/src/batch/scheduler/mod.rs
+++ b/src/batch/scheduler/mod.rs
@@ -134,8 +134,6 @@
     scorings: BTreeMap<usize, Scoring>,
     /// Results that are not listed yet.
     finished: Vec<ItemResult>,
-    /// When the first of these results was ready.
-    unlisted_since: Timestamp,
     opened_at: Timestamp,
     /// The job's age when this coordinator opened it.
     age: Duration,
@@ -254,7 +252,6 @@
             queue: order.into(),
             scorings: BTreeMap::new(),
             finished: Vec::new(),
-            unlisted_since: now,
             opened_at: now,
             age,
         };
@@ -382,7 +379,7 @@
             for index in 0..job.items.len() {
                 stopped.extend(job.items[index].run.take());
                 stopped.extend(job.stop_scoring(index));
-                job.finish(index, ItemState::Failed, None, now);
+                job.finish(index, ItemState::Failed, None);
             }
             job.queue.clear();
         }
@@ -453,30 +450,16 @@
     fn start_by(&self, item_index: usize, tokens_per_event: u64) -> Timestamp {
         let remaining = DEFAULT_EVENT_INTERVAL
             .mul_f64(self.remaining_event_count(item_index, tokens_per_event) as f64);
-        self.due_at().saturating_sub(remaining)
-    }
-
-    /// Returns the time when the results of the job are due.
-    fn due_at(&self) -> Timestamp {
-        (self.opened_at + self.job.head.due).saturating_sub(self.age)
+        (self.opened_at + self.job.head.due).saturating_sub(self.age + remaining)
     }
 
     /// Marks an item as done and adds its result to those that are to be
     /// listed. Does nothing if the item is done already.
-    fn finish(
-        &mut self,
-        item_index: usize,
-        state: ItemState,
-        score: Option<Score>,
-        now: Timestamp,
-    ) {
+    fn finish(&mut self, item_index: usize, state: ItemState, score: Option<Score>) {
         let item = &mut self.items[item_index];
         if item.is_done {
             return;
         }
-        if self.finished.is_empty() {
-            self.unlisted_since = now;
-        }
         item.is_done = true;
         item.run = None;
         let output = std::mem::take(&mut item.output);
--- a/src/batch/scheduler/rewards.rs
+++ b/src/batch/scheduler/rewards.rs
@@ -82,7 +82,7 @@
                 continue;
             }
             let missing = job.missing_counts();
-            let due_at = job.due_at();
+            let due_at = (job.opened_at + job.job.head.due).saturating_sub(job.age);
             for (index, scoring, is_hedge) in scorings {
                 let item = &job.job.items[*index];
                 let Some(request) = &item.reward else {
@@ -166,7 +166,7 @@
             Verdict::Failed => (ItemState::Failed, None),
         };
         let others = open_job.stop_scoring(item_index);
-        open_job.finish(item_index, state, score, now);
+        open_job.finish(item_index, state, score);
         RewardOutcome {
             cancelled: self.cancel(others),
             ended: Some(state),
@@ -228,7 +228,7 @@
     /// for no score.
     pub(super) fn complete(&mut self, item_index: usize, now: Timestamp) {
         if self.job.items[item_index].reward.is_none() {
-            self.finish(item_index, ItemState::Completed, None, now);
+            self.finish(item_index, ItemState::Completed, None);
             return;
         }
         let item = &mut self.items[item_index];
--- a/src/ingress/coordinator/mod.rs
+++ b/src/ingress/coordinator/mod.rs
@@ -215,7 +215,7 @@
             }
         }
         self.start_due_rewards(now);
-        for job in self.lister.claim(now) {
+        for job in self.lister.claim() {
             spawn_local(self.clone().list_results(job));
         }
         if now.saturating_sub(self.last_reported_at.get()) >= LOAD_REPORT_INTERVAL {
--- a/src/ingress/jobs.rs
+++ b/src/ingress/jobs.rs
@@ -235,7 +235,7 @@
     let Some(row) = page.rows.first() else {
         return Ok(None);
     };
-    let head: JobHead = layout::decode_head(&row.value).map_err(stored::unreadable)?;
+    let head: JobHead = layout::decode(&row.key, &row.value).map_err(stored::unreadable)?;
     cache_item_count(host, job, head.item_count);
     Ok(Some(head.item_count))
 }
--- a/src/ingress/listing.rs
+++ b/src/ingress/listing.rs
@@ -19,7 +19,6 @@
         layout::{self, Listing, Tally},
         scheduler::{Action, Scheduler},
     },
-    clock::Timestamp,
     ingress::stored,
     store::rows::{RowError, RowStamp, RowStore},
 };
@@ -88,9 +87,9 @@
 
     /// Returns the jobs that have unlisted results and no listing in progress,
     /// and marks them as being listed.
-    pub fn claim(&self, now: Timestamp) -> Vec<JobId> {
+    pub fn claim(&self) -> Vec<JobId> {
         let mut in_progress = self.in_progress.borrow_mut();
-        let mut jobs = self.scheduler.borrow().unlisted_jobs(now);
+        let mut jobs = self.scheduler.borrow().unlisted_jobs();
         jobs.retain(|job| in_progress.insert(job.clone()));
         jobs
     }
--- a/src/ingress/retention.rs
+++ b/src/ingress/retention.rs
@@ -96,7 +96,7 @@
     let (Some(head), Some(_)) = (row(layout::HEAD_KEY), row(layout::END_KEY)) else {
         return Ok(None);
     };
-    let head: JobHead = layout::decode_head(&head.value).map_err(stored::unreadable)?;
+    let head: JobHead = layout::decode(&head.key, &head.value).map_err(stored::unreadable)?;
     Ok(Some(
         head.accepted_at + result_ttl.max(head.item_ttl) + CLOCK_SKEW_MARGIN,
     ))
--- a/src/platform/documents.rs
+++ b/src/platform/documents.rs
@@ -149,9 +149,6 @@
     pub model: String,
     #[serde(default)]
     pub min_version: u64,
-    /// How many groups, not items, the trainer waits for.
-    #[serde(default)]
-    pub desired_count: usize,
     pub items: Vec<ItemDocument>,
 }
 
--- a/src/platform/wire.rs
+++ b/src/platform/wire.rs
@@ -151,7 +151,6 @@
                 due: route.result_due,
                 accepted_at: Duration::ZERO,
                 item_count: items.len(),
-                wanted_group_count: document.desired_count,
             },
             items,
         })
--- a/tests/leaving_upstream.rs
+++ b/tests/leaving_upstream.rs
@@ -1,8 +1,6 @@
 //! An upstream states in its answers that it is leaving: the host that got such an
 //! answer sends it nothing more, whatever the store says or cannot say.
 
-#![expect(clippy::unwrap_used, reason = "a failing step must fail the test")]
-
 mod rows_support;
 
 use std::time::{Duration, Instant};
--- a/tests/platform_wire.rs
+++ b/tests/platform_wire.rs
@@ -173,7 +173,6 @@
         (job.head.step, job.head.min_version, job.head.item_count),
         (7, 6, 1)
     );
-    assert_eq!(job.head.wanted_group_count, 12);
     assert_eq!(job.items[0].prompt_tokens, 540);
     // A hint above the maximum output tokens of the request is limited to them.
     assert_eq!(job.items[0].length_hint_tokens, 400);
--- a/tests/rows_support/mod.rs
+++ b/tests/rows_support/mod.rs
@@ -276,7 +276,6 @@
     Job {
         id: id.into(),
         head: JobHead {
-            wanted_group_count: 0,
             service: "engines".into(),
             route: "route".into(),
             authority: "jobs.example".to_owned(),
