Let the tests of the detour share one range

Cause: two tests of tests/store_detour.rs built the same range of rows. Change: part_range returns it; no assertion changes.

--- a/tests/store_detour.rs
+++ b/tests/store_detour.rs
@@ -138,6 +138,17 @@
         .put(name, b"value".as_slice())
 }
 
+/// The range of the rows that [`write`] writes.
+fn part_range() -> RowRange {
+    RowRange {
+        table: "jobs",
+        partition: "part".to_owned(),
+        from: String::new(),
+        to: String::new(),
+        limit_count: 1,
+    }
+}
+
 fn run(test: impl Future<Output = ()>) {
     tokio::runtime::Builder::new_current_thread()
         .enable_time()
@@ -224,13 +235,7 @@
         let host = host(&store).await;
         store.behaviour.set(StoreBehaviour::Silent);
         let started_at = Instant::now();
-        let range = RowRange {
-            table: "jobs",
-            partition: "part".to_owned(),
-            from: String::new(),
-            to: String::new(),
-            limit_count: 1,
-        };
+        let range = part_range();
         let give_up = async {
             let first = timeout(Duration::from_millis(400), host.read(&range)).await;
             assert!(first.is_err());
@@ -354,13 +359,7 @@
         let store = StoreConnection::default();
         let host = FallbackStore::new(store.clone(), "host-1".into(), None);
         store.behaviour.set(StoreBehaviour::Silent);
-        let range = RowRange {
-            table: "jobs",
-            partition: "part".to_owned(),
-            from: String::new(),
-            to: String::new(),
-            limit_count: 1,
-        };
+        let range = part_range();
         let give_up = timeout(Duration::from_millis(400), host.read(&range));
         assert!(give_up.await.is_err());
         assert!(host.is_store_unavailable());
