Log the software versions of upstreams and what a call goes on with

Cause: no line told whether a stream that is taken up goes to the software version that began it, so that the hypotheses of docs/incidents/joined-versions.md looked alike. Ruled out: a line of its own for each stream; call.attempt is written already. An entry without a version names no upstream to use, as the users' page says of missing fields.

--- a/src/ids.rs
+++ b/src/ids.rs
@@ -33,6 +33,10 @@
 /// A version of the model's weights; higher is newer.
 pub type WeightVersion = u64;
 
+/// A version of the software that an upstream runs. Versions have no order, and what
+/// two of them write does not fit together (see docs/design/software-versions.md).
+pub type SoftwareVersion = Arc<str>;
+
 /// The number of a committed state of the whole table; it only increases.
 pub type Revision = u64;
 
--- a/src/ingress/coordinator/mod.rs
+++ b/src/ingress/coordinator/mod.rs
@@ -358,6 +358,7 @@
                     job = &*job,
                     item = &*run.item.id,
                     upstream = &*run.upstream.id,
+                    software_version = &*run.upstream.software_version,
                     run = run.number,
                     outcome = %end,
                     reason,
--- a/src/ingress/directory.rs
+++ b/src/ingress/directory.rs
@@ -5,7 +5,7 @@
 use crate::{
     batch::job::ModelId,
     clock::Timestamp,
-    ids::{FailureDomain, UpstreamId, WeightVersion},
+    ids::{FailureDomain, SoftwareVersion, UpstreamId, WeightVersion},
     ingress::routes::ServiceName,
     retry,
 };
@@ -64,6 +64,8 @@
     /// Whether it is leaving, as listed or by its own answers, and must get no new
     /// calls.
     pub is_draining: bool,
+    /// The version of its software.
+    pub software_version: SoftwareVersion,
     /// The loaded version of each model.
     pub versions: BTreeMap<ModelId, WeightVersion>,
 }
--- a/src/ingress/feeds.rs
+++ b/src/ingress/feeds.rs
@@ -257,6 +257,7 @@
                         service = &*upstream.service,
                         address = %upstream.address,
                         is_draining = upstream.is_draining,
+                        software_version = &*upstream.software_version,
                         started_at_ms = upstream.started_at_ms,
                         stamp = row.stamp,
                     );
--- a/src/ingress/wire.rs
+++ b/src/ingress/wire.rs
@@ -33,6 +33,8 @@
     pub wait: Option<Duration>,
     /// The event after which a stream resumes.
     pub last_event: Option<EventNumber>,
+    /// The client's attempt that brought the first event of the stream that resumes.
+    pub resumed_attempt: Option<Arc<str>>,
 }
 
 /// A call to the batch job interface.
--- a/src/platform/documents.rs
+++ b/src/platform/documents.rs
@@ -92,6 +92,8 @@
 /// The entry of an upstream. Its `sequence` counts heartbeats, not orders.
 #[derive(Debug, Deserialize)]
 pub struct UpstreamDocument {
+    /// The version of the upstream's software, not that of any weights.
+    pub version: String,
     pub service: String,
     pub address: String,
     #[serde(default)]
--- a/src/platform/names.rs
+++ b/src/platform/names.rs
@@ -9,6 +9,9 @@
 pub const WAIT_MS: &str = "wait-ms";
 /// The header with the number of the event after which a stream continues.
 pub const LAST_EVENT_ID: &str = "last-event-id";
+/// The header with the id of the client's attempt that brought the first event of the
+/// stream that continues.
+pub const RESUMES: &str = "resumes";
 /// The header with the id of the upstream that the request is meant for.
 pub const EXPECT_INSTANCE: &str = "expect-instance";
 /// The header that is present if the upstream did not run the request.
--- a/src/platform/wire.rs
+++ b/src/platform/wire.rs
@@ -62,6 +62,7 @@
             client_timeout: header_number(headers, names::DEADLINE_MS).map(Duration::from_millis),
             wait: header_number(headers, names::WAIT_MS).map(Duration::from_millis),
             last_event: header_number(headers, names::LAST_EVENT_ID),
+            resumed_attempt: header_text(headers, names::RESUMES).map(Into::into),
         }
     }
 
@@ -331,6 +332,7 @@
             failure_domain: document.zone.into(),
             slot_count: document.slots,
             is_draining,
+            software_version: document.version.into(),
             versions: model_versions(document.models),
         })
     }
--- a/tests/directory.rs
+++ b/tests/directory.rs
@@ -15,6 +15,7 @@
         failure_domain: "mx-a".into(),
         slot_count: 6,
         is_draining: false,
+        software_version: "v1".into(),
         versions: BTreeMap::new(),
     }
 }
--- a/tests/job_pickup.rs
+++ b/tests/job_pickup.rs
@@ -68,6 +68,7 @@
         failure_domain: "mx-a".into(),
         slot_count: 4,
         is_draining: false,
+        software_version: "v1".into(),
         versions: BTreeMap::from([("writer".into(), 1)]),
     });
     drop(view);
--- a/tests/reward_burst.rs
+++ b/tests/reward_burst.rs
@@ -76,6 +76,7 @@
                 failure_domain: DOMAINS[index % DOMAINS.len()].into(),
                 slot_count: SLOT_COUNT,
                 is_draining: false,
+                software_version: "v1".into(),
                 versions: BTreeMap::new(),
             });
         }
--- a/tests/rows_support/page.rs
+++ b/tests/rows_support/page.rs
@@ -47,6 +47,7 @@
         failure_domain: "mx-a".into(),
         slot_count: 6,
         is_draining: false,
+        software_version: "v1".into(),
         versions: BTreeMap::new(),
     }
 }
