Take streams up only at the software version that began them

Callers saw: streams that were taken up after a break, answered 200 and run to the end, with the first part of one software version and the rest of another. Cause: a host chose an upstream for a stream that goes on as for any call. Nothing read the versions of upstreams, and nothing knew which one began a stream. The first choice, each retry and each host did the same. Ruled out: joins within one answer, as no client attempt had two answered ones; memory of hosts, a hash of the attempt's id and a write before each first event, for the reasons in docs/design/software-versions.md. Change: versions are registered in the store before the first stream begins there. While a service has several, the origin of each stream is saved by the coordinator. A stream goes on at the version that is known for certain, at whichever host, and is refused otherwise. The stand-ins serve streams of clients, and engines have software versions. Conclusion: what a take-up relies on is durable or absent, and absence never joins.

--- a/src/ingress/calls.rs
+++ b/src/ingress/calls.rs
@@ -27,6 +27,7 @@
         },
         directory::Upstream,
         host::Host,
+        origins,
         permits::{self, Permit},
         replies::{Reply, refusal, reply},
         routes::{Route, RouteKind},
@@ -50,6 +51,10 @@
 /// The shortest `Retry-After` of a call that no upstream may take yet.
 const MIN_LIMIT_RETRY: Duration = Duration::from_millis(20);
 
+/// The `Retry-After` of a stream that cannot go on now: its origin may be saved, or its
+/// version be back, shortly.
+const ORIGIN_RETRY_AFTER: Duration = Duration::from_millis(150);
+
 /// The largest answer body that is accepted from an upstream. A dozen of them at a time
 /// fit the smallest machine.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
@@ -189,15 +194,25 @@
             return unanswered_reply(host, call, false, "crashes-upstreams", 0, wait);
         }
     };
-    let service = call.route.service(call.split_point()).cloned();
+    let Some(service) = call.route.service(call.split_point()) else {
+        return unanswered_reply(host, call, false, reason, 0, RETRY_AFTER);
+    };
+    let (is_resuming, resumed) = (call.head.is_resuming(), &call.head.resumed_attempt);
+    let versions =
+        match origins::choose(host, &call.route, service, is_resuming, resumed.as_ref()).await {
+            Ok(versions) => versions,
+            Err(reason) => {
+                return unanswered_reply(host, call, false, reason, 0, ORIGIN_RETRY_AFTER);
+            }
+        };
     while (tried.len() as u32) < max_attempts {
         let now = host.now();
-        let Some(service) = &service else { break };
-        let chosen = host.view.borrow_mut().directory.choose(
+        let chosen = host.view.borrow_mut().directory.choose_if(
             service,
             &host.settings.failure_domain,
             &excluded,
             now,
+            |upstream| versions.allows(host, upstream),
         );
         let Some(upstream) = chosen else { break };
         if now >= deadline {
@@ -233,6 +248,9 @@
                 host.metrics.count(CALLS_ANSWERED, 1);
                 if !is_stream(call, &response) {
                     crashes::record_answer(host, fingerprint);
+                } else if !is_resuming {
+                    let attempt = call.head.attempt_id.as_ref();
+                    origins::record_begin(host, &call.route, attempt, &upstream);
                 }
                 host.metrics
                     .time(CALL_TIME, host.now().saturating_sub(call.arrived_at));
--- a/src/ingress/directory.rs
+++ b/src/ingress/directory.rs
@@ -275,12 +275,24 @@
         domain: &str,
         tried: &[UpstreamId],
         now: Timestamp,
+    ) -> Option<Arc<Upstream>> {
+        self.choose_if(service, domain, tried, now, |_| true)
+    }
+
+    /// Chooses like [`Directory::choose`] among the upstreams that `is_allowed`.
+    pub fn choose_if(
+        &mut self,
+        service: &str,
+        domain: &str,
+        tried: &[UpstreamId],
+        now: Timestamp,
+        is_allowed: impl Fn(&Upstream) -> bool,
     ) -> Option<Arc<Upstream>> {
         self.choose_by(
             service,
             tried,
             now,
-            |_| true,
+            |entry| is_allowed(&entry.upstream),
             |entry| {
                 let is_full = entry.open_count >= entry.upstream.slot_count.max(1);
                 (
--- a/src/ingress/host.rs
+++ b/src/ingress/host.rs
@@ -10,7 +10,7 @@
     time::Duration,
 };
 
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Mutex, Notify, watch};
 
 use crate::{
     batch::job::{JobId, ModelId},
@@ -22,6 +22,7 @@
         directory::Directory,
         limits::{LimitBook, ledger::PermitLedger},
         metrics::Exposition,
+        origins::book::OriginBook,
         routes::Configuration,
         wire::Wire,
     },
@@ -81,6 +82,9 @@
     /// The last reading of the store's clock, and this host's clock at that
     /// moment.
     pub store_clock: Option<(Duration, Timestamp)>,
+    /// How many hosts the fleet has, as the coordinator counted them; 0 if that is not
+    /// known yet.
+    pub host_count: u32,
     /// The item counts of jobs that this host has seen; a job's items never
     /// change.
     pub item_counts: HashMap<JobId, usize>,
@@ -103,6 +107,12 @@
     pub permits: RefCell<PermitLedger>,
     /// The calls under which upstreams crash.
     pub crashes: RefCell<CrashBook>,
+    /// The software versions that began streams.
+    pub origins: RefCell<OriginBook>,
+    /// Wakes the task that saves them.
+    pub origin_unsaved: Notify,
+    /// When the last successful read of the versions was sent.
+    pub versions_read_at: Mutex<Timestamp>,
     /// Whether this host issues permits.
     pub is_issuing: Cell<bool>,
     /// Wakes the coordinator when the view changes.
@@ -164,6 +174,9 @@
             view: RefCell::default(),
             permits: RefCell::default(),
             crashes: RefCell::default(),
+            origins: RefCell::default(),
+            origin_unsaved: Notify::new(),
+            versions_read_at: Mutex::default(),
             is_issuing: Cell::new(false),
             view_changed: Notify::new(),
             metrics,
--- a/src/ingress/mod.rs
+++ b/src/ingress/mod.rs
@@ -24,6 +24,7 @@
 pub mod metrics;
 pub mod notices;
 pub mod orders;
+pub mod origins;
 pub mod peers;
 pub mod permits;
 mod process;
--- a/src/ingress/notices.rs
+++ b/src/ingress/notices.rs
@@ -107,6 +107,7 @@
         }
     };
     let share_ratio = notice.share_ratio();
+    host.view.borrow_mut().host_count = notice.host_count;
     let issuer = Issuer {
         fence: notice.fence,
         address: notice.address,
@@ -172,6 +173,7 @@
             match detour::count_hosts(&host.store).await {
                 Ok(count) => {
                     host_count = u32::try_from(count).unwrap_or(u32::MAX);
+                    host.view.borrow_mut().host_count = host_count;
                     counted_at = Some(Instant::now());
                 }
                 Err(error) => tracing::debug!(event = "hosts.not_counted", %error),
--- a/src/ingress/peers.rs
+++ b/src/ingress/peers.rs
@@ -11,7 +11,7 @@
 use crate::{
     batch::layout::{self, LayoutError},
     connection::{Protocol, SendFailure, Target},
-    ingress::{crashes, host::Host, permits, wire::Wire},
+    ingress::{crashes, host::Host, origins, permits, wire::Wire},
     observe::telemetry::PEERS_UNANSWERED,
     store::rows::{PeerCalls, RowStore},
 };
@@ -101,6 +101,7 @@
         let answer = match path {
             permits::PERMIT_PATH => permits::answer_peer(self, body),
             crashes::CRASH_PATH => crashes::answer_peer(self, body),
+            origins::ORIGIN_PATH => origins::answer_peer(self, body),
             _ => return None,
         };
         match answer {
--- a/src/ingress/process.rs
+++ b/src/ingress/process.rs
@@ -8,7 +8,7 @@
 };
 
 use crate::{
-    ingress::{coordinator::Coordinator, feeds, host::Host, server, wire::Wire},
+    ingress::{coordinator::Coordinator, feeds, host::Host, origins, server, wire::Wire},
     store::rows::RowStore,
 };
 
@@ -55,6 +55,8 @@
         spawn_local(async move { store.run_background(peers).await });
         spawn_local(feeds::follow_operator(self.clone()));
         spawn_local(feeds::follow_upstreams(self.clone()));
+        spawn_local(origins::follow_versions(self.clone()));
+        spawn_local(origins::save_origins(self.clone()));
         spawn_local(server::serve_ready(self.clone(), ready));
         let accepting = spawn_local(server::serve_clients(self.clone(), clients));
         spawn_local(coordinator.clone().run());
--- a/src/ingress/retention.rs
+++ b/src/ingress/retention.rs
@@ -10,7 +10,12 @@
         layout,
     },
     clock::millis,
-    ingress::{host::Host, stored, wire::Wire},
+    ingress::{
+        host::Host,
+        origins::{self, Absences},
+        stored,
+        wire::Wire,
+    },
     store::rows::{RowError, RowName, RowStore, RowTransaction},
 };
 
@@ -25,11 +30,15 @@
 /// The time on the store's clock at which each ended job may be removed.
 pub type Expiries = BTreeMap<JobId, Duration>;
 
-/// Removes expired jobs periodically.
+/// Removes expired jobs and origins of streams periodically.
 pub async fn run_sweeps<S: RowStore, W: Wire>(host: Rc<Host<S, W>>) {
     let mut expiries = Expiries::new();
+    let mut absences = Absences::new();
     loop {
         sleep(SWEEP_INTERVAL).await;
+        if let Err(error) = origins::sweep(&host, &mut absences).await {
+            tracing::info!(event = "origins.not_swept", %error);
+        }
         let Some(now) = host.store_time() else {
             continue;
         };
--- a/src/ingress/wire.rs
+++ b/src/ingress/wire.rs
@@ -37,6 +37,13 @@
     pub resumed_attempt: Option<Arc<str>>,
 }
 
+impl ClientHead {
+    /// Returns whether the client goes on with a stream of which it has events.
+    pub fn is_resuming(&self) -> bool {
+        self.resumed_attempt.is_some() || self.last_event.is_some_and(|number| number > 0)
+    }
+}
+
 /// A call to the batch job interface.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum JobCall {
--- a/src/observe/telemetry.rs
+++ b/src/observe/telemetry.rs
@@ -71,6 +71,8 @@
     CALLS_UNKNOWN, "calls.unknown_count", Counter, "Calls for which it is unknown whether they ran.";
     CALL_TIME, "calls.time_ms", Timer, "Time from a call's arrival to the head of its answer.";
     CALLS_BLOCKED, "calls.blocked_count", Counter, "Calls that were refused because upstreams crash under them.";
+    STREAMS_RESUMED, "streams.resumed_count", Counter, "Streams that were taken up and may go on.";
+    STREAMS_NOT_RESUMED, "streams.not_resumed_count", Counter, "Streams that were taken up and may not go on, since the version that began them is not known.";
     UPSTREAMS_LIMITED, "upstreams.limited_count", Gauge, "Upstreams that name a limit on the requests of all hosts.";
     PERMITS_GRANTED, "permits.granted_count", Counter, "Permits for upstreams with a limit that this host gave to others.";
     PERMITS_DENIED, "permits.denied_count", Counter, "Permits for upstreams with a limit that this host denied to others.";
--- a/src/platform/standin/client.rs
+++ b/src/platform/standin/client.rs
@@ -11,8 +11,13 @@
 use serde_json::{Value, json};
 use tokio::{net::TcpStream, task::spawn_local, time::timeout};
 
-use super::{AUTHORITY, SCORE_PATH, SCORED_MODEL, header_text, record::SeenResult, reward_id};
-use crate::platform::names;
+use super::{
+    AUTHORITY, MODELS, SCORE_PATH, SCORED_MODEL, header_text, record::SeenResult, reward_id,
+};
+use crate::{
+    ingress::wire::EventParser as _,
+    platform::{events::PlatformEvents, names},
+};
 
 /// The timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -23,6 +28,9 @@
 /// How much longer a client waits than the deadline that it sends.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(1_500);
 
+/// The number of events of a whole stream, of which each takes some 20 ms.
+const STREAM_EVENT_COUNT: u64 = 100;
+
 /// Why a client received no complete answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "kebab-case")]
@@ -61,6 +69,15 @@
     }
 }
 
+/// What a client has read of a stream.
+#[derive(Clone, Copy, Debug)]
+pub struct StreamStart {
+    /// The status.
+    pub status: StatusCode,
+    /// The number of the last event.
+    pub last_event: u64,
+}
+
 /// A connection to one host, used until the host closes it.
 #[derive(Debug)]
 pub struct Client {
@@ -152,6 +169,58 @@
             .await
     }
 
+    /// Opens a stream at `path`, or takes up that of `resumed` after its last event, and
+    /// reads it until the answer ends or has brought `event_count` events.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no answer.
+    pub async fn stream(
+        &mut self,
+        path: &str,
+        attempt: &str,
+        resumed: Option<(&str, u64)>,
+        event_count: usize,
+    ) -> Result<StreamStart, RequestError> {
+        let body = json!({"model": MODELS[0].0, "events": STREAM_EVENT_COUNT});
+        let mut request = Request::post(path)
+            .header(http::header::HOST, AUTHORITY)
+            .header(names::ATTEMPT_ID, attempt)
+            .header(names::DEADLINE_MS, REQUEST_DEADLINE.as_millis().to_string());
+        if let Some((begun, last_event)) = resumed {
+            request = request
+                .header(names::RESUMES, begun)
+                .header(names::LAST_EVENT_ID, last_event.to_string());
+        }
+        let request = request
+            .body(Full::new(body.to_string().into()))
+            .map_err(|_| RequestError::NotConnected)?;
+        let answered = async {
+            let answer = self
+                .sender
+                .send_request(request)
+                .await
+                .map_err(|_| RequestError::Cut)?;
+            let status = answer.status();
+            let mut body = answer.into_body();
+            let mut events = PlatformEvents::default();
+            let mut last_event = resumed.map_or(0, |(_, last_event)| last_event);
+            let mut read_count = 0;
+            while read_count < event_count
+                && let Some(Ok(frame)) = body.frame().await
+            {
+                let read = frame.data_ref().map(|data| events.push(data));
+                let Some(Ok(read)) = read else { break };
+                read_count += read.len();
+                last_event = read.last().map_or(last_event, |event| event.number);
+            }
+            Ok(StreamStart { status, last_event })
+        };
+        timeout(REQUEST_DEADLINE + DEADLINE_MARGIN, answered)
+            .await
+            .unwrap_or(Err(RequestError::TimedOut))
+    }
+
     /// Submits a batch job to `path`.
     ///
     /// # Errors
--- a/src/platform/standin/engine.rs
+++ b/src/platform/standin/engine.rs
@@ -24,8 +24,8 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{
-    CALLS, CRASH_PATH, ENGINES, MODELS, NoAnswer, Record, SCORE_PATH, Store, header_text,
-    json_reply, serve,
+    CALLS, CRASH_PATH, ENGINES, MODELS, NoAnswer, Record, SCORE_PATH, STREAM_PATH, Store,
+    header_text, json_reply, serve,
 };
 use crate::{
     ingress::replies::{Reply, ReplyBody, StreamCut},
@@ -59,6 +59,9 @@
 /// The ratio of requests that an upstream with a grey failure fails.
 const GREY_FAILURE_RATIO: f64 = 0.4;
 
+/// The software version of upstreams that are given no other one.
+const FIRST_SOFTWARE_VERSION: &str = "v1";
+
 /// The role of an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "kebab-case")]
@@ -110,6 +113,8 @@
     is_down: Cell<bool>,
     /// The limit that the upstream names, in requests per second.
     limit_per_s: Cell<Option<f64>>,
+    /// The version of the software, of which the next start may have another one.
+    software_version: RefCell<String>,
     versions: RefCell<BTreeMap<String, u64>>,
     loading: RefCell<Option<String>>,
     order_count: Cell<u64>,
@@ -163,6 +168,7 @@
             start_count: Cell::new(1),
             is_down: Cell::new(false),
             limit_per_s: Cell::new(None),
+            software_version: RefCell::new(FIRST_SOFTWARE_VERSION.to_owned()),
             versions: RefCell::new(versions),
             loading: RefCell::default(),
             order_count: Cell::new(0),
@@ -189,6 +195,17 @@
         self.versions.borrow().clone()
     }
 
+    /// Lists the upstream with another version of its software.
+    pub fn set_software_version(&self, version: &str) {
+        version.clone_into(&mut self.software_version.borrow_mut());
+        self.register();
+    }
+
+    /// Returns the version of the upstream's software.
+    pub fn software_version(&self) -> String {
+        self.software_version.borrow().clone()
+    }
+
     /// Sets or clears the fault of the upstream.
     pub fn set_fault(&self, fault: EngineFault) {
         self.fault.set(fault);
@@ -231,7 +248,7 @@
         };
         let entry = json!({
             "service": service, "address": self.address.to_string(), "zone": "zone-a",
-            "version": "1", "slots": SLOT_COUNT, "cold_remaining_ms": 0,
+            "version": &*self.software_version.borrow(), "slots": SLOT_COUNT, "cold_remaining_ms": 0,
             "state": if self.is_listed_draining.get() { "draining" } else { "ready" },
             "sequence": self.sequence.get(), "born": self.start_count.get(), "models": self.models(),
         });
@@ -360,7 +377,14 @@
         let last_event = header_text(headers, names::LAST_EVENT_ID)
             .and_then(|text| text.parse().ok())
             .unwrap_or(0);
-        self.record.borrow_mut().add_item_run(&item);
+        let software_version = self.software_version.borrow().clone();
+        let resumed = header_text(headers, names::RESUMES).unwrap_or(&item);
+        let mut record = self.record.borrow_mut();
+        record.add_text_run(resumed, &software_version, last_event);
+        if !request.uri().path().starts_with(STREAM_PATH) {
+            record.add_item_run(&item);
+        }
+        drop(record);
         let is_cut =
             self.fault.get() == EngineFault::Grey && rand::rng().random_bool(GREY_FAILURE_RATIO);
         let (sender, receiver) = mpsc::channel(1);
--- a/src/platform/standin/mod.rs
+++ b/src/platform/standin/mod.rs
@@ -12,7 +12,7 @@
 mod store;
 
 pub use self::{
-    client::{Client, ReceivedAnswer, RequestError, ResultPage, TrainerJob},
+    client::{Client, ReceivedAnswer, RequestError, ResultPage, StreamStart, TrainerJob},
     engine::{Engine, EngineFault, EngineRole},
     record::{Record, SeenResult, Violation},
     reserved::ReservedAddress,
@@ -179,6 +179,9 @@
 /// The path prefix of idempotent calls that crash each upstream that runs them.
 pub const CRASH_PATH: &str = "/look/crash/";
 
+/// The path prefix of streams of clients, which may be resumed.
+pub const STREAM_PATH: &str = "/talk/";
+
 /// The path prefix of calls that may run at most once.
 pub const ONCE_PATH: &str = "/sign/";
 
@@ -196,6 +199,11 @@
             "kind": "non_idempotent", "service": CALLS, "max_attempts": 2,
             "timeout_ms": 3_000, "target_latency_ms": 150}),
     ];
+    routes.push(
+        json!({"name": "talk", "host": AUTHORITY, "path_prefix": STREAM_PATH,
+        "kind": "streaming", "resumable": true, "service": ENGINES, "max_attempts": 3,
+        "timeout_ms": 10_000, "target_latency_ms": 400}),
+    );
     for (model, path) in MODELS {
         routes.push(
             json!({"name": model, "host": AUTHORITY, "path_prefix": path,
--- a/src/platform/standin/record.rs
+++ b/src/platform/standin/record.rs
@@ -87,6 +87,8 @@
     orders: BTreeMap<String, Order>,
     last_holder: Option<String>,
     executions: BTreeMap<String, u32>,
+    /// The software version that began the present text of each item or stream.
+    text_versions: BTreeMap<String, String>,
     /// The items of which an engine has made the last event.
     whole_items: BTreeSet<String>,
     /// What upstreams answered to each reward call.
@@ -131,6 +133,22 @@
         self.run_items.insert(item.to_owned());
     }
 
+    /// Records that an upstream of `software_version` begins to run an item or a stream,
+    /// or goes on with its text after `last_event`.
+    pub fn add_text_run(&mut self, text: &str, software_version: &str, last_event: u64) {
+        if last_event == 0 {
+            self.text_versions
+                .insert(text.to_owned(), software_version.to_owned());
+            return;
+        }
+        self.count("texts resumed");
+        let begun = self.text_versions.get(text);
+        if begun.is_some_and(|begun| begun != software_version) {
+            let seen = format!("{text}: begun by {begun:?}, resumed by {software_version}");
+            self.add_violation("texts-never-joined", seen);
+        }
+    }
+
     /// Records that an engine makes the last event of an item.
     pub fn add_whole_item(&mut self, item: &str) {
         self.whole_items.insert(item.to_owned());
--- a/tests/fleet_support/mod.rs
+++ b/tests/fleet_support/mod.rs
@@ -47,6 +47,7 @@
 pub struct Fleet {
     pub hosts: Vec<FleetHost>,
     pub store: Store,
+    store_address: SocketAddr,
     pub upstreams: Vec<Rc<Engine>>,
     pub record: Rc<RefCell<Record>>,
 }
@@ -177,11 +178,30 @@
         Self {
             hosts,
             store,
+            store_address: address,
             upstreams,
             record,
         }
     }
 
+    /// Ends all hosts and starts as many new ones under the same names.
+    pub async fn restart_hosts(&mut self) {
+        let host_count = self.hosts.len();
+        for host in &mut self.hosts {
+            host.stop();
+        }
+        for host in self.hosts.drain(..) {
+            host.thread.unwrap().join().unwrap();
+        }
+        let address = self.store_address;
+        self.hosts = (0..host_count)
+            .map(|number| FleetHost::start(format!("entry-{number}"), address, BTreeMap::new()))
+            .collect();
+        for host in &self.hosts {
+            host.wait_until_ready().await;
+        }
+    }
+
     /// Returns how many of the counted things the record has seen.
     pub fn count(&self, what: &str) -> u64 {
         self.record
