Go on with the text of an item only at the software version that began it

Callers would see: results whose text was begun by one software version and finished by another. A text went on at any engine whose weights fitted: runs that go on, moves, what the next coordinator found saved, and what was kept for a later job. Parts of a text that had started anew could be put together with older ones. Ruled out: the versions of weights, which each event names and which are kept apart. Change: an output and its saved parts have the software version that began them, and an engine of another one is no candidate. Once no engine of the version takes runs, the item starts anew. Items that wait for a full version hold up no others of their job.

--- a/src/batch/layout.rs
+++ b/src/batch/layout.rs
@@ -16,7 +16,7 @@
 //!
 //! A value may be followed by fields of a later version, which earlier versions
 //! ignore: items by their reward requests, a result by its score, and a part of
-//! an output by whether it is the last.
+//! an output by whether it is the last and by the software version that began it.
 
 mod outputs;
 
@@ -152,15 +152,28 @@
     key: &str,
     value: &[u8],
 ) -> Result<(T, E), LayoutError> {
-    let failure = |source| LayoutError::Decode {
+    let (decoded, rest) = take(key, value)?;
+    let (extension, _) = take_or_default(key, rest)?;
+    Ok((decoded, extension))
+}
+
+/// Decodes a `T` from the start of `bytes`, and returns it with the rest of them.
+fn take<'a, T: DeserializeOwned>(key: &str, bytes: &'a [u8]) -> Result<(T, &'a [u8]), LayoutError> {
+    postcard::take_from_bytes(bytes).map_err(|source| LayoutError::Decode {
         key: key.to_owned(),
         source,
-    };
-    let (decoded, rest) = postcard::take_from_bytes(value).map_err(failure)?;
-    if rest.is_empty() {
-        return Ok((decoded, E::default()));
+    })
+}
+
+/// Decodes like [`take`], and returns the default if no bytes are left.
+fn take_or_default<'a, T: DeserializeOwned + Default>(
+    key: &str,
+    bytes: &'a [u8],
+) -> Result<(T, &'a [u8]), LayoutError> {
+    if bytes.is_empty() {
+        return Ok((T::default(), bytes));
     }
-    Ok((decoded, postcard::from_bytes(rest).map_err(failure)?))
+    take(key, bytes)
 }
 
 /// Returns the transactions that accept `job`, in the order of their commits.
--- a/src/batch/layout/outputs.rs
+++ b/src/batch/layout/outputs.rs
@@ -3,7 +3,8 @@
 use std::collections::BTreeMap;
 
 use super::{
-    LayoutError, MAX_ENTRY_COUNT, MAX_TRANSACTION_BYTES, OUTPUTS, decode_extended, encode_extended,
+    LayoutError, MAX_ENTRY_COUNT, MAX_TRANSACTION_BYTES, OUTPUTS, encode_extended, take,
+    take_or_default,
 };
 use crate::{
     batch::{
@@ -36,7 +37,7 @@
     let mut size_bytes = 0;
     let mut part_count = 0;
     for (item_index, part) in parts.iter().take(MAX_ENTRY_COUNT) {
-        let value = encode_extended(part, part.is_last.then_some(&part.is_last))?;
+        let value = encode_extended(part, Some(&(part.is_last, &part.software_version)))?;
         size_bytes += value.len();
         if size_bytes > MAX_TRANSACTION_BYTES && part_count > 0 {
             break;
@@ -70,9 +71,12 @@
             });
         };
         let is_final = row.key.ends_with(FINAL_SUFFIX);
-        let (mut part, is_last) = decode_extended::<OutputPart, _>(&row.key, &row.value)?;
+        let (mut part, rest) = take::<OutputPart>(&row.key, &row.value)?;
+        (part.is_last, part.software_version) = {
+            let (is_last, rest) = take_or_default(&row.key, rest)?;
+            (is_last, take_or_default(&row.key, rest)?.0)
+        };
         part.is_final = is_final;
-        part.is_last = is_last;
         // A part that leaves a gap is dropped, and so are all parts after it.
         let chain = chains.entry((fence, item_index, is_final)).or_default();
         chain.extend(&part);
--- a/src/batch/output.rs
+++ b/src/batch/output.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     batch::job::{EventNumber, JobHead},
-    ids::WeightVersion,
+    ids::{SoftwareVersion, WeightVersion},
 };
 
 /// One event of an output.
@@ -19,6 +19,9 @@
 /// The events generated for an item so far, numbered from 1.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Output {
+    /// The software version of the engine that began the output; `None` if it has no
+    /// events, or was saved without it.
+    software_version: Option<SoftwareVersion>,
     text: String,
     events: Vec<Event>,
     is_whole: bool,
@@ -31,6 +34,10 @@
     pub first_event: EventNumber,
     events: Vec<Event>,
     text: String,
+    /// The software version of the engine that began the output. It is encoded apart from
+    /// the other fields.
+    #[serde(skip)]
+    pub software_version: Option<SoftwareVersion>,
     /// Whether the part was taken from the whole output, so that any copy of it
     /// is the same. It is encoded in the key of the row.
     #[serde(skip)]
@@ -80,16 +87,35 @@
         self.text
     }
 
-    /// Appends the event `number` if it directly follows the last one, and
-    /// returns whether it was appended.
-    pub fn push(&mut self, number: EventNumber, data: &str, version: WeightVersion) -> bool {
+    /// Returns the software version of the engine that began the output, if it is known.
+    pub const fn software_version(&self) -> Option<&SoftwareVersion> {
+        self.software_version.as_ref()
+    }
+
+    /// Returns whether an engine of `software_version` may begin the output, or go on
+    /// with it.
+    pub fn fits(&self, software_version: &SoftwareVersion) -> bool {
+        self.events.is_empty() || self.software_version.as_ref() == Some(software_version)
+    }
+
+    /// Appends the event `number` of an engine of `software_version` if it directly
+    /// follows the last one and fits to it, and returns whether it was appended.
+    pub fn push(
+        &mut self,
+        number: EventNumber,
+        data: &str,
+        version: WeightVersion,
+        software_version: &SoftwareVersion,
+    ) -> bool {
         let Ok(length_bytes) = u32::try_from(data.len()) else {
             return false;
         };
-        if number != self.last_event() + 1 || self.is_whole {
+        if number != self.last_event() + 1 || self.is_whole || !self.fits(software_version) {
             return false;
         }
-        if !self.events.is_empty() {
+        if self.events.is_empty() {
+            self.software_version = Some(software_version.clone());
+        } else {
             self.text.push('\n');
         }
         self.text.push_str(data);
@@ -100,9 +126,16 @@
         true
     }
 
-    /// Returns whether a run under `version` may continue this output.
-    pub fn can_continue(&self, head: &JobHead, version: WeightVersion) -> bool {
+    /// Returns whether a run under `version` on an engine of `software_version` may
+    /// continue this output.
+    pub fn can_continue(
+        &self,
+        head: &JobHead,
+        version: WeightVersion,
+        software_version: &SoftwareVersion,
+    ) -> bool {
         version >= head.min_version
+            && self.fits(software_version)
             && (!head.single_version || self.events.iter().all(|event| event.version == version))
     }
 
@@ -138,6 +171,7 @@
             first_event: after + 1,
             events: rest[..count].to_vec(),
             text: self.text[start..start + length_bytes].to_owned(),
+            software_version: self.software_version.clone(),
             is_final: false,
             is_last: false,
         })
@@ -165,7 +199,11 @@
         if part.first_event != self.last_event() + 1 || self.is_whole {
             return false;
         }
-        if !self.events.is_empty() {
+        if self.events.is_empty() {
+            self.software_version.clone_from(&part.software_version);
+        } else if self.software_version != part.software_version {
+            return false;
+        } else {
             self.text.push('\n');
         }
         self.text.push_str(&part.text);
--- a/src/batch/scheduler/candidates.rs
+++ b/src/batch/scheduler/candidates.rs
@@ -13,16 +13,17 @@
         output::Output,
     },
     clock::Timestamp,
-    ids::{UpstreamId, WeightVersion},
+    ids::{SoftwareVersion, UpstreamId, WeightVersion},
 };
 
 /// What engines have in common that cost an item the same, but for their speed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Class {
     version: WeightVersion,
     run_count: usize,
     slot_count: usize,
     needs_connection: bool,
+    software_version: SoftwareVersion,
 }
 
 /// The engines with a free slot that hold weights of one model, by class, the
@@ -63,6 +64,7 @@
             run_count: engine.run_count,
             slot_count: engine.spec.slot_count,
             needs_connection: engine.needs_connection(now),
+            software_version: engine.spec.software_version.clone(),
         };
         let interval = engine
             .expected_interval(now)
@@ -89,10 +91,11 @@
             run_count: 0,
             slot_count: 0,
             needs_connection: false,
+            software_version: "".into(),
         };
         self.classes
             .range(lowest..)
-            .filter(|(class, _)| output.can_continue(head, class.version))
+            .filter(|(class, _)| output.can_continue(head, class.version, &class.software_version))
             .filter_map(|(_, members)| {
                 members
                     .iter()
--- a/src/batch/scheduler/dispatch.rs
+++ b/src/batch/scheduler/dispatch.rs
@@ -5,11 +5,13 @@
 use super::{
     Action, Run, Scheduler,
     candidates::Candidates,
-    engine::{DEFAULT_EVENT_INTERVAL, LOAD_TIMEOUT, Loading, UnconfirmedLoad, planned_tokens},
+    engine::{
+        DEFAULT_EVENT_INTERVAL, Engine, LOAD_TIMEOUT, Loading, UnconfirmedLoad, planned_tokens,
+    },
 };
 use crate::{
     batch::{
-        job::{JobId, ModelId},
+        job::{JobHead, JobId, ModelId},
         output::Output,
         weights::{self, EngineWeights, ModelNeed},
     },
@@ -24,6 +26,25 @@
 /// The interval below which searches are not limited.
 const MIN_DISPATCH_INTERVAL: Duration = Duration::from_millis(1);
 
+/// Returns whether no engine can go on with `output`, now or later, so that its item must
+/// start anew: no engine of its software version takes new runs, or a single weight
+/// version must generate it and no engine holds that.
+fn is_lost(engines: &BTreeMap<UpstreamId, Engine>, head: &JobHead, output: &Output) -> bool {
+    if output.last_event() == 0 {
+        return false;
+    }
+    let mut serving = engines
+        .values()
+        .filter(|engine| engine.serves(&head.service))
+        .peekable();
+    // Without any engine, their list may not be read yet.
+    serving.peek().is_some()
+        && !serving.any(|engine| {
+            output.fits(&engine.spec.software_version)
+                && (!head.single_version || engine.can_continue(head, output))
+        })
+}
+
 impl Scheduler {
     /// Starts waiting items of all jobs, in the order of the time by which they
     /// must start.
@@ -79,8 +100,8 @@
             .map(|(.., position)| position)
     }
 
-    /// Starts the first waiting item of a job, and returns whether the job may
-    /// have more items to start now.
+    /// Starts the first waiting item of a job that can start, and returns whether the
+    /// job may have more items to start now.
     fn start_first(
         &mut self,
         id: &JobId,
@@ -95,34 +116,38 @@
         let Some(job) = self.jobs.get_mut(id) else {
             return false;
         };
-        let Some(&item_index) = job.queue.front() else {
-            return false;
-        };
-        let item = &job.job.items[item_index];
-        let state = &mut job.items[item_index];
-        let tokens = planned_tokens(item, &state.output, tokens_per_event);
         let head = &job.job.head;
-        let engine = candidates
+        let candidates = candidates
             .entry((head.model.clone(), head.service.clone()))
-            .or_insert_with(|| Candidates::new(self.engines.values(), head, typical_interval, now))
-            .cheapest(&self.engines, head, item, &state.output, tokens, now)
-            .and_then(|engine| self.engines.get_mut(&engine));
-        let Some(engine) = engine else {
-            // A single-version output cannot be continued under another
-            // version. It is discarded once no engine holds its version.
-            if head.single_version && state.output.last_event() > 0 {
-                let is_lost = self.engines.values().all(|engine| {
-                    engine.is_gone || !state.output.can_continue(head, engine.version(&head.model))
-                });
-                if is_lost {
-                    state.output = Output::default();
-                    state.saved_event = 0;
-                    return true;
-                }
+            .or_insert_with(|| Candidates::new(self.engines.values(), head, typical_interval, now));
+        let mut chosen = None;
+        for (position, &item_index) in job.queue.iter().enumerate() {
+            let item = &job.job.items[item_index];
+            let state = &mut job.items[item_index];
+            if is_lost(&self.engines, head, &state.output) {
+                state.output = Output::default();
+                state.saved_event = 0;
+            }
+            let tokens = planned_tokens(item, &state.output, tokens_per_event);
+            let engine = candidates.cheapest(&self.engines, head, item, &state.output, tokens, now);
+            if let Some(engine) = engine {
+                chosen = Some((position, item_index, tokens, engine));
+                break;
             }
+            // An item that can start anywhere finds no engine, and no later one will. One
+            // that goes on waits for its version, and holds up none of the others.
+            if state.output.last_event() == 0 {
+                break;
+            }
+        }
+        let Some((position, item_index, tokens, engine)) = chosen else {
             return false;
         };
-        job.queue.pop_front();
+        let Some(engine) = self.engines.get_mut(&engine) else {
+            return false;
+        };
+        let state = &mut job.items[item_index];
+        job.queue.remove(position);
         self.last_run += 1;
         let run = self.last_run;
         state.run = Some(run);
@@ -138,6 +163,7 @@
                 job: id.clone(),
                 item_index,
                 engine: engine.spec.id.clone(),
+                software_version: engine.spec.software_version.clone(),
                 tokens,
                 last_event_at: now,
                 event_count: 0,
--- a/src/batch/scheduler/engine.rs
+++ b/src/batch/scheduler/engine.rs
@@ -10,7 +10,7 @@
         weights::Load,
     },
     clock::Timestamp,
-    ids::{UpstreamId, WeightVersion},
+    ids::{SoftwareVersion, UpstreamId, WeightVersion},
     retry,
 };
 
@@ -89,6 +89,8 @@
     pub tokens_per_event: u64,
     /// Whether the engine is leaving.
     pub is_draining: bool,
+    /// The version of the engine's software.
+    pub software_version: SoftwareVersion,
     /// The weight versions that the engine reports.
     pub versions: BTreeMap<ModelId, WeightVersion>,
 }
@@ -186,6 +188,17 @@
         self.spec.versions.get(model).copied().unwrap_or(0)
     }
 
+    /// Returns whether the engine may begin `output` of a job, or go on with it.
+    pub(super) fn can_continue(&self, head: &JobHead, output: &Output) -> bool {
+        let version = self.version(&head.model);
+        output.can_continue(head, version, &self.spec.software_version)
+    }
+
+    /// Returns whether the engine takes new runs of `service`, at times.
+    pub(super) fn serves(&self, service: &str) -> bool {
+        !self.is_gone && !self.spec.is_draining && *self.spec.service == *service
+    }
+
     /// Returns whether items of `model` must wait until a probe has shown that
     /// the load of its weights has ended.
     pub(super) fn is_awaiting_probe(&self, model: &ModelId, now: Timestamp) -> bool {
--- a/src/batch/scheduler/events.rs
+++ b/src/batch/scheduler/events.rs
@@ -49,9 +49,11 @@
                 };
             }
         }
-        job.items[state.item_index]
-            .output
-            .can_continue(&job.job.head, version)
+        job.items[state.item_index].output.can_continue(
+            &job.job.head,
+            version,
+            &state.software_version,
+        )
     }
 
     /// Records an event of `run`, and returns whether it was accepted: whether
@@ -71,8 +73,11 @@
             return false;
         };
         let item = &mut job.items[state.item_index];
-        if !item.output.can_continue(&job.job.head, version)
-            || !item.output.push(number, data, version)
+        let software_version = &state.software_version;
+        if !item
+            .output
+            .can_continue(&job.job.head, version, software_version)
+            || !item.output.push(number, data, version, software_version)
         {
             return false;
         }
--- a/src/batch/scheduler/mod.rs
+++ b/src/batch/scheduler/mod.rs
@@ -29,7 +29,7 @@
         weights::Load,
     },
     clock::Timestamp,
-    ids::{UpstreamId, WeightVersion},
+    ids::{SoftwareVersion, UpstreamId, WeightVersion},
 };
 
 pub use self::{
@@ -145,6 +145,8 @@
     job: JobId,
     item_index: usize,
     engine: UpstreamId,
+    /// The software version of the engine when the run started.
+    software_version: SoftwareVersion,
     /// The planned memory use.
     tokens: u64,
     last_event_at: Timestamp,
--- a/src/batch/scheduler/moves.rs
+++ b/src/batch/scheduler/moves.rs
@@ -126,7 +126,7 @@
                 engine.run_count + moved_count < engine.spec.slot_count
                     && !is_slow(engine)
                     && engine.is_usable(head, run.tokens, now)
-                    && output.can_continue(head, engine.version(&head.model))
+                    && engine.can_continue(head, output)
             });
             if let Some(target) = target {
                 *moved_counts.entry(&target.spec.id).or_default() += 1;
@@ -184,7 +184,7 @@
                     other.run_count + moved_count < other.spec.slot_count
                         && is_worthwhile(*interval)
                         && other.is_usable(head, run.tokens, now)
-                        && output.can_continue(head, other.version(&head.model))
+                        && other.can_continue(head, output)
                         && !self.has_earlier_waiter(other, start_by, now)
                 })
                 .min_by_key(|(interval, _)| *interval);
@@ -214,9 +214,7 @@
             );
             job.start_by(first, engine.spec.tokens_per_event) < start_by
                 && engine.is_usable(head, tokens, now)
-                && job.items[first]
-                    .output
-                    .can_continue(head, engine.version(&head.model))
+                && engine.can_continue(head, &job.items[first].output)
         })
     }
 }
--- a/src/ingress/coordinator/mod.rs
+++ b/src/ingress/coordinator/mod.rs
@@ -288,6 +288,7 @@
                     memory_tokens: service.engine_memory_tokens,
                     tokens_per_event: service.tokens_per_event,
                     is_draining: upstream.is_draining,
+                    software_version: upstream.software_version.clone(),
                     versions: upstream.versions.clone(),
                 })
             })
--- a/tests/item_scheduling.rs
+++ b/tests/item_scheduling.rs
@@ -65,6 +65,7 @@
             memory_tokens,
             tokens_per_event: 61,
             is_draining: false,
+            software_version: "v1".into(),
             versions: BTreeMap::from([("writer".into(), 1)]),
         }]);
     }
--- a/tests/reward_calls.rs
+++ b/tests/reward_calls.rs
@@ -270,7 +270,7 @@
 #[test]
 fn restored_output() {
     let mut output = Output::default();
-    assert!(output.push(1, "text", 1));
+    assert!(output.push(1, "text", 1, &"v1".into()));
     output.mark_whole();
     let mut scheduler = Scheduler::default();
     let now = Duration::from_secs(10);
--- a/tests/rows_support/mod.rs
+++ b/tests/rows_support/mod.rs
@@ -318,6 +318,7 @@
         memory_tokens: 1_000_000,
         tokens_per_event: 61,
         is_draining: false,
+        software_version: "v1".into(),
         versions: BTreeMap::from([("writer".into(), 1)]),
     }
 }
--- a/tests/saved_output.rs
+++ b/tests/saved_output.rs
@@ -12,11 +12,15 @@
 use rows_support::Rows;
 
 fn output(event_count: u64, version_of: impl Fn(u64) -> u64) -> Output {
+    output_of("v1", event_count, version_of)
+}
+
+fn output_of(software: &str, event_count: u64, version_of: impl Fn(u64) -> u64) -> Output {
     let mut output = Output::default();
     for number in 1..=event_count {
         // Events of various lengths, some of them empty.
         let data = "x".repeat((number as usize * 7) % 11);
-        assert!(output.push(number, &data, version_of(number)));
+        assert!(output.push(number, &data, version_of(number), &software.into()));
     }
     output
 }
@@ -125,3 +129,35 @@
         assert!(found[&0].last_event() < 40);
     });
 }
+
+/// An item started anew at another software version, and some parts of its first output
+/// were not overwritten: the parts of both are never combined.
+#[test]
+fn parts_of_two_software_versions() {
+    run(async {
+        let rows = Rows::default();
+        let first = output_of("v1", 40, |_| 1);
+        let second = output_of("v2", 12, |_| 1);
+        save(&rows, 1, 0, &first, 0, 1).await;
+        save(&rows, 1, 0, &second, 0, 1).await;
+        let found = stored::outputs(&rows, &"job".into()).await.unwrap();
+        assert_eq!(found[&0], second);
+    });
+}
+
+/// A part that was saved by an earlier release names no software version: nothing goes on
+/// with it.
+#[test]
+fn part_without_software_version() {
+    run(async {
+        let rows = Rows::default();
+        let saved = output(10, |_| 1);
+        let mut part = saved.part(0, 1_000).unwrap();
+        part.software_version = None;
+        let (transaction, _) = layout::saving(&"job".into(), 1, &[(0, part)]).unwrap();
+        rows.commit(&transaction).await.unwrap();
+        let found = stored::outputs(&rows, &"job".into()).await.unwrap();
+        assert_eq!(found[&0].last_event(), 10);
+        assert!(!found[&0].fits(&"v1".into()));
+    });
+}
--- a/tests/wide_fleet.rs
+++ b/tests/wide_fleet.rs
@@ -40,6 +40,7 @@
             memory_tokens: 1_000_000,
             tokens_per_event: 61,
             is_draining: false,
+            software_version: "v1".into(),
             versions: MODELS
                 .iter()
                 .enumerate()
