Log when a host reaches no upstream of a service

Cause: the logs could not tell a host that lost its links from upstreams that are down, nor whether the coordinator notices (docs/incidents/stranded-hosts.md, hypotheses 2 and 3). Ruled out: connections lost under a request as a sign; upstreams that crash show the same. Nothing acts on them yet.

--- a/src/connection.rs
+++ b/src/connection.rs
@@ -128,6 +128,9 @@
 /// The reason where a request was not sent, because its lease, permit or deadline had ended.
 pub const EXPIRED: &str = "expired";
 
+/// The reasons where no connection could be opened: in time, or at all.
+pub const CONNECT_FAILURES: [&str; 2] = ["connect-timed-out", "connect-failed"];
+
 /// Why a request received no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SendFailure {
@@ -149,8 +152,8 @@
 impl From<ConnectError> for SendFailure {
     fn from(error: ConnectError) -> Self {
         match error {
-            ConnectError::TimedOut(_) => Self::NotRun("connect-timed-out"),
-            _ => Self::NotRun("connect-failed"),
+            ConnectError::TimedOut(_) => Self::NotRun(CONNECT_FAILURES[0]),
+            _ => Self::NotRun(CONNECT_FAILURES[1]),
         }
     }
 }
--- a/src/ingress/calls.rs
+++ b/src/ingress/calls.rs
@@ -29,6 +29,7 @@
         host::Host,
         origins,
         permits::{self, Permit},
+        reach,
         replies::{Reply, refusal, reply},
         routes::{Route, RouteKind},
         wire::{Addressee, AnswerHead, ClientHead, FULL, Wire},
@@ -388,7 +389,10 @@
     };
     let result = match timeout(limit, exchange(host, call, upstream, permit)).await {
         Ok(result) => result,
-        Err(_) => AttemptOutcome::Unknown("silent"),
+        Err(_) => {
+            reach::record_failure(host, &upstream.service);
+            AttemptOutcome::Unknown("silent")
+        }
     };
     open.failed = match &result {
         AttemptOutcome::Answered(_) => Some(false),
--- a/src/ingress/calls/sending.rs
+++ b/src/ingress/calls/sending.rs
@@ -7,11 +7,11 @@
 use hyper::body::Incoming;
 
 use crate::{
-    connection::{Connection, Protocol, SendFailure, Target, UpstreamRequest},
+    connection::{CONNECT_FAILURES, Connection, Protocol, SendFailure, Target, UpstreamRequest},
     ingress::{
         directory::Upstream,
         host::Host,
-        permits,
+        permits, reach,
         wire::{AnswerHead, StatedLimit, Wire},
     },
     observe::telemetry::UPSTREAMS_LIMITED,
@@ -60,7 +60,19 @@
         address: upstream.address,
         protocol: Protocol::Http1,
     };
-    let (connection, answer) = host.pool.send_while(target, request, is_allowed).await?;
+    let sent = host.pool.send_while(target, request, is_allowed).await;
+    match &sent {
+        Ok(_) => {
+            let now = host.now();
+            let mut book = host.reach.borrow_mut();
+            book.record_answer(&upstream.service, now);
+        }
+        Err(failure) if CONNECT_FAILURES.contains(&failure.reason()) => {
+            reach::record_failure(host, &upstream.service);
+        }
+        Err(_) => {}
+    }
+    let (connection, answer) = sent?;
     let (parts, body) = answer.into_parts();
     let head = W::answer_head(&parts);
     if head.is_misdirected {
--- a/src/ingress/host.rs
+++ b/src/ingress/host.rs
@@ -23,6 +23,7 @@
         limits::{LimitBook, ledger::PermitLedger},
         metrics::Exposition,
         origins::book::OriginBook,
+        reach::book::ReachBook,
         routes::Configuration,
         wire::Wire,
     },
@@ -113,6 +114,8 @@
     pub origin_unsaved: Notify,
     /// When the last successful read of the versions was sent.
     pub versions_read_at: Mutex<Timestamp>,
+    /// What this host knows of its links to upstreams.
+    pub reach: RefCell<ReachBook>,
     /// Whether this host issues permits.
     pub is_issuing: Cell<bool>,
     /// Wakes the coordinator when the view changes.
@@ -175,6 +178,7 @@
             permits: RefCell::default(),
             crashes: RefCell::default(),
             origins: RefCell::default(),
+            reach: RefCell::default(),
             origin_unsaved: Notify::new(),
             versions_read_at: Mutex::default(),
             is_issuing: Cell::new(false),
--- a/src/ingress/mod.rs
+++ b/src/ingress/mod.rs
@@ -28,6 +28,7 @@
 pub mod peers;
 pub mod permits;
 mod process;
+pub mod reach;
 pub mod replies;
 pub mod retention;
 pub mod rewards;
--- a/src/observe/telemetry.rs
+++ b/src/observe/telemetry.rs
@@ -73,6 +73,8 @@
     CALLS_BLOCKED, "calls.blocked_count", Counter, "Calls that were refused because upstreams crash under them.";
     STREAMS_RESUMED, "streams.resumed_count", Counter, "Streams that were taken up and may go on.";
     STREAMS_NOT_RESUMED, "streams.not_resumed_count", Counter, "Streams that were taken up and may not go on, since the version that began them is not known.";
+    REACH_LOST, "reach.lost_count", Counter, "Number of times that no upstream of a service could be connected to.";
+    SERVICES_UNREACHED, "reach.unreached_count", Gauge, "Services of which no upstream can be connected to.";
     UPSTREAMS_LIMITED, "upstreams.limited_count", Gauge, "Upstreams that name a limit on the requests of all hosts.";
     PERMITS_GRANTED, "permits.granted_count", Counter, "Permits for upstreams with a limit that this host gave to others.";
     PERMITS_DENIED, "permits.denied_count", Counter, "Permits for upstreams with a limit that this host denied to others.";
