Serve calls over other hosts where a host reaches no upstream

Callers saw: nearly all calls at some hosts failing for as long as these had lost their links to upstreams, 502 after 0.8 s each, while other hosts served the same calls in 20 ms. Cause: a host's calls had other upstreams to go to and no other host. Ruled out: slow detection; each host can know 0.3 s after its first failing call. To report not ready; the platform sends clients back if half of a failure domain does. What nobody can serve is refused at once. Connections that such a host loses are no evidence of calls that crash upstreams. The stand-in of the store cuts single hosts off. Conclusion: callers no longer depend on their host's own links.

--- a/src/ingress/calls.rs
+++ b/src/ingress/calls.rs
@@ -13,12 +13,12 @@
 use tokio::time::timeout;
 use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
-pub use self::sending::{Answer, send, send_while};
+pub use self::sending::{Answer, record_leaving, send, send_while};
 use self::stream::{Stream, stream_reply};
 use crate::{
     call::terms,
     clock::{Timestamp, millis},
-    connection::{Connection, EXPIRED, SendFailure},
+    connection::{CONNECT_FAILURES, Connection, EXPIRED, SendFailure},
     ids::UpstreamId,
     ingress::{
         crashes::{
@@ -26,6 +26,7 @@
             ledger::{UpstreamStart, Verdict},
         },
         directory::Upstream,
+        handover::{self, TakenCall},
         host::Host,
         origins,
         permits::{self, Permit},
@@ -58,7 +59,7 @@
 
 /// The largest answer body that is accepted from an upstream. A dozen of them at a time
 /// fit the smallest machine.
-const MAX_ANSWER_BYTES: usize = 8 << 20;
+pub const MAX_ANSWER_BYTES: usize = 8 << 20;
 
 /// The largest body that is read of an answer which is not forwarded, so that its
 /// connection can be used again.
@@ -85,6 +86,8 @@
     pub arrived_at: Timestamp,
     /// The number by which repeats of the call under other ids are recognised.
     pub fingerprint: Fingerprint,
+    /// Whether another host handed the call over, which then is not handed on.
+    pub taken: Option<Rc<TakenCall>>,
 }
 
 /// The outcome of sending a call to one upstream.
@@ -115,21 +118,24 @@
             head,
             arrived_at,
             fingerprint,
+            taken: None,
         }
     }
 
     /// Returns the deadline of the call: the shorter of the client's and the
     /// route's timeout after its arrival.
-    fn deadline(&self) -> Timestamp {
+    pub fn deadline(&self) -> Timestamp {
         let client_timeout = self.head.client_timeout.unwrap_or(self.route.timeout);
         self.arrived_at + client_timeout.min(self.route.timeout)
     }
 
-    fn id(&self) -> Option<&str> {
+    /// Returns the id of the client's attempt.
+    pub fn id(&self) -> Option<&str> {
         self.head.attempt_id.as_deref()
     }
 
-    fn is_idempotent(&self) -> bool {
+    /// Returns whether the call may run more than once.
+    pub fn is_idempotent(&self) -> bool {
         match self.route.kind {
             RouteKind::Idempotent => true,
             RouteKind::Streaming => self.route.is_resumable,
@@ -139,7 +145,7 @@
 
     /// Returns the hash of the attempt id as a number from 0 to below 1, which
     /// selects the service on a split route.
-    fn split_point(&self) -> f64 {
+    pub fn split_point(&self) -> f64 {
         split_point(self.id().unwrap_or_default())
     }
 }
@@ -168,14 +174,33 @@
     (hash >> 11) as f64 / (1_u64 << 53) as f64
 }
 
-/// Forwards `call` to upstreams until one answers, and returns the reply.
+/// Forwards `call` to upstreams until one answers, and returns the reply. A call to
+/// upstreams that this host does not reach goes over another host.
 pub async fn forward<S: RowStore, W: Wire>(host: &Rc<Host<S, W>>, call: &Call) -> Reply {
+    let service = call.route.service(call.split_point()).cloned();
+    if let Some(service) = service.filter(|service| host.reach.borrow().is_lost(service)) {
+        let attempts_left = call.route.max_attempts;
+        let handed_over = match call.taken {
+            Some(_) => None,
+            None => handover::hand_over(host, call, &service, attempts_left).await,
+        };
+        return handed_over.unwrap_or_else(|| handover::unserved_reply(host, call));
+    }
+    forward_directly(host, call).await
+}
+
+/// Forwards `call` to upstreams that this host may reach, and over another host if it
+/// turns out that it reaches none.
+async fn forward_directly<S: RowStore, W: Wire>(host: &Rc<Host<S, W>>, call: &Call) -> Reply {
     let deadline = call.deadline();
     let mut tried: Vec<UpstreamId> = Vec::new();
     // The upstreams that may not get the call, with those that did.
     let mut excluded: Vec<UpstreamId> = Vec::new();
     let mut next_permit_at: Option<Timestamp> = None;
     let mut may_have_run = false;
+    // How many upstreams may have got the call, and whether one could not be connected to.
+    let mut sent_count = 0;
+    let mut is_unreached = false;
     let mut reason = "no-upstream";
     let fingerprint = call.fingerprint;
     let max_attempts = match crashes::check(host, fingerprint).await {
@@ -247,6 +272,10 @@
                     tried.len(),
                 );
                 host.metrics.count(CALLS_ANSWERED, 1);
+                let mut response = response;
+                if call.taken.is_some() {
+                    handover::name_upstream(&mut response, &upstream.id);
+                }
                 if !is_stream(call, &response) {
                     crashes::record_answer(host, fingerprint);
                 } else if !is_resuming {
@@ -259,6 +288,8 @@
             }
             AttemptOutcome::NotRun(failure) => {
                 reason = failure;
+                is_unreached |= CONNECT_FAILURES.contains(&failure);
+                sent_count += u32::from(failure == FULL);
                 log_lines::attempt(
                     host,
                     call,
@@ -271,6 +302,7 @@
             AttemptOutcome::Unknown(failure) => {
                 reason = failure;
                 may_have_run = true;
+                sent_count += 1;
                 log_lines::attempt(
                     host,
                     call,
@@ -279,7 +311,9 @@
                     StatusCode::BAD_GATEWAY,
                     tried.len(),
                 );
-                let is_lost = LOST_REASONS.contains(&failure);
+                // A host without its links loses connections to sound upstreams.
+                let is_lost =
+                    LOST_REASONS.contains(&failure) && !host.reach.borrow().is_lost(service);
                 let is_blocked = is_lost
                     && crashes::record_loss(host, fingerprint, &upstream).await != Verdict::Free;
                 if is_blocked || !call.is_idempotent() {
@@ -288,6 +322,14 @@
             }
         }
     }
+    let attempts_left = max_attempts.saturating_sub(sent_count);
+    let may_hand_over = is_unreached && call.taken.is_none() && attempts_left > 0;
+    if may_hand_over && (call.is_idempotent() || !may_have_run) {
+        let handed_over = handover::hand_over(host, call, service, attempts_left).await;
+        if let Some(reply) = handed_over {
+            return reply;
+        }
+    }
     let retry_after = match next_permit_at {
         Some(at) if tried.is_empty() => at.saturating_sub(host.now()).max(MIN_LIMIT_RETRY),
         _ => RETRY_AFTER,
@@ -301,7 +343,7 @@
 }
 
 /// Returns the reply to a call that no upstream answered.
-fn unanswered_reply<S: RowStore, W: Wire>(
+pub fn unanswered_reply<S: RowStore, W: Wire>(
     host: &Rc<Host<S, W>>,
     call: &Call,
     may_have_run: bool,
@@ -337,6 +379,14 @@
     }
 }
 
+/// Returns how long an idempotent call of `route` waits for one upstream.
+pub fn stall_timeout(route: &Route) -> Duration {
+    route
+        .target_latency
+        .mul_f64(STALL_TIMEOUT_RATIO)
+        .max(MIN_STALL_TIMEOUT)
+}
+
 /// Counts a call as in flight at its upstream until dropped.
 pub struct OpenCall<'a, S: RowStore, W: Wire> {
     host: &'a Rc<Host<S, W>>,
@@ -377,13 +427,8 @@
 ) -> AttemptOutcome {
     let mut open = OpenCall::start(host, &upstream.id);
     let remaining = call.deadline().saturating_sub(host.now());
-    let stall_timeout = call
-        .route
-        .target_latency
-        .mul_f64(STALL_TIMEOUT_RATIO)
-        .max(MIN_STALL_TIMEOUT);
     let limit = if call.is_idempotent() && !is_last {
-        stall_timeout.min(remaining)
+        stall_timeout(&call.route).min(remaining)
     } else {
         remaining
     };
@@ -447,6 +492,7 @@
             fingerprint: call.fingerprint,
             upstream: upstream.clone(),
             deadline: call.deadline(),
+            _taken: call.taken.clone(),
         };
         return AttemptOutcome::Answered(stream_reply(stream, parts, body, connection));
     }
--- a/src/ingress/calls/sending.rs
+++ b/src/ingress/calls/sending.rs
@@ -107,7 +107,7 @@
 }
 
 /// Records that an answer of `upstream` states that it is leaving.
-fn record_leaving<S: RowStore, W: Wire>(host: &Rc<Host<S, W>>, upstream: &Upstream) {
+pub fn record_leaving<S: RowStore, W: Wire>(host: &Rc<Host<S, W>>, upstream: &Upstream) {
     if host.view.borrow_mut().directory.record_leaving(upstream) {
         tracing::info!(
             event = "upstream.leaving",
--- a/src/ingress/calls/stream.rs
+++ b/src/ingress/calls/stream.rs
@@ -16,6 +16,7 @@
     ingress::{
         crashes,
         directory::Upstream,
+        handover::TakenCall,
         host::Host,
         replies::{Reply, StreamCut},
         wire::Wire,
@@ -33,6 +34,8 @@
     pub(super) upstream: Upstream,
     /// When the stream is cut off, although it is not whole.
     pub(super) deadline: Timestamp,
+    /// Counts the call of another host as open until the stream ends.
+    pub(super) _taken: Option<Rc<TakenCall>>,
 }
 
 /// Forwards a stream to the client as it arrives, until its deadline.
--- a/src/ingress/detour.rs
+++ b/src/ingress/detour.rs
@@ -434,6 +434,10 @@
         .await
     }
 
+    fn peers(&self) -> Vec<SocketAddr> {
+        self.shared.peers.borrow().clone()
+    }
+
     async fn run_background(&self, peers: impl PeerCalls) {
         let relay = self.shared.relay_address.map(server::bind);
         let serve = async {
--- a/src/ingress/detour/relay.rs
+++ b/src/ingress/detour/relay.rs
@@ -4,15 +4,18 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Method, Request, Response, StatusCode};
-use http_body_util::{BodyExt as _, Full, Limited};
+use http::{Method, Request, StatusCode};
+use http_body_util::{BodyExt as _, Limited};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{net::TcpListener, task::spawn_local};
 
 use super::FallbackStore;
 use crate::{
-    ingress::server,
+    ingress::{
+        replies::{Reply, reply},
+        server,
+    },
     store::rows::{NotAppliedReason, PeerCalls, RelayedStore, RowError},
 };
 
@@ -50,16 +53,19 @@
         &self,
         request: Request<Incoming>,
         peers: &impl PeerCalls,
-    ) -> Result<Response<Full<Bytes>>, RowError> {
+    ) -> Result<Reply, RowError> {
         let (parts, body) = request.into_parts();
-        let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
         let body = Limited::new(body, MAX_BODY_BYTES)
             .collect()
             .await
             .map_err(|_| RowError::Unknown)?
             .to_bytes();
+        let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
         if let Some(answer) = peers.answer(path, &body) {
-            return Ok(Response::new(Full::new(answer)));
+            return Ok(reply(StatusCode::OK, answer));
+        }
+        if let Some(answer) = peers.answer_later(&parts, &body).await {
+            return Ok(answer);
         }
         let forwarded = self.forward(parts.method, path, body).await;
         let (status, body) = match forwarded {
@@ -68,9 +74,7 @@
             Err(RowError::NotApplied { .. }) => (StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
             Err(error) => return Err(error),
         };
-        let mut response = Response::new(Full::new(body));
-        *response.status_mut() = status;
-        Ok(response)
+        Ok(reply(status, body))
     }
 
     /// Forwards a call of another host to the store, if the store is available
--- a/src/ingress/host.rs
+++ b/src/ingress/host.rs
@@ -116,6 +116,8 @@
     pub versions_read_at: Mutex<Timestamp>,
     /// What this host knows of its links to upstreams.
     pub reach: RefCell<ReachBook>,
+    /// The number of calls of other hosts that are open here.
+    pub taken_count: Rc<Cell<usize>>,
     /// Whether this host issues permits.
     pub is_issuing: Cell<bool>,
     /// Wakes the coordinator when the view changes.
@@ -179,6 +181,7 @@
             crashes: RefCell::default(),
             origins: RefCell::default(),
             reach: RefCell::default(),
+            taken_count: Rc::default(),
             origin_unsaved: Notify::new(),
             versions_read_at: Mutex::default(),
             is_issuing: Cell::new(false),
--- a/src/ingress/mod.rs
+++ b/src/ingress/mod.rs
@@ -16,6 +16,7 @@
 pub mod detour;
 pub mod directory;
 pub mod feeds;
+pub mod handover;
 pub mod host;
 pub mod jobs;
 pub mod limits;
--- a/src/ingress/peers.rs
+++ b/src/ingress/peers.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use http::{Request, header};
+use http::{Request, header, request};
 use http_body_util::{BodyExt as _, Full, Limited};
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::time::{error::Elapsed, timeout};
@@ -11,7 +11,7 @@
 use crate::{
     batch::layout::{self, LayoutError},
     connection::{Protocol, SendFailure, Target},
-    ingress::{crashes, host::Host, origins, permits, wire::Wire},
+    ingress::{crashes, handover, host::Host, origins, permits, replies::Reply, wire::Wire},
     observe::telemetry::PEERS_UNANSWERED,
     store::rows::{PeerCalls, RowStore},
 };
@@ -94,6 +94,10 @@
 }
 
 impl<S: RowStore, W: Wire> PeerCalls for Rc<Host<S, W>> {
+    async fn answer_later(&self, parts: &request::Parts, body: &Bytes) -> Option<Reply> {
+        handover::answer(self, parts, body).await
+    }
+
     fn answer(&self, path: &str, body: &[u8]) -> Option<Bytes> {
         if !self.is_issuing.get() {
             return None;
--- a/src/ingress/process.rs
+++ b/src/ingress/process.rs
@@ -78,7 +78,7 @@
             .stop_grace
             .mul_f64(STOP_RATIO - ACCEPTING_RATIO);
         let stop_at = self.now() + limit;
-        while self.open_count.get() > 0 && self.now() < stop_at {
+        while self.open_count.get() + self.taken_count.get() > 0 && self.now() < stop_at {
             sleep(STOP_POLL_INTERVAL).await;
         }
         tracing::info!(
--- a/src/ingress/reach.rs
+++ b/src/ingress/reach.rs
@@ -16,9 +16,9 @@
 };
 
 use crate::{
-    clock::millis,
+    clock::{Timestamp, millis},
     connection::{Protocol, Target},
-    ingress::{host::Host, routes::ServiceName, wire::Wire},
+    ingress::{handover, host::Host, routes::ServiceName, wire::Wire},
     observe::telemetry::{REACH_LOST, SERVICES_UNREACHED},
     store::rows::RowStore,
 };
@@ -33,6 +33,9 @@
 /// The shortest interval between probes of a service that is out of reach.
 const PROBE_INTERVAL: Duration = Duration::from_millis(200);
 
+/// How often the other hosts are asked whether they reach a service that is out of reach.
+const SURVEY_INTERVAL: Duration = Duration::from_millis(1_000);
+
 /// Records that a request to an upstream of `service` failed in a way that the host's own
 /// links may cause, and probes the service if that is new.
 pub fn record_failure<S: RowStore, W: Wire>(host: &Rc<Host<S, W>>, service: &ServiceName) {
@@ -48,6 +51,7 @@
 
 /// Probes `service` until an upstream of it can be connected to.
 async fn watch<S: RowStore, W: Wire>(host: &Rc<Host<S, W>>, service: &ServiceName) {
+    let mut surveyed_at: Option<Timestamp> = None;
     loop {
         let is_reached = is_reachable(host, service).await;
         let now = host.now();
@@ -77,6 +81,10 @@
         if is_reached {
             return;
         }
+        if surveyed_at.is_none_or(|at| now.saturating_sub(at) >= SURVEY_INTERVAL) {
+            surveyed_at = Some(now);
+            spawn_local(handover::survey_peers(host.clone(), service.clone()));
+        }
         let jitter_factor = rand::rng().random_range(1.0..1.5);
         sleep(PROBE_INTERVAL.mul_f64(jitter_factor)).await;
     }
--- a/src/observe/telemetry.rs
+++ b/src/observe/telemetry.rs
@@ -73,6 +73,8 @@
     CALLS_BLOCKED, "calls.blocked_count", Counter, "Calls that were refused because upstreams crash under them.";
     STREAMS_RESUMED, "streams.resumed_count", Counter, "Streams that were taken up and may go on.";
     STREAMS_NOT_RESUMED, "streams.not_resumed_count", Counter, "Streams that were taken up and may not go on, since the version that began them is not known.";
+    CALLS_HANDED_OVER, "calls.handed_over_count", Counter, "Calls that another host answered for this one.";
+    CALLS_TAKEN, "calls.taken_count", Counter, "Calls of other hosts that this one took.";
     REACH_LOST, "reach.lost_count", Counter, "Number of times that no upstream of a service could be connected to.";
     SERVICES_UNREACHED, "reach.unreached_count", Gauge, "Services of which no upstream can be connected to.";
     UPSTREAMS_LIMITED, "upstreams.limited_count", Gauge, "Upstreams that name a limit on the requests of all hosts.";
--- a/src/platform/standin/mod.rs
+++ b/src/platform/standin/mod.rs
@@ -15,7 +15,7 @@
     client::{Client, ReceivedAnswer, RequestError, ResultPage, StreamStart, TrainerJob},
     engine::{Engine, EngineFault, EngineRole},
     record::{Record, SeenResult, Violation},
-    reserved::ReservedAddress,
+    reserved::{HangingAddress, ReservedAddress},
     store::{Store, StoreFault},
 };
 
--- a/src/platform/standin/reserved.rs
+++ b/src/platform/standin/reserved.rs
@@ -1,6 +1,11 @@
 //! Addresses for hosts that no other program of the stand-ins uses.
 
-use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::{
+    net::{SocketAddr, TcpListener, TcpStream, UdpSocket},
+    time::Duration,
+};
+
+use tokio::net::TcpSocket;
 
 /// The range of ports that hosts listen on, below the ephemeral ports of the
 /// system.
@@ -37,3 +42,41 @@
         })
     }
 }
+
+/// How long a connection to a full listener is waited for.
+const FULL_TIMEOUT: Duration = Duration::from_millis(50);
+
+/// The number of connections that fill the shortest queue of a listener at the latest.
+const MAX_QUEUED_COUNT: usize = 8;
+
+/// An address at which connections neither open nor fail, as behind a partition: the
+/// listener's queue is full.
+#[derive(Debug)]
+pub struct HangingAddress {
+    /// The address.
+    pub address: SocketAddr,
+    _listener: tokio::net::TcpListener,
+    _queued: Vec<TcpStream>,
+}
+
+impl HangingAddress {
+    /// Returns a new address.
+    ///
+    /// # Errors
+    ///
+    /// Fails where no port is free.
+    pub fn new() -> std::io::Result<Self> {
+        let socket = TcpSocket::new_v4()?;
+        socket.bind(SocketAddr::from(([127, 0, 0, 1], 0)))?;
+        let listener = socket.listen(1)?;
+        let address = listener.local_addr()?;
+        let queued = (0..MAX_QUEUED_COUNT)
+            .map_while(|_| TcpStream::connect_timeout(&address, FULL_TIMEOUT).ok())
+            .collect();
+        Ok(Self {
+            address,
+            _listener: listener,
+            _queued: queued,
+        })
+    }
+}
--- a/src/platform/standin/store.rs
+++ b/src/platform/standin/store.rs
@@ -3,6 +3,7 @@
 use std::{
     cell::{Cell, RefCell},
     collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -76,6 +77,8 @@
 #[derive(Clone, Debug)]
 pub struct Store {
     shared: Rc<Shared>,
+    /// The address that all upstreams seem to have, if their readers are cut off from them.
+    cut_address: Rc<Cell<Option<SocketAddr>>>,
 }
 
 #[derive(Debug)]
@@ -96,12 +99,66 @@
                 changed: Notify::new(),
                 started: Instant::now(),
             }),
+            cut_address: Rc::default(),
         };
-        let served = store.clone();
-        serve(listener, move |request| served.clone().answer(request));
+        store.serve(listener);
         store
     }
 
+    /// Serves the same rows on `listener` to readers that can be cut off from upstreams
+    /// apart from others.
+    pub fn serve_apart(&self, listener: TcpListener) -> Self {
+        let apart = Self {
+            shared: self.shared.clone(),
+            cut_address: Rc::default(),
+        };
+        apart.serve(listener);
+        apart
+    }
+
+    fn serve(&self, listener: TcpListener) {
+        let served = self.clone();
+        serve(listener, move |request| served.clone().answer(request));
+    }
+
+    /// Makes all upstreams seem to have `address` to the readers of this store, or heals
+    /// that. They learn it at once.
+    pub fn cut_upstreams(&self, address: Option<SocketAddr>) {
+        self.cut_address.set(address);
+        let entries: Vec<(String, String)> = self
+            .shared
+            .state
+            .borrow()
+            .rows
+            .iter()
+            .filter(|((table, ..), row)| table == names::UPSTREAM_TABLE && !row.is_removed)
+            .map(|((.., key), row)| (key.clone(), row.value.clone()))
+            .collect();
+        let changes: Vec<Change<'_>> = entries
+            .iter()
+            .map(|(key, value)| ((names::UPSTREAM_TABLE, "", &**key), Some(value.clone())))
+            .collect();
+        self.apply(&changes);
+    }
+
+    /// Returns the value of a row as the readers of this store see it.
+    fn visible_value(&self, table: &str, value: &str) -> String {
+        let entry = self
+            .cut_address
+            .get()
+            .filter(|_| table == names::UPSTREAM_TABLE)
+            .and_then(|address| {
+                let mut entry: Value =
+                    serde_json::from_slice(&STANDARD.decode(value).ok()?).ok()?;
+                entry["address"] = json!(address.to_string());
+                Some(entry)
+            });
+        match entry {
+            Some(entry) => STANDARD.encode(entry.to_string()),
+            None => value.to_owned(),
+        }
+    }
+
     /// Sets or clears the fault of the store.
     pub fn set_fault(&self, fault: StoreFault) {
         self.shared.fault.set(fault);
@@ -246,7 +303,7 @@
         if !is_met {
             let rows: Vec<Value> = expected
                 .iter()
-                .filter_map(|(name, _)| Some(row_document(name, current(name)?)))
+                .filter_map(|(name, _)| Some(self.row_document(name, current(name)?)))
                 .collect();
             drop(state);
             return self.reply(412, json!({"rows": rows}));
@@ -277,7 +334,7 @@
                     && (to.is_empty() || key.as_str() < to)
             })
             .take(limit + 1)
-            .map(|(name, row)| row_document(name, row))
+            .map(|(name, row)| self.row_document(name, row))
             .collect();
         drop(state);
         let has_more = rows.len() > limit;
@@ -312,7 +369,7 @@
                 .rows
                 .iter()
                 .filter(|((t, ..), row)| t == table && row.ver > after)
-                .map(|(name, row)| (row.ver, row_document(name, row)))
+                .map(|(name, row)| (row.ver, self.row_document(name, row)))
                 .collect();
             let remaining = end.saturating_duration_since(Instant::now());
             if !rows.is_empty() || remaining.is_zero() {
@@ -324,11 +381,11 @@
             let _ = timeout(remaining, changed).await;
         }
     }
-}
 
-fn row_document((_, part, key): &RowKey, row: &Row) -> Value {
-    json!({
-        "part": part, "key": key, "ver": row.ver,
-        "value": row.value, "deleted": row.is_removed,
-    })
+    fn row_document(&self, (table, part, key): &RowKey, row: &Row) -> Value {
+        json!({
+            "part": part, "key": key, "ver": row.ver,
+            "value": self.visible_value(table, &row.value), "deleted": row.is_removed,
+        })
+    }
 }
--- a/src/store/rows.rs
+++ b/src/store/rows.rs
@@ -7,7 +7,9 @@
 use std::{future::Future, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use http::{Method, StatusCode};
+use http::{Method, StatusCode, request};
+
+use crate::ingress::replies::Reply;
 
 /// The version of a row, taken from a store-wide counter. 0 denotes an absent
 /// row.
@@ -232,12 +234,24 @@
         drop(peers);
         std::future::ready(())
     }
+
+    /// Returns the addresses at which other hosts answer calls, as far as they are known.
+    fn peers(&self) -> Vec<SocketAddr> {
+        Vec::new()
+    }
 }
 
 /// Answers calls of other hosts.
 pub trait PeerCalls: Clone + 'static {
     /// Returns the answer to a call to `path`, or `None` if there is none.
     fn answer(&self, path: &str, body: &[u8]) -> Option<Bytes>;
+
+    /// Returns the answer to a call that takes time, or `None` if there is none.
+    fn answer_later(
+        &self,
+        parts: &request::Parts,
+        body: &Bytes,
+    ) -> impl Future<Output = Option<Reply>>;
 }
 
 /// A store that can be reached through other hosts.
--- a/tests/fleet_support/mod.rs
+++ b/tests/fleet_support/mod.rs
@@ -47,7 +47,9 @@
 pub struct Fleet {
     pub hosts: Vec<FleetHost>,
     pub store: Store,
-    store_address: SocketAddr,
+    /// The store as each host sees it.
+    pub host_stores: Vec<Store>,
+    store_addresses: Vec<SocketAddr>,
     pub upstreams: Vec<Rc<Engine>>,
     pub record: Rc<RefCell<Record>>,
 }
@@ -145,8 +147,14 @@
         engine_count: usize,
     ) -> Self {
         let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let address = listener.local_addr().unwrap();
         let store = Store::start(listener);
+        let mut host_stores = Vec::new();
+        let mut store_addresses = Vec::new();
+        for _ in &pauses {
+            let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+            store_addresses.push(listener.local_addr().unwrap());
+            host_stores.push(store.serve_apart(listener));
+        }
         standin::configure(&store, 1);
         let record: Rc<RefCell<Record>> = Rc::default();
         let mut upstreams = Vec::new();
@@ -170,7 +178,9 @@
         let hosts: Vec<FleetHost> = pauses
             .into_iter()
             .enumerate()
-            .map(|(number, pauses)| FleetHost::start(format!("entry-{number}"), address, pauses))
+            .map(|(number, pauses)| {
+                FleetHost::start(format!("entry-{number}"), store_addresses[number], pauses)
+            })
             .collect();
         for host in &hosts {
             host.wait_until_ready().await;
@@ -178,7 +188,8 @@
         Self {
             hosts,
             store,
-            store_address: address,
+            host_stores,
+            store_addresses,
             upstreams,
             record,
         }
@@ -193,9 +204,15 @@
         for host in self.hosts.drain(..) {
             host.thread.unwrap().join().unwrap();
         }
-        let address = self.store_address;
+        let addresses = &self.store_addresses;
         self.hosts = (0..host_count)
-            .map(|number| FleetHost::start(format!("entry-{number}"), address, BTreeMap::new()))
+            .map(|number| {
+                FleetHost::start(
+                    format!("entry-{number}"),
+                    addresses[number],
+                    BTreeMap::new(),
+                )
+            })
             .collect();
         for host in &self.hosts {
             host.wait_until_ready().await;
