Give the lease up where the coordinator reaches no engine and another host does

Trainers saw: steps that came 9 s behind their time, since the coordinator ran nothing for the whole cut and kept its lease. Cause: the lease was renewed as long as the store answered, whatever else the host reached. Ruled out: to release whenever no engine answers; where engines are down for all hosts, the lease would wander. Another host must say that it reaches them. Change: such a coordinator releases the lease. A host that reaches no engine leaves a free lease to others for 4 s. A coordinator whose engines are all silent for a second probes them. Conclusion: duties that need upstreams move to a host that has them.

--- a/src/batch/scheduler/report.rs
+++ b/src/batch/scheduler/report.rs
@@ -1,5 +1,7 @@
 //! Summarises the load of each model, for logs and metrics.
 
+use std::{collections::BTreeSet, sync::Arc};
+
 use super::Scheduler;
 use crate::{batch::job::ModelId, clock::Timestamp, ids::WeightVersion};
 
@@ -30,6 +32,28 @@
 }
 
 impl Scheduler {
+    /// Returns the services with items that run, or that wait for engines which all
+    /// failed lately.
+    pub fn services_in_use(&self) -> BTreeSet<Arc<str>> {
+        let running = self.runs.values().filter_map(|run| self.jobs.get(&run.job));
+        let waiting = self.jobs.values().filter(|job| !job.queue.is_empty());
+        let have_all_failed = |service: &str| {
+            self.engines
+                .values()
+                .filter(|engine| engine.serves(service))
+                .all(|engine| engine.failure_count > 0)
+        };
+        running
+            .map(|job| &job.job.head.service)
+            .chain(
+                waiting
+                    .map(|job| &job.job.head.service)
+                    .filter(|service| have_all_failed(service)),
+            )
+            .cloned()
+            .collect()
+    }
+
     /// Returns the load of each model at `now`.
     pub fn model_loads(&self, now: Timestamp) -> Vec<ModelLoad> {
         let needs = self.needs();
--- a/src/ingress/coordinator/leadership.rs
+++ b/src/ingress/coordinator/leadership.rs
@@ -2,7 +2,11 @@
 
 use std::{rc::Rc, time::Duration};
 
-use tokio::{task::spawn_local, time::timeout};
+use futures_util::future::join_all;
+use tokio::{
+    task::spawn_local,
+    time::{sleep, timeout},
+};
 
 use super::Coordinator;
 use crate::{
@@ -10,9 +14,12 @@
     clock::{Timestamp, millis},
     ids::HostId,
     ingress::{
+        handover,
         notices::{self, NOTICE_KEY},
         orders::ORDER_TIMEOUT,
-        permits, retention, stored,
+        permits, reach, retention,
+        routes::ServiceName,
+        stored,
         wire::Wire,
     },
     observe::telemetry::LEASES_TAKEN,
@@ -46,6 +53,16 @@
 /// first order, since an order of the previous holder may still be in flight.
 const ORDER_QUIET_MARGIN: Duration = Duration::from_millis(200);
 
+/// The pause after a host left a free lease to others.
+const DECLINE_DELAY: Duration = Duration::from_millis(150);
+
+/// How often a coordinator that reaches no engine asks whether others do.
+const SURVEY_INTERVAL: Duration = Duration::from_millis(500);
+
+/// How long a host that reaches no engine leaves a free lease to others. After that, most
+/// probably the engines are down for all.
+const MAX_DECLINE_TIME: Duration = Duration::from_millis(4_000);
+
 /// How long a planned stop waits for the write that releases the lease.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(1_000);
 
@@ -96,11 +113,25 @@
 
     pub(super) async fn keep_lease(self: &Rc<Self>) {
         let quiet = self.host.settings.order_quiet + ORDER_QUIET_MARGIN;
-        let action = {
+        if self.is_leading.get() && self.must_step_aside().await {
+            self.step_aside().await;
+            return;
+        }
+        let (action, is_claim) = {
+            let now = self.host.now();
             let mut lease = self.lease.borrow_mut();
             lease.set_takeover_quiet_until(self.host.store_time().unwrap_or_default() + quiet);
-            lease.poll(self.host.now())
+            let action = lease.poll(now);
+            let is_write = matches!(action, Some(lease::Action::Write { .. }));
+            (action, is_write && !lease.is_held(now))
         };
+        if is_claim && !self.may_claim().await {
+            // The record is read again, as another host may have claimed the lease.
+            let refused = lease::Event::Wrote(WriteOutcome::Refused);
+            self.lease.borrow_mut().apply(refused, self.host.now());
+            sleep(DECLINE_DELAY).await;
+            return;
+        }
         if let Some(action) = action {
             self.perform_lease_action(action).await;
         }
@@ -110,6 +141,77 @@
         }
     }
 
+    /// Returns whether this host reaches no engine of some service, and another host does.
+    ///
+    /// Engines that are down for all hosts are no reason to hand over: the lease would
+    /// only wander.
+    async fn must_step_aside(&self) -> bool {
+        let lost: Vec<ServiceName> = reach::engine_services(&self.host)
+            .into_iter()
+            .filter(|service| self.host.reach.borrow().is_lost(service))
+            .collect();
+        let now = self.host.now();
+        if lost.is_empty() || now < self.next_survey_at.get() {
+            return false;
+        }
+        self.next_survey_at.set(now + SURVEY_INTERVAL);
+        let surveys = lost
+            .into_iter()
+            .map(|service| handover::survey_peers(self.host.clone(), service));
+        join_all(surveys).await.contains(&true)
+    }
+
+    /// Gives the lease up, so that a host that reaches the engines takes it.
+    async fn step_aside(self: &Rc<Self>) {
+        let Some(action) = self.lease.borrow_mut().release(self.host.now()) else {
+            return;
+        };
+        let released = timeout(RELEASE_TIMEOUT, self.call_store(action)).await;
+        let event = match released {
+            Ok((event, _)) => event,
+            Err(_) => lease::Event::Wrote(WriteOutcome::Unknown),
+        };
+        tracing::info!(
+            event = "lease.released",
+            released = matches!(event, lease::Event::Wrote(WriteOutcome::DoneAt(_))),
+            reason = "out-of-reach",
+        );
+        let now = self.host.now();
+        self.lease.borrow_mut().apply(event, now);
+        self.stop_leading();
+    }
+
+    /// Returns whether this host may claim a free lease: it reaches the engines of all
+    /// services, or no other host claimed it for a while.
+    async fn may_claim(&self) -> bool {
+        let services = reach::engine_services(&self.host);
+        let checks = services
+            .iter()
+            .map(|service| reach::check(&self.host, service));
+        if join_all(checks)
+            .await
+            .into_iter()
+            .all(|is_reached| is_reached)
+        {
+            self.declined.set(None);
+            return true;
+        }
+        let now = self.host.now();
+        // A lease that was taken in between is declined anew.
+        let (declined_since, _) = self
+            .declined
+            .get()
+            .filter(|(_, last_at)| now.saturating_sub(*last_at) < MAX_DECLINE_TIME)
+            .unwrap_or((now, now));
+        self.declined.set(Some((declined_since, now)));
+        let may_claim = now.saturating_sub(declined_since) >= MAX_DECLINE_TIME;
+        if may_claim {
+            tracing::info!(event = "lease.claimed_out_of_reach");
+            self.declined.set(None);
+        }
+        may_claim
+    }
+
     pub(super) async fn perform_lease_action(self: &Rc<Self>, action: lease::Action) {
         let is_write = matches!(action, lease::Action::Write { .. });
         let result = timeout(LEASE_CALL_TIMEOUT, self.call_store(action)).await;
--- a/src/ingress/coordinator/mod.rs
+++ b/src/ingress/coordinator/mod.rs
@@ -38,7 +38,7 @@
         limits::ledger::ORDER_PERMIT_COUNT,
         listing::Lister,
         orders::{self, FenceSource, OrderCounts},
-        permits,
+        permits, reach,
         runs::{self, Run},
         wire::Wire,
     },
@@ -76,6 +76,11 @@
     life: u64,
     /// Whether this host is the coordinator.
     is_leading: Cell<bool>,
+    /// When the other hosts may be asked next whether they reach the engines.
+    next_survey_at: Cell<Timestamp>,
+    /// Since when this host leaves a free lease to others, as it reaches no engine, and when
+    /// it did so last.
+    declined: Cell<Option<(Timestamp, Timestamp)>>,
     /// The last time at which this host held the lease.
     last_held_at: Cell<Timestamp>,
     /// The tasks of the runs and reward calls in progress.
@@ -123,6 +128,8 @@
             lease: RefCell::new(machine),
             life,
             is_leading: Cell::new(false),
+            next_survey_at: Cell::new(Duration::ZERO),
+            declined: Cell::new(None),
             last_held_at: Cell::new(Duration::ZERO),
             runs: RefCell::default(),
             unrouted_logged_at: Cell::new(Duration::ZERO),
@@ -225,6 +232,17 @@
         if now.saturating_sub(self.last_reported_at.get()) >= LOAD_REPORT_INTERVAL {
             self.last_reported_at.set(now);
             self.log_loads(now);
+            self.suspect_silent_services(now);
+        }
+    }
+
+    /// Has services probed whose engines are all silent while items run or wait: runs that
+    /// hang with their connections are stopped before these fail.
+    fn suspect_silent_services(&self, now: Timestamp) {
+        for service in self.scheduler.borrow().services_in_use() {
+            if !self.host.reach.borrow().is_answered(&service, now) {
+                reach::record_failure(&self.host, &service);
+            }
         }
     }
 
--- a/src/ingress/runs.rs
+++ b/src/ingress/runs.rs
@@ -112,6 +112,10 @@
     let mut reading = Reading::new(run.last_event, head.version);
     let mut events = W::Events::default();
     while let Some(frame) = body.frame().await {
+        let now = host.now();
+        host.reach
+            .borrow_mut()
+            .record_answer(&run.upstream.service, now);
         let Ok(frame) = frame else {
             return outcome(RunEnd::Broken, "stream-cut");
         };
--- a/tests/stranded_host.rs
+++ b/tests/stranded_host.rs
@@ -11,7 +11,8 @@
 use fleet_support::{Fleet, run};
 use http::StatusCode;
 use mimosavane::platform::standin::{
-    Client, HangingAddress, ONCE_PATH, REPEATABLE_PATH, ReservedAddress, STREAM_PATH,
+    Client, HangingAddress, MODELS, ONCE_PATH, REPEATABLE_PATH, ReservedAddress, ResultPage,
+    STREAM_PATH, TrainerJob, name_version,
 };
 use tokio::time::{Instant, sleep};
 
@@ -171,3 +172,47 @@
         }
     });
 }
+
+/// The coordinator is cut off: another host takes its lease and runs the jobs.
+#[test]
+fn coordinator_cut_off() {
+    run(async {
+        let (refusing, _reserved) = refusing();
+        let fleet = fleet(3).await;
+        let (model, path) = MODELS[1];
+        name_version(&fleet.store, model, 2);
+        let deadline = Instant::now() + Duration::from_secs(8);
+        let holder = loop {
+            let holder = fleet.record.borrow().last_holder().map(str::to_owned);
+            if let Some(holder) = holder {
+                break holder;
+            }
+            assert!(Instant::now() < deadline, "no order was sent");
+            sleep(Duration::from_millis(50)).await;
+        };
+        let number: usize = holder.trim_start_matches("entry-").parse().unwrap();
+        fleet.host_stores[number].cut_upstreams(Some(refusing));
+        sleep(LEARNING_TIME).await;
+        let job = TrainerJob {
+            id: "job-1".to_owned(),
+            model: model.to_owned(),
+            step: 1,
+            min_version: 1,
+            event_counts: (0..8).map(|item| (format!("item-{item}"), 20)).collect(),
+        };
+        let address = fleet.hosts[number].clients;
+        let accepted = Client::send_once(address, async |client| client.submit(path, &job).await);
+        assert_eq!(accepted.await.unwrap().status, StatusCode::ACCEPTED);
+        let deadline = Instant::now() + Duration::from_secs(8);
+        loop {
+            let read = Client::send_once(address, async |client| {
+                client.read(&job.id, 0, Duration::from_secs(1)).await
+            });
+            let page = ResultPage::parse(&read.await.unwrap().body);
+            if page.is_some_and(|page| page.results.len() == 8) {
+                return;
+            }
+            assert!(Instant::now() < deadline, "the job is not run");
+        }
+    });
+}
