--- a/src/ingress/calls/stream.rs
+++ b/src/ingress/calls/stream.rs
@@ -1,7 +1,8 @@
 //! Forwards the answers that are event streams.
 
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 
+use bytes::Bytes;
 use http::{Response, response};
 use http_body_util::{BodyExt as _, Either, StreamBody};
 use hyper::body::{Frame, Incoming};
@@ -18,7 +19,7 @@
         directory::Upstream,
         handover::TakenCall,
         host::Host,
-        replies::{Reply, StreamCut},
+        replies::{Reply, ReplyBody, StreamCut},
         wire::Wire,
     },
     store::rows::RowStore,
@@ -38,6 +39,73 @@
     pub(super) _taken: Option<Rc<TakenCall>>,
 }
 
+/// How the forwarding of a stream ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StreamEnd {
+    /// The client got all of it.
+    Whole,
+    /// It broke off on its way to this host.
+    Torn,
+    /// It was cut off at its deadline.
+    Late,
+    /// The client disconnected.
+    ClientGone,
+}
+
+/// Returns the body of a reply to which `body` is forwarded as it arrives, for `time_left`
+/// at most. Calls `end` once that has ended.
+///
+/// Dropping `body` when the client disconnects closes its connection, which stops the work
+/// at the other side.
+pub fn forward_body<F: Future<Output = ()>>(
+    body: Incoming,
+    time_left: Duration,
+    end: impl FnOnce(StreamEnd) -> F + 'static,
+) -> ReplyBody {
+    let (sender, receiver) = mpsc::channel(STREAM_BUFFER_FRAME_COUNT);
+    spawn_local(async move {
+        let ended = forward_frames(body, &sender, time_left).await;
+        drop(sender);
+        end(ended).await;
+    });
+    Either::Right(StreamBody::new(ReceiverStream::new(receiver)))
+}
+
+async fn forward_frames(
+    mut body: Incoming,
+    sender: &mpsc::Sender<Result<Frame<Bytes>, StreamCut>>,
+    time_left: Duration,
+) -> StreamEnd {
+    let deadline = sleep(time_left);
+    tokio::pin!(deadline);
+    loop {
+        let frame = tokio::select! {
+            frame = body.frame() => frame,
+            () = &mut deadline => {
+                // A client that disconnects does not need the error.
+                let _ = sender.send(Err(StreamCut)).await;
+                return StreamEnd::Late;
+            }
+            () = sender.closed() => return StreamEnd::ClientGone,
+        };
+        let chunk = match frame {
+            None => return StreamEnd::Whole,
+            Some(Ok(frame)) => match frame.into_data() {
+                Ok(data) => Ok(Frame::data(data)),
+                Err(_) => continue,
+            },
+            Some(Err(_)) => Err(StreamCut),
+        };
+        let is_cut = chunk.is_err();
+        if sender.send(chunk).await.is_err() {
+            return StreamEnd::ClientGone;
+        }
+        if is_cut {
+            return StreamEnd::Torn;
+        }
+    }
+}
+
 /// Forwards a stream to the client as it arrives, until its deadline.
 pub(super) fn stream_reply<S: RowStore, W: Wire>(
     stream: Stream<S, W>,
@@ -45,47 +113,22 @@
     body: Incoming,
     connection: Connection,
 ) -> Reply {
-    let (sender, receiver) = mpsc::channel(STREAM_BUFFER_FRAME_COUNT);
-    spawn_local(async move {
-        let mut body = body;
-        let remaining = stream.deadline.saturating_sub(stream.host.now());
-        let deadline = sleep(remaining);
-        tokio::pin!(deadline);
-        loop {
-            let frame = tokio::select! {
-                frame = body.frame() => frame,
-                () = &mut deadline => {
-                    // A client that disconnects does not need the error.
-                    let _ = sender.send(Err(StreamCut)).await;
-                    return;
-                }
-                // The client disconnected: dropping the connection stops the
-                // upstream's work.
-                () = sender.closed() => return,
-            };
-            let chunk = match frame {
-                None => break,
-                Some(Ok(frame)) => match frame.into_data() {
-                    Ok(data) => Ok(Frame::data(data)),
-                    Err(_) => continue,
-                },
-                Some(Err(_)) => Err(StreamCut),
-            };
-            let is_cut = chunk.is_err();
-            if sender.send(chunk).await.is_err() {
-                return;
+    let time_left = stream.deadline.saturating_sub(stream.host.now());
+    let body = forward_body(body, time_left, async move |end| {
+        // All of it lives until here, with the count of open calls.
+        let stream = stream;
+        match end {
+            StreamEnd::Whole => {
+                crashes::record_answer(&stream.host, stream.fingerprint);
+                connection.release();
             }
-            if is_cut {
+            StreamEnd::Torn => {
                 crashes::record_loss(&stream.host, stream.fingerprint, &stream.upstream).await;
-                return;
             }
+            StreamEnd::Late | StreamEnd::ClientGone => {}
         }
-        crashes::record_answer(&stream.host, stream.fingerprint);
-        connection.release();
     });
-    let mut response = Response::new(Either::Right(StreamBody::new(ReceiverStream::new(
-        receiver,
-    ))));
+    let mut response = Response::new(body);
     *response.status_mut() = parts.status;
     *response.headers_mut() = terms::end_to_end(&parts.headers);
     response
--- a/src/ingress/handover.rs
+++ b/src/ingress/handover.rs
@@ -11,24 +11,18 @@
 use http::{
     HeaderMap, HeaderName, HeaderValue, Request, StatusCode, Uri, header, request, response,
 };
-use http_body_util::{BodyExt as _, Either, Full, Limited, StreamBody};
-use hyper::body::{Frame, Incoming};
-use tokio::{
-    sync::mpsc,
-    task::spawn_local,
-    time::{sleep, timeout},
-};
-use tokio_stream::wrappers::ReceiverStream;
+use http_body_util::{BodyExt as _, Either, Full, Limited};
+use tokio::time::timeout;
 
 use crate::{
     call::terms,
     clock::millis,
-    connection::{Connection, Protocol, SendFailure, Target, UpstreamRequest},
+    connection::{Protocol, SendFailure, Target, UpstreamRequest},
     ingress::{
-        calls::{self, Call, MAX_ANSWER_BYTES},
+        calls::{self, Call, MAX_ANSWER_BYTES, StreamEnd},
         host::Host,
         reach,
-        replies::{Reply, ReplyBody, StreamCut, refusal, reply},
+        replies::{Reply, refusal, reply},
         routes::{Route, RouteKind, ServiceName},
         wire::Wire,
     },
@@ -74,9 +68,6 @@
 /// How long another host may take to say whether it reaches a service.
 const REACH_TIMEOUT: Duration = Duration::from_millis(450);
 
-/// How many frames of a stream are buffered for a slow client.
-const STREAM_BUFFER_FRAME_COUNT: usize = 16;
-
 /// Counts a call of another host as open until dropped.
 #[derive(Debug)]
 pub struct TakenCall {
@@ -102,6 +93,26 @@
     }
 }
 
+/// Why a call of another host is not taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error, strum::IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+enum NotTaken {
+    #[error("the host is stopping")]
+    Stopping,
+    #[error("the host has no configuration")]
+    NoConfiguration,
+    #[error("the host has an older configuration than the one that asks")]
+    OlderConfiguration,
+    #[error("the message cannot be decoded")]
+    Unreadable,
+    #[error("no route leads to a service")]
+    NoRoute,
+    #[error("this host reaches no upstream either")]
+    OutOfReach,
+    #[error("too many calls of other hosts are open")]
+    TooMany,
+}
+
 /// How an attempt to hand a call over ended.
 #[derive(Debug)]
 enum Outcome {
@@ -225,7 +236,12 @@
         record_answer(host, &upstream, &parts);
     }
     let body = if call.route.kind == RouteKind::Streaming && parts.status.is_success() {
-        stream_body(host, call, body, connection)
+        let time_left = call.deadline().saturating_sub(host.now());
+        calls::forward_body(body, time_left, async move |end| {
+            if end == StreamEnd::Whole {
+                connection.release();
+            }
+        })
     } else {
         match Limited::new(body, MAX_ANSWER_BYTES).collect().await {
             Ok(body) => {
@@ -283,48 +299,6 @@
     Some(request)
 }
 
-/// Forwards the body of a stream as it arrives, until the call's deadline.
-fn stream_body<S: RowStore, W: Wire>(
-    host: &Rc<Host<S, W>>,
-    call: &Call,
-    body: Incoming,
-    connection: Connection,
-) -> ReplyBody {
-    let (sender, receiver) = mpsc::channel(STREAM_BUFFER_FRAME_COUNT);
-    let time_left = call.deadline().saturating_sub(host.now());
-    spawn_local(async move {
-        let mut body = body;
-        let deadline = sleep(time_left);
-        tokio::pin!(deadline);
-        loop {
-            let frame = tokio::select! {
-                frame = body.frame() => frame,
-                () = &mut deadline => {
-                    // A client that disconnects does not need the error.
-                    let _ = sender.send(Err(StreamCut)).await;
-                    return;
-                }
-                // The client disconnected: the other host notices by the connection.
-                () = sender.closed() => return,
-            };
-            let chunk = match frame {
-                None => break,
-                Some(Ok(frame)) => match frame.into_data() {
-                    Ok(data) => Ok(Frame::data(data)),
-                    Err(_) => continue,
-                },
-                Some(Err(_)) => Err(StreamCut),
-            };
-            let is_cut = chunk.is_err();
-            if sender.send(chunk).await.is_err() || is_cut {
-                return;
-            }
-        }
-        connection.release();
-    });
-    Either::Right(StreamBody::new(ReceiverStream::new(receiver)))
-}
-
 fn header_number(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
     headers.get(name)?.to_str().ok()?.parse().ok()
 }
@@ -334,28 +308,28 @@
     host: &Rc<Host<S, W>>,
     parts: &request::Parts,
     body: Bytes,
-) -> Result<Call, &'static str> {
+) -> Result<Call, NotTaken> {
     if host.is_stopping.get() {
-        return Err("stopping");
+        return Err(NotTaken::Stopping);
     }
-    let configuration = host.configuration().ok_or("no-configuration")?;
+    let configuration = host.configuration().ok_or(NotTaken::NoConfiguration)?;
     let (Some(attempts_left), Some(time_left_ms), Some(version)) = (
         header_number(&parts.headers, &ATTEMPTS_LEFT),
         header_number(&parts.headers, &TIME_LEFT),
         header_number(&parts.headers, &CONFIGURATION),
     ) else {
-        return Err("unreadable");
+        return Err(NotTaken::Unreadable);
     };
     // A call must not be handled by an older configuration than its first host had.
     if configuration.version < version {
-        return Err("older-configuration");
+        return Err(NotTaken::OlderConfiguration);
     }
     let path = parts.uri.path_and_query().map_or("", |path| path.as_str());
     let mut parts = parts.clone();
     parts.uri = path
         .strip_prefix(CALL_PATH)
         .and_then(|path| path.parse::<Uri>().ok())
-        .ok_or("unreadable")?;
+        .ok_or(NotTaken::Unreadable)?;
     for name in [&ATTEMPTS_LEFT, &TIME_LEFT, &CONFIGURATION] {
         parts.headers.remove(name);
     }
@@ -367,7 +341,7 @@
     let route = configuration
         .route(authority, parts.uri.path())
         .filter(|route| route.kind != RouteKind::Batch)
-        .ok_or("no-route")?;
+        .ok_or(NotTaken::NoRoute)?;
     let attempts_left = u32::try_from(attempts_left).unwrap_or(u32::MAX);
     let route = Route {
         max_attempts: route.max_attempts.min(attempts_left),
@@ -376,11 +350,14 @@
     let mut head = W::client_head(&parts);
     head.client_timeout = Some(Duration::from_millis(time_left_ms));
     let mut call = Call::new(parts, body, Arc::new(route), head, host.now());
-    let service = call.route.service(call.split_point()).ok_or("no-service")?;
+    let service = call
+        .route
+        .service(call.split_point())
+        .ok_or(NotTaken::NoRoute)?;
     if host.reach.borrow().is_lost(service) {
-        return Err("out-of-reach");
+        return Err(NotTaken::OutOfReach);
     }
-    call.taken = Some(TakenCall::new(&host.taken_count).ok_or("too-many")?);
+    call.taken = Some(TakenCall::new(&host.taken_count).ok_or(NotTaken::TooMany)?);
     Ok(call)
 }
 
@@ -405,7 +382,8 @@
     }
     let call = match decode(host, parts, body.clone()) {
         Ok(call) => call,
-        Err(reason) => {
+        Err(error) => {
+            let reason: &str = error.into();
             tracing::info!(event = "call.not_taken", reason, path);
             return Some(refusal(RETRY_AFTER));
         }
--- a/src/ingress/origins.rs
+++ b/src/ingress/origins.rs
@@ -9,6 +9,7 @@
 
 pub mod book;
 pub mod rows;
+mod sweep;
 
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
@@ -20,6 +21,7 @@
 use rand::Rng as _;
 use tokio::time::{sleep, timeout};
 
+pub use self::sweep::{Absences, sweep};
 use self::{
     book::{BegunStream, Origin},
     rows::SavedVersions,
@@ -50,10 +52,6 @@
 /// How often the versions are read again while a service has several.
 const REFRESH_INTERVAL: Duration = Duration::from_secs(20);
 
-/// How long a service must have had no upstream of a version for it to be dropped: all
-/// hosts must have learned that it left, and no stream that it began may be taken up.
-const VERSION_TTL: Duration = Duration::from_secs(120);
-
 /// The pause after the versions could not be read or written.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
@@ -86,6 +84,33 @@
 /// The timeout of one read of the store for a stream that is taken up.
 const READ_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Why a stream may not go on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error, strum::IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum UnknownOrigin {
+    /// The store does not say which versions may have begun streams.
+    #[error("the store did not return the versions")]
+    VersionsUnread,
+    /// No stream of the service can have begun.
+    #[error("no version is registered")]
+    NoVersion,
+    /// The client does not name the attempt that began the stream.
+    #[error("the client names no attempt")]
+    OriginUnnamed,
+    /// The store does not say which version began the stream.
+    #[error("the store did not return the origin")]
+    OriginUnread,
+    /// The origin was not saved, or is not yet.
+    #[error("no origin is saved")]
+    OriginUnknown,
+    /// The stream belongs to another service.
+    #[error("the stream began at another service")]
+    OtherService,
+    /// The saved origin cannot be decoded.
+    #[error("the saved origin cannot be decoded")]
+    Unreadable,
+}
+
 /// At which upstreams a call may run.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum VersionChoice {
@@ -121,14 +146,14 @@
 ///
 /// # Errors
 ///
-/// Returns the reason where the version that began the stream is not known.
+/// Fails where the version that began the stream is not known.
 pub async fn choose<S: RowStore, W: Wire>(
     host: &Rc<Host<S, W>>,
     route: &Route,
     service: &ServiceName,
     is_resuming: bool,
     resumed: Option<&RequestId>,
-) -> Result<VersionChoice, &'static str> {
+) -> Result<VersionChoice, UnknownOrigin> {
     match (may_resume(route), is_resuming) {
         (false, _) => Ok(VersionChoice::Any),
         (true, false) => Ok(VersionChoice::Registered),
@@ -142,7 +167,7 @@
             host.metrics.count(metric, 1);
             let (version, origin) = match &found {
                 Ok((version, origin)) => (Some(&**version), *origin),
-                Err(reason) => (None, *reason),
+                Err(error) => (None, (*error).into()),
             };
             tracing::info!(
                 event = "stream.origin",
@@ -182,7 +207,7 @@
     host: &Rc<Host<S, W>>,
     service: &ServiceName,
     resumed: Option<&RequestId>,
-) -> Result<(SoftwareVersion, &'static str), &'static str> {
+) -> Result<(SoftwareVersion, &'static str), UnknownOrigin> {
     if let Some(resumed) = resumed
         && let Some(version) = host.origins.borrow().version(service, resumed)
     {
@@ -192,27 +217,27 @@
         // Another host may have registered a version that this one has not heard of.
         match timeout(READ_TIMEOUT, read_current_versions(host)).await {
             Ok(Ok(())) => {}
-            Ok(Err(_)) | Err(_) => return Err("versions-unread"),
+            Ok(Err(_)) | Err(_) => return Err(UnknownOrigin::VersionsUnread),
         }
         let book = host.origins.borrow();
         match book.versions(service) {
             Some(versions) if versions.len() == 1 => {
-                let version = versions.first().cloned().ok_or("no-version")?;
+                let version = versions.first().cloned().ok_or(UnknownOrigin::NoVersion)?;
                 return Ok((version, "only-version"));
             }
             Some(versions) if !versions.is_empty() => {}
-            Some(_) | None => return Err("no-version"),
+            Some(_) | None => return Err(UnknownOrigin::NoVersion),
         }
     }
-    let resumed = resumed.ok_or("origin-unnamed")?;
-    let mut reason = "origin-unread";
+    let resumed = resumed.ok_or(UnknownOrigin::OriginUnnamed)?;
+    let mut reason = UnknownOrigin::OriginUnread;
     for delay in ORIGIN_READ_DELAYS {
         sleep(delay).await;
         let range = rows::origin_range(resumed);
         let Ok(Ok(page)) = timeout(READ_TIMEOUT, host.store.read(&range)).await else {
             continue;
         };
-        reason = "origin-unknown";
+        reason = UnknownOrigin::OriginUnknown;
         let key = rows::origin_key(resumed);
         let Some(row) = page.rows.first().filter(|row| row.key == key) else {
             continue;
@@ -225,10 +250,10 @@
                     .remember(resumed.clone(), saved.origin, host.now());
                 return Ok((version, "store"));
             }
-            Ok(_) => return Err("origin-of-other-service"),
+            Ok(_) => return Err(UnknownOrigin::OtherService),
             Err(error) => {
                 tracing::warn!(event = "origin.unreadable", key, %error);
-                return Err("origin-unreadable");
+                return Err(UnknownOrigin::Unreadable);
             }
         }
     }
@@ -451,62 +476,3 @@
     host.origin_unsaved.notify_one();
     layout::encode(&())
 }
-
-/// When a coordinator first found that versions have no upstream.
-pub type Absences = BTreeMap<(ServiceName, SoftwareVersion), Timestamp>;
-
-/// Drops versions that left long ago, and origins that nobody removed because their host
-/// ended, as the coordinator.
-///
-/// # Errors
-///
-/// Fails where the store gives no readable answer.
-pub async fn sweep<S: RowStore, W: Wire>(
-    host: &Rc<Host<S, W>>,
-    absences: &mut Absences,
-) -> Result<(), RowError> {
-    let now = host.now();
-    let saved = read_versions(host).await?;
-    let present: BTreeSet<(ServiceName, SoftwareVersion)> = host
-        .view
-        .borrow()
-        .directory
-        .upstreams()
-        .map(|upstream| (upstream.service.clone(), upstream.software_version.clone()))
-        .collect();
-    absences.retain(|version, _| !present.contains(version));
-    for (service, known) in &saved {
-        let is_kept = |version: &&SoftwareVersion| {
-            let version = (service.clone(), (*version).clone());
-            if present.contains(&version) {
-                return true;
-            }
-            let absent_since = *absences.entry(version).or_insert(now);
-            now.saturating_sub(absent_since) < VERSION_TTL
-        };
-        let kept: BTreeSet<SoftwareVersion> =
-            known.versions.iter().filter(is_kept).cloned().collect();
-        if kept == known.versions || kept.is_empty() {
-            continue;
-        }
-        let transaction = rows::registration(service, known, &kept).map_err(stored::unreadable)?;
-        host.store.commit(&transaction).await?;
-        tracing::info!(event = "versions.dropped", service = &**service, versions = ?kept);
-    }
-    let Some(store_time) = host.store_time() else {
-        return Ok(());
-    };
-    let all = stored::read_all(&host.store, rows::origins_range()).await?;
-    // Hosts remove what they wrote somewhat later than it expires.
-    let is_left = |saved_at: Duration| store_time.saturating_sub(saved_at) >= ORIGIN_TTL * 2;
-    let left: Vec<String> = all
-        .iter()
-        .filter(|row| rows::decode_origin(row).is_ok_and(|saved| is_left(saved.saved_at)))
-        .map(|row| row.key.clone())
-        .collect();
-    for keys in left.chunks(layout::MAX_ENTRY_COUNT) {
-        let transaction = rows::saving(&[], keys, store_time).map_err(stored::unreadable)?;
-        host.store.commit(&transaction).await?;
-    }
-    Ok(())
-}
