Name the client's attempt in the line of a stream that is taken up

Cause: from the id of a refused attempt, call.failed led to no line that names the attempt which began the stream. Ruled out: the same fields in call.failed, which all kinds of calls share. Change: stream.origin has the id; origins::choose gets the call's head.

--- a/src/ingress/calls.rs
+++ b/src/ingress/calls.rs
@@ -130,15 +130,13 @@
     let Some(service) = call.route.service(call.split_point()) else {
         return unanswered_reply(host, call, false, reason, 0, RETRY_AFTER);
     };
-    let (is_resuming, resumed) = (call.head.is_resuming(), &call.head.resumed_attempt);
-    let versions =
-        match origins::choose(host, &call.route, service, is_resuming, resumed.as_ref()).await {
-            Ok(versions) => versions,
-            Err(error) => {
-                let reason = error.into();
-                return unanswered_reply(host, call, false, reason, 0, ORIGIN_RETRY_AFTER);
-            }
-        };
+    let versions = match origins::choose(host, &call.route, service, &call.head).await {
+        Ok(versions) => versions,
+        Err(error) => {
+            let reason = error.into();
+            return unanswered_reply(host, call, false, reason, 0, ORIGIN_RETRY_AFTER);
+        }
+    };
     while (tried.len() as u32) < max_attempts {
         let now = host.now();
         let chosen = host.view.borrow_mut().directory.choose_if(
@@ -186,7 +184,7 @@
                 }
                 if !is_stream(call, &response) {
                     crashes::record_answer(host, fingerprint);
-                } else if !is_resuming {
+                } else if !call.head.is_resuming() {
                     let attempt = call.head.attempt_id.as_ref();
                     origins::record_begin(host, &call.route, attempt, &upstream);
                 }
--- a/src/ingress/origins.rs
+++ b/src/ingress/origins.rs
@@ -36,7 +36,7 @@
         peers,
         routes::{Route, RouteKind, ServiceName},
         stored,
-        wire::Wire,
+        wire::{ClientHead, Wire},
     },
     observe::telemetry::{STREAMS_NOT_RESUMED, STREAMS_RESUMED},
     store::rows::{RowError, RowStore},
@@ -141,8 +141,7 @@
     route.kind == RouteKind::Streaming && route.is_resumable
 }
 
-/// Returns at which upstreams of `service` a call of `route` may run, which goes on with
-/// the stream of `resumed` if `is_resuming`.
+/// Returns at which upstreams of `service` a call of `route` with the head `head` may run.
 ///
 /// # Errors
 ///
@@ -151,15 +150,14 @@
     host: &Rc<Host<S, W>>,
     route: &Route,
     service: &ServiceName,
-    is_resuming: bool,
-    resumed: Option<&RequestId>,
+    head: &ClientHead,
 ) -> Result<VersionChoice, UnknownOrigin> {
-    match (may_resume(route), is_resuming) {
+    match (may_resume(route), head.is_resuming()) {
         (false, _) => Ok(VersionChoice::Any),
         (true, false) => Ok(VersionChoice::Registered),
         (true, true) => {
             let asked_at = host.now();
-            let found = find(host, service, resumed).await;
+            let found = find(host, service, head.resumed_attempt.as_ref()).await;
             let metric = match &found {
                 Ok(_) => STREAMS_RESUMED,
                 Err(_) => STREAMS_NOT_RESUMED,
@@ -171,7 +169,8 @@
             };
             tracing::info!(
                 event = "stream.origin",
-                resumed_attempt = resumed.map(|resumed| &**resumed),
+                id = head.attempt_id.as_deref(),
+                resumed_attempt = head.resumed_attempt.as_deref(),
                 service = &**service,
                 software_version = version,
                 origin,
