Judge the texts of items by what made their events

The check took the latest run from the start for the text that goes on. Ruled out: a join. Change: events of the stand-in name the software version that made them, and a result's text must be of one, which is stricter: it is what trainers read. Streams are judged as before. Conclusion: a fault of the check; the new one sees each joined text.

--- a/src/platform/standin/engine.rs
+++ b/src/platform/standin/engine.rs
@@ -379,12 +379,13 @@
             .unwrap_or(0);
         let software_version = self.software_version.borrow().clone();
         let resumed = header_text(headers, names::RESUMES).unwrap_or(&item);
-        let mut record = self.record.borrow_mut();
-        record.add_text_run(resumed, &software_version, last_event);
-        if !request.uri().path().starts_with(STREAM_PATH) {
-            record.add_item_run(&item);
+        if request.uri().path().starts_with(STREAM_PATH) {
+            self.record
+                .borrow_mut()
+                .add_stream_run(resumed, &software_version, last_event);
+        } else {
+            self.record.borrow_mut().add_item_run(&item);
         }
-        drop(record);
         let is_cut =
             self.fault.get() == EngineFault::Grey && rand::rng().random_bool(GREY_FAILURE_RATIO);
         let (sender, receiver) = mpsc::channel(1);
@@ -414,7 +415,7 @@
                     event = format!("{}: {current_version}\n", names::WEIGHT_VERSIONS);
                 }
                 event.push_str(&format!(
-                    "id: {number}\ndata: {item}:{number}:{current_version}\n\n"
+                    "id: {number}\ndata: {item}:{number}:{current_version}:{software_version}\n\n"
                 ));
                 if number == event_count {
                     engine.record.borrow_mut().add_whole_item(&item);
--- a/src/platform/standin/record.rs
+++ b/src/platform/standin/record.rs
@@ -87,8 +87,8 @@
     orders: BTreeMap<String, Order>,
     last_holder: Option<String>,
     executions: BTreeMap<String, u32>,
-    /// The software version that began the present text of each item or stream.
-    text_versions: BTreeMap<String, String>,
+    /// The software version that began each stream.
+    stream_versions: BTreeMap<String, String>,
     /// The items of which an engine has made the last event.
     whole_items: BTreeSet<String>,
     /// What upstreams answered to each reward call.
@@ -133,18 +133,21 @@
         self.run_items.insert(item.to_owned());
     }
 
-    /// Records that an upstream of `software_version` begins to run an item or a stream,
-    /// or goes on with its text after `last_event`.
-    pub fn add_text_run(&mut self, text: &str, software_version: &str, last_event: u64) {
+    /// Records that an upstream of `software_version` begins the stream of the client's
+    /// attempt `stream`, or goes on with it after `last_event`.
+    ///
+    /// Items are judged by their texts: an item may have been begun anew, and its first
+    /// text be found again.
+    pub fn add_stream_run(&mut self, stream: &str, software_version: &str, last_event: u64) {
         if last_event == 0 {
-            self.text_versions
-                .insert(text.to_owned(), software_version.to_owned());
+            self.stream_versions
+                .insert(stream.to_owned(), software_version.to_owned());
             return;
         }
-        self.count("texts resumed");
-        let begun = self.text_versions.get(text);
+        self.count("streams resumed");
+        let begun = self.stream_versions.get(stream);
         if begun.is_some_and(|begun| begun != software_version) {
-            let seen = format!("{text}: begun by {begun:?}, resumed by {software_version}");
+            let seen = format!("{stream}: begun by {begun:?}, resumed by {software_version}");
             self.add_violation("texts-never-joined", seen);
         }
     }
@@ -463,16 +466,25 @@
 /// The text of event n of an item, generated with version v, is `ITEM:n:v`.
 fn find_text_error(result: &SeenResult, event_count: u64, min_version: u64) -> Option<String> {
     let mut versions = BTreeSet::new();
+    let mut software_versions = BTreeSet::new();
     let lines: Vec<&str> = result.text.split('\n').collect();
     if lines.len() as u64 != event_count {
         return Some(format!("{} events instead of {event_count}", lines.len()));
     }
     for (index, line) in lines.iter().enumerate() {
         let start = format!("{}:{}:", result.item, index + 1);
-        let Some(version) = line.strip_prefix(&start).and_then(|v| v.parse().ok()) else {
+        let made_by = line
+            .strip_prefix(&start)
+            .and_then(|made_by| made_by.split_once(':'))
+            .and_then(|(version, software)| Some((version.parse().ok()?, software)));
+        let Some((version, software_version)) = made_by else {
             return Some(format!("event {} reads {line:?}", index + 1));
         };
         versions.insert(version);
+        software_versions.insert(software_version);
+    }
+    if software_versions.len() > 1 {
+        return Some(format!("joined from {software_versions:?}"));
     }
     let named: BTreeSet<u64> = result.versions.iter().copied().collect();
     if named != versions {
