Count only the time in which the lease stays free

Trainers would see: a coordinator that reaches no engine, for 0.4 s. Cause: a host that is cut off leaves a free lease to others for 4 s. Moments in which the lease was free were added up as long as they were less than 4 s apart, so that planned stops of hosts, one after another, used the time up. Ruled out: a longer time; where the engines are down for all, nobody would list results. Change: a pause of more than a second ends the period. Conclusion: a lease that changes hands is not taken for one that nobody wants.

--- a/src/ingress/coordinator/leadership.rs
+++ b/src/ingress/coordinator/leadership.rs
@@ -59,10 +59,6 @@
 /// How often a coordinator that reaches no engine asks whether others do.
 const SURVEY_INTERVAL: Duration = Duration::from_millis(500);
 
-/// How long a host that reaches no engine leaves a free lease to others. After that, most
-/// probably the engines are down for all.
-const MAX_DECLINE_TIME: Duration = Duration::from_millis(4_000);
-
 /// How long a planned stop waits for the write that releases the lease.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(1_000);
 
@@ -193,23 +189,14 @@
             .into_iter()
             .all(|is_reached| is_reached)
         {
-            self.declined.set(None);
+            self.deference.borrow_mut().end();
             return true;
         }
-        let now = self.host.now();
-        // A lease that was taken in between is declined anew.
-        let (declined_since, _) = self
-            .declined
-            .get()
-            .filter(|(_, last_at)| now.saturating_sub(*last_at) < MAX_DECLINE_TIME)
-            .unwrap_or((now, now));
-        self.declined.set(Some((declined_since, now)));
-        let may_claim = now.saturating_sub(declined_since) >= MAX_DECLINE_TIME;
-        if may_claim {
+        let must_wait = self.deference.borrow_mut().must_wait(self.host.now());
+        if !must_wait {
             tracing::info!(event = "lease.claimed_out_of_reach");
-            self.declined.set(None);
         }
-        may_claim
+        !must_wait
     }
 
     pub(super) async fn perform_lease_action(self: &Rc<Self>, action: lease::Action) {
--- a/src/ingress/coordinator/mod.rs
+++ b/src/ingress/coordinator/mod.rs
@@ -7,6 +7,7 @@
 //! waste work but still list each item once (see docs/design/platform.md,
 //! "Coordinator").
 
+pub mod deference;
 mod jobs;
 mod leadership;
 mod rewards;
@@ -24,6 +25,7 @@
     time::sleep,
 };
 
+use self::deference::Deference;
 use crate::{
     batch::{
         job::JobId,
@@ -78,9 +80,8 @@
     is_leading: Cell<bool>,
     /// When the other hosts may be asked next whether they reach the engines.
     next_survey_at: Cell<Timestamp>,
-    /// Since when this host leaves a free lease to others, as it reaches no engine, and when
-    /// it did so last.
-    declined: Cell<Option<(Timestamp, Timestamp)>>,
+    /// Leaves a free lease to others while this host reaches no engine.
+    deference: RefCell<Deference>,
     /// The last time at which this host held the lease.
     last_held_at: Cell<Timestamp>,
     /// The tasks of the runs and reward calls in progress.
@@ -129,7 +130,7 @@
             life,
             is_leading: Cell::new(false),
             next_survey_at: Cell::new(Duration::ZERO),
-            declined: Cell::new(None),
+            deference: RefCell::default(),
             last_held_at: Cell::new(Duration::ZERO),
             runs: RefCell::default(),
             unrouted_logged_at: Cell::new(Duration::ZERO),
