Do not refuse a call that another host may have run

Callers would see: 503, which says that nothing has run, for an idempotent call that a host took and whose answer was lost. Cause: hand_over forgot what the hosts before the last one may have done, and its caller refuses what no host takes. Ruled out: calls that may run once; they were answered 502 at the first such host. Change: 502 where a host that was asked may have sent the call to an upstream. Conclusion: a refusal is true again.

--- a/src/ingress/handover.rs
+++ b/src/ingress/handover.rs
@@ -132,11 +132,11 @@
     service: &ServiceName,
     attempts_left: u32,
 ) -> Option<Reply> {
-    let peers = candidates(host, call, service);
-    for peer in peers {
+    let mut may_have_run = false;
+    for peer in candidates(host, call, service) {
         let time_left = call.deadline().saturating_sub(host.now());
         if time_left < MIN_TIME_LEFT {
-            return None;
+            break;
         }
         // A host that does not know yet that it reaches no upstream either holds the call.
         let limit = match call.is_idempotent() {
@@ -167,18 +167,17 @@
                 host.metrics.count(CALLS_HANDED_OVER, 1);
                 return Some(reply);
             }
-            Outcome::NotTaken(_) => {
-                let now = host.now();
-                host.reach.borrow_mut().pause_peer(peer, service, now);
-            }
-            Outcome::Unknown(_) if call.is_idempotent() => {
-                let now = host.now();
-                host.reach.borrow_mut().pause_peer(peer, service, now);
-            }
-            Outcome::Unknown(_) => return Some(reply(StatusCode::BAD_GATEWAY, Bytes::new())),
+            Outcome::NotTaken(_) => {}
+            Outcome::Unknown(_) => may_have_run = true,
+        }
+        let now = host.now();
+        host.reach.borrow_mut().pause_peer(peer, service, now);
+        if may_have_run && !call.is_idempotent() {
+            break;
         }
     }
-    None
+    // No refusal, which would say that nothing has run.
+    may_have_run.then(|| reply(StatusCode::BAD_GATEWAY, Bytes::new()))
 }
 
 /// Returns the refusal of a call that neither this host nor another one can serve.
--- a/tests/rows_support/mod.rs
+++ b/tests/rows_support/mod.rs
@@ -9,6 +9,7 @@
 use std::{
     cell::RefCell,
     collections::{BTreeMap, VecDeque},
+    net::SocketAddr,
     rc::Rc,
     time::Duration,
 };
@@ -52,6 +53,7 @@
     is_holding_answers: bool,
     is_feed_silent: bool,
     failing_partition: Option<String>,
+    peers: Vec<SocketAddr>,
 }
 
 /// How long a feed waits before it reports that its history is gone.
@@ -89,6 +91,11 @@
         self.inner.borrow_mut().failing_partition = partition.map(str::to_owned);
     }
 
+    /// Sets the addresses of other hosts.
+    pub fn set_peers(&self, peers: impl Into<Vec<SocketAddr>>) {
+        self.inner.borrow_mut().peers = peers.into();
+    }
+
     /// Releases withheld answers.
     pub fn release_answers(&self) {
         self.inner.borrow_mut().is_holding_answers = false;
@@ -193,6 +200,10 @@
 }
 
 impl RowStore for Rows {
+    fn peers(&self) -> Vec<SocketAddr> {
+        self.inner.borrow().peers.clone()
+    }
+
     async fn commit(&self, transaction: &RowTransaction) -> Result<Applied, RowError> {
         // Yields to other tasks, as a network call does.
         tokio::task::yield_now().await;
--- a/tests/rows_support/page.rs
+++ b/tests/rows_support/page.rs
@@ -11,7 +11,7 @@
     ingress::{
         calls::Call,
         directory::Upstream,
-        routes::{Route, RouteKind},
+        routes::{ClientLimits, Configuration, Route, RouteKind},
         wire::Wire as _,
     },
     platform::PlatformWire,
@@ -123,3 +123,18 @@
         is_resumable: false,
     }
 }
+
+/// Returns a configuration with the route of [`page_route`].
+pub fn configuration(kind: RouteKind) -> Configuration {
+    Configuration {
+        version: 1,
+        routes: vec![Arc::new(page_route(kind))],
+        services: BTreeMap::new(),
+        limits: ClientLimits {
+            max_header_bytes: 16_384,
+            max_body_bytes: 1 << 20,
+            header_timeout: Duration::from_secs(5),
+            idle_timeout: Duration::from_secs(10),
+        },
+    }
+}
