Review: streams cannot be taken up once a second version joins

The origin of a stream is saved only while its service has several software versions. If a host stands still when the second one joins, the others refuse all its streams, though only one version can have begun them.

--- a/review/standin/src/client.rs
+++ b/review/standin/src/client.rs
@@ -105,35 +105,45 @@
         headers: &[(&str, &str)],
         body: impl Into<Bytes>,
     ) -> Result<Answer, Failure> {
-        let mut request = Request::builder()
-            .method(method)
-            .uri(path)
-            .header("host", AUTHORITY);
-        for (name, value) in headers {
-            request = request.header(*name, *value);
-        }
-        let request = request
-            .body(Full::new(body.into()))
-            .map_err(|_| Failure::NotSent)?;
-        timeout(ANSWER_TIME, self.exchange(request))
+        let request = build(method, path, headers, body)?;
+        timeout(ANSWER_TIME, self.exchange(request, ANSWER_TIME))
             .await
             .unwrap_or(Err(Failure::TimedOut))
     }
 
-    async fn exchange(&mut self, request: Request<Full<Bytes>>) -> Result<Answer, Failure> {
+    /// Opens a stream, reads it to its end, and abandons it after `max_gap` without a byte.
+    pub async fn stream(
+        &mut self,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: impl Into<Bytes>,
+        max_gap: Duration,
+    ) -> Result<Answer, Failure> {
+        let request = build("POST", path, headers, body)?;
+        self.exchange(request, max_gap).await
+    }
+
+    async fn exchange(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        max_gap: Duration,
+    ) -> Result<Answer, Failure> {
         if self.sender.ready().await.is_err() {
             return Err(Failure::NotSent);
         }
-        let answer = self
-            .sender
-            .send_request(request)
+        let answer = timeout(max_gap, self.sender.send_request(request))
             .await
+            .map_err(|_| Failure::TimedOut)?
             .map_err(|_| Failure::NoAnswer)?;
         let (parts, mut rest) = answer.into_parts();
         let status = parts.status.as_u16();
         let mut body: Vec<u8> = Vec::new();
-        while let Some(frame) = rest.frame().await {
-            let frame = frame.map_err(|_| Failure::Cut(status, body.clone().into()))?;
+        loop {
+            let cut = || Failure::Cut(status, body.clone().into());
+            let Some(frame) = timeout(max_gap, rest.frame()).await.map_err(|_| cut())? else {
+                break;
+            };
+            let frame = frame.map_err(|_| cut())?;
             if let Ok(data) = frame.into_data() {
                 body.extend_from_slice(&data);
             }
@@ -146,6 +156,36 @@
     }
 }
 
+fn build(
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: impl Into<Bytes>,
+) -> Result<Request<Full<Bytes>>, Failure> {
+    let mut request = Request::builder()
+        .method(method)
+        .uri(path)
+        .header("host", AUTHORITY);
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    request
+        .body(Full::new(body.into()))
+        .map_err(|_| Failure::NotSent)
+}
+
+/// Returns the data of the events that arrived whole, with their numbers.
+pub fn events(body: &[u8]) -> Vec<(u64, String)> {
+    let text = String::from_utf8_lossy(body);
+    // The last part is an event that broke off, or empty.
+    let (whole, _) = text.rsplit_once("\n\n").unwrap_or_default();
+    let decode = |event: &str| {
+        let line = |name| event.lines().find_map(move |line| line.strip_prefix(name));
+        Some((line("id: ")?.parse().ok()?, line("data: ")?.to_owned()))
+    };
+    whole.split("\n\n").filter_map(decode).collect()
+}
+
 /// Sends a request on a new connection.
 pub async fn send(
     address: SocketAddr,
