--- a/review/standin/src/bin/upgrade.rs
+++ b/review/standin/src/bin/upgrade.rs
@@ -1,6 +1,6 @@
-//! Servers of a service are upgraded in place, one after the other: each ends and starts again
-//! under its id with the next version of its software. A stream that began at one version must
-//! not go on at the other.
+//! Servers of two versions of their software serve side by side. One of those with the older
+//! version is upgraded in place: it ends, and starts again under its id with the newer one. A
+//! stream that began at one version must not go on at the other.
 
 use std::{
     cell::RefCell, collections::BTreeMap, collections::BTreeSet, net::SocketAddr,
@@ -22,7 +22,11 @@
 use tokio::{task::spawn_local, time::sleep};
 
 const HOST_COUNT: u8 = 3;
-const SERVER_COUNT: u8 = 3;
+const SERVER_COUNT: u8 = 6;
+
+/// How many of them have the older version at first.
+const OLDER_COUNT: u8 = 2;
+
 const SLOT_COUNT: usize = 6;
 
 /// How many streams are open at any time: all slots but two.
@@ -37,8 +41,8 @@
 /// How long a server is down for its upgrade.
 const DOWN_TIME: Duration = Duration::from_millis(300);
 
-/// The time between two upgrades.
-const UPGRADE_INTERVAL: Duration = Duration::from_secs(8);
+/// How long streams run before the upgrade, and after it.
+const SERVE_TIME: Duration = Duration::from_secs(14);
 
 /// The time that a client gives a stream.
 const STREAM_TIME: Duration = Duration::from_millis(12_000);
@@ -75,8 +79,10 @@
     };
     let mut servers = Vec::new();
     for number in 0..SERVER_COUNT {
-        servers
-            .push(Server::start(network, setup(number, "v1"), &store, &record, &arrivals).await?);
+        let software = if number < OLDER_COUNT { "v1" } else { "v2" };
+        servers.push(
+            Server::start(network, setup(number, software), &store, &record, &arrivals).await?,
+        );
         sleep(Duration::from_millis(200)).await;
     }
     let hosts = Hosts::start(network, HOST_COUNT, store_address, &record).await?;
@@ -93,19 +99,14 @@
             }
         });
     }
-    for number in 0..SERVER_COUNT {
-        sleep(UPGRADE_INTERVAL).await;
-        if !has_trouble() {
-            continue;
-        }
-        let server = &servers[usize::from(number)];
-        record.add("trouble", format!("{} is upgraded", server.setup.id));
-        server.crash();
+    sleep(SERVE_TIME).await;
+    if has_trouble() {
+        record.add("trouble", format!("{} is upgraded", servers[0].setup.id));
+        servers[0].crash();
         sleep(DOWN_TIME).await;
-        let next = Server::start(network, setup(number, "v2"), &store, &record, &arrivals).await?;
-        servers[usize::from(number)] = next;
+        servers[0] = Server::start(network, setup(0, "v2"), &store, &record, &arrivals).await?;
     }
-    sleep(UPGRADE_INTERVAL).await;
+    sleep(SERVE_TIME).await;
     let mixed = mixed.borrow();
     record.add("result", format!("{} streams of two versions", mixed.len()));
     ensure!(!arrivals.borrow().is_empty(), "no stream has run");
