Count the engines that hold items back after a load

Cause: `model.load` counts an engine as usable while it gives items of the model to one run only, until that run has confirmed the last load. Of a job that hangs with idle engines, the line cannot tell backoff, a load in progress, old weights and an unconfirmed load apart.

Ruled out: to lower `usable_count` by them.

--- a/src/batch/scheduler/report.rs
+++ b/src/batch/scheduler/report.rs
@@ -23,6 +23,9 @@
     pub fresh_count: usize,
     /// The number of engines that load weights of the model.
     pub loading_count: usize,
+    /// The number of engines that hold items of the model back until a run has confirmed
+    /// that their load has ended.
+    pub unconfirmed_count: usize,
     /// The number of engines in backoff, whatever their models.
     pub avoided_count: usize,
     /// The newest version that a trainer named.
@@ -82,6 +85,9 @@
                         .filter(|engine| engine.version(&model) >= need.named)
                         .count(),
                     loading_count: engines().filter(|engine| engine.is_loading(&model)).count(),
+                    unconfirmed_count: engines()
+                        .filter(|engine| engine.is_awaiting_probe(&model, now))
+                        .count(),
                     avoided_count: engines()
                         .filter(|engine| engine.backoff_until > now)
                         .count(),
--- a/src/ingress/coordinator/mod.rs
+++ b/src/ingress/coordinator/mod.rs
@@ -282,6 +282,7 @@
                 usable_count = load.usable_count,
                 fresh_count = load.fresh_count,
                 loading_count = load.loading_count,
+                unconfirmed_count = load.unconfirmed_count,
                 avoided_count = load.avoided_count,
                 named_version = load.named_version,
                 min_version = load.min_version,
