Let another item probe a load once its probe is cancelled

After a change of weights one item ran; its job was ended before its first event, and no item of the model ran there again.

Cause: after a load one run at a time probes whether it has ended. Its number was cleared where a run ends by itself; a cancelled run leaves through `Scheduler::cancel`, which did not clear it. The engine waited for a run that does not exist until the next load of the model.

Ruled out, by `model.load` during the case: backoff (avoided 0), a load without end (loading 0), old weights (usable 1); unconfirmed was 1.

Change: `Engine::end_run` is the one place where a run leaves its engine, and clears the probe. Its item's job may have ended, another coordinator may have listed the item, or its time may be up: a test each.

Conclusion: it works since the probe cannot outlive its run, whatever ends the run.

--- a/src/batch/scheduler/engine.rs
+++ b/src/batch/scheduler/engine.rs
@@ -267,6 +267,17 @@
         }
     }
 
+    /// Records that `run` has ended or was cancelled, and returns whether it probed a load.
+    ///
+    /// Another run may probe the load then: a cancelled one has shown nothing.
+    pub(super) fn end_run(&mut self, run: RunNumber, tokens: u64) -> bool {
+        self.run_count = self.run_count.saturating_sub(1);
+        self.run_tokens = self.run_tokens.saturating_sub(tokens);
+        self.unconfirmed
+            .as_mut()
+            .is_some_and(|load| load.probe.take_if(|probe| *probe == run).is_some())
+    }
+
     /// Records that a run received an event.
     pub(super) const fn record_event(&mut self, now: Timestamp) {
         self.last_event_at = now;
--- a/src/batch/scheduler/events.rs
+++ b/src/batch/scheduler/events.rs
@@ -101,19 +101,14 @@
 
     /// Records how `run` ended: its item finishes, or waits for another engine.
     pub fn record_run_end(&mut self, run: RunNumber, end: RunEnd, now: Timestamp) {
-        let Some(state) = self.release(run) else {
+        let Some((state, was_probe)) = self.release(run) else {
             return;
         };
         if let Some(engine) = self.engines.get_mut(&state.engine) {
-            let was_probe = engine.unconfirmed.as_mut().is_some_and(|load| {
-                let was_probe = load.probe == Some(run);
-                if was_probe {
-                    load.is_late |= end == RunEnd::NotRun;
-                    load.probe = None;
-                    load.next_probe_at = now + PROBE_INTERVAL;
-                }
-                was_probe
-            });
+            if was_probe && let Some(load) = &mut engine.unconfirmed {
+                load.is_late |= end == RunEnd::NotRun;
+                load.next_probe_at = now + PROBE_INTERVAL;
+            }
             if !(was_probe && end == RunEnd::NotRun) {
                 engine.update_backoff(end, now);
             }
--- a/src/batch/scheduler/mod.rs
+++ b/src/batch/scheduler/mod.rs
@@ -417,20 +417,21 @@
             .map_or(1, |engine| engine.spec.tokens_per_event)
     }
 
-    /// Removes `run` from its engine and its item.
-    fn release(&mut self, run: RunNumber) -> Option<Run> {
+    /// Removes `run` from its engine and its item, and returns it with whether it probed a
+    /// load.
+    fn release(&mut self, run: RunNumber) -> Option<(Run, bool)> {
         let state = self.runs.remove(&run)?;
-        if let Some(engine) = self.engines.get_mut(&state.engine) {
-            engine.run_count = engine.run_count.saturating_sub(1);
-            engine.run_tokens = engine.run_tokens.saturating_sub(state.tokens);
-        }
+        let was_probe = self
+            .engines
+            .get_mut(&state.engine)
+            .is_some_and(|engine| engine.end_run(run, state.tokens));
         if let Some(job) = self.jobs.get_mut(&state.job)
             && let Some(item) = job.items.get_mut(state.item_index)
             && item.run == Some(run)
         {
             item.run = None;
         }
-        Some(state)
+        Some((state, was_probe))
     }
 }
 
--- a/tests/item_scheduling.rs
+++ b/tests/item_scheduling.rs
@@ -503,3 +503,68 @@
         assert_eq!(fleet.running_on(&format!("engine-{index}")), 6);
     }
 }
+
+/// Plays a load whose probe `cancel` cancels: another item must probe it then.
+fn play_cancelled_probe(cancel: impl FnOnce(&mut Scheduler, Timestamp) -> Vec<Action>) {
+    let mut scheduler = Scheduler::default();
+    scheduler.set_engines(vec![engine("engine-0", 12)]);
+    scheduler.name_version("writer".into(), 2);
+    let mut now = Duration::from_secs(10);
+    let rights = Rights {
+        may_start: true,
+        may_order: true,
+    };
+    for action in scheduler.poll(now, rights) {
+        if let Action::Order(load) = action {
+            scheduler.record_order_answer(&load, Some(OrderState::Loading), now);
+        }
+    }
+    let mut kept = job("kept", 8, 10);
+    kept.head.item_ttl = Duration::from_secs(600);
+    scheduler.open(kept, &Default::default(), Duration::ZERO, now);
+    let mut urgent = job("urgent", 4, 10);
+    for item in &mut urgent.items {
+        item.length_hint_tokens = 9_000;
+    }
+    let age = Duration::from_secs(39);
+    scheduler.open(urgent, &Default::default(), age, now);
+    now += Duration::from_secs(1);
+    let started = scheduler.poll(now, rights);
+    assert!(
+        matches!(&*started, [Action::Start { job, .. }] if **job == *"urgent"),
+        "one item probes the load: {started:?}"
+    );
+    let mut actions = cancel(&mut scheduler, now);
+    assert!(
+        matches!(&actions[0], Action::Cancel { .. }),
+        "the probe is cancelled: {actions:?}"
+    );
+    actions.extend(scheduler.poll(now + Duration::from_secs(1), RIGHTS));
+    let kept_count = actions
+        .iter()
+        .filter(|action| matches!(action, Action::Start { job, .. } if **job == *"kept"))
+        .count();
+    assert_eq!(kept_count, 1, "another item probes the load: {actions:?}");
+}
+
+/// Guards against engines that take no items of a model any more, since the run that probed
+/// the end of their load was cancelled with its job.
+#[test]
+fn probe_of_ended_job() {
+    play_cancelled_probe(|scheduler, _| scheduler.end(&"urgent".into()));
+}
+
+/// The same, where another coordinator has listed the items of the job.
+#[test]
+fn probe_listed_elsewhere() {
+    play_cancelled_probe(|scheduler, _| {
+        let ids = (0..4).map(|index| format!("item-{index}").as_str().into());
+        scheduler.drop_listed(&"urgent".into(), &ids.collect())
+    });
+}
+
+/// The same, where the time of the items is up.
+#[test]
+fn probe_of_overdue_item() {
+    play_cancelled_probe(|scheduler, now| scheduler.poll(now + Duration::from_millis(600), RIGHTS));
+}
