Count the hand-over of the lease in the grace of a stop

What callers see: a host that coordinates, and whose store is slow as it is asked to stop, is killed with calls open instead of ending by itself.

Cause: the times of a planned stop were counted from the end of the hand-over, which waits up to a second for the store. With a grace of 8 s the process would end up to 8.2 s after SIGTERM; the platform kills it at 8.

Change: `ingress/stop.rs` computes the moments of a stop once, from the moment at which it was asked for.

Before: `planned_stop`, `silent_store` fails, the host runs on after its grace of 2 s. After: it passes, with the other six tests.

Conclusion: no wait in the stop moves its end any more.

--- a/src/ingress/coordinator/mod.rs
+++ b/src/ingress/coordinator/mod.rs
@@ -110,7 +110,7 @@
         let is_quiet_over = self.host.store_time()? >= lease.quiet_until();
         lease
             .fence(self.host.now())
-            .filter(|_| is_quiet_over && !self.host.is_stopping.get())
+            .filter(|_| is_quiet_over && !self.host.is_stopping())
     }
 }
 
@@ -151,7 +151,7 @@
         spawn_local(self.clone().save_outputs());
         spawn_local(self.clone().save_whole_outputs());
         loop {
-            if !self.host.is_stopping.get() {
+            if !self.host.is_stopping() {
                 self.keep_lease().await;
             }
             sleep(LEASE_TICK).await;
@@ -259,7 +259,7 @@
 
     /// Returns whether this host may start runs and reward calls.
     fn may_start(&self, now: Timestamp) -> bool {
-        now.saturating_sub(self.last_held_at.get()) < START_GRACE && !self.host.is_stopping.get()
+        now.saturating_sub(self.last_held_at.get()) < START_GRACE && !self.host.is_stopping()
     }
 
     /// Logs the load of each model.
--- a/src/ingress/handover.rs
+++ b/src/ingress/handover.rs
@@ -308,7 +308,7 @@
     parts: &request::Parts,
     body: Bytes,
 ) -> Result<Call, NotTaken> {
-    if host.is_stopping.get() {
+    if host.is_stopping() {
         return Err(NotTaken::Stopping);
     }
     let configuration = host.configuration().ok_or(NotTaken::NoConfiguration)?;
@@ -370,7 +370,7 @@
     let path = parts.uri.path();
     if let Some(service) = path.strip_prefix(REACH_PATH) {
         let service: ServiceName = service.into();
-        let is_reached = !host.is_stopping.get() && reach::is_reachable(host, &service).await;
+        let is_reached = !host.is_stopping() && reach::is_reachable(host, &service).await;
         return Some(match is_reached {
             true => reply(StatusCode::OK, Bytes::new()),
             false => refusal(RETRY_AFTER),
--- a/src/ingress/host.rs
+++ b/src/ingress/host.rs
@@ -25,6 +25,7 @@
         origins::book::OriginBook,
         reach::book::ReachBook,
         routes::Configuration,
+        stop::StopSchedule,
         wire::Wire,
     },
     observe::telemetry::Metrics,
@@ -126,8 +127,8 @@
     pub metrics: Metrics,
     /// The metrics that are served as text.
     pub exposition: Exposition,
-    /// Whether the host is stopping.
-    pub is_stopping: Cell<bool>,
+    /// The schedule of the planned stop, once the host is stopping.
+    pub stop: Cell<Option<StopSchedule>>,
     /// Whether the host has stopped accepting connections and closes idle ones.
     pub closing: watch::Sender<bool>,
     /// The number of client connections that have not ended.
@@ -188,7 +189,7 @@
             view_changed: Notify::new(),
             metrics,
             exposition,
-            is_stopping: Cell::new(false),
+            stop: Cell::new(None),
             closing: watch::Sender::new(false),
             open_count: Cell::new(0),
             wire: PhantomData,
@@ -217,8 +218,13 @@
         Some(store_time + self.now().saturating_sub(seen_at))
     }
 
+    /// Returns whether the host is stopping.
+    pub fn is_stopping(&self) -> bool {
+        self.stop.get().is_some()
+    }
+
     /// Returns whether the host can serve requests.
     pub fn is_ready(&self) -> bool {
-        !self.is_stopping.get() && self.view.borrow().configuration.is_some()
+        !self.is_stopping() && self.view.borrow().configuration.is_some()
     }
 }
--- a/src/ingress/jobs.rs
+++ b/src/ingress/jobs.rs
@@ -260,7 +260,7 @@
         let mut results = layout::decode_results(&page.rows, from).map_err(stored::unreadable)?;
         results.truncate(fitting_count(&results));
         let is_due = host.now() + WAIT_POLL_INTERVAL > wait_until;
-        if !results.is_empty() || is_due || from >= total || host.is_stopping.get() {
+        if !results.is_empty() || is_due || from >= total || host.is_stopping() {
             let body = W::results(total, from + results.len(), &results);
             return Ok(as_json(reply(StatusCode::OK, body)));
         }
--- a/src/ingress/mod.rs
+++ b/src/ingress/mod.rs
@@ -36,5 +36,6 @@
 pub mod routes;
 pub mod runs;
 pub mod server;
+pub mod stop;
 pub mod stored;
 pub mod wire;
--- a/src/ingress/permits.rs
+++ b/src/ingress/permits.rs
@@ -156,7 +156,7 @@
             permits.answer(&ask, now);
         }
     }
-    host.is_issuing.set(!host.is_stopping.get());
+    host.is_issuing.set(!host.is_stopping());
 }
 
 /// Tells the coordinator that `upstream` now names the limit `rate_per_s`, or none.
--- a/src/ingress/process.rs
+++ b/src/ingress/process.rs
@@ -8,19 +8,13 @@
 };
 
 use crate::{
-    ingress::{coordinator::Coordinator, feeds, host::Host, origins, server, wire::Wire},
+    ingress::{
+        coordinator::Coordinator, feeds, host::Host, origins, server, stop::StopSchedule,
+        wire::Wire,
+    },
     store::rows::RowStore,
 };
 
-/// The fraction of the stop grace during which new connections are still
-/// accepted, since the platform notices only after two missed readiness probes,
-/// a second apart.
-const ACCEPTING_RATIO: f64 = 0.45;
-
-/// The fraction of the stop grace after which the process exits even if
-/// connections are open.
-const STOP_RATIO: f64 = 0.9;
-
 /// How often a stopping host checks for open connections.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -66,19 +60,16 @@
             host = &*self.settings.host,
             open_count = self.open_count.get(),
         );
-        self.is_stopping.set(true);
+        let schedule = StopSchedule::new(self.now(), self.settings.stop_grace);
+        self.stop.set(Some(schedule));
         coordinator.hand_over().await;
-        sleep(self.settings.stop_grace.mul_f64(ACCEPTING_RATIO)).await;
+        // The store may have taken long to answer.
+        sleep(schedule.close_at.saturating_sub(self.now())).await;
         self.closing.send_replace(true);
         if let Err(error) = accepting.await {
             tracing::error!(event = "host.accept_failed", %error);
         }
-        let limit = self
-            .settings
-            .stop_grace
-            .mul_f64(STOP_RATIO - ACCEPTING_RATIO);
-        let stop_at = self.now() + limit;
-        while self.open_count.get() + self.taken_count.get() > 0 && self.now() < stop_at {
+        while self.open_count.get() + self.taken_count.get() > 0 && self.now() < schedule.exit_at {
             sleep(STOP_POLL_INTERVAL).await;
         }
         tracing::info!(
--- a/src/ingress/server.rs
+++ b/src/ingress/server.rs
@@ -227,7 +227,7 @@
 
 async fn serve<S: RowStore, W: Wire>(host: &Rc<Host<S, W>>, request: Request<Incoming>) -> Reply {
     let mut response = handle_request(host, request).await;
-    if host.is_stopping.get() {
+    if host.is_stopping() {
         response
             .headers_mut()
             .insert(header::CONNECTION, HeaderValue::from_static("close"));
--- a/tests/planned_stop.rs
+++ b/tests/planned_stop.rs
@@ -14,13 +14,16 @@
 };
 
 use mimosavane::{
-    ingress::{host::HostSettings, routes::RouteKind},
+    ingress::{
+        host::HostSettings,
+        routes::{Configuration, Route, RouteKind},
+    },
     platform::standin::ReservedAddress,
 };
 use rows_support::{
     Rows,
     host::{host_with, settings},
-    page::{configuration, run, serve, upstream},
+    page::{configuration, page_route, run, serve, upstream},
 };
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
@@ -38,6 +41,9 @@
 /// Within which a host that has nothing left to answer ends after that.
 const END_TIME: Duration = Duration::from_millis(600);
 
+/// The timeout of calls, longer than a stop may take.
+const ROUTE_TIMEOUT: Duration = Duration::from_secs(10);
+
 const REQUEST: &str = "GET /pages/1 HTTP/1.1\r\nhost: pages.example\r\nattempt-id: a1\r\n\r\n";
 const ANSWER: &str =
     "HTTP/1.1 200 OK\r\nattempt-id: a1\r\nserver-stamp: s1\r\ncontent-length: 2\r\n\r\nok";
@@ -53,6 +59,11 @@
 impl Running {
     /// Starts a host that sends calls on a route of `kind` to `address`.
     async fn start(kind: RouteKind, address: SocketAddr) -> Self {
+        Self::start_on(&Rows::default(), kind, address).await
+    }
+
+    /// Starts such a host on the store `rows`.
+    async fn start_on(rows: &Rows, kind: RouteKind, address: SocketAddr) -> Self {
         let reserved = std::array::from_fn(|_| ReservedAddress::new().unwrap());
         let [clients, ready] = reserved.each_ref().map(|reserved| reserved.address);
         let settings = HostSettings {
@@ -61,12 +72,19 @@
             stop_grace: STOP_GRACE,
             ..settings()
         };
-        let rows = Rows::default();
         rows.fail_reads(Some(""));
-        let host = host_with(settings, &rows);
+        let host = host_with(settings, rows);
         {
             let mut view = host.view.borrow_mut();
-            view.configuration = Some(configuration(kind).into());
+            let route = Route {
+                timeout: ROUTE_TIMEOUT,
+                ..page_route(kind)
+            };
+            let configuration = Configuration {
+                routes: vec![route.into()],
+                ..configuration(kind)
+            };
+            view.configuration = Some(configuration.into());
             view.directory.put(upstream("i-1", 1, address));
         }
         let (stop, stopped) = oneshot::channel();
@@ -271,3 +289,27 @@
         assert!(read_all(&mut used).await.ends_with("ok"));
     });
 }
+
+/// Guards against a stop that outlasts its grace, so that the platform kills the process: the
+/// store does not answer as the host releases the lease.
+#[test]
+fn silent_store() {
+    run(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let rows = Rows::default();
+        let host = Running::start_on(&rows, RouteKind::NonIdempotent, address).await;
+        let is_leading = async {
+            while rows.keys("leases", "fleet").is_empty() {
+                sleep(Duration::from_millis(10)).await;
+            }
+        };
+        timeout(Duration::from_secs(10), is_leading).await.unwrap();
+        // The upstream accepts the call and never answers.
+        let mut stream = TcpStream::connect(host.clients).await.unwrap();
+        stream.write_all(REQUEST.as_bytes()).await.unwrap();
+        sleep(Duration::from_millis(50)).await;
+        rows.hold_answers();
+        host.stop().assert_ended(STOP_GRACE).await;
+    });
+}
