Refuse calls that may outlast a host that stops

Cause: for 45% of the grace a stopping host took calls whatever time they might need, and ended at 90%. Nothing compared the time that a call may take with the time that is left.

Ruled out, by the logs of the case: the upstreams broke off, or a deadline ended the calls (no `call.failed`; all four end within a millisecond of `host.stop`, which counts them as open); connections closed as idle.

Change: once the balancer has taken the host out (30% of the grace), a call is passed on only if its deadline ends before the process; otherwise it is refused at once, and another host serves it. What comes during a stop and has no answer gets 504 before the exit, which moves from 90% to 95%.

The tests of half-read requests and of the accept queue sent calls without a deadline on a route of 10 s after the listener had closed, and asked for 200: the host can only keep that by luck. Those calls now have a deadline that fits; new tests ask for a refusal of those that do not.

Conclusion: it works since a call that is passed on ends by its deadline at the latest, and that is now before the process ends.

--- a/src/ingress/server.rs
+++ b/src/ingress/server.rs
@@ -10,7 +10,7 @@
 };
 
 use bytes::Bytes;
-use http::{HeaderValue, Request, StatusCode, header};
+use http::{HeaderValue, Request, StatusCode, header, request};
 use http_body_util::{BodyExt as _, Limited};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -18,7 +18,7 @@
     net::{TcpListener, TcpSocket, TcpStream},
     pin,
     task::spawn_local,
-    time::sleep,
+    time::{sleep, timeout},
 };
 
 use crate::{
@@ -28,7 +28,7 @@
         jobs,
         replies::{Reply, refusal, reply},
         routes::RouteKind,
-        wire::Wire,
+        wire::{ClientHead, Wire},
     },
     store::rows::RowStore,
 };
@@ -226,7 +226,23 @@
 }
 
 async fn serve<S: RowStore, W: Wire>(host: &Rc<Host<S, W>>, request: Request<Incoming>) -> Reply {
-    let mut response = handle_request(host, request).await;
+    let (parts, body) = request.into_parts();
+    let head = W::client_head(&parts);
+    let handled = handle_request(host, parts, body, &head);
+    let mut response = match host.stop.get() {
+        None => handled.await,
+        Some(schedule) => {
+            let time_left = schedule.answer_by().saturating_sub(host.now());
+            timeout(time_left, handled).await.unwrap_or_else(|_| {
+                tracing::info!(
+                    event = "request.cut",
+                    id = head.attempt_id.as_deref(),
+                    reason = "stopping",
+                );
+                reply(StatusCode::GATEWAY_TIMEOUT, Bytes::new())
+            })
+        }
+    };
     if host.is_stopping() {
         response
             .headers_mut()
@@ -237,11 +253,11 @@
 
 async fn handle_request<S: RowStore, W: Wire>(
     host: &Rc<Host<S, W>>,
-    request: Request<Incoming>,
+    parts: request::Parts,
+    body: Incoming,
+    head: &ClientHead,
 ) -> Reply {
     let arrived_at = host.now();
-    let (parts, body) = request.into_parts();
-    let head = W::client_head(&parts);
     let Some(configuration) = host.configuration() else {
         tracing::info!(
             event = "request.refused",
@@ -251,7 +267,7 @@
         return refusal(STARTING_RETRY_AFTER);
     };
     if let Some(call) = W::job_call(&parts) {
-        return jobs::handle_call(host, call, &head).await;
+        return jobs::handle_call(host, call, head).await;
     }
     let authority = parts
         .headers
@@ -289,9 +305,14 @@
         }
     };
     match route.kind {
-        RouteKind::Batch => jobs::submit(host, &parts, &body, &route, &head).await,
+        RouteKind::Batch => jobs::submit(host, &parts, &body, &route, head).await,
         _ => {
-            let call = calls::Call::new(parts, body, route, head, arrived_at);
+            let call = calls::Call::new(parts, body, route, head.clone(), arrived_at);
+            if let Some(schedule) = host.stop.get()
+                && !schedule.admits(host.now(), call.deadline())
+            {
+                return calls::unanswered_reply(host, &call, false, "stopping", 0, Duration::ZERO);
+            }
             calls::forward(host, &call).await
         }
     }
--- a/src/ingress/stop.rs
+++ b/src/ingress/stop.rs
@@ -4,15 +4,25 @@
 
 use crate::clock::Timestamp;
 
+/// The fraction of the stop grace during which calls are passed on whatever their deadline.
+/// Until then the balancer may still send new connections: it asks once a second whether
+/// the host is ready, and takes it out after two misses.
+const FULL_SERVICE_RATIO: f64 = 0.3;
+
 /// The fraction of the stop grace during which new connections are accepted.
 const ACCEPTING_RATIO: f64 = 0.45;
 
 /// The fraction of the stop grace after which the process exits even if connections are open.
-const EXIT_RATIO: f64 = 0.9;
+const EXIT_RATIO: f64 = 0.95;
+
+/// The time before the exit at which answers must be ready, so that clients get them whole.
+const ANSWER_MARGIN: Duration = Duration::from_millis(200);
 
 /// The moments of a planned stop, on the clock of the host that stops.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StopSchedule {
+    /// The end of the time in which calls are passed on whatever their deadline.
+    full_service_until: Timestamp,
     /// When the listener and the idle connections close.
     pub close_at: Timestamp,
     /// When the process exits even if connections are open.
@@ -25,8 +35,23 @@
     pub fn new(asked_at: Timestamp, grace: Duration) -> Self {
         let after = |ratio: f64| asked_at + grace.mul_f64(ratio);
         Self {
+            full_service_until: after(FULL_SERVICE_RATIO),
             close_at: after(ACCEPTING_RATIO),
             exit_at: after(EXIT_RATIO),
         }
     }
+
+    /// Returns the time by which all requests must be answered.
+    pub fn answer_by(&self) -> Timestamp {
+        self.exit_at.saturating_sub(ANSWER_MARGIN)
+    }
+
+    /// Returns whether a call that arrives at `now` and ends at `deadline` at the latest may be
+    /// passed on.
+    ///
+    /// After the balancer has taken the host out, calls come on open connections only. One
+    /// that could outlast the host is refused, since another host can serve it to its end.
+    pub fn admits(&self, now: Timestamp, deadline: Timestamp) -> bool {
+        now < self.full_service_until || deadline <= self.answer_by()
+    }
 }
--- a/tests/planned_stop.rs
+++ b/tests/planned_stop.rs
@@ -48,6 +48,9 @@
 const ANSWER: &str =
     "HTTP/1.1 200 OK\r\nattempt-id: a1\r\nserver-stamp: s1\r\ncontent-length: 2\r\n\r\nok";
 
+/// The end of an answer that has a length.
+const ANSWER_END: &str = "\r\n\r\nok";
+
 /// A host that serves clients until it is asked to stop.
 struct Running {
     clients: SocketAddr,
@@ -133,8 +136,13 @@
 
 /// Asserts that `text` is one whole answer, after which its connection closes.
 fn assert_whole(what: &str, text: &str) {
+    assert_ended(what, text, ANSWER_END);
+}
+
+/// Asserts that `text` is one answer that ends with `end`, after which its connection closes.
+fn assert_ended(what: &str, text: &str, end: &str) {
     assert!(text.starts_with("HTTP/1.1 200 OK\r\n"), "{what}: {text:?}");
-    assert!(text.ends_with("\r\n\r\nok"), "{what}: {text:?}");
+    assert!(text.ends_with(end), "{what}: {text:?}");
     assert!(text.contains("connection: close"), "{what}: {text:?}");
 }
 
@@ -142,7 +150,14 @@
     serve(|_, _| (ANSWER, false)).await
 }
 
-/// Sends `request` in two parts, the second after the host has stopped accepting.
+/// Returns `request` with a deadline `deadline_ms` after its head is read.
+fn with_deadline(request: &str, deadline_ms: u64) -> String {
+    let end = format!("\r\ndeadline-ms: {deadline_ms}\r\n\r\n");
+    request.replacen("\r\n\r\n", &end, 1)
+}
+
+/// Sends `request` in two parts, the second after the host has stopped accepting. It ends
+/// before the host does.
 fn play_halves(request: &str) {
     run(async {
         let (address, _) = upstream_of_pages().await;
@@ -150,9 +165,16 @@
         let mut halves = Vec::new();
         for length in [1, 20, request.len() - 2] {
             let mut stream = TcpStream::connect(host.clients).await.unwrap();
+            let has_head = request[..length].contains("\r\n\r\n");
+            let request = with_deadline(request, if has_head { 1_600 } else { 400 });
+            let length = if length > 20 {
+                request.len() - 2
+            } else {
+                length
+            };
             let (first, rest) = request.as_bytes().split_at(length);
             stream.write_all(first).await.unwrap();
-            halves.push((stream, length, rest));
+            halves.push((stream, length, rest.to_vec()));
         }
         sleep(Duration::from_millis(50)).await;
         let stopping = host.stop();
@@ -183,7 +205,8 @@
 /// their requests.
 #[test]
 fn accept_queue() {
-    run(async {
+    let request = with_deadline(REQUEST, 400);
+    run(async move {
         let (address, _) = upstream_of_pages().await;
         let host = Running::start(RouteKind::Idempotent, address).await;
         let clients = host.clients;
@@ -194,7 +217,7 @@
             .map(|number| {
                 let mut stream = std::net::TcpStream::connect(clients).unwrap();
                 if number % 2 == 0 {
-                    stream.write_all(REQUEST.as_bytes()).unwrap();
+                    stream.write_all(request.as_bytes()).unwrap();
                 }
                 stream.set_nonblocking(true).unwrap();
                 (number, TcpStream::from_std(stream).unwrap())
@@ -204,7 +227,7 @@
         sleep(Duration::from_millis(50)).await;
         for (number, mut stream) in queued {
             if number % 2 == 1 {
-                stream.write_all(REQUEST.as_bytes()).await.unwrap();
+                stream.write_all(request.as_bytes()).await.unwrap();
             }
             assert_whole(&number.to_string(), &read_all(&mut stream).await);
         }
@@ -290,6 +313,60 @@
     });
 }
 
+/// Plays calls on kept connections that come before and after the balancer has taken the
+/// host out.
+fn play_late_calls(kind: RouteKind, end: &str) {
+    run(async {
+        let (address, request_count) = upstream_of_pages().await;
+        let host = Running::start(kind, address).await;
+        let mut kept = Vec::new();
+        for _ in 0..3 {
+            let mut stream = TcpStream::connect(host.clients).await.unwrap();
+            stream.write_all(REQUEST.as_bytes()).await.unwrap();
+            let mut answer = Vec::new();
+            while !answer.ends_with(end.as_bytes()) {
+                answer.push(stream.read_u8().await.unwrap());
+            }
+            kept.push(stream);
+        }
+        let stopping = host.stop();
+        let [early, late, short] = kept.as_mut_slice() else {
+            unreachable!("three connections")
+        };
+        sleep(Duration::from_millis(300)).await;
+        early.write_all(REQUEST.as_bytes()).await.unwrap();
+        let text = read_all(early).await;
+        assert_ended("taken while new connections come", &text, end);
+        sleep(Duration::from_millis(450)).await;
+        let run_count = request_count.get();
+        late.write_all(REQUEST.as_bytes()).await.unwrap();
+        let text = read_all(late).await;
+        assert!(text.starts_with("HTTP/1.1 503 "), "{text:?}");
+        assert!(text.contains("retry-after: "), "{text:?}");
+        assert!(text.contains("connection: close"), "{text:?}");
+        assert_eq!(request_count.get(), run_count, "a refused call has not run");
+        short
+            .write_all(with_deadline(REQUEST, 400).as_bytes())
+            .await
+            .unwrap();
+        assert_ended("ends before the host", &read_all(short).await, end);
+        stopping.assert_ended(ACCEPTING_TIME + END_TIME).await;
+    });
+}
+
+/// Guards against calls that are cut as the process ends, since they were taken late in the
+/// stop and need longer than the host has left.
+#[test]
+fn late_long_calls() {
+    play_late_calls(RouteKind::NonIdempotent, ANSWER_END);
+}
+
+/// The same, with streams.
+#[test]
+fn late_long_streams() {
+    play_late_calls(RouteKind::Streaming, "2\r\nok\r\n0\r\n\r\n");
+}
+
 /// Guards against a stop that outlasts its grace, so that the platform kills the process: the
 /// store does not answer as the host releases the lease.
 #[test]
