Take no odd entry for an upstream

What callers saw elsewhere: an odd entry of another writer among those of the servers, and machines ended or stopped following the list.

The valid entry of `platform_wire` gets the field that it lacked.

Conclusion: what names no server is dropped where it is decoded, so that no code behind it meets such values.

--- a/src/platform/documents.rs
+++ b/src/platform/documents.rs
@@ -89,18 +89,21 @@
     pub version: u64,
 }
 
-/// The entry of an upstream. Its `sequence` counts heartbeats, not orders.
+/// The entry of an upstream. Other writers' entries, with fields missing or of another type,
+/// name no upstream. Its `sequence` counts heartbeats, not orders.
 #[derive(Debug, Deserialize)]
 pub struct UpstreamDocument {
     /// The version of the upstream's software, not that of any weights.
     pub version: String,
     pub service: String,
     pub address: String,
-    #[serde(default)]
     pub zone: String,
-    #[serde(default)]
     pub slots: usize,
     pub state: String,
+    #[serde(rename = "cold_remaining_ms")]
+    pub _cold_remaining_ms: f64,
+    #[serde(rename = "sequence")]
+    pub _sequence: u64,
     #[serde(default)]
     pub models: Vec<ModelDocument>,
     /// The start time of the upstream, in milliseconds since the Unix epoch.
--- a/src/platform/standin/store.rs
+++ b/src/platform/standin/store.rs
@@ -1,6 +1,7 @@
 //! A stand-in for the platform's store.
 
 use std::{
+    borrow::Cow,
     cell::{Cell, RefCell},
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
@@ -11,6 +12,7 @@
 use base64::{Engine as _, engine::general_purpose::STANDARD};
 use bytes::Bytes;
 use http::{Method, Request};
+use percent_encoding::percent_decode_str;
 use serde_json::{Value, json};
 use tokio::{
     net::TcpListener,
@@ -175,7 +177,12 @@
     /// Writes a row as the operator or an upstream does. Faults of the store do not
     /// affect such writes.
     pub fn write(&self, table: &str, key: &str, value: &Value) {
-        let value = STANDARD.encode(value.to_string());
+        self.write_text(table, key, &value.to_string());
+    }
+
+    /// Writes a row with any text, as another writer may.
+    pub fn write_text(&self, table: &str, key: &str, text: &str) {
+        let value = STANDARD.encode(text);
         self.apply(&[((table, "", key), Some(value))]);
     }
 
@@ -230,14 +237,15 @@
                 _ => Ok(self.commit(&body)),
             };
         }
-        let query: BTreeMap<&str, &str> = request
+        let query: BTreeMap<&str, Cow<'_, str>> = request
             .uri()
             .query()
             .unwrap_or_default()
             .split('&')
             .filter_map(|pair| pair.split_once('='))
+            .map(|(name, value)| (name, percent_decode_str(value).decode_utf8_lossy()))
             .collect();
-        let text = |name: &str| query.get(name).copied().unwrap_or_default();
+        let text = |name: &str| query.get(name).map_or("", |value| value);
         let number = |name: &str| text(name).parse::<u64>().unwrap_or(0);
         let reply = match request.uri().path() {
             "/-/rows-get" => self.read(
--- a/tests/platform_wire.rs
+++ b/tests/platform_wire.rs
@@ -98,7 +98,8 @@
 #[test]
 fn unreadable_rows() {
     let valid = r#"{"service":"s","address":"10.1.0.2:80","zone":"a","slots":12,"state":"ready",
-        "version":"v1","models":[{"name":"m","version":4,"adapters":[]}],"sequence":4,"born":17}"#;
+        "version":"v1","models":[{"name":"m","version":4,"adapters":[]}],"cold_remaining_ms":0,"sequence":4,
+        "born":17}"#;
     let upstream = PlatformWire::upstream(&row("i-1", valid)).unwrap();
     assert_eq!(upstream.versions["m"], 4);
     assert_eq!(upstream.started_at_ms, 17);
