Do not complete an item on the text of an error

Another operator's report: a stream breaks off, the next server answers with an error, and the stream ends as if it were complete.

Cause: the parser of event streams skipped unknown fields and blocks without data. An item that went on after event 5 and got the text of an error in a signed, framed answer had read a stream without events, which stands for "nothing left to generate".

Ruled out: errors with their own status (`Failed`, runs again), text without an empty line at its end (inside an event), `data` without a number; and two upstreams in one answer to a client, as a host sends a stream nowhere else once its head is passed on (`error_after_break` passes on the old code).

Change: a block with nothing but unknown fields is no event stream; the run has broken. Comments, `event`, `retry` and the fields of the platform stay, and unknown fields beside data are skipped as before.

Before: `broken_stream`, `error_in_place_of_events` fails (`oops` completes the item). After: it passes with the parser's tests.

Conclusion: only an answer without events, or one that ends the events, completes an item.

--- a/src/platform/events.rs
+++ b/src/platform/events.rs
@@ -17,6 +17,8 @@
     data: Option<String>,
     version: Option<u64>,
     is_in_event: bool,
+    /// Whether the present event has a line that no event stream has.
+    has_foreign_line: bool,
     /// The length of the complete lines of the present event.
     event_bytes: usize,
 }
@@ -77,7 +79,9 @@
                     field: WEIGHT_VERSIONS,
                 })?);
             }
-            _ => {}
+            // The name of a comment is empty.
+            "" | "event" | "retry" => {}
+            _ => self.has_foreign_line = true,
         }
         Ok(None)
     }
@@ -87,8 +91,14 @@
         self.event_bytes = 0;
         let version = self.version.take();
         let number = self.event_number.take();
+        let has_foreign_line = std::mem::take(&mut self.has_foreign_line);
         let Some(data) = self.data.take() else {
-            return Ok(None);
+            // An event may have fields that are not known here, but not only such ones: the
+            // text of an error does.
+            return match has_foreign_line {
+                true => Err(DecodeError::Field { field: "event" }),
+                false => Ok(None),
+            };
         };
         let number = number.ok_or(DecodeError::Field { field: "id" })?;
         Ok(Some(StreamEvent {
