Tear a stream that ends inside an event

Cause: an answer without a length and without chunks ends with its connection. The host passes it on in chunks, and wrote the last chunk also where the upstream had closed in the middle of an event.

Change: where the framing does not show the end, the last bytes must end an event. Runs of items and streams use one function for the framing.

Before: `broken_stream`, `cut_streams` fails (cut inside event 2, looks whole). After: it passes.

Conclusion: all that HTTP or the events show to be missing tears the stream.

--- a/src/ingress/calls.rs
+++ b/src/ingress/calls.rs
@@ -16,7 +16,7 @@
 pub use self::call::{Call, Fingerprint, split_point};
 pub use self::sending::{Answer, record_leaving, send, send_while};
 use self::stream::{Stream, stream_reply};
-pub use self::stream::{StreamEnd, forward_body};
+pub use self::stream::{StreamEnd, forward_body, is_delimited};
 use crate::{
     call::terms,
     clock::{Timestamp, millis},
--- a/src/ingress/calls/stream.rs
+++ b/src/ingress/calls/stream.rs
@@ -3,9 +3,9 @@
 use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use http::{Response, response};
+use http::{HeaderMap, Response, header, response};
 use http_body_util::{BodyExt as _, Either, StreamBody};
-use hyper::body::{Frame, Incoming};
+use hyper::body::{Body as _, Frame, Incoming};
 use tokio::{sync::mpsc, task::spawn_local, time::sleep};
 use tokio_stream::wrappers::ReceiverStream;
 
@@ -52,19 +52,49 @@
     ClientGone,
 }
 
+/// Returns whether the framing of an answer with `headers` shows where its body ends.
+///
+/// Otherwise it ends with its connection, so that an answer which is cut looks whole.
+pub fn is_delimited(headers: &HeaderMap, body: &Incoming) -> bool {
+    body.size_hint().exact().is_some() || headers.contains_key(header::TRANSFER_ENCODING)
+}
+
+/// The end of what was read of a stream of events, by which a cut inside an event shows.
+#[derive(Clone, Copy, Debug, Default)]
+struct Tail {
+    bytes: [u8; 4],
+}
+
+impl Tail {
+    fn push(&mut self, data: &[u8]) {
+        let kept = data.len().min(self.bytes.len());
+        self.bytes.rotate_left(kept);
+        let start = self.bytes.len() - kept;
+        self.bytes[start..].copy_from_slice(&data[data.len() - kept..]);
+    }
+
+    /// Returns whether the stream has ended inside an event, which an empty line ends.
+    fn is_inside_event(self) -> bool {
+        let is_empty = self.bytes == [0; 4];
+        !(is_empty || self.bytes.ends_with(b"\n\n") || self.bytes.ends_with(b"\r\n\r\n"))
+    }
+}
+
 /// Returns the body of a reply to which `body` is forwarded as it arrives, for `time_left`
-/// at most. Calls `end` once that has ended.
+/// at most. Calls `end` once that has ended. Where the framing does not show that, with
+/// `is_delimited` false, a body that ends inside an event is torn.
 ///
 /// Dropping `body` when the client disconnects closes its connection, which stops the work
 /// at the other side.
 pub fn forward_body<F: Future<Output = ()>>(
     body: Incoming,
+    is_delimited: bool,
     time_left: Duration,
     end: impl FnOnce(StreamEnd) -> F + 'static,
 ) -> ReplyBody {
     let (sender, receiver) = mpsc::channel(STREAM_BUFFER_FRAME_COUNT);
     spawn_local(async move {
-        let ended = forward_frames(body, &sender, time_left).await;
+        let ended = forward_frames(body, is_delimited, &sender, time_left).await;
         drop(sender);
         end(ended).await;
     });
@@ -73,11 +103,13 @@
 
 async fn forward_frames(
     mut body: Incoming,
+    is_delimited: bool,
     sender: &mpsc::Sender<Result<Frame<Bytes>, StreamCut>>,
     time_left: Duration,
 ) -> StreamEnd {
     let deadline = sleep(time_left);
     tokio::pin!(deadline);
+    let mut tail = Tail::default();
     loop {
         let frame = tokio::select! {
             frame = body.frame() => frame,
@@ -89,9 +121,13 @@
             () = sender.closed() => return StreamEnd::ClientGone,
         };
         let chunk = match frame {
-            None => return StreamEnd::Whole,
+            None if is_delimited || !tail.is_inside_event() => return StreamEnd::Whole,
+            None => Err(StreamCut),
             Some(Ok(frame)) => match frame.into_data() {
-                Ok(data) => Ok(Frame::data(data)),
+                Ok(data) => {
+                    tail.push(&data);
+                    Ok(Frame::data(data))
+                }
                 Err(_) => continue,
             },
             Some(Err(_)) => Err(StreamCut),
@@ -114,7 +150,8 @@
     connection: Connection,
 ) -> Reply {
     let time_left = stream.deadline.saturating_sub(stream.host.now());
-    let body = forward_body(body, time_left, async move |end| {
+    let is_delimited = is_delimited(&parts.headers, &body);
+    let body = forward_body(body, is_delimited, time_left, async move |end| {
         // All of it lives until here, with the count of open calls.
         let stream = stream;
         match end {
--- a/src/ingress/handover.rs
+++ b/src/ingress/handover.rs
@@ -236,7 +236,8 @@
     }
     let body = if call.route.kind == RouteKind::Streaming && parts.status.is_success() {
         let time_left = call.deadline().saturating_sub(host.now());
-        calls::forward_body(body, time_left, async move |end| {
+        let is_delimited = calls::is_delimited(&parts.headers, &body);
+        calls::forward_body(body, is_delimited, time_left, async move |end| {
             if end == StreamEnd::Whole {
                 connection.release();
             }
--- a/src/ingress/runs.rs
+++ b/src/ingress/runs.rs
@@ -4,7 +4,6 @@
 
 use http::StatusCode;
 use http_body_util::{BodyExt as _, Limited};
-use hyper::body::Body as _;
 
 use crate::{
     batch::{
@@ -91,10 +90,7 @@
         StatusCode::INTERNAL_SERVER_ERROR => Some(RunEnd::Failed),
         _ => Some(RunEnd::Broken),
     };
-    // An answer without a length ends when its connection closes, so that a cut
-    // answer looks complete.
-    let is_delimited = body.size_hint().exact().is_some()
-        || parts.headers.contains_key(http::header::TRANSFER_ENCODING);
+    let is_delimited = calls::is_delimited(&parts.headers, &body);
     if let Some(refused) = refused {
         let body = Limited::new(body, calls::MAX_DRAINED_BYTES);
         if is_delimited && body.collect().await.is_ok() {
--- a/tests/broken_stream.rs
+++ b/tests/broken_stream.rs
@@ -87,6 +87,43 @@
     (status, text, true)
 }
 
+/// Guards against streams that end as if they were whole where the upstream broke off, with
+/// each framing, inside an event and between two.
+#[test]
+fn cut_streams() {
+    run(async {
+        let event = "id: 1\ndata: a\n\n";
+        let part = "id: 2\nda";
+        for (framing, body, is_whole) in [
+            ("content-length: 99\r\n", format!("{event}{part}"), false),
+            ("content-length: 99\r\n", event.to_owned(), false),
+            (
+                "transfer-encoding: chunked\r\n",
+                format!("f\r\n{event}\r\n"),
+                false,
+            ),
+            (
+                "transfer-encoding: chunked\r\n",
+                format!("17\r\n{event}{part}"),
+                false,
+            ),
+            // The end of the connection is the end of the answer.
+            ("", event.to_owned(), true),
+            ("", event.replace('\n', "\r\n"), true),
+            ("", format!("{event}{part}"), false),
+            ("", event.trim_end().to_owned(), false),
+            ("", format!("{event}{part}ta: b\n"), false),
+        ] {
+            let answer = leak(format!("{STREAM_HEAD}{framing}\r\n{body}"));
+            let host = host_before(&[answer]).await;
+            let (status, text, looks_whole) = forward(&host, &stream_call(&host, None)).await;
+            assert_eq!(status, StatusCode::OK, "{answer:?}");
+            assert!(body.contains(&text) || text.starts_with(event), "{text:?}");
+            assert_eq!(looks_whole, is_whole, "{answer:?}");
+        }
+    });
+}
+
 /// Guards against the text of an error inside a stream: the first upstream breaks off, the
 /// others answer with errors. The error is an answer of its own, to the next attempt.
 #[test]
