Drop a reading of the software versions that a newer one overtook

Cause: readings of the registered versions were stored as they came. As the host wakes or its link is back, the answer to an older read may come between the newer one and the task of a stream that waited for that: the stream finds one version, and takes it for the one that began it.

Change: the book of origins keeps the store's stamp and drops what is older. A version is usable if it was listed since before the read was sent.

Conclusion: what is known of the versions never goes back.

--- a/src/ingress/origins.rs
+++ b/src/ingress/origins.rs
@@ -302,15 +302,17 @@
 async fn read_versions<S: RowStore, W: Wire>(
     host: &Rc<Host<S, W>>,
 ) -> Result<BTreeMap<ServiceName, SavedVersions>, RowError> {
-    let rows = stored::read_all(&host.store, rows::versions_range()).await?;
-    let saved = rows::decode_versions(&rows).map_err(stored::unreadable)?;
+    let listed_before = listed_versions(host);
+    let page = stored::read_page(&host.store, rows::versions_range()).await?;
+    let saved = rows::decode_versions(&page.rows).map_err(stored::unreadable)?;
     let registered = saved
         .iter()
         .map(|(service, saved)| (service.clone(), saved.versions.clone()))
         .collect();
-    let listed = listed_versions(host);
+    // A version that came back meanwhile may have been dropped from the store.
+    let listed = &listed_before & &listed_versions(host);
     let mut book = host.origins.borrow_mut();
-    book.set_registered(registered, &listed);
+    book.set_registered(registered, page.stamp, &listed);
     host.origin_unsaved.notify_one();
     Ok(saved)
 }
--- a/src/ingress/origins/book.rs
+++ b/src/ingress/origins/book.rs
@@ -11,6 +11,7 @@
     clock::Timestamp,
     ids::{RequestId, SoftwareVersion},
     ingress::routes::ServiceName,
+    store::rows::RowStamp,
 };
 
 /// The largest number of origins that a host remembers, and of those that wait to be
@@ -41,6 +42,8 @@
     /// The versions of each service that may have begun streams, as last read from the
     /// store.
     registered: BTreeMap<ServiceName, BTreeSet<SoftwareVersion>>,
+    /// The store's stamp as of that reading.
+    registered_stamp: RowStamp,
     /// Those of them that have been listed ever since they were read.
     ///
     /// A version that is not listed may be dropped from the store, so that it must be read
@@ -53,13 +56,27 @@
 }
 
 impl OriginBook {
-    /// Records the versions that the store has for all services, of which `listed` are
-    /// listed now. The streams of a service that has several versions now must be saved.
+    /// Records the versions that the store had for all services as of `stamp`, of which
+    /// `listed` have been listed since they were asked for. The streams of a service that has
+    /// several versions now must be saved.
+    ///
+    /// Answers may overtake each other. An older one would hide a version at which streams
+    /// have begun elsewhere, and is dropped.
     pub fn set_registered(
         &mut self,
         registered: BTreeMap<ServiceName, BTreeSet<SoftwareVersion>>,
+        stamp: RowStamp,
         listed: &BTreeSet<(ServiceName, SoftwareVersion)>,
     ) {
+        if stamp < self.registered_stamp {
+            tracing::info!(
+                event = "versions.outdated",
+                stamp,
+                known_stamp = self.registered_stamp,
+            );
+            return;
+        }
+        self.registered_stamp = stamp;
         let known = std::mem::replace(&mut self.registered, registered);
         self.usable = listed
             .iter()
--- a/tests/broken_stream.rs
+++ b/tests/broken_stream.rs
@@ -51,7 +51,7 @@
     let listed = BTreeSet::from([(SERVICE.into(), "v1".into())]);
     host.origins
         .borrow_mut()
-        .set_registered(registered, &listed);
+        .set_registered(registered, 0, &listed);
     for (number, answer) in answers.iter().copied().enumerate() {
         let (address, _) = serve(move |_, _| (answer, true)).await;
         let upstream = upstream(&format!("i-{number}"), 1, address);
--- a/tests/fleet_support/mod.rs
+++ b/tests/fleet_support/mod.rs
@@ -26,7 +26,7 @@
     runtime,
     sync::oneshot,
     task::LocalSet,
-    time::{Instant, sleep},
+    time::{Instant, sleep, timeout},
 };
 
 use crate::pause_support::run_paused;
@@ -34,6 +34,9 @@
 /// How long hosts may take to become ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// The time without an answer after which a host counts as paused.
+const PAUSE_SIGN: Duration = Duration::from_millis(300);
+
 /// One host.
 pub struct FleetHost {
     pub clients: SocketAddr,
@@ -104,6 +107,20 @@
         drop(self.stop.take());
     }
 
+    /// Waits until the host does not answer, since its thread is paused.
+    pub async fn wait_until_paused(&self, patience: Duration) {
+        let is_paused = async {
+            loop {
+                let asked = Client::send_once(self.ready, async |client| client.ready().await);
+                if timeout(PAUSE_SIGN, asked).await.is_err() {
+                    return;
+                }
+                sleep(Duration::from_millis(5)).await;
+            }
+        };
+        timeout(patience, is_paused).await.unwrap();
+    }
+
     pub async fn wait_until_ready(&self) {
         let deadline = Instant::now() + READY_TIMEOUT;
         loop {
@@ -195,6 +212,23 @@
         }
     }
 
+    /// Adds an engine of `software_version`.
+    pub async fn add_engine(&mut self, software_version: &str) {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let engine = Engine::start(
+            format!("i-{}", self.upstreams.len()),
+            EngineRole::Generates,
+            listener,
+            address,
+            Engine::first_versions(),
+            self.store.clone(),
+            self.record.clone(),
+        );
+        engine.set_software_version(software_version);
+        self.upstreams.push(engine);
+    }
+
     /// Ends all hosts and starts as many new ones under the same names.
     pub async fn restart_hosts(&mut self) {
         let host_count = self.hosts.len();
--- a/tests/joined_streams.rs
+++ b/tests/joined_streams.rs
@@ -23,6 +23,12 @@
 /// How long hosts take to learn what the upstreams list.
 const LISTING_TIME: Duration = Duration::from_millis(1_500);
 
+/// The poll before which a host is paused, a second or two after it is ready.
+const PAUSED_POLL: usize = 600;
+
+/// How long that may take to come.
+const PAUSE_PATIENCE: Duration = Duration::from_secs(20);
+
 /// How long after its first event the origin of a stream is saved at the latest.
 const SAVING_TIME: Duration = Duration::from_millis(300);
 
@@ -140,6 +146,27 @@
     });
 }
 
+/// A host stands still while upstreams of a second version join, and streams begin there over
+/// another host. As it wakes it has not heard of the version, and takes the streams up.
+#[test]
+fn host_out_of_step() {
+    run(async {
+        let pauses = vec![
+            BTreeMap::new(),
+            BTreeMap::from([(PAUSED_POLL, Duration::from_secs(4))]),
+        ];
+        let mut fleet = Fleet::start_paused(pauses, 0, 2).await;
+        fleet.hosts[1].wait_until_paused(PAUSE_PATIENCE).await;
+        for _ in 0..2 {
+            fleet.add_engine("v2").await;
+        }
+        sleep(LISTING_TIME).await;
+        let begun = begin_streams(&fleet.hosts[0]).await;
+        assert_eq!(take_up(&fleet.hosts[1], &begun).await, STREAM_COUNT);
+        assert_none_joined(&fleet);
+    });
+}
+
 /// Streams began before a second version came. Hosts save them once it is there.
 #[test]
 fn second_version_comes() {
--- a/tests/rows_support/mod.rs
+++ b/tests/rows_support/mod.rs
@@ -25,6 +25,7 @@
         StoredRow,
     },
 };
+use tokio::sync::oneshot;
 
 /// What happens to a write.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -51,6 +52,8 @@
     commit_count: usize,
     read_starts: Vec<String>,
     is_holding_answers: bool,
+    is_holding_reads: bool,
+    held_reads: Vec<oneshot::Sender<()>>,
     is_feed_silent: bool,
     failing_partition: Option<String>,
     peers: Vec<SocketAddr>,
@@ -81,6 +84,24 @@
         self.inner.borrow_mut().is_holding_answers = true;
     }
 
+    /// Withholds the answers to reads, as they are now, until [`Rows::release_read`].
+    pub fn hold_reads(&self, is_held: bool) {
+        self.inner.borrow_mut().is_holding_reads = is_held;
+    }
+
+    /// Returns how many answers to reads were withheld.
+    pub fn held_read_count(&self) -> usize {
+        self.inner.borrow().held_reads.len()
+    }
+
+    /// Releases the answer to the withheld read `number`, from 0.
+    pub fn release_read(&self, number: usize) {
+        let (released, _) = oneshot::channel();
+        let held = std::mem::replace(&mut self.inner.borrow_mut().held_reads[number], released);
+        // The reader may have given up.
+        let _ = held.send(());
+    }
+
     /// Makes feeds wait for ever. Otherwise their history is always gone.
     pub fn silence_feeds(&self) {
         self.inner.borrow_mut().is_feed_silent = true;
@@ -178,6 +199,40 @@
 }
 
 impl Rows {
+    fn answer_read(&self, range: &RowRange) -> Result<RowPage, RowError> {
+        let mut inner = self.inner.borrow_mut();
+        inner.apply_due_writes();
+        inner.read_starts.push(range.from.clone());
+        if inner.failing_partition.as_ref() == Some(&range.partition) {
+            return Err(RowError::Unknown);
+        }
+        let mut rows: Vec<StoredRow> = inner
+            .rows
+            .iter()
+            .filter(|((table, partition, _), _)| {
+                table == range.table && *partition == range.partition
+            })
+            .filter(|((_, _, key), _)| {
+                *key >= range.from && (range.to.is_empty() || *key < range.to)
+            })
+            .map(|((_, partition, key), (value, stamp))| StoredRow {
+                partition: partition.clone(),
+                key: key.clone(),
+                value: value.clone(),
+                stamp: *stamp,
+                is_removed: false,
+            })
+            .collect();
+        let has_more = rows.len() > range.limit_count;
+        rows.truncate(range.limit_count);
+        Ok(RowPage {
+            rows,
+            has_more,
+            stamp: inner.stamp,
+            store_time: Duration::ZERO,
+        })
+    }
+
     fn apply_next_fault(&self, transaction: &RowTransaction) -> Result<Applied, RowError> {
         let mut inner = self.inner.borrow_mut();
         inner.apply_due_writes();
@@ -216,37 +271,20 @@
 
     async fn read(&self, range: &RowRange) -> Result<RowPage, RowError> {
         tokio::task::yield_now().await;
-        let mut inner = self.inner.borrow_mut();
-        inner.apply_due_writes();
-        inner.read_starts.push(range.from.clone());
-        if inner.failing_partition.as_ref() == Some(&range.partition) {
-            return Err(RowError::Unknown);
-        }
-        let mut rows: Vec<StoredRow> = inner
-            .rows
-            .iter()
-            .filter(|((table, partition, _), _)| {
-                table == range.table && *partition == range.partition
-            })
-            .filter(|((_, _, key), _)| {
-                *key >= range.from && (range.to.is_empty() || *key < range.to)
-            })
-            .map(|((_, partition, key), (value, stamp))| StoredRow {
-                partition: partition.clone(),
-                key: key.clone(),
-                value: value.clone(),
-                stamp: *stamp,
-                is_removed: false,
+        let answer = self.answer_read(range);
+        let held = {
+            let mut inner = self.inner.borrow_mut();
+            inner.is_holding_reads.then(|| {
+                let (release, released) = oneshot::channel();
+                inner.held_reads.push(release);
+                released
             })
-            .collect();
-        let has_more = rows.len() > range.limit_count;
-        rows.truncate(range.limit_count);
-        Ok(RowPage {
-            rows,
-            has_more,
-            stamp: inner.stamp,
-            store_time: Duration::ZERO,
-        })
+        };
+        if let Some(released) = held {
+            // A dropped sender releases the answer, too.
+            let _ = released.await;
+        }
+        answer
     }
 
     async fn partitions(&self, table: &str, after: &str) -> Result<Vec<String>, RowError> {
