Check the values of an upstream outside the platform's folder

Cause: the folder translates and decides nothing. Which address an upstream can have, and how long a version may be, is a decision.

Conclusion: the same entries are dropped, with a typed reason in the log.

--- a/src/ingress/directory.rs
+++ b/src/ingress/directory.rs
@@ -1,6 +1,11 @@
 //! The known upstreams, and the choice of one for a call.
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeMap,
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
 
 use crate::{
     batch::job::ModelId,
@@ -43,6 +48,9 @@
 /// The number of upstreams of equal rank that take turns.
 const TURN_COUNT: u64 = 16;
 
+/// The longest software version, as long as the names of the store.
+const MAX_VERSION_BYTES: usize = 200;
+
 /// How many upstreams without an entry are remembered as leaving.
 const MAX_LEFT_COUNT: usize = 4_096;
 
@@ -70,6 +78,44 @@
     pub versions: BTreeMap<ModelId, WeightVersion>,
 }
 
+/// Why an entry names no upstream to use, although it can be decoded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum UnusableUpstream {
+    /// Requests name the upstream in a header.
+    #[error("the id does not fit into a header")]
+    Id,
+    /// No connection can be opened to such an address.
+    #[error("nobody can have the address {0}")]
+    Address(SocketAddr),
+    /// Versions are saved beside each other in one row of the store.
+    #[error("the software version has {0} bytes")]
+    SoftwareVersion(usize),
+}
+
+impl Upstream {
+    /// Checks that the upstream can be called: another writer may have made the entry.
+    ///
+    /// # Errors
+    ///
+    /// Fails where no upstream can have these values.
+    pub fn check(&self) -> Result<(), UnusableUpstream> {
+        if self.id.is_empty() || !self.id.bytes().all(|byte| byte.is_ascii_graphic()) {
+            return Err(UnusableUpstream::Id);
+        }
+        let ip = self.address.ip();
+        let is_broadcast = ip == IpAddr::V4(Ipv4Addr::BROADCAST);
+        let is_nobodys = ip.is_unspecified() || ip.is_multicast() || is_broadcast;
+        if is_nobodys || self.address.port() == 0 {
+            return Err(UnusableUpstream::Address(self.address));
+        }
+        let length_bytes = self.software_version.len();
+        if !(1..=MAX_VERSION_BYTES).contains(&length_bytes) {
+            return Err(UnusableUpstream::SoftwareVersion(length_bytes));
+        }
+        Ok(())
+    }
+}
+
 /// An upstream with this host's record of its calls.
 #[derive(Clone, Debug)]
 struct Entry {
--- a/src/ingress/feeds.rs
+++ b/src/ingress/feeds.rs
@@ -9,9 +9,10 @@
 use crate::{
     clock::millis,
     ingress::{
+        directory::{UnusableUpstream, Upstream},
         host::{FleetView, Host},
         stored,
-        wire::{OperatorChange, Wire},
+        wire::{DecodeError, OperatorChange, Wire},
     },
     observe::telemetry::STORE_LOST,
     retry,
@@ -37,6 +38,17 @@
 /// The number of rows read per call; the platform returns at most this many.
 const PAGE_ROW_COUNT: usize = 500;
 
+/// Why an entry names no upstream.
+#[derive(Debug, thiserror::Error)]
+pub enum UnreadableUpstream {
+    /// It cannot be decoded.
+    #[error(transparent)]
+    Format(#[from] DecodeError),
+    /// No upstream can have its values.
+    #[error(transparent)]
+    Unusable(#[from] UnusableUpstream),
+}
+
 /// Follows one table and tracks whether the store answers.
 struct Follower<'a, S, W> {
     host: &'a Rc<Host<S, W>>,
@@ -216,6 +228,17 @@
     }
 }
 
+/// Returns the upstream that an entry names.
+///
+/// # Errors
+///
+/// Fails where it names none that can be used, since another writer has made it.
+pub fn read_upstream<W: Wire>(row: &StoredRow) -> Result<Upstream, UnreadableUpstream> {
+    let upstream = W::upstream(row)?;
+    upstream.check()?;
+    Ok(upstream)
+}
+
 fn apply_upstream_rows<S: RowStore, W: Wire>(
     host: &Rc<Host<S, W>>,
     rows: &[StoredRow],
@@ -239,7 +262,7 @@
             directory.remove(&id, now);
             continue;
         }
-        match W::upstream(row) {
+        match read_upstream::<W>(row) {
             Ok(upstream) => {
                 let known = directory.get(&id).cloned();
                 directory.put(upstream);
--- a/src/platform/documents.rs
+++ b/src/platform/documents.rs
@@ -100,8 +100,10 @@
     pub zone: String,
     pub slots: usize,
     pub state: String,
+    /// Read only since an entry has it.
     #[serde(rename = "cold_remaining_ms")]
     pub _cold_remaining_ms: f64,
+    /// Read only since an entry has it.
     #[serde(rename = "sequence")]
     pub _sequence: u64,
     #[serde(default)]
--- a/src/platform/wire.rs
+++ b/src/platform/wire.rs
@@ -1,11 +1,6 @@
 //! Encodes and decodes the messages between clients, this host and upstreams.
 
-use std::{
-    collections::BTreeMap,
-    net::{IpAddr, Ipv4Addr, SocketAddr},
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use base64::{Engine as _, engine::general_purpose::STANDARD};
 use bytes::Bytes;
@@ -320,25 +315,14 @@
 
     fn upstream(row: &StoredRow) -> Result<Upstream, DecodeError> {
         let document: UpstreamDocument = parse_json(&row.value)?;
-        let unusable = |field| DecodeError::Field { field };
-        // Requests name the upstream in a header.
-        if row.key.is_empty() || !row.key.bytes().all(|byte| byte.is_ascii_graphic()) {
-            return Err(unusable("id"));
-        }
-        let is_version = 1..=MAX_ID_BYTES;
-        if !is_version.contains(&document.version.len()) {
-            return Err(unusable("version"));
-        }
         let address: SocketAddr = document
             .address
             .parse()
-            .ok()
-            .filter(is_connectable)
-            .ok_or(unusable("address"))?;
+            .map_err(|_| DecodeError::Field { field: "address" })?;
         let is_draining = match document.state.as_str() {
             "ready" => false,
             "draining" => true,
-            _ => return Err(unusable("state")),
+            _ => return Err(DecodeError::Field { field: "state" }),
         };
         Ok(Upstream {
             id: row.key.as_str().into(),
@@ -510,13 +494,6 @@
         .map(|(_, value)| value)
 }
 
-/// Returns whether an upstream can have `address`.
-fn is_connectable(address: &SocketAddr) -> bool {
-    let ip = address.ip();
-    let is_broadcast = ip == IpAddr::V4(Ipv4Addr::BROADCAST);
-    address.port() != 0 && !ip.is_unspecified() && !ip.is_multicast() && !is_broadcast
-}
-
 /// Returns `text` as an id if it can be part of a row's name without escaping.
 fn parse_id(text: &str) -> Option<ItemId> {
     let is_plain = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.~".contains(&byte);
--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -9,7 +9,12 @@
 
 use bytes::Bytes;
 use mimosavane::{
-    ingress::{feeds, host::Host, metrics::Exposition, wire::Wire as _},
+    ingress::{
+        directory::Upstream,
+        feeds::{self, UnreadableUpstream},
+        host::Host,
+        metrics::Exposition,
+    },
     observe::telemetry::Metrics,
     platform::{PlatformWire, standin::Store, store::PlatformStore},
     store::rows::StoredRow,
@@ -117,6 +122,10 @@
     }
 }
 
+fn read_upstream(row: &StoredRow) -> Result<Upstream, UnreadableUpstream> {
+    feeds::read_upstream::<PlatformWire>(row)
+}
+
 /// Starts a host that follows the upstreams of `store`.
 async fn follow() -> (Store, FollowingHost) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -145,14 +154,14 @@
 /// type, too large, or name an address that nobody can have.
 #[test]
 fn name_no_upstream() {
-    assert!(PlatformWire::upstream(&row("i-1", entry(80).to_string())).is_ok());
+    assert!(read_upstream(&row("i-1", entry(80).to_string())).is_ok());
     for text in odd_entries() {
         let start: String = text.chars().take(200).collect();
-        let decoded = PlatformWire::upstream(&row("i-1", text));
+        let decoded = read_upstream(&row("i-1", text));
         assert!(decoded.is_err(), "{start}");
     }
     for key in ["", "i\n1", "i-\u{e9}"] {
-        let decoded = PlatformWire::upstream(&row(key, entry(80).to_string()));
+        let decoded = read_upstream(&row(key, entry(80).to_string()));
         assert!(decoded.is_err(), "{key:?}");
     }
 }
@@ -161,7 +170,7 @@
 #[test]
 fn any_bytes() {
     bolero::check!().for_each(|bytes: &[u8]| {
-        drop(PlatformWire::upstream(&row("i-1", bytes.to_vec())));
+        drop(read_upstream(&row("i-1", bytes.to_vec())));
     });
 }
 
