Do not open a job whose end overtook its read

Cause: the task that polls the list of open jobs read a job's marks, the feed delivered its end, and the job was opened by the older read once its items were there. The end found no open job and left nothing behind.

Change: a read of a job has a number and counts only while its entry is there; the end and the loss of the lease remove it. A feed without history also asks for the end of jobs that are being read. The test store got a feed that delivers changes.

Tests: job_pickup::end_during_read and end_in_a_gap_during_read, both failed before.

Conclusion: the job is opened by what was read after its last event, or not at all.

--- a/src/ingress/coordinator/jobs.rs
+++ b/src/ingress/coordinator/jobs.rs
@@ -19,7 +19,11 @@
     },
     clock::millis,
     ids::FenceNumber,
-    ingress::{feeds, stored, wire::Wire},
+    ingress::{
+        feeds,
+        stored::{self, StoredJob},
+        wire::Wire,
+    },
     observe::telemetry::{RESULT_AGE, RESULTS_LISTED},
     store::rows::{RowError, RowStamp, RowStore},
 };
@@ -230,8 +234,10 @@
         // The stamp is read first: the feed delivers every later change.
         let start = self.host.store.read(&lease_range()).await?;
         let listed = self.open_listed_jobs().await?;
-        // A job may have ended while the feed was interrupted.
-        let known: Vec<JobId> = self.scheduler.borrow().open_jobs();
+        // A job may have ended while the feed was interrupted, also one whose read was sent
+        // before that.
+        let mut known = self.scheduler.borrow().open_jobs();
+        known.extend(self.reads.borrow().keys().cloned());
         stream::iter(known)
             .map(|job| self.end_if_ended(job, &listed))
             .buffer_unordered(MAX_CONCURRENT_READS)
@@ -305,38 +311,36 @@
     }
 
     /// Opens a job with the outputs that the previous coordinator saved. Does
-    /// nothing if the job is open, or is being opened or closed. A job that cannot
+    /// nothing if the job is open, or is being read or closed. A job that cannot
     /// be read is tried again by [`Self::poll_store`].
     pub(super) async fn open_job(self: &Rc<Self>, job: &JobId) {
-        if self.scheduler.borrow().is_open(job) || !self.busy_jobs.borrow_mut().insert(job.clone())
-        {
+        let is_busy = self.scheduler.borrow().is_open(job)
+            || self.reads.borrow().contains_key(job)
+            || self.closing_jobs.borrow().contains(job);
+        if is_busy {
             return;
         }
-        let epoch = self.epoch.get();
-        let result = self.load_job(job, epoch).await;
-        if self.epoch.get() == epoch {
-            self.busy_jobs.borrow_mut().remove(job);
+        let number = self.last_read.get() + 1;
+        self.last_read.set(number);
+        self.reads.borrow_mut().insert(job.clone(), number);
+        let store = &self.host.store;
+        let read = tokio::try_join!(stored::load(store, job), stored::outputs(store, job));
+        if self.reads.borrow().get(job) != Some(&number) {
+            // The job has ended since the read was sent, or another coordinator took over.
+            tracing::info!(event = "job.overtaken", job = &**job, number);
+            return;
         }
-        if let Err(error) = result {
-            tracing::info!(event = "job.not_opened", job = &**job, %error);
+        self.reads.borrow_mut().remove(job);
+        match read {
+            Ok((Some(loaded), _)) if loaded.is_ended => self.end_job(job),
+            Ok((Some(loaded), outputs)) => self.take_up(job, loaded, outputs),
+            Ok((None, _)) => {}
+            Err(error) => tracing::info!(event = "job.not_opened", job = &**job, %error),
         }
     }
 
-    async fn load_job(self: &Rc<Self>, job: &JobId, epoch: u64) -> Result<(), RowError> {
-        let store = &self.host.store;
-        let (loaded, outputs) =
-            tokio::try_join!(stored::load(store, job), stored::outputs(store, job))?;
-        let Some(loaded) = loaded else {
-            return Ok(());
-        };
-        if self.epoch.get() != epoch {
-            // Another coordinator took over meanwhile.
-            return Ok(());
-        }
-        if loaded.is_ended {
-            self.end_job(job);
-            return Ok(());
-        }
+    /// Opens a job as it was read.
+    fn take_up(&self, job: &JobId, loaded: StoredJob, outputs: BTreeMap<usize, Output>) {
         let now = self.host.now();
         let store_time = self.host.store_time().unwrap_or_default();
         let age = layout::age(&loaded.job.head, store_time);
@@ -359,7 +363,6 @@
             self.restore_outputs(job, outputs);
         }
         self.wake.notify_one();
-        Ok(())
     }
 
     /// Restores the partial outputs that the previous coordinator saved.
@@ -376,11 +379,12 @@
     }
 
     /// Cancels the runs of an ended job and removes it from the list of open
-    /// jobs.
+    /// jobs. A read of the job that is in progress may not show the end, and is not used.
     pub(super) fn end_job(self: &Rc<Self>, job: &JobId) {
         tracing::info!(event = "job.ended", job = &**job);
         self.drop_job(job);
-        self.busy_jobs.borrow_mut().insert(job.clone());
+        self.reads.borrow_mut().remove(job);
+        self.closing_jobs.borrow_mut().insert(job.clone());
         let this = self.clone();
         let job = job.clone();
         let epoch = self.epoch.get();
@@ -390,7 +394,7 @@
                 tracing::debug!(event = "job.not_closed", job = &*job, %error);
             }
             if this.epoch.get() == epoch {
-                this.busy_jobs.borrow_mut().remove(&job);
+                this.closing_jobs.borrow_mut().remove(&job);
             }
         });
         self.wake.notify_one();
--- a/src/ingress/coordinator/leadership.rs
+++ b/src/ingress/coordinator/leadership.rs
@@ -312,7 +312,8 @@
         self.order_counts.borrow_mut().clear();
         self.engines_revision.set(None);
         self.lister.forget_all();
-        self.busy_jobs.borrow_mut().clear();
+        self.reads.borrow_mut().clear();
+        self.closing_jobs.borrow_mut().clear();
         self.epoch.set(self.epoch.get() + 1);
     }
 }
--- a/src/ingress/coordinator/mod.rs
+++ b/src/ingress/coordinator/mod.rs
@@ -94,10 +94,14 @@
     /// The directory's revision and the configuration's version from which the
     /// scheduler's engines were last set.
     engines_revision: Cell<Option<(u64, Option<u64>)>>,
-    /// The jobs that are being opened or closed.
-    busy_jobs: RefCell<BTreeSet<JobId>>,
-    /// Increments whenever another coordinator takes over, so that a job that was
-    /// being opened is not opened after that.
+    /// The jobs that are being read, each with the number of its read. A read whose
+    /// entry is gone was overtaken, and its result must not be used.
+    reads: RefCell<BTreeMap<JobId, u64>>,
+    /// The number of the last read of a job.
+    last_read: Cell<u64>,
+    /// The jobs that are being removed from the list of open jobs.
+    closing_jobs: RefCell<BTreeSet<JobId>>,
+    /// Increments whenever another coordinator takes over.
     epoch: Cell<u64>,
     wake: Notify,
     /// Wakes the task that saves whole outputs before their reward calls.
@@ -138,7 +142,9 @@
             follow_task: RefCell::default(),
             last_reported_at: Cell::new(Duration::ZERO),
             engines_revision: Cell::new(None),
-            busy_jobs: RefCell::default(),
+            reads: RefCell::default(),
+            last_read: Cell::new(0),
+            closing_jobs: RefCell::default(),
             epoch: Cell::new(0),
             wake: Notify::new(),
             output_whole: Notify::new(),
--- a/tests/job_pickup.rs
+++ b/tests/job_pickup.rs
@@ -12,7 +12,7 @@
 };
 
 use mimosavane::{
-    batch::layout,
+    batch::{job::JobId, layout},
     ingress::{
         coordinator::Coordinator,
         directory::Upstream,
@@ -23,7 +23,7 @@
     store::rows::{RowName, RowStore as _, RowTransaction},
 };
 use rows_support::{
-    Rows,
+    Feed, Rows,
     host::{TestHost, host},
     member::accept,
 };
@@ -91,15 +91,24 @@
     }
 }
 
-/// Returns the number of jobs that the coordinator last reported as open.
-fn open_job_count(host: &TestHost) -> Option<u64> {
+/// Returns the last value of the gauge `name`.
+fn gauge(host: &TestHost, name: &str) -> Option<u64> {
     let page = host.exposition.page();
-    let line = page
-        .lines()
-        .find(|line| line.starts_with("mimosavane_jobs_open_count"))?;
+    let line = page.lines().find(|line| line.starts_with(name))?;
     line.split_whitespace().last()?.parse().ok()
 }
 
+/// Returns the number of jobs that the coordinator last reported as open.
+fn open_job_count(host: &TestHost) -> Option<u64> {
+    gauge(host, "mimosavane_jobs_open_count")
+}
+
+/// Returns the number of items that the coordinator last reported as waiting or running.
+fn open_item_count(host: &TestHost) -> u64 {
+    let waiting_count = gauge(host, "mimosavane_items_waiting_count").unwrap_or_default();
+    waiting_count + gauge(host, "mimosavane_runs_open_count").unwrap_or_default()
+}
+
 /// The store discards its history while a job ends: the coordinator must find the
 /// end when it lists the jobs again, or the job's items would go on running.
 #[test]
@@ -128,7 +137,7 @@
 fn version_in_a_silent_feed() {
     run(async {
         let rows = Rows::default();
-        rows.silence_feeds();
+        rows.set_feed(Feed::Silent);
         let host = host_with_engine(&rows);
         spawn_local(Coordinator::new(host.clone()).run());
         let name = RowName::new(PlatformWire::OPERATOR_TABLE, "", "version/writer");
@@ -147,7 +156,7 @@
 fn job_in_a_silent_feed() {
     run(async {
         let rows = Rows::default();
-        rows.silence_feeds();
+        rows.set_feed(Feed::Silent);
         let host = host_with_engine(&rows);
         spawn_local(Coordinator::new(host.clone()).run());
         wait_until("nobody coordinates", || open_job_count(&host) == Some(0)).await;
@@ -182,3 +191,52 @@
         .await;
     });
 }
+
+/// A job ends while the coordinator reads it: the answers to its first reads, without the end,
+/// come once the end is known. `end` ends the job while feeds are silent.
+fn play_end_during_read(end: impl AsyncFn(&Rows, &JobId)) {
+    run(async {
+        let rows = Rows::default();
+        rows.set_feed(Feed::Silent);
+        let host = host_with_engine(&rows);
+        spawn_local(Coordinator::new(host.clone()).run());
+        wait_until("nobody coordinates", || open_job_count(&host) == Some(0)).await;
+        rows.hold_reads_of(Some(layout::ITEMS));
+        let ended = accept(&rows, "ended", 4).await;
+        wait_until("the job is never read", || rows.held_read_count() > 0).await;
+        end(&rows, &ended).await;
+        rows.set_feed(Feed::Live);
+        wait_until("the end is never seen", || {
+            rows.keys(layout::OPEN, &ended).is_empty()
+        })
+        .await;
+        rows.hold_reads_of(None);
+        for number in 0..rows.held_read_count() {
+            rows.release_read(number);
+        }
+        accept(&rows, "kept", 8).await;
+        wait_until("the other job is never opened", || {
+            open_item_count(&host) >= 8
+        })
+        .await;
+        assert_eq!(open_job_count(&host), Some(1), "the ended job is open");
+    });
+}
+
+/// Guards against items of an ended job that go on running: the feed delivers the end while
+/// the job is read.
+#[test]
+fn end_during_read() {
+    play_end_during_read(async |rows, job| {
+        rows.commit(&layout::ending(job)).await.unwrap();
+    });
+}
+
+/// The same, where the store drops its history, so that the feed never delivers the end.
+#[test]
+fn end_in_a_gap_during_read() {
+    play_end_during_read(async |rows, job| {
+        rows.commit(&layout::ending(job)).await.unwrap();
+        rows.compact();
+    });
+}
--- a/tests/rows_support/mod.rs
+++ b/tests/rows_support/mod.rs
@@ -21,8 +21,8 @@
         scheduler::EngineSpec,
     },
     store::rows::{
-        Applied, NotAppliedReason, RowError, RowPage, RowRange, RowStamp, RowStore, RowTransaction,
-        StoredRow,
+        Applied, NotAppliedReason, RowError, RowName, RowPage, RowRange, RowStamp, RowStore,
+        RowTransaction, StoredRow,
     },
 };
 use tokio::sync::oneshot;
@@ -41,6 +41,18 @@
     Refused,
 }
 
+/// What feeds answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Feed {
+    /// That their history is gone, each time.
+    #[default]
+    Gone,
+    /// Nothing, for ever.
+    Silent,
+    /// The changes.
+    Live,
+}
+
 type Name = (String, String, String);
 
 #[derive(Debug, Default)]
@@ -53,13 +65,18 @@
     read_starts: Vec<String>,
     is_holding_answers: bool,
     is_holding_reads: bool,
+    held_table: Option<&'static str>,
     held_reads: Vec<oneshot::Sender<()>>,
-    is_feed_silent: bool,
+    feed: Feed,
+    /// All changes, for feeds, as of the table in which they were made.
+    history: Vec<(&'static str, StoredRow)>,
+    /// The stamp up to which feeds have no history any more.
+    compacted_until: RowStamp,
     failing_partition: Option<String>,
     peers: Vec<SocketAddr>,
 }
 
-/// How long a feed waits before it reports that its history is gone.
+/// How long a feed waits before it looks for changes, or reports that its history is gone.
 const FEED_WAIT: Duration = Duration::from_millis(20);
 
 /// A store whose clones share their rows.
@@ -102,9 +119,20 @@
         let _ = held.send(());
     }
 
-    /// Makes feeds wait for ever. Otherwise their history is always gone.
-    pub fn silence_feeds(&self) {
-        self.inner.borrow_mut().is_feed_silent = true;
+    /// Withholds the answers to reads of `table` like [`Rows::hold_reads`], or of none.
+    pub fn hold_reads_of(&self, table: Option<&'static str>) {
+        self.inner.borrow_mut().held_table = table;
+    }
+
+    /// Sets what feeds answer.
+    pub fn set_feed(&self, feed: Feed) {
+        self.inner.borrow_mut().feed = feed;
+    }
+
+    /// Drops the history of feeds up to now.
+    pub fn compact(&self) {
+        let mut inner = self.inner.borrow_mut();
+        inner.compacted_until = inner.stamp;
     }
 
     /// Makes reads of `partition` fail, or of none.
@@ -140,6 +168,17 @@
 }
 
 impl Inner {
+    fn record_change(&mut self, row: &RowName, value: Bytes, is_removed: bool) {
+        let change = StoredRow {
+            partition: row.partition.clone(),
+            key: row.key.clone(),
+            value,
+            stamp: self.stamp,
+            is_removed,
+        };
+        self.history.push((row.table, change));
+    }
+
     fn apply_due_writes(&mut self) {
         for (remaining_calls, _) in &mut self.late {
             *remaining_calls = remaining_calls.saturating_sub(1);
@@ -156,7 +195,7 @@
     }
 
     fn apply(&mut self, transaction: &RowTransaction) -> Result<Applied, RowError> {
-        let name = |name: &mimosavane::store::rows::RowName| -> Name {
+        let name = |name: &RowName| -> Name {
             (
                 name.table.to_owned(),
                 name.partition.clone(),
@@ -187,9 +226,11 @@
         self.stamp += 1;
         for (row, value) in &transaction.puts {
             self.rows.insert(name(row), (value.clone(), self.stamp));
+            self.record_change(row, value.clone(), false);
         }
         for row in &transaction.removals {
             self.rows.remove(&name(row));
+            self.record_change(row, Bytes::new(), true);
         }
         Ok(Applied {
             stamp: self.stamp,
@@ -233,6 +274,26 @@
         })
     }
 
+    fn changes_after(&self, table: &str, after: RowStamp) -> Result<RowPage, RowError> {
+        let inner = self.inner.borrow();
+        if after < inner.compacted_until {
+            return Err(RowError::HistoryGone);
+        }
+        let is_new =
+            |(changed, row): &&(&'static str, StoredRow)| *changed == table && row.stamp > after;
+        Ok(RowPage {
+            rows: inner
+                .history
+                .iter()
+                .filter(is_new)
+                .map(|(_, row)| row.clone())
+                .collect(),
+            has_more: false,
+            stamp: inner.stamp,
+            store_time: Duration::ZERO,
+        })
+    }
+
     fn apply_next_fault(&self, transaction: &RowTransaction) -> Result<Applied, RowError> {
         let mut inner = self.inner.borrow_mut();
         inner.apply_due_writes();
@@ -274,7 +335,8 @@
         let answer = self.answer_read(range);
         let held = {
             let mut inner = self.inner.borrow_mut();
-            inner.is_holding_reads.then(|| {
+            let is_held = inner.is_holding_reads || inner.held_table == Some(range.table);
+            is_held.then(|| {
                 let (release, released) = oneshot::channel();
                 inner.held_reads.push(release);
                 released
@@ -299,12 +361,27 @@
         Ok(names)
     }
 
-    async fn changes(&self, _: &str, _: RowStamp, _: Duration) -> Result<RowPage, RowError> {
-        if self.inner.borrow().is_feed_silent {
-            std::future::pending::<()>().await;
+    async fn changes(
+        &self,
+        table: &str,
+        after: RowStamp,
+        wait: Duration,
+    ) -> Result<RowPage, RowError> {
+        let ends_at = tokio::time::Instant::now() + wait;
+        loop {
+            tokio::time::sleep(FEED_WAIT).await;
+            let feed = self.inner.borrow().feed;
+            match feed {
+                Feed::Gone => return Err(RowError::HistoryGone),
+                Feed::Silent => {}
+                Feed::Live => {
+                    let page = self.changes_after(table, after)?;
+                    if !page.rows.is_empty() || tokio::time::Instant::now() >= ends_at {
+                        return Ok(page);
+                    }
+                }
+            }
         }
-        tokio::time::sleep(FEED_WAIT).await;
-        Err(RowError::HistoryGone)
     }
 }
 
