Apply ends of jobs while other jobs are read

Callers would see: items of an ended job run on while the store answers the reads of another job slowly.

Cause: the task that follows the feed waited for the read of each new job before it took the next change.

Ruled out: the polling task as the only reader; the order of a page's rows, since the next page waits, too.

Change: ends of a page come first, and jobs are read in tasks of their own, at most eight at once as before, over both tasks.

Conclusion: an end is applied as soon as the feed delivers it.

--- a/src/ingress/coordinator/jobs.rs
+++ b/src/ingress/coordinator/jobs.rs
@@ -48,7 +48,7 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(400);
 
 /// How many jobs are read from the store at once.
-const MAX_CONCURRENT_READS: usize = 8;
+pub(super) const MAX_CONCURRENT_READS: usize = 8;
 
 /// How long one request to the feed of open jobs waits for a change.
 const FEED_WAIT: Duration = Duration::from_millis(1_500);
@@ -261,9 +261,7 @@
         }
         // The jobs are read concurrently, since a connection to the store carries
         // one answer at a time and the outputs of a job fill many of its windows.
-        stream::iter(listed.iter())
-            .for_each_concurrent(MAX_CONCURRENT_READS, |job| self.open_job(job))
-            .await;
+        join_all(listed.iter().map(|job| self.open_job(job))).await;
         Ok(listed)
     }
 
@@ -299,13 +297,19 @@
             .store
             .changes(layout::OPEN, after, FEED_WAIT)
             .await?;
-        for row in page.rows.iter().filter(|row| !row.is_removed) {
+        let (ends, others): (Vec<_>, Vec<_>) = page
+            .rows
+            .iter()
+            .filter(|row| !row.is_removed)
+            .partition(|row| row.key == layout::END_KEY);
+        for row in ends {
+            self.end_job(&row.partition.as_str().into());
+        }
+        for row in others {
+            let this = self.clone();
             let job = row.partition.as_str().into();
-            if row.key == layout::END_KEY {
-                self.end_job(&job);
-            } else {
-                self.open_job(&job).await;
-            }
+            // The next ends do not wait until the job is read.
+            spawn_local(async move { this.open_job(&job).await });
         }
         Ok(page.stamp)
     }
@@ -323,8 +327,7 @@
         let number = self.last_read.get() + 1;
         self.last_read.set(number);
         self.reads.borrow_mut().insert(job.clone(), number);
-        let store = &self.host.store;
-        let read = tokio::try_join!(stored::load(store, job), stored::outputs(store, job));
+        let read = self.read_job(job).await;
         if self.reads.borrow().get(job) != Some(&number) {
             // The job has ended since the read was sent, or another coordinator took over.
             tracing::info!(event = "job.overtaken", job = &**job, number);
@@ -339,6 +342,17 @@
         }
     }
 
+    /// Reads a job and its saved outputs, beside a few other jobs.
+    async fn read_job(
+        &self,
+        job: &JobId,
+    ) -> Result<(Option<StoredJob>, BTreeMap<usize, Output>), RowError> {
+        // Nobody closes the semaphore.
+        let _permit = self.read_permits.acquire().await;
+        let store = &self.host.store;
+        tokio::try_join!(stored::load(store, job), stored::outputs(store, job))
+    }
+
     /// Opens a job as it was read.
     fn take_up(&self, job: &JobId, loaded: StoredJob, outputs: BTreeMap<usize, Output>) {
         let now = self.host.now();
--- a/src/ingress/coordinator/mod.rs
+++ b/src/ingress/coordinator/mod.rs
@@ -20,7 +20,7 @@
 };
 
 use tokio::{
-    sync::Notify,
+    sync::{Notify, Semaphore},
     task::{AbortHandle, spawn_local},
     time::sleep,
 };
@@ -99,6 +99,8 @@
     reads: RefCell<BTreeMap<JobId, u64>>,
     /// The number of the last read of a job.
     last_read: Cell<u64>,
+    /// Limits how many jobs are read at once.
+    read_permits: Semaphore,
     /// The jobs that are being removed from the list of open jobs.
     closing_jobs: RefCell<BTreeSet<JobId>>,
     /// Increments whenever another coordinator takes over.
@@ -144,6 +146,7 @@
             engines_revision: Cell::new(None),
             reads: RefCell::default(),
             last_read: Cell::new(0),
+            read_permits: Semaphore::new(jobs::MAX_CONCURRENT_READS),
             closing_jobs: RefCell::default(),
             epoch: Cell::new(0),
             wake: Notify::new(),
--- a/tests/job_pickup.rs
+++ b/tests/job_pickup.rs
@@ -240,3 +240,33 @@
         rows.compact();
     });
 }
+
+/// Guards against items that go on running because the end of their job waits until other
+/// jobs are read: the store is slow with one that came before it.
+#[test]
+fn end_behind_a_read() {
+    run(async {
+        let rows = Rows::default();
+        rows.set_feed(Feed::Live);
+        let ended = accept(&rows, "ended", 4).await;
+        let host = host_with_engine(&rows);
+        spawn_local(Coordinator::new(host.clone()).run());
+        wait_until("the job is never opened", || {
+            open_job_count(&host) == Some(1)
+        })
+        .await;
+        rows.hold_reads_of(Some(layout::ITEMS));
+        accept(&rows, "slow", 8).await;
+        wait_until("the other job is never read", || rows.held_read_count() > 0).await;
+        rows.commit(&layout::ending(&ended)).await.unwrap();
+        wait_until("the end is never seen", || open_job_count(&host) == Some(0)).await;
+        rows.hold_reads_of(None);
+        for number in 0..rows.held_read_count() {
+            rows.release_read(number);
+        }
+        wait_until("the other job is never opened", || {
+            open_item_count(&host) == 8
+        })
+        .await;
+    });
+}
