Save only the first text of an item under a lease

Callers would see: a result whose text is joined from two runs, of which the second was not asked to go on after the first (ORDER). Shown by a test, not seen in a run of hosts.

Cause: saved parts are told apart by the lease and the number of their first event. An item that begins anew, since no upstream of its software version is left, writes its parts between those of the text before.

Ruled out: texts of two software versions (refused as they are read), texts of several weights on single-version routes (refused, too), whole outputs (rows of their own).

Change: an item that began anew is not saved in parts any more.

Test: item_versions::saved_texts_begun_anew, failed before with "third third third first first first".

Conclusion: the rows of an item under one lease belong to one text. The format is unchanged. A lost coordinator costs such an item its progress.

--- a/src/batch/scheduler/dispatch.rs
+++ b/src/batch/scheduler/dispatch.rs
@@ -126,7 +126,7 @@
             let state = &mut job.items[item_index];
             if is_lost(&self.engines, head, &state.output) {
                 state.output = Output::default();
-                state.saved_event = 0;
+                state.is_begun_anew = true;
             }
             let tokens = planned_tokens(item, &state.output, tokens_per_event);
             let engine = candidates.cheapest(&self.engines, head, item, &state.output, tokens, now);
--- a/src/batch/scheduler/mod.rs
+++ b/src/batch/scheduler/mod.rs
@@ -118,6 +118,9 @@
     output: Output,
     /// The last event of the output that is saved.
     saved_event: EventNumber,
+    /// Whether the output began anew. Its parts are not saved: they would be joined to those
+    /// of the output before, some of which may still be on their way to the store.
+    is_begun_anew: bool,
     run: Option<RunNumber>,
     failed_count: u32,
     is_done: bool,
@@ -240,6 +243,7 @@
             items.push(OpenItem {
                 output: retained.cloned().unwrap_or_default(),
                 saved_event: 0,
+                is_begun_anew: false,
                 run: None,
                 failed_count: 0,
                 is_done: listed.contains(&item.id),
--- a/src/batch/scheduler/outputs.rs
+++ b/src/batch/scheduler/outputs.rs
@@ -45,7 +45,8 @@
     }
 
     /// Returns the unsaved part of the output, of at most `max_bytes` each, of
-    /// every unfinished item of `job` with at least `min_count` unsaved events.
+    /// every unfinished item of `job` with at least `min_count` unsaved events. Only the
+    /// first output of an item is saved (see docs/design/store-reads.md).
     pub fn unsaved(
         &self,
         job: &JobId,
@@ -59,7 +60,7 @@
             .items
             .iter()
             .enumerate()
-            .filter(|(_, item)| !item.is_done && !item.output.is_whole())
+            .filter(|(_, item)| !item.is_done && !item.output.is_whole() && !item.is_begun_anew)
             .filter(|(_, item)| item.output.last_event() >= item.saved_event + min_count)
             .filter_map(|(index, item)| {
                 let part = item.output.part(item.saved_event, max_bytes)?;
--- a/tests/item_versions.rs
+++ b/tests/item_versions.rs
@@ -3,11 +3,19 @@
 
 mod rows_support;
 
-use std::{collections::BTreeSet, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
-use mimosavane::batch::{
-    output::Output,
-    scheduler::{Action, EngineSpec, Rights, RunEnd, RunNumber, Scheduler},
+use bytes::Bytes;
+use mimosavane::{
+    batch::{
+        layout,
+        output::Output,
+        scheduler::{Action, EngineSpec, Rights, RunEnd, RunNumber, Scheduler},
+    },
+    store::rows::StoredRow,
 };
 use rows_support::{engine, job};
 
@@ -138,3 +146,67 @@
     let (_, _, engine, last_event) = &started[0];
     assert_eq!((engine.as_str(), *last_event), ("i-1", 1));
 }
+
+/// Adds `count` events with the data `data` to a run, which breaks off then.
+fn break_after(scheduler: &mut Scheduler, start: &Start, count: u64, data: &str, now: Duration) {
+    let (run, _, _, last_event) = *start;
+    assert!(scheduler.record_answer(run, 1, now));
+    for number in last_event + 1..=last_event + count {
+        assert!(scheduler.record_event(run, number, data, 1, now));
+    }
+    scheduler.record_run_end(run, RunEnd::Broken, now);
+}
+
+/// Saves the outputs of the job as a coordinator with one lease does.
+fn save(scheduler: &mut Scheduler, saved: &mut BTreeMap<String, Bytes>) {
+    let job = "job".into();
+    let parts = scheduler.unsaved(&job, 1, 10_000);
+    let (transaction, _) = layout::saving(&job, 1, &parts).expect("encoded");
+    let rows = transaction
+        .puts
+        .into_iter()
+        .map(|(name, value)| (name.key, value));
+    saved.extend(rows);
+    for (item, part) in parts {
+        scheduler.record_saved(&job, item, part.last_event());
+    }
+}
+
+/// Guards against a text that is joined from two: upstreams are replaced by those of another
+/// version and back, so that the item begins anew twice, and the next coordinator reads what
+/// was saved under one lease.
+#[test]
+fn saved_texts_begun_anew() {
+    let mut scheduler = Scheduler::default();
+    let mut saved = BTreeMap::new();
+    let items = job("job", 1, 10);
+    scheduler.set_engines(vec![engine_of("i-1", 1, "v1")]);
+    scheduler.open(items, &BTreeSet::new(), Duration::ZERO, at(0));
+    for millis in [0, 1_000] {
+        let start = starts(&mut scheduler, at(millis))[0].clone();
+        break_after(&mut scheduler, &start, 3, "first", at(millis));
+        save(&mut scheduler, &mut saved);
+    }
+    for (millis, version, data) in [(2_000, "v2", "second"), (3_000, "v1", "third")] {
+        scheduler.set_engines(vec![engine_of(&format!("i-{data}"), 1, version)]);
+        let start = starts(&mut scheduler, at(millis))[0].clone();
+        assert_eq!(start.3, 0, "the item begins anew");
+        break_after(&mut scheduler, &start, 3, data, at(millis));
+        save(&mut scheduler, &mut saved);
+    }
+    let rows: Vec<StoredRow> = saved
+        .into_iter()
+        .map(|(key, value)| StoredRow {
+            partition: "job".to_owned(),
+            key,
+            value,
+            stamp: 1,
+            is_removed: false,
+        })
+        .collect();
+    let outputs = layout::decode_outputs(&rows).expect("decoded");
+    let text = outputs[&0].clone().into_text();
+    let mut texts: Vec<&str> = text.lines().collect();
+    texts.dedup();
+    assert_eq!(texts.len(), 1, "{text:?}");
+}
