Count the time of the balancer in a stop as a time

Callers saw (report of another operator): in a planned stop with a grace of 12 s, a stream that came 3.3 s after the signal on a kept connection was passed on and cut at 11.4 s. With a grace of 4 s connections were refused from 1.8 s on, while the balancer still sends them.

Cause: full service and the time in which connections are accepted were shares of the grace. Their reason, two missed probes a second apart, is a time.

Ruled out: the call's deadline and new connections as the cause (docs/incidents/calls-of-a-long-grace.md).

Change: 2.4 s, at most 60% of the grace; connections are accepted at least as long. A grace of 8 s is as before (2.4, 3.6 and 7.6 s).

Conclusion: what a stop refuses depends on when others can take it.

--- a/src/ingress/stop.rs
+++ b/src/ingress/stop.rs
@@ -4,12 +4,15 @@
 
 use crate::clock::Timestamp;
 
-/// The fraction of the stop grace during which calls are passed on whatever their deadline.
-/// Until then the balancer may still send new connections: it asks once a second whether
-/// the host is ready, and takes it out after two misses.
-const FULL_SERVICE_RATIO: f64 = 0.3;
+/// How long the balancer may still send new connections: it asks once a second whether the
+/// host is ready, takes it out after two misses, and the last connection is on its way then.
+const BALANCER_TIME: Duration = Duration::from_millis(2_400);
 
-/// The fraction of the stop grace during which new connections are accepted.
+/// The largest fraction of a short stop grace that counts as that time, so that the host can
+/// end what it took.
+const MAX_BALANCER_RATIO: f64 = 0.6;
+
+/// The fraction of the stop grace during which new connections are accepted, if that is longer.
 const ACCEPTING_RATIO: f64 = 0.45;
 
 /// The fraction of the stop grace after which the process exits even if connections are open.
@@ -33,11 +36,12 @@
     /// Returns the schedule of a stop that was asked for at `asked_at`, and whose process the
     /// platform kills after `grace`.
     pub fn new(asked_at: Timestamp, grace: Duration) -> Self {
-        let after = |ratio: f64| asked_at + grace.mul_f64(ratio);
+        let balancer_time = BALANCER_TIME.min(grace.mul_f64(MAX_BALANCER_RATIO));
+        let accepting_time = grace.mul_f64(ACCEPTING_RATIO).max(balancer_time);
         Self {
-            full_service_until: after(FULL_SERVICE_RATIO),
-            close_at: after(ACCEPTING_RATIO),
-            exit_at: after(EXIT_RATIO),
+            full_service_until: asked_at + balancer_time,
+            close_at: asked_at + accepting_time,
+            exit_at: asked_at + grace.mul_f64(EXIT_RATIO),
         }
     }
 
