Answer what came before the signal, too, at the end of a stop

Cause: the limit was set where a request arrived, if the host was stopping by then. Calls that other hosts hand over had none.

Ruled out: too little time to write the answer; calls from after the signal got their 504.

Change: Host::answer_in_time ends the wait for any answer at the time of the stop's schedule, whenever the stop begins.

Conclusion: each request that a host has read is answered before it ends.

--- a/src/ingress/calls.rs
+++ b/src/ingress/calls.rs
@@ -248,6 +248,12 @@
     call.route.kind == RouteKind::Streaming && reply.status().is_success()
 }
 
+/// Returns the refusal of a call that may outlast this host, which is stopping. Another host
+/// can serve it to its end.
+pub fn stopping_reply<S: RowStore, W: Wire>(host: &Rc<Host<S, W>>, call: &Call) -> Reply {
+    unanswered_reply(host, call, false, "stopping", 0, Duration::ZERO)
+}
+
 /// Returns the reply to a call that no upstream answered.
 pub fn unanswered_reply<S: RowStore, W: Wire>(
     host: &Rc<Host<S, W>>,
--- a/src/ingress/handover.rs
+++ b/src/ingress/handover.rs
@@ -389,7 +389,11 @@
         }
     };
     host.metrics.count(CALLS_TAKEN, 1);
-    let mut reply = calls::forward(host, &call).await;
+    let answer = host.answer_in_time(calls::forward(host, &call)).await;
+    let mut reply = answer.unwrap_or_else(|| {
+        tracing::info!(event = "request.cut", id = call.id(), reason = "stopping");
+        reply(StatusCode::GATEWAY_TIMEOUT, Bytes::new())
+    });
     let is_unserved = reply.status() == StatusCode::SERVICE_UNAVAILABLE
         && !reply.headers().contains_key(&ANSWERED_BY);
     let service = call.route.service(call.split_point());
--- a/src/ingress/host.rs
+++ b/src/ingress/host.rs
@@ -10,7 +10,10 @@
     time::Duration,
 };
 
-use tokio::sync::{Mutex, Notify, watch};
+use tokio::{
+    sync::{Mutex, Notify, watch},
+    time::sleep,
+};
 
 use crate::{
     batch::job::{JobId, ModelId},
@@ -128,7 +131,7 @@
     /// The metrics that are served as text.
     pub exposition: Exposition,
     /// The schedule of the planned stop, once the host is stopping.
-    pub stop: Cell<Option<StopSchedule>>,
+    pub stop: watch::Sender<Option<StopSchedule>>,
     /// Whether the host has stopped accepting connections and closes idle ones.
     pub closing: watch::Sender<bool>,
     /// The number of client connections that have not ended.
@@ -189,7 +192,7 @@
             view_changed: Notify::new(),
             metrics,
             exposition,
-            stop: Cell::new(None),
+            stop: watch::Sender::new(None),
             closing: watch::Sender::new(false),
             open_count: Cell::new(0),
             wire: PhantomData,
@@ -220,7 +223,34 @@
 
     /// Returns whether the host is stopping.
     pub fn is_stopping(&self) -> bool {
-        self.stop.get().is_some()
+        self.stop.borrow().is_some()
+    }
+
+    /// Returns whether a call that ends at `deadline` at the latest may be passed on. Those
+    /// that may outlast a stopping host are refused.
+    pub fn admits(&self, deadline: Timestamp) -> bool {
+        self.stop
+            .borrow()
+            .is_none_or(|schedule| schedule.admits(self.now(), deadline))
+    }
+
+    /// Waits for the answer to a request, or returns `None` at the time at which a stopping
+    /// host must answer what is still open.
+    pub async fn answer_in_time<T>(&self, handled: impl Future<Output = T>) -> Option<T> {
+        let answers_due = async {
+            let mut stop = self.stop.subscribe();
+            // The sender lives as long as the host.
+            let found = stop.wait_for(Option::is_some).await;
+            let schedule = found.ok().and_then(|schedule| *schedule);
+            if let Some(schedule) = schedule {
+                sleep(schedule.answer_by().saturating_sub(self.now())).await;
+            }
+        };
+        tokio::select! {
+            biased;
+            answer = handled => Some(answer),
+            () = answers_due => None,
+        }
     }
 
     /// Returns whether the host can serve requests.
--- a/src/ingress/process.rs
+++ b/src/ingress/process.rs
@@ -61,7 +61,7 @@
             open_count = self.open_count.get(),
         );
         let schedule = StopSchedule::new(self.now(), self.settings.stop_grace);
-        self.stop.set(Some(schedule));
+        self.stop.send_replace(Some(schedule));
         coordinator.hand_over().await;
         // The store may have taken long to answer.
         sleep(schedule.close_at.saturating_sub(self.now())).await;
--- a/src/ingress/server.rs
+++ b/src/ingress/server.rs
@@ -18,7 +18,7 @@
     net::{TcpListener, TcpSocket, TcpStream},
     pin,
     task::spawn_local,
-    time::{sleep, timeout},
+    time::sleep,
 };
 
 use crate::{
@@ -229,18 +229,15 @@
     let (parts, body) = request.into_parts();
     let head = W::client_head(&parts);
     let handled = handle_request(host, parts, body, &head);
-    let mut response = match host.stop.get() {
-        None => handled.await,
-        Some(schedule) => {
-            let time_left = schedule.answer_by().saturating_sub(host.now());
-            timeout(time_left, handled).await.unwrap_or_else(|_| {
-                tracing::info!(
-                    event = "request.cut",
-                    id = head.attempt_id.as_deref(),
-                    reason = "stopping",
-                );
-                reply(StatusCode::GATEWAY_TIMEOUT, Bytes::new())
-            })
+    let mut response = match host.answer_in_time(handled).await {
+        Some(response) => response,
+        None => {
+            tracing::info!(
+                event = "request.cut",
+                id = head.attempt_id.as_deref(),
+                reason = "stopping",
+            );
+            reply(StatusCode::GATEWAY_TIMEOUT, Bytes::new())
         }
     };
     if host.is_stopping() {
@@ -308,10 +305,8 @@
         RouteKind::Batch => jobs::submit(host, &parts, &body, &route, head).await,
         _ => {
             let call = calls::Call::new(parts, body, route, head.clone(), arrived_at);
-            if let Some(schedule) = host.stop.get()
-                && !schedule.admits(host.now(), call.deadline())
-            {
-                return calls::unanswered_reply(host, &call, false, "stopping", 0, Duration::ZERO);
+            if !host.admits(call.deadline()) {
+                return calls::stopping_reply(host, &call);
             }
             calls::forward(host, &call).await
         }
--- a/tests/planned_stop.rs
+++ b/tests/planned_stop.rs
@@ -13,16 +13,20 @@
     time::{Duration, Instant},
 };
 
+use bytes::Bytes;
+use http::{Request, StatusCode};
 use mimosavane::{
     ingress::{
+        handover,
         host::HostSettings,
         routes::{Configuration, Route, RouteKind},
+        stop::StopSchedule,
     },
     platform::standin::ReservedAddress,
 };
 use rows_support::{
     Rows,
-    host::{host_with, settings},
+    host::{TestHost, host_with, settings},
     page::{configuration, page_route, run, serve, upstream},
 };
 use tokio::{
@@ -52,8 +56,36 @@
 /// The end of an answer that has a length.
 const ANSWER_END: &str = "\r\n\r\nok";
 
+/// Returns a route of `kind` whose calls may last longer than a stop.
+fn long_route(kind: RouteKind) -> Route {
+    Route {
+        timeout: ROUTE_TIMEOUT,
+        ..page_route(kind)
+    }
+}
+
+/// Creates a host that sends calls on `route` to `address`.
+fn listing_host(
+    settings: HostSettings,
+    rows: &Rows,
+    route: Route,
+    address: SocketAddr,
+) -> TestHost {
+    let host = host_with(settings, rows);
+    let mut view = host.view.borrow_mut();
+    let configuration = Configuration {
+        routes: vec![route.into()],
+        ..configuration(RouteKind::Idempotent)
+    };
+    view.configuration = Some(configuration.into());
+    view.directory.put(upstream("i-1", 1, address));
+    drop(view);
+    host
+}
+
 /// A host that serves clients until it is asked to stop.
 struct Running {
+    host: TestHost,
     clients: SocketAddr,
     stop: oneshot::Sender<()>,
     end: JoinHandle<io::Result<()>>,
@@ -63,19 +95,19 @@
 impl Running {
     /// Starts a host that sends calls on a route of `kind` to `address`.
     async fn start(kind: RouteKind, address: SocketAddr) -> Self {
-        Self::start_on(&Rows::default(), kind, address).await
+        Self::start_on(&Rows::default(), long_route(kind), address).await
     }
 
-    /// Starts such a host on the store `rows`.
-    async fn start_on(rows: &Rows, kind: RouteKind, address: SocketAddr) -> Self {
-        Self::start_with(STOP_GRACE, rows, kind, address).await
+    /// Starts such a host on the store `rows`, for calls on `route`.
+    async fn start_on(rows: &Rows, route: Route, address: SocketAddr) -> Self {
+        Self::start_with(STOP_GRACE, rows, route, address).await
     }
 
     /// Starts such a host, which may take `stop_grace` to stop.
     async fn start_with(
         stop_grace: Duration,
         rows: &Rows,
-        kind: RouteKind,
+        route: Route,
         address: SocketAddr,
     ) -> Self {
         let reserved = std::array::from_fn(|_| ReservedAddress::new().unwrap());
@@ -87,26 +119,14 @@
             ..settings()
         };
         rows.fail_reads(Some(""));
-        let host = host_with(settings, rows);
-        {
-            let mut view = host.view.borrow_mut();
-            let route = Route {
-                timeout: ROUTE_TIMEOUT,
-                ..page_route(kind)
-            };
-            let configuration = Configuration {
-                routes: vec![route.into()],
-                ..configuration(kind)
-            };
-            view.configuration = Some(configuration.into());
-            view.directory.put(upstream("i-1", 1, address));
-        }
+        let host = listing_host(settings, rows, route, address);
         let (stop, stopped) = oneshot::channel();
-        let end = spawn_local(host.run(async { drop(stopped.await) }));
+        let end = spawn_local(host.clone().run(async { drop(stopped.await) }));
         while TcpStream::connect(clients).await.is_err() {
             sleep(Duration::from_millis(5)).await;
         }
         Self {
+            host,
             clients,
             stop,
             end,
@@ -336,7 +356,8 @@
 fn play_late_calls(stop_grace: Duration, kind: RouteKind, end: &str) {
     run(async {
         let (address, request_count) = upstream_of_pages().await;
-        let host = Running::start_with(stop_grace, &Rows::default(), kind, address).await;
+        let host =
+            Running::start_with(stop_grace, &Rows::default(), long_route(kind), address).await;
         let mut kept = Vec::new();
         for _ in 0..4 {
             let mut stream = TcpStream::connect(host.clients).await.unwrap();
@@ -429,6 +450,58 @@
     });
 }
 
+/// Returns the address of an upstream that accepts connections and never answers.
+async fn silent_upstream() -> (SocketAddr, TcpListener) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    (listener.local_addr().unwrap(), listener)
+}
+
+/// Guards against calls without an answer that came before the signal: their upstream is still
+/// silent as the process ends.
+#[test]
+fn calls_before_the_signal() {
+    run(async {
+        let (address, _listener) = silent_upstream().await;
+        let host = Running::start(RouteKind::NonIdempotent, address).await;
+        let mut stream = TcpStream::connect(host.clients).await.unwrap();
+        stream.write_all(REQUEST.as_bytes()).await.unwrap();
+        sleep(Duration::from_millis(50)).await;
+        let stopping = host.stop();
+        let text = read_all(&mut stream).await;
+        assert!(text.starts_with("HTTP/1.1 504 "), "{text:?}");
+        stopping.assert_ended(STOP_GRACE).await;
+    });
+}
+
+/// The same, with a call that another host handed over.
+#[test]
+fn taken_calls() {
+    run(async {
+        let (address, _listener) = silent_upstream().await;
+        let route = long_route(RouteKind::NonIdempotent);
+        let host = listing_host(settings(), &Rows::default(), route, address);
+        let request = Request::get("/calls/pages/1")
+            .header("host", "pages.example")
+            .header("attempt-id", "a1")
+            .header("handover-attempts-left", "3")
+            .header("handover-time-left-ms", "10000")
+            .header("handover-configuration", "1")
+            .body(())
+            .unwrap();
+        let (parts, ()) = request.into_parts();
+        let taken = {
+            let host = host.clone();
+            spawn_local(async move { handover::answer(&host, &parts, &Bytes::new()).await })
+        };
+        sleep(Duration::from_millis(50)).await;
+        let schedule = StopSchedule::new(host.now(), STOP_GRACE);
+        host.stop.send_replace(Some(schedule));
+        let reply = timeout(STOP_GRACE, taken).await.unwrap().unwrap().unwrap();
+        assert_eq!(reply.status(), StatusCode::GATEWAY_TIMEOUT);
+        assert!(reply.headers().contains_key("handover-taken"));
+    });
+}
+
 /// Guards against a stop that outlasts its grace, so that the platform kills the process: the
 /// store does not answer as the host releases the lease.
 #[test]
@@ -437,7 +510,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let rows = Rows::default();
-        let host = Running::start_on(&rows, RouteKind::NonIdempotent, address).await;
+        let host = Running::start_on(&rows, long_route(RouteKind::NonIdempotent), address).await;
         let is_leading = async {
             while rows.keys("leases", "fleet").is_empty() {
                 sleep(Duration::from_millis(10)).await;
