Refuse calls that waited until a stopping host cannot end them

Callers saw (report of another operator): requests that came in the grace were passed on late and cut at its end.

Cause: whether a call may outlast the host was asked as it was read, and not again after it had waited for the origin of its stream, for a permit or for an upstream that failed.

Ruled out: calls that come late (refused at once), those of other hosts (not taken during a stop).

Change: the question is asked before each attempt, while none may have run.

Test: planned_stop::calls_that_wait, failed before: 200 for a call passed on 2.55 s after the signal, with 1.25 s left to the process.

Conclusion: what can't be ended here gets 503 as soon as that is known.

--- a/src/ingress/calls.rs
+++ b/src/ingress/calls.rs
@@ -138,6 +138,10 @@
         }
     };
     while (tried.len() as u32) < max_attempts {
+        // The call may have waited, and the host begun to stop meanwhile.
+        if !may_have_run && !host.admits(deadline) {
+            return stopping_reply(host, call);
+        }
         let now = host.now();
         let chosen = host.view.borrow_mut().directory.choose_if(
             service,
--- a/tests/planned_stop.rs
+++ b/tests/planned_stop.rs
@@ -16,18 +16,24 @@
 use bytes::Bytes;
 use http::{Request, StatusCode};
 use mimosavane::{
+    ids::SoftwareVersion,
     ingress::{
         handover,
         host::HostSettings,
+        origins::{
+            book::Origin,
+            rows::{SavedVersions, registration, saving},
+        },
         routes::{Configuration, Route, RouteKind},
         stop::StopSchedule,
     },
     platform::standin::ReservedAddress,
+    store::rows::RowStore as _,
 };
 use rows_support::{
     Rows,
     host::{TestHost, host_with, settings},
-    page::{configuration, page_route, run, serve, upstream},
+    page::{SERVICE, configuration, page_route, run, serve, upstream},
 };
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
@@ -502,6 +508,58 @@
     });
 }
 
+/// Guards against calls that are passed on late because they waited: the store does not say at
+/// once which version began the stream that this call takes up.
+#[test]
+fn calls_that_wait() {
+    run(async {
+        let (address, request_count) = upstream_of_pages().await;
+        let rows = Rows::default();
+        let versions = ["v1", "v2"].map(SoftwareVersion::from).into();
+        let known = SavedVersions::default();
+        rows.commit(&registration(SERVICE, &known, &versions).unwrap())
+            .await
+            .unwrap();
+        let origin = Origin {
+            service: SERVICE.into(),
+            version: "v1".into(),
+        };
+        let begun = [("a0".into(), origin)];
+        rows.commit(&saving(&begun, &[], Duration::ZERO).unwrap())
+            .await
+            .unwrap();
+        let route = Route {
+            is_resumable: true,
+            ..long_route(RouteKind::Streaming)
+        };
+        let host = Running::start_on(&rows, route, address).await;
+        while !host.host.origins.borrow().is_mixed(SERVICE) {
+            sleep(Duration::from_millis(5)).await;
+        }
+        let mut stream = TcpStream::connect(host.clients).await.unwrap();
+        rows.hold_reads_of(Some("origins"));
+        let stopping = host.stop();
+        let stopped_at = stopping.at;
+        sleep(BALANCER_TIME - Duration::from_millis(300)).await;
+        let resume = "\r\nlast-event-id: 5\r\nresumes: a0\r\n\r\n";
+        let request = REQUEST.replacen("\r\n\r\n", resume, 1);
+        stream.write_all(request.as_bytes()).await.unwrap();
+        while rows.held_read_count() < 2 {
+            assert!(
+                stopped_at.elapsed() < STOP_GRACE,
+                "the origin is not read twice"
+            );
+            sleep(Duration::from_millis(5)).await;
+        }
+        rows.hold_reads_of(None);
+        rows.release_read(1);
+        let text = read_all(&mut stream).await;
+        assert!(text.starts_with("HTTP/1.1 503 "), "{text:?}");
+        assert_eq!(request_count.get(), 0, "a refused call has not run");
+        stopping.assert_ended(STOP_GRACE).await;
+    });
+}
+
 /// Guards against a stop that outlasts its grace, so that the platform kills the process: the
 /// store does not answer as the host releases the lease.
 #[test]
