Tear a stream without framing that ends before its first event

Callers saw (report of another operator): a 200 with an empty or short body, framed as whole, from a server that stopped in its answer's head.

Cause: heads that are cut never look whole here. A stream without length or chunks, whose upstream closed right behind the head, did: what shows its end was only that no event is open.

Ruled out, by tests/cut_heads.rs at each byte with a close, a reset and a late close: calls, streams, answers behind interim ones, the second answer on a connection, calls that other hosts took, runs of items, reward calls, orders, reports, reads and writes of the store.

--- a/src/ingress/calls.rs
+++ b/src/ingress/calls.rs
@@ -15,8 +15,8 @@
 
 pub use self::call::{Call, Fingerprint, split_point};
 pub use self::sending::{Answer, record_leaving, send, send_while};
+pub use self::stream::{EndMark, StreamEnd, forward_body, is_delimited};
 use self::stream::{Stream, stream_reply};
-pub use self::stream::{StreamEnd, forward_body, is_delimited};
 use crate::{
     call::terms,
     clock::{Timestamp, millis},
@@ -407,6 +407,7 @@
             host: host.clone(),
             fingerprint: call.fingerprint,
             upstream: upstream.clone(),
+            is_resuming: call.head.is_resuming(),
             deadline: call.deadline(),
             _taken: call.taken.clone(),
         };
--- a/src/ingress/calls/stream.rs
+++ b/src/ingress/calls/stream.rs
@@ -33,6 +33,8 @@
     pub(super) host: Rc<Host<S, W>>,
     pub(super) fingerprint: Fingerprint,
     pub(super) upstream: Upstream,
+    /// Whether the stream goes on after events that came before.
+    pub(super) is_resuming: bool,
     /// When the stream is cut off, although it is not whole.
     pub(super) deadline: Timestamp,
     /// Counts the call of another host as open until the stream ends.
@@ -59,6 +61,28 @@
     body.size_hint().exact().is_some() || headers.contains_key(header::TRANSFER_ENCODING)
 }
 
+/// What shows that a stream has ended and is whole (see docs/design/calls.md).
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndMark {
+    /// Its framing.
+    Framing,
+    /// The end of its connection after an event.
+    AfterEvent,
+    /// The end of its connection, also where no event is left of a stream that goes on.
+    AfterAnyEvents,
+}
+
+impl EndMark {
+    /// Returns what shows the end of the answer with `headers` and `body`.
+    pub fn of(headers: &HeaderMap, body: &Incoming, is_resuming: bool) -> Self {
+        match (is_delimited(headers, body), is_resuming) {
+            (true, _) => Self::Framing,
+            (false, false) => Self::AfterEvent,
+            (false, true) => Self::AfterAnyEvents,
+        }
+    }
+}
+
 /// The end of what was read of a stream of events, by which a cut inside an event shows.
 #[derive(Clone, Copy, Debug, Default)]
 struct Tail {
@@ -73,28 +97,33 @@
         self.bytes[start..].copy_from_slice(&data[data.len() - kept..]);
     }
 
-    /// Returns whether the stream has ended inside an event, which an empty line ends.
-    fn is_inside_event(self) -> bool {
+    /// Returns whether a stream that ends here is whole. An empty line ends an event.
+    fn is_whole(self, end_mark: EndMark) -> bool {
         let is_empty = self.bytes == [0; 4];
-        !(is_empty || self.bytes.ends_with(b"\n\n") || self.bytes.ends_with(b"\r\n\r\n"))
+        match end_mark {
+            EndMark::Framing => true,
+            EndMark::AfterAnyEvents if is_empty => true,
+            EndMark::AfterEvent | EndMark::AfterAnyEvents => {
+                self.bytes.ends_with(b"\n\n") || self.bytes.ends_with(b"\r\n\r\n")
+            }
+        }
     }
 }
 
 /// Returns the body of a reply to which `body` is forwarded as it arrives, for `time_left`
-/// at most. Calls `end` once that has ended. Where the framing does not show that, with
-/// `is_delimited` false, a body that ends inside an event is torn.
+/// at most. Calls `end` once that has ended. A body that ends without its `end_mark` is torn.
 ///
 /// Dropping `body` when the client disconnects closes its connection, which stops the work
 /// at the other side.
 pub fn forward_body<F: Future<Output = ()>>(
     body: Incoming,
-    is_delimited: bool,
+    end_mark: EndMark,
     time_left: Duration,
     end: impl FnOnce(StreamEnd) -> F + 'static,
 ) -> ReplyBody {
     let (sender, receiver) = mpsc::channel(STREAM_BUFFER_FRAME_COUNT);
     spawn_local(async move {
-        let ended = forward_frames(body, is_delimited, &sender, time_left).await;
+        let ended = forward_frames(body, end_mark, &sender, time_left).await;
         drop(sender);
         end(ended).await;
     });
@@ -103,7 +132,7 @@
 
 async fn forward_frames(
     mut body: Incoming,
-    is_delimited: bool,
+    end_mark: EndMark,
     sender: &mpsc::Sender<Result<Frame<Bytes>, StreamCut>>,
     time_left: Duration,
 ) -> StreamEnd {
@@ -121,7 +150,7 @@
             () = sender.closed() => return StreamEnd::ClientGone,
         };
         let chunk = match frame {
-            None if is_delimited || !tail.is_inside_event() => return StreamEnd::Whole,
+            None if tail.is_whole(end_mark) => return StreamEnd::Whole,
             None => Err(StreamCut),
             Some(Ok(frame)) => match frame.into_data() {
                 Ok(data) => {
@@ -150,8 +179,8 @@
     connection: Connection,
 ) -> Reply {
     let time_left = stream.deadline.saturating_sub(stream.host.now());
-    let is_delimited = is_delimited(&parts.headers, &body);
-    let body = forward_body(body, is_delimited, time_left, async move |end| {
+    let end_mark = EndMark::of(&parts.headers, &body, stream.is_resuming);
+    let body = forward_body(body, end_mark, time_left, async move |end| {
         // All of it lives until here, with the count of open calls.
         let stream = stream;
         match end {
--- a/src/ingress/handover.rs
+++ b/src/ingress/handover.rs
@@ -19,7 +19,7 @@
     clock::millis,
     connection::{Protocol, SendFailure, Target, UpstreamRequest},
     ingress::{
-        calls::{self, Call, MAX_ANSWER_BYTES, StreamEnd},
+        calls::{self, Call, EndMark, MAX_ANSWER_BYTES, StreamEnd},
         host::Host,
         reach,
         replies::{Reply, refusal, reply},
@@ -236,8 +236,8 @@
     }
     let body = if call.route.kind == RouteKind::Streaming && parts.status.is_success() {
         let time_left = call.deadline().saturating_sub(host.now());
-        let is_delimited = calls::is_delimited(&parts.headers, &body);
-        calls::forward_body(body, is_delimited, time_left, async move |end| {
+        let end_mark = EndMark::of(&parts.headers, &body, call.head.is_resuming());
+        calls::forward_body(body, end_mark, time_left, async move |end| {
             if end == StreamEnd::Whole {
                 connection.release();
             }
