Read the answer to an order for a bounded time

Seen: an engine whose answer to an order has a head and no end keeps a task and a connection of the coordinator for ever, one more for each order.

Cause: the time-out covered the head only.

Ruled out: reports and reward calls, whose time-outs cover the body.

Change: the body gets the same time; the order counts by its head.

Test: cut_heads::endless_answer_to_an_order, failed before.

Conclusion: no answer of an engine is read without a limit.

--- a/src/ingress/orders.rs
+++ b/src/ingress/orders.rs
@@ -18,7 +18,7 @@
     store::rows::RowStore,
 };
 
-/// The timeout of an order and of a report request.
+/// The timeout of an order, of the rest of its answer and of a report request.
 pub const ORDER_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// How old the content of a report may be when it arrives; the platform's
@@ -122,8 +122,9 @@
     let sent = calls::send_while(host, upstream, request, holds_lease);
     match timeout(ORDER_TIMEOUT, sent).await {
         Ok(Ok(answer)) => {
-            let body = Limited::new(answer.body, MAX_REPORT_BYTES);
-            if body.collect().await.is_ok() {
+            // The head says what became of the order.
+            let body = Limited::new(answer.body, MAX_REPORT_BYTES).collect();
+            if matches!(timeout(ORDER_TIMEOUT, body).await, Ok(Ok(_))) {
                 answer.connection.release();
             }
             Some(W::order_answer(&answer.parts))
--- a/tests/cut_heads.rs
+++ b/tests/cut_heads.rs
@@ -9,6 +9,7 @@
 use std::{
     cell::RefCell,
     collections::{BTreeMap, BTreeSet},
+    future::pending,
     net::SocketAddr,
     sync::Arc,
     time::Duration,
@@ -49,7 +50,7 @@
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::{TcpListener, TcpStream},
     task::spawn_local,
-    time::sleep,
+    time::{sleep, timeout},
 };
 
 const KINDS: [RouteKind; 3] = [
@@ -67,6 +68,8 @@
     LateClose,
     /// The connection is reset.
     Reset,
+    /// The connection stays open.
+    Never,
 }
 
 /// What an upstream writes on each connection.
@@ -117,6 +120,7 @@
             sleep(Duration::from_millis(5)).await;
             stream.set_zero_linger().unwrap();
         }
+        Stop::Never => pending().await,
     }
 }
 
@@ -399,6 +403,22 @@
     });
 }
 
+/// Guards against an order that keeps its engine from others for ever: the body of its answer
+/// never ends.
+#[test]
+fn endless_answer_to_an_order() {
+    run(async {
+        let script = Script {
+            first: Vec::new(),
+            cut: b"HTTP/1.1 202 Accepted\r\ncontent-length: 9\r\n\r\n".to_vec(),
+            stop: Stop::Never,
+        };
+        let address = upstream_of(script).await;
+        let state = timeout(Duration::from_secs(3), order(address, Some(0))).await;
+        assert_eq!(state, Ok(Some(OrderState::Loading)));
+    });
+}
+
 /// Guards against reports of engines that are cut and taken as whole.
 #[test]
 fn reports_of_engines() {
