Do not hold up items behind one that fits no engine in use

Callers would see: a step of which no item starts while other jobs keep the engines in use.

Cause: the search for an item to start ends at the first one without an engine. One that is larger than what engines have for several runs waits for an idle engine, which says nothing of the smaller ones behind it.

Ruled out: items too large for what is free now; these are waited for, as before.

Change: such an item is passed over, as one that waits for its software version.

Test: item_scheduling::item_larger_than_an_engine, failed before (1 run instead of 8).

Conclusion: one item delays only itself.

--- a/src/batch/scheduler/dispatch.rs
+++ b/src/batch/scheduler/dispatch.rs
@@ -45,6 +45,17 @@
         })
 }
 
+/// Returns whether an item that needs `tokens` can start only on an engine without runs, since
+/// it is larger than what any engine of its service has for several.
+fn needs_idle_engine(engines: &BTreeMap<UpstreamId, Engine>, head: &JobHead, tokens: u64) -> bool {
+    engines
+        .values()
+        .filter(|engine| engine.serves(&head.service))
+        .map(Engine::max_run_tokens)
+        .max()
+        .is_some_and(|max_tokens| tokens > max_tokens)
+}
+
 impl Scheduler {
     /// Starts waiting items of all jobs, in the order of the time by which they
     /// must start.
@@ -135,8 +146,11 @@
                 break;
             }
             // An item that can start anywhere finds no engine, and no later one will. One
-            // that goes on waits for its version, and holds up none of the others.
-            if state.output.last_event() == 0 {
+            // that goes on waits for its version, and one that is too large for engines in use
+            // for an idle one; they hold up none of the others.
+            let is_special =
+                state.output.last_event() > 0 || needs_idle_engine(&self.engines, head, tokens);
+            if !is_special {
                 break;
             }
         }
--- a/src/batch/scheduler/engine.rs
+++ b/src/batch/scheduler/engine.rs
@@ -246,12 +246,16 @@
     ///
     /// A load only blocks items of the model that is being loaded.
     pub(super) fn is_usable(&self, head: &JobHead, tokens: u64, now: Timestamp) -> bool {
-        let max_tokens = (self.spec.memory_tokens as f64 * MAX_MEMORY_RATIO) as u64;
         self.has_free_slot(now)
             && !self.is_loading(&head.model)
             && !self.is_awaiting_probe(&head.model, now)
             && self.spec.service == head.service
-            && (self.run_count == 0 || self.run_tokens + tokens <= max_tokens)
+            && (self.run_count == 0 || self.run_tokens + tokens <= self.max_run_tokens())
+    }
+
+    /// Returns how many tokens the runs on the engine may need together.
+    pub(super) fn max_run_tokens(&self) -> u64 {
+        (self.spec.memory_tokens as f64 * MAX_MEMORY_RATIO) as u64
     }
 
     /// Records that a run starts.
--- a/tests/item_scheduling.rs
+++ b/tests/item_scheduling.rs
@@ -386,6 +386,29 @@
     assert!(fleet.starts.is_empty(), "{:?}", fleet.starts);
 }
 
+/// Guards against a job that waits behind one item: it is larger than the engine, on which
+/// another job always has a run, and the items behind it are small.
+#[test]
+fn item_larger_than_an_engine() {
+    let mut fleet = Fleet::new(1, 8, 100_000);
+    fleet.set_memory(8, 27_000);
+    fleet.long_count = 1;
+    fleet.open("endless", 1);
+    fleet.run_for(Duration::from_millis(100));
+    let mut mixed = job("mixed", 8, 10);
+    mixed.items[0].prompt_tokens = 40_000;
+    // The longest item comes first.
+    mixed.items[0].length_hint_tokens = 9_000;
+    fleet
+        .scheduler
+        .open(mixed, &Default::default(), Duration::ZERO, fleet.now);
+    fleet.run_for(Duration::from_secs(2));
+    let started: Vec<usize> = fleet.starts.iter().map(|(_, item, ..)| *item).collect();
+    assert_eq!(started.len(), 8, "{started:?}");
+    assert_eq!(started[0], 0, "the run of the other job");
+    assert!(!started[1..].contains(&0), "{started:?}");
+}
+
 /// No item needs the loaded weights for several seconds: this does not count as
 /// a long load, and the limit on concurrent loads stays the same.
 #[test]
