List results of jobs whose tally would exceed a row

Callers would see: from about 2,800 items on, no result of a job is listed any more.

Cause: each listing writes the ids of all listed items into one row, which the store refuses above 64 KiB in base64.

Ruled out: the rows of results and of items; both are split.

Change: the ids are left out where they do not fit. A reader without them reads the results, as it does for rows of older builds.

Test: job_listing::tally_beyond_a_row with 4,096 and 20,000 items, failed before. The test store refuses values over the platform's limit now.

--- a/src/batch/layout.rs
+++ b/src/batch/layout.rs
@@ -78,7 +78,7 @@
     pub nonce: u64,
     /// The items that are listed, in the order of their results, so that a new
     /// coordinator need not read the results. Empty if the row was written without
-    /// them. They follow the other fields.
+    /// them, as where they do not fit into it. They follow the other fields.
     #[serde(skip)]
     pub listed: Vec<ItemId>,
 }
@@ -421,7 +421,11 @@
         nonce,
         listed,
     };
-    let value = encode_extended(&tally, Some(&tally.listed))?;
+    let mut value = encode_extended(&tally, Some(&tally.listed))?;
+    if value.len() > MAX_VALUE_BYTES {
+        // Readers find the items in the results.
+        value = encode(&tally)?;
+    }
     Ok(Listing {
         transaction: transaction.put(name, value),
         tally,
--- a/tests/job_listing.rs
+++ b/tests/job_listing.rs
@@ -17,10 +17,13 @@
 };
 use rows_support::{
     Fault, Rows, job,
-    member::{Member, accept, listed},
+    member::{Member, SLOT_COUNT, accept, listed},
     scored_job,
 };
-use tokio::{runtime, time};
+use tokio::{
+    runtime,
+    time::{self, timeout},
+};
 
 fn assert_once(results: &[ItemResult]) {
     let ids: BTreeSet<_> = results.iter().map(|result| &result.id).collect();
@@ -286,3 +289,32 @@
         assert_eq!(listed(&rows, &id).await.len(), 8);
     });
 }
+
+/// How long a coordinator may take to list thousands of results.
+const LISTING_TIME: Duration = Duration::from_secs(60);
+
+/// Guards against a job of which no result is listed from some number on: the ids of its listed
+/// items exceed what one row can hold. The next coordinator finds them all the same.
+#[test]
+fn tally_beyond_a_row() {
+    run(async {
+        for item_count in [4_096, 20_000] {
+            let rows = Rows::default();
+            let id = accept(&rows, "job", item_count).await;
+            let half_count = item_count / 2;
+            for count in [half_count, item_count - half_count] {
+                let member = Member::new(&rows);
+                member.open_job(&rows, &id).await;
+                for _ in 0..count / SLOT_COUNT {
+                    member.finish(SLOT_COUNT);
+                }
+                member.finish(count % SLOT_COUNT);
+                let listed = timeout(LISTING_TIME, member.lister.list(&id)).await;
+                assert_eq!(listed.unwrap().listed_count, count, "{item_count}");
+            }
+            let results = listed(&rows, &id).await;
+            assert_once(&results);
+            assert_eq!(results.len(), item_count);
+        }
+    });
+}
--- a/tests/rows_support/member.rs
+++ b/tests/rows_support/member.rs
@@ -16,6 +16,9 @@
 
 use super::{Rows, engine, job};
 
+/// How many items run at once.
+pub const SLOT_COUNT: usize = 64;
+
 const SECOND: Duration = Duration::from_secs(1);
 const RIGHTS: Rights = Rights {
     may_start: true,
@@ -44,7 +47,7 @@
     pub fn set_engines(&self) {
         self.scheduler
             .borrow_mut()
-            .set_engines(vec![engine("engine-1", 64)]);
+            .set_engines(vec![engine("engine-1", SLOT_COUNT)]);
     }
 
     pub async fn open_job(&self, rows: &Rows, id: &JobId) {
--- a/tests/rows_support/mod.rs
+++ b/tests/rows_support/mod.rs
@@ -53,6 +53,9 @@
     Live,
 }
 
+/// The largest value that the store takes: 64 KiB in base64.
+const MAX_VALUE_BYTES: usize = 49_152;
+
 type Name = (String, String, String);
 
 #[derive(Debug, Default)]
@@ -223,6 +226,12 @@
                 .collect();
             return Err(RowError::Conflict { current });
         }
+        let is_fitting = |(_, value): &(RowName, Bytes)| value.len() <= MAX_VALUE_BYTES;
+        if !transaction.puts.iter().all(is_fitting) {
+            return Err(RowError::NotApplied {
+                reason: NotAppliedReason::Rejected,
+            });
+        }
         self.stamp += 1;
         for (row, value) in &transaction.puts {
             self.rows.insert(name(row), (value.clone(), self.stamp));
