--- a/src/bin/mimosavane-entry.rs
+++ b/src/bin/mimosavane-entry.rs
@@ -18,7 +18,10 @@
         log,
         metrics::Exposition,
     },
-    observe::telemetry::{self, Metrics},
+    observe::{
+        build,
+        telemetry::{self, Metrics},
+    },
     platform::{PlatformWire, boot, store::PlatformStore},
     settings::Settings,
 };
@@ -30,7 +33,7 @@
 fn main() -> ExitCode {
     let matches = Command::new("mimosavane-entry")
         .about("Serves callers, trainers and peers")
-        .version(env!("CARGO_PKG_VERSION"))
+        .version(build::NAME)
         .arg(
             Arg::new("settings")
                 .long("settings")
--- a/src/bin/mimosavane-load.rs
+++ b/src/bin/mimosavane-load.rs
@@ -5,12 +5,15 @@
 
 use anyhow::Context as _;
 use clap::{Arg, ArgMatches, Command, value_parser};
-use mimosavane::experiment::load::{self, Options, Report};
+use mimosavane::{
+    experiment::load::{self, Options, Report},
+    observe::build,
+};
 
 fn command() -> Command {
     Command::new("mimosavane-load")
         .about("Compares an entry host with a direct connection; exits with 1 if a bound is missed")
-        .version(env!("CARGO_PKG_VERSION"))
+        .version(build::NAME)
         .arg(count(
             "calls-count",
             "Number of short calls in each measurement",
--- a/src/bin/mimosavane-soak/main.rs
+++ b/src/bin/mimosavane-soak/main.rs
@@ -17,6 +17,7 @@
 
 use anyhow::{Context, Result, bail};
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use mimosavane::observe::build;
 
 use crate::scene::{Plan, Seed};
 
@@ -47,7 +48,7 @@
     };
     Command::new("mimosavane-soak")
         .about("Injects random faults into real processes and checks their promises")
-        .version(env!("CARGO_PKG_VERSION"))
+        .version(build::NAME)
         .arg(number("seeds", "Number of seeds to run [default: 5]"))
         .arg(number("from", "First seed [default: random]"))
         .arg(number("seed", "Run only this seed, in this process").conflicts_with("seeds"))
--- a/src/bin/mimosavane-steward.rs
+++ b/src/bin/mimosavane-steward.rs
@@ -5,7 +5,7 @@
 use anyhow::Context as _;
 use clap::{Arg, Command, value_parser};
 use mimosavane::{
-    observe::telemetry,
+    observe::{build, telemetry},
     settings::Settings,
     store::client::{Budget, HttpTableService},
     weights::steward,
@@ -18,7 +18,7 @@
 fn command() -> Command {
     Command::new("mimosavane-steward")
         .about("Orders engines to load weights and adapters and to change roles")
-        .version(env!("CARGO_PKG_VERSION"))
+        .version(build::NAME)
         .arg(
             Arg::new("settings")
                 .value_name("FILE")
--- a/src/bin/mimosavane-table.rs
+++ b/src/bin/mimosavane-table.rs
@@ -5,7 +5,7 @@
 use anyhow::{Context as _, Result};
 use clap::{Arg, Command, value_parser};
 use mimosavane::{
-    observe::telemetry,
+    observe::{build, telemetry},
     settings::Settings,
     table::server::{Server, State},
 };
@@ -17,7 +17,7 @@
 fn main() -> ExitCode {
     let matches = Command::new("mimosavane-table")
         .about("Serves the operators' table: a JSON and CSV interface and a web page")
-        .version(env!("CARGO_PKG_VERSION"))
+        .version(build::NAME)
         .arg(
             Arg::new("settings")
                 .long("settings")
--- a/src/command/cli.rs
+++ b/src/command/cli.rs
@@ -7,7 +7,7 @@
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 
-use crate::settings::TelemetrySettings;
+use crate::{observe::build, settings::TelemetrySettings};
 
 /// The output format of a command.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, strum::Display, strum::EnumString)]
@@ -35,7 +35,7 @@
 pub fn build() -> Command {
     Command::new("mimosavane")
         .about("Operates a fleet of rollout hosts")
-        .version(env!("CARGO_PKG_VERSION"))
+        .version(build::NAME)
         .subcommand_required(true)
         .arg_required_else_help(true)
         .subcommand(demo())
--- a/src/ingress/metrics.rs
+++ b/src/ingress/metrics.rs
@@ -58,7 +58,10 @@
                 *self.counters.entry(name.to_owned()).or_default() += value.parse::<u64>().ok()?;
             }
             "g" => {
-                self.gauges.insert(name.to_owned(), value.parse().ok()?);
+                let tags = fields.next().and_then(|tags| tags.strip_prefix('#'));
+                let labels = tags.map(labels).unwrap_or_default();
+                self.gauges
+                    .insert(format!("{name}{labels}"), value.parse().ok()?);
             }
             "ms" => {
                 let time_ms = value.parse::<f64>().ok()? as u64;
@@ -100,6 +103,18 @@
     }
 }
 
+/// Returns the name of a metric as it is served; its labels stay as they are.
 fn exposed_name(name: &str) -> String {
-    name.replace('.', "_")
+    let (name, labels) = name.split_at(name.find('{').unwrap_or(name.len()));
+    name.replace('.', "_") + labels
+}
+
+/// Returns the labels for tags in StatsD format: `key:value`, separated by commas.
+fn labels(tags: &str) -> String {
+    let labels: Vec<String> = tags
+        .split(',')
+        .filter_map(|tag| tag.split_once(':'))
+        .map(|(key, value)| format!("{key}=\"{value}\""))
+        .collect();
+    format!("{{{}}}", labels.join(","))
 }
--- a/src/ingress/process.rs
+++ b/src/ingress/process.rs
@@ -12,6 +12,7 @@
         coordinator::Coordinator, feeds, host::Host, origins, server, stop::StopSchedule,
         wire::Wire,
     },
+    observe::{build, telemetry::BUILD},
     store::rows::RowStore,
 };
 
@@ -34,10 +35,13 @@
         tracing::info!(
             event = "host.start",
             host = &*self.settings.host,
+            version = build::VERSION,
+            sources = build::SOURCES,
             failure_domain = &*self.settings.failure_domain,
             store = %self.settings.store_address,
             memory_limit_mb = self.settings.memory_limit_mb,
         );
+        self.metrics.mark_build(BUILD);
         let clients = server::bind(self.settings.client_address)?;
         let ready = server::bind(self.settings.ready_address)?;
         if let Some(address) = self.settings.metrics_address {
--- a/src/observe/mod.rs
+++ b/src/observe/mod.rs
@@ -1,6 +1,7 @@
 //! Logs, metrics and recordings of a host, and the tools that read them.
 //!
 //! - `telemetry`: logs and metrics.
+//! - `build`: what names the build of a program.
 //! - `trace` and `trace_event`: recorded traces.
 //! - `explain` and `log_story`: the history of one request, from decision records
 //!   or from logs.
@@ -8,6 +9,7 @@
 //! - `capacity`: the control cost of a large fleet.
 //! - `sweep`: how the cost of a host grows with the fleet.
 
+pub mod build;
 pub mod burn;
 pub mod burn_page;
 pub mod burn_report;
--- a/src/observe/telemetry.rs
+++ b/src/observe/telemetry.rs
@@ -17,6 +17,7 @@
 
 use crate::{
     ids::HostId,
+    observe::build,
     settings::{LogFormat, TelemetrySettings},
 };
 
@@ -106,6 +107,7 @@
     ORDERS_SENT, "orders.sent_count", Counter, "Orders that this host sent to engines.";
     LEASES_TAKEN, "lease.taken_count", Counter, "Number of times that this host became the coordinator.";
     STORE_LOST, "store.lost_count", Counter, "Number of times that a feed from the store began to fail.";
+    BUILD, "build.info", Gauge, "Always 1; the tags `version` and `sources` name the build of the program.";
     CONTROL_ROUND_TIME, "control.round_time_ms", Timer, "Duration of one round of all controllers.";
 }
 
@@ -212,6 +214,15 @@
         self.client.gauge_with_tags(metric.name, level).send();
     }
 
+    /// Sets a gauge to 1 whose tags name the build of the program.
+    pub fn mark_build(&self, metric: Metric) {
+        self.client
+            .gauge_with_tags(metric.name, 1)
+            .with_tag("version", build::VERSION)
+            .with_tag("sources", build::SOURCES)
+            .send();
+    }
+
     /// Records a duration.
     pub fn time(&self, metric: Metric, time: Duration) {
         self.client.time_with_tags(metric.name, time).send();
--- a/tests/telemetry.rs
+++ b/tests/telemetry.rs
@@ -3,8 +3,12 @@
 use std::{collections::BTreeSet, net::UdpSocket, time::Duration};
 
 use mimosavane::{
-    observe::telemetry::{
-        self, CALL_TIME, CALLS_ANSWERED, HOSTS_LIVE, METRICS, Metrics, TelemetryError,
+    ingress::metrics::Exposition,
+    observe::{
+        build,
+        telemetry::{
+            self, BUILD, CALL_TIME, CALLS_ANSWERED, HOSTS_LIVE, METRICS, Metrics, TelemetryError,
+        },
     },
     settings::TelemetrySettings,
 };
@@ -35,10 +39,17 @@
     metrics.count(CALLS_ANSWERED, 2);
     metrics.gauge(HOSTS_LIVE, 12);
     metrics.time(CALL_TIME, Duration::from_millis(5));
+    metrics.mark_build(BUILD);
+    let build = format!(
+        "mimosavane.build.info:1|g|#host:entry-1,version:{},sources:{}",
+        build::VERSION,
+        build::SOURCES,
+    );
     let expected = [
         "mimosavane.calls.answered_count:2|c|#host:entry-1",
         "mimosavane.hosts.live_count:12|g|#host:entry-1",
         "mimosavane.calls.time_ms:5|ms|#host:entry-1",
+        &*build,
     ];
     for line in expected {
         let mut buffer = [0; 512];
@@ -47,6 +58,22 @@
     }
 }
 
+/// Guards against a run whose record does not show which sources it played.
+#[test]
+fn served_build() {
+    let exposition = Exposition::default();
+    Metrics::with_sink(exposition.clone()).mark_build(BUILD);
+    let line = format!(
+        "mimosavane_build_info{{version=\"{}\",sources=\"{}\"}} 1",
+        build::VERSION,
+        build::SOURCES,
+    );
+    let page = exposition.page();
+    assert!(page.lines().any(|served| served == line), "{page}");
+    assert!(build::NAME.contains(build::SOURCES));
+    assert_eq!(build::SOURCES.len(), 16);
+}
+
 #[test]
 fn wrong_settings() {
     let settings = TelemetrySettings {
