Drop jobs that another coordinator has closed

What callers saw: items of an ended job reach engines up to 5 s after the acknowledgement of its end (UNASKED), after a coordinator was frozen while the store was slow, and go on until the last one.

Cause: the coordinator of the term before learns of the end first and removes the job's two rows from the table of open jobs. The feed may show each changed row once, in its newest state: the new coordinator sees both as removed, and apply_job_changes left removed rows out. It had opened the job, or was reading it, as of before the end, and nothing looks at it again.

Change: the removal of a job's row in the feed drops the job and its read, and logs job.closed_elsewhere.

Tests: ends_elsewhere::closed_while_open and closed_during_read. The test store's feed can show rows in their newest state only (Feed::Newest).

Conclusion: a closed job is final, so that its removal means the same in whatever order it is seen.

--- a/src/ingress/coordinator/jobs.rs
+++ b/src/ingress/coordinator/jobs.rs
@@ -297,23 +297,41 @@
             .store
             .changes(layout::OPEN, after, FEED_WAIT)
             .await?;
-        let (ends, others): (Vec<_>, Vec<_>) = page
-            .rows
-            .iter()
-            .filter(|row| !row.is_removed)
-            .partition(|row| row.key == layout::END_KEY);
-        for row in ends {
-            self.end_job(&row.partition.as_str().into());
+        let mut opened = Vec::new();
+        for row in &page.rows {
+            let job: JobId = row.partition.as_str().into();
+            match (&*row.key, row.is_removed) {
+                (layout::END_KEY, false) => self.end_job(&job),
+                // A feed may show each row in its newest state only, so that the end of a job
+                // that another coordinator has closed is not in it.
+                (layout::JOB_KEY, true) => {
+                    opened.retain(|other| *other != job);
+                    self.drop_closed_job(&job);
+                }
+                (layout::JOB_KEY, false) => opened.push(job),
+                _ => {}
+            }
         }
-        for row in others {
+        for job in opened {
             let this = self.clone();
-            let job = row.partition.as_str().into();
             // The next ends do not wait until the job is read.
             spawn_local(async move { this.open_job(&job).await });
         }
         Ok(page.stamp)
     }
 
+    /// Drops a job that another coordinator has closed. Does nothing if it is neither open nor
+    /// being read, as after this coordinator has closed it.
+    fn drop_closed_job(&self, job: &JobId) {
+        let is_read = self.reads.borrow_mut().remove(job).is_some();
+        if !is_read && !self.scheduler.borrow().is_open(job) {
+            return;
+        }
+        tracing::info!(event = "job.closed_elsewhere", job = &**job);
+        self.drop_job(job);
+        self.wake.notify_one();
+    }
+
     /// Opens a job with the outputs that the previous coordinator saved. Does
     /// nothing if the job is open, or is being read or closed. A job that cannot
     /// be read is tried again by [`Self::poll_store`].
--- /dev/null
+++ b/tests/ends_elsewhere.rs
@@ -0,0 +1,78 @@
+//! Jobs that clients end and another coordinator closes: a coordinator that has them open
+//! must stop their items, whatever its feed shows of the end
+//! (docs/design/store-reads.md, "Ends").
+
+#![expect(clippy::unwrap_used, reason = "a failing step must fail the test")]
+
+mod rows_support;
+
+use mimosavane::{
+    batch::{job::JobId, layout},
+    ingress::coordinator::Coordinator,
+    store::rows::RowStore as _,
+};
+use rows_support::{
+    Feed, Rows,
+    host::TestHost,
+    leader::{host_with_engine, open_item_count, open_job_count, wait_until},
+    member::accept,
+    page::run,
+};
+use tokio::task::spawn_local;
+
+/// Ends and closes `job`, as a client and the coordinator of another term do. No feed shows
+/// the state in between.
+async fn end_and_close(rows: &Rows, job: &JobId, feed: Feed) {
+    rows.set_feed(Feed::Silent);
+    rows.commit(&layout::ending(job)).await.unwrap();
+    rows.commit(&layout::closing(job)).await.unwrap();
+    rows.set_feed(feed);
+}
+
+/// Starts a coordinator that has opened the jobs of `rows`.
+async fn coordinate(rows: &Rows, job_count: u64) -> TestHost {
+    rows.set_feed(Feed::Newest);
+    let host = host_with_engine(rows);
+    spawn_local(Coordinator::new(host.clone()).run());
+    wait_until("the jobs are never opened", || {
+        open_job_count(&host) == Some(job_count)
+    })
+    .await;
+    host
+}
+
+/// Guards against items of an ended job that go on running after a takeover: the job is
+/// closed elsewhere, and the feed shows its rows as removed only.
+#[test]
+fn closed_while_open() {
+    run(async {
+        let rows = Rows::default();
+        let job = accept(&rows, "ended", 4).await;
+        let host = coordinate(&rows, 1).await;
+        end_and_close(&rows, &job, Feed::Newest).await;
+        wait_until("the job stays open", || open_job_count(&host) == Some(0)).await;
+    });
+}
+
+/// The same while the job is read: the read shows it without its end.
+#[test]
+fn closed_during_read() {
+    run(async {
+        let rows = Rows::default();
+        let host = coordinate(&rows, 0).await;
+        rows.hold_reads_of(Some(layout::ITEMS));
+        let job = accept(&rows, "ended", 4).await;
+        wait_until("the job is never read", || rows.held_read_count() > 0).await;
+        end_and_close(&rows, &job, Feed::Newest).await;
+        accept(&rows, "kept", 8).await;
+        wait_until("the changes are never seen", || rows.held_read_count() > 1).await;
+        rows.hold_reads_of(None);
+        for number in 0..rows.held_read_count() {
+            rows.release_read(number);
+        }
+        wait_until("not just the items of the other job are open", || {
+            open_item_count(&host) == 8 && open_job_count(&host) == Some(1)
+        })
+        .await;
+    });
+}
--- a/tests/job_pickup.rs
+++ b/tests/job_pickup.rs
@@ -5,109 +5,19 @@
 
 mod rows_support;
 
-use std::{
-    collections::BTreeMap,
-    sync::Arc,
-    time::{Duration, Instant},
-};
-
 use mimosavane::{
     batch::{job::JobId, layout},
-    ingress::{
-        coordinator::Coordinator,
-        directory::Upstream,
-        routes::{ClientLimits, Configuration, Service},
-        wire::Wire as _,
-    },
+    ingress::{coordinator::Coordinator, wire::Wire as _},
     platform::PlatformWire,
     store::rows::{RowName, RowStore as _, RowTransaction},
 };
 use rows_support::{
     Feed, Rows,
-    host::{TestHost, host},
+    leader::{host_with_engine, open_item_count, open_job_count, wait_until},
     member::accept,
+    page::run,
 };
-use tokio::{
-    runtime,
-    task::{LocalSet, spawn_local},
-    time::sleep,
-};
-
-const POLL_INTERVAL: Duration = Duration::from_millis(20);
-const DEADLINE: Duration = Duration::from_secs(20);
-
-/// Creates a host that knows one engine.
-fn host_with_engine(rows: &Rows) -> TestHost {
-    let host = host(rows);
-    let mut view = host.view.borrow_mut();
-    view.configuration = Some(Arc::new(Configuration {
-        version: 1,
-        routes: Vec::new(),
-        services: BTreeMap::from([(
-            "engines".into(),
-            Service {
-                name: "engines".into(),
-                engine_slot_count: Some(4),
-                engine_memory_tokens: 1_000_000,
-                tokens_per_event: 61,
-            },
-        )]),
-        limits: ClientLimits {
-            max_header_bytes: 16_384,
-            max_body_bytes: 1 << 20,
-            header_timeout: Duration::from_secs(5),
-            idle_timeout: Duration::from_secs(10),
-        },
-    }));
-    view.directory.put(Upstream {
-        id: "engine-1".into(),
-        started_at_ms: 1,
-        service: "engines".into(),
-        // Nothing listens there, so that no item of a job ends.
-        address: "127.0.0.1:1".parse().unwrap(),
-        failure_domain: "mx-a".into(),
-        slot_count: 4,
-        is_draining: false,
-        software_version: "v1".into(),
-        versions: BTreeMap::from([("writer".into(), 1)]),
-    });
-    drop(view);
-    host
-}
-
-fn run(test: impl Future<Output = ()>) {
-    let runtime = runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .unwrap();
-    runtime.block_on(LocalSet::new().run_until(test));
-}
-
-async fn wait_until(what: &str, is_reached: impl Fn() -> bool) {
-    let started = Instant::now();
-    while !is_reached() {
-        assert!(started.elapsed() < DEADLINE, "{what}");
-        sleep(POLL_INTERVAL).await;
-    }
-}
-
-/// Returns the last value of the gauge `name`.
-fn gauge(host: &TestHost, name: &str) -> Option<u64> {
-    let page = host.exposition.page();
-    let line = page.lines().find(|line| line.starts_with(name))?;
-    line.split_whitespace().last()?.parse().ok()
-}
-
-/// Returns the number of jobs that the coordinator last reported as open.
-fn open_job_count(host: &TestHost) -> Option<u64> {
-    gauge(host, "mimosavane_jobs_open_count")
-}
-
-/// Returns the number of items that the coordinator last reported as waiting or running.
-fn open_item_count(host: &TestHost) -> u64 {
-    let waiting_count = gauge(host, "mimosavane_items_waiting_count").unwrap_or_default();
-    waiting_count + gauge(host, "mimosavane_runs_open_count").unwrap_or_default()
-}
+use tokio::task::spawn_local;
 
 /// The store discards its history while a job ends: the coordinator must find the
 /// end when it lists the jobs again, or the job's items would go on running.
--- a/tests/rows_support/mod.rs
+++ b/tests/rows_support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test uses a part")]
 
 pub mod host;
+pub mod leader;
 pub mod member;
 pub mod page;
 
@@ -49,8 +50,10 @@
     Gone,
     /// Nothing, for ever.
     Silent,
-    /// The changes.
+    /// All changes.
     Live,
+    /// Each changed row once, in its newest state, which the platform's pages allow.
+    Newest,
 }
 
 /// The largest value that the store takes: 64 KiB in base64.
@@ -283,20 +286,33 @@
         })
     }
 
-    fn changes_after(&self, table: &str, after: RowStamp) -> Result<RowPage, RowError> {
+    fn changes_after(
+        &self,
+        table: &str,
+        after: RowStamp,
+        is_newest_only: bool,
+    ) -> Result<RowPage, RowError> {
         let inner = self.inner.borrow();
         if after < inner.compacted_until {
             return Err(RowError::HistoryGone);
         }
         let is_new =
             |(changed, row): &&(&'static str, StoredRow)| *changed == table && row.stamp > after;
-        Ok(RowPage {
-            rows: inner
-                .history
+        let mut rows: Vec<StoredRow> = inner
+            .history
+            .iter()
+            .filter(is_new)
+            .map(|(_, row)| row.clone())
+            .collect();
+        if is_newest_only {
+            let newest: BTreeMap<(String, String), RowStamp> = rows
                 .iter()
-                .filter(is_new)
-                .map(|(_, row)| row.clone())
-                .collect(),
+                .map(|row| ((row.partition.clone(), row.key.clone()), row.stamp))
+                .collect();
+            rows.retain(|row| newest[&(row.partition.clone(), row.key.clone())] == row.stamp);
+        }
+        Ok(RowPage {
+            rows,
             has_more: false,
             stamp: inner.stamp,
             store_time: Duration::ZERO,
@@ -383,8 +399,8 @@
             match feed {
                 Feed::Gone => return Err(RowError::HistoryGone),
                 Feed::Silent => {}
-                Feed::Live => {
-                    let page = self.changes_after(table, after)?;
+                Feed::Live | Feed::Newest => {
+                    let page = self.changes_after(table, after, feed == Feed::Newest)?;
                     if !page.rows.is_empty() || tokio::time::Instant::now() >= ends_at {
                         return Ok(page);
                     }
