Ask for the end of a job in one read of its rows

Items of an ended job could go on where the store had dropped its history.

Cause: after a lost history, end_if_ended asked for a listed job's end row only. A job that was listed, and was closed since, has neither row, so that it looked as if it had not ended. Where the feed is then silent or loses its history again, nothing else shows the end.

Change: check_open reads both rows at once: an end row ends the job, no row at all means that it was closed. Both cases hold in any order.

Conclusion: what an earlier listing shows no longer counts.

--- a/src/ingress/coordinator/jobs.rs
+++ b/src/ingress/coordinator/jobs.rs
@@ -233,13 +233,13 @@
     pub(super) async fn open_all_jobs(self: &Rc<Self>) -> Result<RowStamp, RowError> {
         // The stamp is read first: the feed delivers every later change.
         let start = self.host.store.read(&lease_range()).await?;
-        let listed = self.open_listed_jobs().await?;
+        self.open_listed_jobs().await?;
         // A job may have ended while the feed was interrupted, also one whose read was sent
         // before that.
         let mut known = self.scheduler.borrow().open_jobs();
         known.extend(self.reads.borrow().keys().cloned());
         stream::iter(known)
-            .map(|job| self.end_if_ended(job, &listed))
+            .map(|job| self.check_open(job))
             .buffer_unordered(MAX_CONCURRENT_READS)
             .try_collect::<()>()
             .await?;
@@ -265,25 +265,15 @@
         Ok(listed)
     }
 
-    /// Ends an open job that is no longer listed, or whose end is listed.
-    async fn end_if_ended(
-        self: &Rc<Self>,
-        job: JobId,
-        listed: &BTreeSet<JobId>,
-    ) -> Result<(), RowError> {
-        let is_ended = if listed.contains(&job) {
-            let rows = stored::read_all(
-                &self.host.store,
-                layout::range(layout::OPEN, &job, layout::END_KEY),
-            );
-            rows.await?.iter().any(|row| row.key == layout::END_KEY)
-        } else {
-            // A job that was accepted after the listing is not in it.
-            let rows = stored::read_all(&self.host.store, layout::range(layout::OPEN, &job, ""));
-            rows.await?.is_empty()
-        };
-        if is_ended {
+    /// Ends or drops a job that has ended or was closed by now, whatever an earlier listing
+    /// shows of it.
+    async fn check_open(self: &Rc<Self>, job: JobId) -> Result<(), RowError> {
+        let range = layout::range(layout::OPEN, &job, "");
+        let rows = stored::read_all(&self.host.store, range).await?;
+        if rows.iter().any(|row| row.key == layout::END_KEY) {
             self.end_job(&job);
+        } else if rows.is_empty() {
+            self.drop_closed_job(&job);
         }
         Ok(())
     }
--- a/tests/ends_elsewhere.rs
+++ b/tests/ends_elsewhere.rs
@@ -54,7 +54,7 @@
     });
 }
 
-/// The same while the job is read: the read shows it without its end.
+/// The same as [`closed_while_open`] while the job is read: the read shows it without its end.
 #[test]
 fn closed_during_read() {
     run(async {
@@ -76,3 +76,26 @@
         .await;
     });
 }
+
+/// Guards against items of an ended job that go on running because the job is closed between
+/// two reads of the table of open jobs: its rows show no end any more.
+#[test]
+fn closed_after_listing() {
+    run(async {
+        let rows = Rows::default();
+        let job = accept(&rows, "ended", 4).await;
+        let host = coordinate(&rows, 1).await;
+        rows.hold_reads_of(Some(layout::ITEMS));
+        // The table is listed, and the check of each job waits for the read of the new one.
+        rows.set_feed(Feed::Gone);
+        accept(&rows, "slow", 8).await;
+        wait_until("the new job is never read", || rows.held_read_count() > 0).await;
+        end_and_close(&rows, &job, Feed::Silent).await;
+        rows.hold_reads_of(None);
+        rows.release_read(0);
+        wait_until("the ended job stays open", || {
+            open_item_count(&host) == 8 && open_job_count(&host) == Some(1)
+        })
+        .await;
+    });
+}
