Look for closed jobs beside the feed

What callers saw: nothing yet; found by a test. Items of an ended job go on for as long as no feed shows that its job was closed.

A job that is open here and no longer listed was left alone.

Ruled out: asking for each open job; only those that the listing lacks need a read, which are none in the calm.

Change: the poll checks the jobs that it no longer finds, those being read included (review_jobs, check_jobs).

Conclusion: an ended job that was closed is dropped within one poll, whoever closed it and whatever its feed says.

--- a/src/ingress/coordinator/jobs.rs
+++ b/src/ingress/coordinator/jobs.rs
@@ -201,7 +201,7 @@
         loop {
             sleep(POLL_INTERVAL).await;
             let (jobs, versions) = tokio::join!(
-                self.open_listed_jobs(),
+                self.review_jobs(),
                 feeds::read_named_versions(&self.host)
             );
             for error in [jobs.err(), versions.err()].into_iter().flatten() {
@@ -236,14 +236,33 @@
         self.open_listed_jobs().await?;
         // A job may have ended while the feed was interrupted, also one whose read was sent
         // before that.
+        self.check_jobs(self.known_jobs()).await?;
+        Ok(start.stamp)
+    }
+
+    /// Opens the jobs that the store lists, and drops those that it no longer lists: a feed may
+    /// be silent about both.
+    async fn review_jobs(self: &Rc<Self>) -> Result<(), RowError> {
+        let listed = self.open_listed_jobs().await?;
+        let mut unlisted = self.known_jobs();
+        unlisted.retain(|job| !listed.contains(job));
+        // A job that was accepted after the listing is not in it.
+        self.check_jobs(unlisted).await
+    }
+
+    /// Returns the jobs that are open or being read.
+    fn known_jobs(&self) -> Vec<JobId> {
         let mut known = self.scheduler.borrow().open_jobs();
         known.extend(self.reads.borrow().keys().cloned());
-        stream::iter(known)
+        known
+    }
+
+    async fn check_jobs(self: &Rc<Self>, jobs: Vec<JobId>) -> Result<(), RowError> {
+        stream::iter(jobs)
             .map(|job| self.check_open(job))
             .buffer_unordered(MAX_CONCURRENT_READS)
-            .try_collect::<()>()
-            .await?;
-        Ok(start.stamp)
+            .try_collect()
+            .await
     }
 
     /// Opens all jobs that the store lists and this coordinator does not have
--- a/tests/ends_elsewhere.rs
+++ b/tests/ends_elsewhere.rs
@@ -99,3 +99,16 @@
         .await;
     });
 }
+
+/// Guards against items of an ended job that go on running because no feed shows that the job
+/// was closed.
+#[test]
+fn closed_in_a_silent_feed() {
+    run(async {
+        let rows = Rows::default();
+        let job = accept(&rows, "ended", 4).await;
+        let host = coordinate(&rows, 1).await;
+        end_and_close(&rows, &job, Feed::Silent).await;
+        wait_until("the job stays open", || open_job_count(&host) == Some(0)).await;
+    });
+}
