Follow the feed while jobs are read at a takeover

What callers saw: nothing yet; found by a test. Items of a job that ends just after a takeover go on until all other open jobs are read: seconds with many jobs and a slow store, for ever while one read hangs.

Cause: a new coordinator, or one whose feed lost its history, read all listed jobs to their end before it asked the feed for the first time. The poll beside it waited in the same way, and with it the check for closed jobs.

Ruled out: the order of ends and reads within one page of the feed, which end_behind_a_read guards.

A read that starts after the lease was lost is not sent.

Conclusion: no end waits behind the read of another job.

--- a/src/ingress/coordinator/jobs.rs
+++ b/src/ingress/coordinator/jobs.rs
@@ -233,19 +233,21 @@
     pub(super) async fn open_all_jobs(self: &Rc<Self>) -> Result<RowStamp, RowError> {
         // The stamp is read first: the feed delivers every later change.
         let start = self.host.store.read(&lease_range()).await?;
-        self.open_listed_jobs().await?;
         // A job may have ended while the feed was interrupted, also one whose read was sent
         // before that.
-        self.check_jobs(self.known_jobs()).await?;
+        let known = self.known_jobs();
+        self.open_jobs(self.list_jobs().await?);
+        self.check_jobs(known).await?;
         Ok(start.stamp)
     }
 
     /// Opens the jobs that the store lists, and drops those that it no longer lists: a feed may
     /// be silent about both.
     async fn review_jobs(self: &Rc<Self>) -> Result<(), RowError> {
-        let listed = self.open_listed_jobs().await?;
+        let listed = self.list_jobs().await?;
         let mut unlisted = self.known_jobs();
         unlisted.retain(|job| !listed.contains(job));
+        self.open_jobs(listed);
         // A job that was accepted after the listing is not in it.
         self.check_jobs(unlisted).await
     }
@@ -265,9 +267,8 @@
             .await
     }
 
-    /// Opens all jobs that the store lists and this coordinator does not have
-    /// open, as far as they can be read, and returns the listed jobs.
-    async fn open_listed_jobs(self: &Rc<Self>) -> Result<BTreeSet<JobId>, RowError> {
+    /// Returns the jobs that the store lists as open.
+    async fn list_jobs(&self) -> Result<BTreeSet<JobId>, RowError> {
         let mut listed: BTreeSet<JobId> = BTreeSet::new();
         let mut after = String::new();
         loop {
@@ -278,12 +279,26 @@
             after.clone_from(last);
             listed.extend(page.iter().map(|job| job.as_str().into()));
         }
-        // The jobs are read concurrently, since a connection to the store carries
-        // one answer at a time and the outputs of a job fill many of its windows.
-        join_all(listed.iter().map(|job| self.open_job(job))).await;
         Ok(listed)
     }
 
+    /// Opens jobs beside the caller, so that ends do not wait until other jobs are read. The
+    /// jobs are read concurrently, since a connection to the store carries one answer at a time
+    /// and the outputs of a job fill many of its windows.
+    fn open_jobs(self: &Rc<Self>, jobs: impl IntoIterator<Item = JobId>) {
+        for job in jobs.into_iter().filter(|job| !self.is_busy(job)) {
+            let this = self.clone();
+            spawn_local(async move { this.open_job(&job).await });
+        }
+    }
+
+    /// Returns whether a job is open, or is being read or closed.
+    fn is_busy(&self, job: &JobId) -> bool {
+        self.scheduler.borrow().is_open(job)
+            || self.reads.borrow().contains_key(job)
+            || self.closing_jobs.borrow().contains(job)
+    }
+
     /// Ends or drops a job that has ended or was closed by now, whatever an earlier listing
     /// shows of it.
     async fn check_open(self: &Rc<Self>, job: JobId) -> Result<(), RowError> {
@@ -321,11 +336,7 @@
                 _ => {}
             }
         }
-        for job in opened {
-            let this = self.clone();
-            // The next ends do not wait until the job is read.
-            spawn_local(async move { this.open_job(&job).await });
-        }
+        self.open_jobs(opened);
         Ok(page.stamp)
     }
 
@@ -342,13 +353,11 @@
     }
 
     /// Opens a job with the outputs that the previous coordinator saved. Does
-    /// nothing if the job is open, or is being read or closed. A job that cannot
-    /// be read is tried again by [`Self::poll_store`].
-    pub(super) async fn open_job(self: &Rc<Self>, job: &JobId) {
-        let is_busy = self.scheduler.borrow().is_open(job)
-            || self.reads.borrow().contains_key(job)
-            || self.closing_jobs.borrow().contains(job);
-        if is_busy {
+    /// nothing if the job is busy. A job that cannot be read is tried again by
+    /// [`Self::poll_store`].
+    async fn open_job(self: &Rc<Self>, job: &JobId) {
+        // The lease may be lost between the start of this task and its first step.
+        if !self.is_leading.get() || self.is_busy(job) {
             return;
         }
         let number = self.last_read.get() + 1;
--- a/tests/ends_elsewhere.rs
+++ b/tests/ends_elsewhere.rs
@@ -112,3 +112,24 @@
         wait_until("the job stays open", || open_job_count(&host) == Some(0)).await;
     });
 }
+
+/// Guards against items of an ended job that go on running after a takeover: the end waits
+/// until all other jobs are read.
+#[test]
+fn end_behind_a_takeover() {
+    run(async {
+        let rows = Rows::default();
+        let job = accept(&rows, "ended", 4).await;
+        accept(&rows, "slow", 8).await;
+        rows.set_feed(Feed::Newest);
+        rows.hold_reads_of(Some(layout::ITEMS));
+        let host = host_with_engine(&rows);
+        spawn_local(Coordinator::new(host.clone()).run());
+        wait_until("the jobs are never read", || rows.held_read_count() > 1).await;
+        // The reads are sent in the order of the ids.
+        rows.release_read(0);
+        wait_until("the job is never opened", || open_item_count(&host) == 4).await;
+        rows.commit(&layout::ending(&job)).await.unwrap();
+        wait_until("the job stays open", || open_job_count(&host) == Some(0)).await;
+    });
+}
