Close jobs only under the lease

Cause: a host whose lease had lapsed removed the job from the table of open jobs, which is how the coordinator in office learns of the end. The store cannot tie that write to the lease: a transaction holds rows of one partition only (across is false).

Ruled out: leaving the removal to whoever takes up the end, as before.

Change: end_job removes the rows only while this host holds the lease, by its own clock; else the next coordinator does. job.ended says which (has_lease).

Tests: ends_elsewhere::end_without_lease; before "the job is closed without the lease", after it passes with the others.

Conclusion: what remains is a host that stands still between this check and its write, which the feed's removals cover.

--- a/src/ingress/coordinator/jobs.rs
+++ b/src/ingress/coordinator/jobs.rs
@@ -200,10 +200,8 @@
     pub(super) async fn poll_store(self: Rc<Self>) {
         loop {
             sleep(POLL_INTERVAL).await;
-            let (jobs, versions) = tokio::join!(
-                self.review_jobs(),
-                feeds::read_named_versions(&self.host)
-            );
+            let (jobs, versions) =
+                tokio::join!(self.review_jobs(), feeds::read_named_versions(&self.host));
             for error in [jobs.err(), versions.err()].into_iter().flatten() {
                 tracing::debug!(event = "store.not_polled", %error);
             }
@@ -430,10 +428,18 @@
 
     /// Cancels the runs of an ended job and removes it from the list of open
     /// jobs. A read of the job that is in progress may not show the end, and is not used.
+    ///
+    /// Without the lease the job stays listed: another coordinator may have opened it, and a
+    /// host of an earlier build learns of the end only as long as it is listed.
     pub(super) fn end_job(self: &Rc<Self>, job: &JobId) {
-        tracing::info!(event = "job.ended", job = &**job);
+        let has_lease = self.lease.borrow().is_held(self.host.now());
+        tracing::info!(event = "job.ended", job = &**job, has_lease);
         self.drop_job(job);
         self.reads.borrow_mut().remove(job);
+        self.wake.notify_one();
+        if !has_lease {
+            return;
+        }
         self.closing_jobs.borrow_mut().insert(job.clone());
         let this = self.clone();
         let job = job.clone();
@@ -447,6 +453,5 @@
                 this.closing_jobs.borrow_mut().remove(&job);
             }
         });
-        self.wake.notify_one();
     }
 }
--- a/tests/ends_elsewhere.rs
+++ b/tests/ends_elsewhere.rs
@@ -6,6 +6,8 @@
 
 mod rows_support;
 
+use std::time::Duration;
+
 use mimosavane::{
     batch::{job::JobId, layout},
     ingress::coordinator::Coordinator,
@@ -18,7 +20,13 @@
     member::accept,
     page::run,
 };
-use tokio::task::spawn_local;
+use tokio::{task::spawn_local, time::sleep};
+
+/// The partition of the lease.
+const LEASE_PARTITION: &str = "fleet";
+
+/// Longer than a lease that is not renewed.
+const LEASE_TIME: Duration = Duration::from_millis(1_500);
 
 /// Ends and closes `job`, as a client and the coordinator of another term do. No feed shows
 /// the state in between.
@@ -133,3 +141,31 @@
         wait_until("the job stays open", || open_job_count(&host) == Some(0)).await;
     });
 }
+
+/// Guards against ends that the next coordinator never sees: one whose lease has lapsed, and
+/// which may have been replaced, does not close jobs.
+#[test]
+fn end_without_lease() {
+    run(async {
+        let rows = Rows::default();
+        let job = accept(&rows, "ended", 4).await;
+        let host = coordinate(&rows, 1).await;
+        rows.hold_answers();
+        rows.fail_reads(Some(LEASE_PARTITION));
+        sleep(LEASE_TIME).await;
+        let (held, ended) = (rows.clone(), job.clone());
+        spawn_local(async move { held.commit(&layout::ending(&ended)).await });
+        wait_until("the job stays open", || open_job_count(&host) == Some(0)).await;
+        assert_eq!(
+            rows.keys(layout::OPEN, &job),
+            [layout::END_KEY, layout::JOB_KEY],
+            "the job is closed without the lease"
+        );
+        rows.release_answers();
+        rows.fail_reads(None);
+        wait_until("the job is never closed", || {
+            rows.keys(layout::OPEN, &job).is_empty()
+        })
+        .await;
+    });
+}
