List results only before the end of their job

Cause: the mark of the end beside the job's head is the last word on it, and nobody asked for it after the job was open: the listing of each result went on beside it.

Ruled out: a read of the mark for each round (a call for each job); the listing writes to the same partition anyway.

Change: a listing expects that the mark does not exist. Where it does, the store says so in the conflict, and the job is dropped (job.found_ended) without another read.

Tests: job_listing::end_found_by_listing; before "the job stays open", after it passes with the rest of job_listing.

Conclusion: whatever a coordinator missed, the first result that it lists of an ended job stops that job.

--- a/src/batch/layout.rs
+++ b/src/batch/layout.rs
@@ -379,7 +379,8 @@
 /// that `tally` counts.
 ///
 /// It applies only if the tally's version is still `stamp`, so that concurrent
-/// coordinators cannot list an item twice.
+/// coordinators cannot list an item twice, and only before the end of the job, so
+/// that a coordinator that has not heard of the end learns of it.
 ///
 /// # Errors
 ///
@@ -392,7 +393,9 @@
     nonce: u64,
 ) -> Result<Listing, LayoutError> {
     let name = RowName::new(JOBS, &**job, TALLY_KEY);
-    let mut transaction = RowTransaction::default().expect(name.clone(), stamp);
+    let mut transaction = RowTransaction::default()
+        .expect(name.clone(), stamp)
+        .expect(RowName::new(JOBS, &**job, END_KEY), 0);
     let mut result_count = 0;
     let mut size_bytes = 0;
     for result in results {
@@ -400,7 +403,8 @@
         let value = encode_extended(result, extension)?;
         let rows = split_value(&format!("{:06}", tally.listed_count + result_count), &value);
         let is_full = size_bytes + value.len() > MAX_TRANSACTION_BYTES
-            || transaction.puts.len() + rows.len() + 2 > MAX_ENTRY_COUNT;
+            // Leaves room for the tally and the two conditions.
+            || transaction.puts.len() + rows.len() + 3 > MAX_ENTRY_COUNT;
         if is_full && result_count > 0 {
             break;
         }
--- a/src/ingress/listing.rs
+++ b/src/ingress/listing.rs
@@ -125,6 +125,10 @@
                             outcome.listed_count += listing.result_count;
                             self.record_applied(job, &listing, stamp);
                         }
+                        None if current.iter().any(|row| row.key == layout::END_KEY) => {
+                            tracing::info!(event = "job.found_ended", job = &**job);
+                            outcome.is_job_closed = true;
+                        }
                         None => self.reload_tally(job, epoch, &mut outcome).await,
                     }
                 }
--- a/tests/job_listing.rs
+++ b/tests/job_listing.rs
@@ -62,6 +62,25 @@
     });
 }
 
+/// Guards against items of an ended job that go on running for as long as its coordinator
+/// does not learn of the end: the first result that it lists shows the end.
+#[test]
+fn end_found_by_listing() {
+    run(async {
+        let rows = Rows::default();
+        let id = accept(&rows, "job", 12).await;
+        let member = Member::new(&rows);
+        member.open_job(&rows, &id).await;
+        member.finish(4);
+        rows.commit(&layout::ending(&id)).await.unwrap();
+        rows.commit(&layout::closing(&id)).await.unwrap();
+        let outcome = member.lister.list(&id).await;
+        assert!(outcome.is_job_closed, "the job stays open");
+        assert_eq!(outcome.listed_count, 0);
+        assert!(listed(&rows, &id).await.is_empty());
+    });
+}
+
 /// Two coordinators concurrently list parts of the same job.
 #[test]
 fn two_coordinators() {
