--- a/src/ingress/coordinator/jobs.rs
+++ b/src/ingress/coordinator/jobs.rs
@@ -338,14 +338,14 @@
         Ok(page.stamp)
     }
 
-    /// Drops a job that another coordinator has closed. Does nothing if it is neither open nor
-    /// being read, as after this coordinator has closed it.
+    /// Drops a job that the store no longer lists, such as one that another coordinator has
+    /// closed. Does nothing if it is neither open nor being read.
     fn drop_closed_job(&self, job: &JobId) {
         let is_read = self.reads.borrow_mut().remove(job).is_some();
         if !is_read && !self.scheduler.borrow().is_open(job) {
             return;
         }
-        tracing::info!(event = "job.closed_elsewhere", job = &**job);
+        tracing::info!(event = "job.found_closed", job = &**job);
         self.drop_job(job);
         self.wake.notify_one();
     }
