Check in the soak that items of ended jobs stop

Cause: the soak ended jobs, but nothing looked at their items afterwards, and its jobs had too few to be seen running on.

Ruled out: the small jobs that are submitted singly; they are whole before an end that went astray would show.

Change: a trainer submits jobs of 240 items and ends them 0.1 to 0.7 s after their acceptance, under all faults; an item that reaches an upstream 3 s (cancel_ms) after the acknowledgement and 3 s (stable_ms) after the last fault breaks ended-never-runs. submit_singly reads whether its end was acknowledged as before.

--- a/src/bin/mimosavane-soak/scene.rs
+++ b/src/bin/mimosavane-soak/scene.rs
@@ -153,6 +153,9 @@
     let (model, path) = MODELS[0];
     let single_jobs = trainer::submit_singly(harness.clone(), model, path);
     tasks.push(spawn_local(single_jobs));
+    let (model, path) = MODELS[1];
+    let early_jobs = trainer::end_early(harness.clone(), model, path);
+    tasks.push(spawn_local(early_jobs));
     let random = ChaCha8Rng::seed_from_u64(seed);
     fault::run_all_series(&harness, random, seed, plan.duration).await;
     harness.clear_faults();
--- a/src/bin/mimosavane-soak/trainer.rs
+++ b/src/bin/mimosavane-soak/trainer.rs
@@ -30,6 +30,16 @@
 /// The number of items of such a job, one group.
 const SINGLE_JOB_ITEM_COUNT: usize = 4;
 
+/// The number of items of a job that is ended early: more than all engines run within the
+/// time for which the fleet is watched after the last fault.
+const EARLY_JOB_ITEM_COUNT: usize = 240;
+
+/// The range of the time after which such a job is ended, in milliseconds.
+const EARLY_END_MS: std::ops::Range<u64> = 100..700;
+
+/// The delay between two such jobs.
+const EARLY_JOB_INTERVAL: Duration = Duration::from_millis(1_800);
+
 /// How long a trainer retries a submission.
 const SUBMIT_TIME: Duration = Duration::from_secs(6);
 
@@ -86,7 +96,9 @@
             id,
         };
         match submit_once(&harness, path, &job).await {
-            Ok(answer) if answer.status.is_success() => end_job(&harness, &job).await,
+            Ok(answer) if answer.status.is_success() => {
+                end_job(&harness, &job).await;
+            }
             Ok(answer) if answer.is_refusal() => record_refusal(&harness, &job),
             Err(RequestError::NotConnected) => record_refusal(&harness, &job),
             // Whether the job was accepted is unknown.
@@ -97,6 +109,48 @@
     }
 }
 
+/// Submits jobs that take long and ends each soon after its acceptance, until the run ends:
+/// their items must stop, whichever host takes up the end.
+pub async fn end_early(harness: Rc<Harness>, model: &'static str, path: &'static str) {
+    let mut number = 0_u64;
+    while !harness.is_stopping.get() {
+        let id = format!("{model}-early-{number}");
+        let job = TrainerJob {
+            model: model.to_owned(),
+            step: 0,
+            min_version: 1,
+            event_counts: (0..EARLY_JOB_ITEM_COUNT)
+                .map(|index| (format!("{id}-{index:03}"), MAX_EVENT_COUNT))
+                .collect(),
+            id,
+        };
+        number += 1;
+        if submit_until_accepted(&harness, path, &job).await {
+            let run_ms = rand::rng().random_range(EARLY_END_MS);
+            sleep(Duration::from_millis(run_ms)).await;
+            if end_job(&harness, &job).await {
+                let items = job.event_counts.into_keys();
+                harness.record.borrow_mut().add_ended_job(items);
+            }
+        }
+        sleep(EARLY_JOB_INTERVAL).await;
+    }
+}
+
+/// Submits a job at random hosts until one accepts it, whatever became of it at others, and
+/// returns whether one did.
+async fn submit_until_accepted(harness: &Harness, path: &str, job: &TrainerJob) -> bool {
+    let deadline = Instant::now() + SUBMIT_TIME;
+    while Instant::now() < deadline {
+        let outcome = submit_once(harness, path, job).await;
+        if outcome.is_ok_and(|answer| answer.status.as_u16() == 202) {
+            return true;
+        }
+        sleep(RETRY_DELAY).await;
+    }
+    false
+}
+
 async fn submit_once(
     harness: &Harness,
     path: &str,
@@ -225,7 +279,8 @@
     }
 }
 
-async fn end_job(harness: &Harness, job: &TrainerJob) {
+/// Ends a job at random hosts, and returns whether one acknowledged it.
+async fn end_job(harness: &Harness, job: &TrainerJob) -> bool {
     let deadline = Instant::now() + SUBMIT_TIME;
     while Instant::now() < deadline {
         let host = harness.random_host();
@@ -234,16 +289,17 @@
         })
         .await;
         match ended {
-            Ok(ReceivedAnswer { status, .. }) if status.is_success() => return,
+            Ok(ReceivedAnswer { status, .. }) if status.is_success() => return true,
             Ok(ReceivedAnswer { status, .. }) if matches!(status.as_u16(), 404 | 410) => {
                 let seen = format!("{} at its end, at {}", job.id, host.name);
                 harness
                     .record
                     .borrow_mut()
                     .add_violation("accepted-never-lost", seen);
-                return;
+                return false;
             }
             _ => sleep(RETRY_DELAY).await,
         }
     }
+    false
 }
--- a/src/platform/standin/record.rs
+++ b/src/platform/standin/record.rs
@@ -20,6 +20,13 @@
 /// that it has got in the meantime.
 const LEAVING_SETTLE_TIME: Duration = Duration::from_millis(2_000);
 
+/// How long after the acknowledgement of a job's end its items may still reach an upstream:
+/// `cancel_ms` of the deployment specification.
+const CANCEL_TIME: Duration = Duration::from_millis(3_000);
+
+/// How long after the last fault that holds: `stable_ms`.
+const STABLE_TIME: Duration = Duration::from_millis(3_000);
+
 /// How long after a call crashed the third upstream all hosts must know it.
 const CRASH_SETTLE_TIME: Duration = Duration::from_millis(3_000);
 
@@ -83,6 +90,8 @@
     violations: Vec<Violation>,
     jobs: BTreeMap<String, SeenJob>,
     refused_items: BTreeSet<String>,
+    /// When the end of the job of each of these items was acknowledged.
+    ended_items: BTreeMap<String, Instant>,
     run_items: BTreeSet<String>,
     orders: BTreeMap<String, Order>,
     last_holder: Option<String>,
@@ -131,6 +140,24 @@
     pub fn add_item_run(&mut self, item: &str) {
         self.count("runs");
         self.run_items.insert(item.to_owned());
+        let is_late = |at: Instant, bound| at.elapsed() >= bound;
+        let is_disturbed = self
+            .disturbed_at
+            .is_some_and(|at| !is_late(at, STABLE_TIME));
+        if let Some(ended_at) = self.ended_items.get(item)
+            && is_late(*ended_at, CANCEL_TIME)
+            && !is_disturbed
+        {
+            let seen = format!("{item}, {} ms later", ended_at.elapsed().as_millis());
+            self.add_violation("ended-never-runs", seen);
+        }
+    }
+
+    /// Records that the end of the job of `items` was acknowledged.
+    pub fn add_ended_job(&mut self, items: impl Iterator<Item = String>) {
+        self.count("jobs ended early");
+        let now = Instant::now();
+        self.ended_items.extend(items.map(|item| (item, now)));
     }
 
     /// Records that an upstream of `software_version` begins the stream of the client's
