Hold all starts of an upstream to the limit of the newest that named one

Cause: a limit belonged to one start, and an ask for permits for another start was granted freely. Hosts list a new start up to 0.4 s late: the coordinator granted itself all permits while it listed the old start and another host had reported the limit of the new one, or for 13 ms while it listed the new start and no answer had named its limit.

Ruled out: the hosts' own parts and the permits of a coordinator before; the burst is the coordinator's own reward calls.

Change: the limit of the newest start that named one holds until a newer start answers, in the host's book and in the ledger. A newer start's answer without a limit ends it, also on a coordinator that knows the limit from reports only.

Tests: permit_ledger::other_starts (before: 50 of 50 permits granted where 5 are left) and limit_over_a_restart (before: Free).

Conclusion: as long as a new start says nothing, the old word is the better guess; it costs a start without a limit its first second at most.

--- a/src/ingress/limits.rs
+++ b/src/ingress/limits.rs
@@ -152,11 +152,11 @@
         })
     }
 
-    /// Returns the limit of `upstream`, if its present start names one.
+    /// Returns the limit that holds for `upstream`: that of its newest start that named one,
+    /// until a newer start answers. The list may name an older or a newer start; requests
+    /// reach the one that runs.
     pub fn get(&self, upstream: &Upstream) -> Option<&KnownLimit> {
-        self.limits
-            .get(&upstream.id)
-            .filter(|known| known.started_at_ms == upstream.started_at_ms)
+        self.limits.get(&upstream.id)
     }
 
     /// Returns whether `host` may send a request to `upstream`.
@@ -188,7 +188,7 @@
         Ask {
             host: host.clone(),
             upstream: upstream.id.clone(),
-            started_at_ms: upstream.started_at_ms,
+            started_at_ms: known.map_or(upstream.started_at_ms, |known| known.started_at_ms),
             statement: known.map(|known| Statement {
                 rate_per_s: Some(known.rate_per_s),
                 age: now.saturating_sub(known.stated_at),
--- a/src/ingress/limits/ledger.rs
+++ b/src/ingress/limits/ledger.rs
@@ -58,7 +58,8 @@
     pub host: HostId,
     /// The upstream.
     pub upstream: UpstreamId,
-    /// The Unix time in milliseconds at which the upstream started.
+    /// The Unix time in milliseconds at which the start of the upstream began that said so,
+    /// or the listed one if none did.
     pub started_at_ms: u64,
     /// What the upstream said to the host, if anything.
     pub statement: Option<Statement>,
@@ -148,12 +149,10 @@
             rate_per_s: None,
             share_ratio,
         };
+        // The host may list another start of the upstream; its requests reach the one that runs.
         let Some(entry) = self.entries.get_mut(&ask.upstream) else {
             return free;
         };
-        if entry.started_at_ms != ask.started_at_ms {
-            return free;
-        }
         let Some(rate_per_s) = entry.refill(now) else {
             return free;
         };
@@ -189,7 +188,8 @@
             }
             return;
         }
-        if statement.rate_per_s.is_none() {
+        let has_older_start = self.entries.contains_key(&ask.upstream);
+        if statement.rate_per_s.is_none() && !has_older_start {
             return;
         }
         bounded::make_room(
@@ -210,6 +210,12 @@
         self.entries.insert(ask.upstream.clone(), entry);
     }
 
+    /// Returns whether the upstream is known to name a limit.
+    pub fn names_limit(&self, upstream: &UpstreamId) -> bool {
+        let entry = self.entries.get(upstream);
+        entry.is_some_and(|entry| entry.rate_per_s.is_some())
+    }
+
     /// Returns how many permits are left for each upstream that names a limit.
     pub fn permit_counts(&mut self, now: Timestamp) -> impl Iterator<Item = (&UpstreamId, usize)> {
         self.entries.iter_mut().filter_map(move |(id, entry)| {
--- a/src/ingress/permits.rs
+++ b/src/ingress/permits.rs
@@ -159,6 +159,13 @@
     host.is_issuing.set(!host.is_stopping());
 }
 
+/// Returns whether this host issues permits for `upstream` by the word of other hosts alone.
+pub fn issues_by_report<S: RowStore, W: Wire>(host: &Rc<Host<S, W>>, upstream: &Upstream) -> bool {
+    host.is_issuing.get()
+        && host.view.borrow().limits.get(upstream).is_none()
+        && host.permits.borrow().names_limit(&upstream.id)
+}
+
 /// Tells the coordinator that `upstream` now names the limit `rate_per_s`, or none.
 pub fn report<S: RowStore, W: Wire>(
     host: &Rc<Host<S, W>>,
--- a/tests/permit_ledger.rs
+++ b/tests/permit_ledger.rs
@@ -373,6 +373,71 @@
     );
 }
 
+/// Guards against a burst at an upstream that starts again under its id: a host that lists
+/// another start of it than the one that named the limit asks for permits, and gets those
+/// that are there.
+#[test]
+fn other_starts() {
+    let ask = |started_at_ms: u64, statement: Option<Option<f64>>, permit_count: u32| Ask {
+        host: "entry-1".into(),
+        upstream: "i-1".into(),
+        started_at_ms,
+        statement: statement.map(|rate_per_s| Statement {
+            rate_per_s,
+            age: Duration::ZERO,
+        }),
+        permit_count,
+    };
+    let mut ledger = PermitLedger::default();
+    ledger.answer(&ask(2, Some(Some(5.0)), 0), 10 * SECOND);
+    for started_at_ms in [1, 2, 3] {
+        let granted_count = (0..50)
+            .filter(|_| {
+                ledger
+                    .answer(&ask(started_at_ms, None, 1), 11 * SECOND)
+                    .is_granted
+            })
+            .count();
+        let left_count = if started_at_ms == 1 { 5 } else { 0 };
+        assert_eq!(granted_count, left_count, "start {started_at_ms}");
+    }
+    // The newest start names no limit, and a late report of an older one changes nothing.
+    ledger.answer(&ask(3, Some(None), 0), 11 * SECOND);
+    ledger.answer(&ask(2, Some(Some(5.0)), 0), 11 * SECOND);
+    for started_at_ms in [1, 2, 3] {
+        assert!(
+            ledger
+                .answer(&ask(started_at_ms, None, 50), 11 * SECOND)
+                .is_granted,
+            "start {started_at_ms}"
+        );
+    }
+}
+
+/// Guards against the same burst at the host that asks: the limit of one start holds for the
+/// upstream until a newer start answers, whichever of them is listed.
+#[test]
+fn limit_over_a_restart() {
+    let start = |started_at_ms| upstream("i-1", started_at_ms, "127.0.0.1:80".parse().unwrap());
+    let mut book = LimitBook::default();
+    let address = "127.0.0.1:7660".parse().ok();
+    book.record_notice(Issuer { fence: 1, address }, 0.1, []);
+    book.record_answer(&start(2), StatedLimit::PerSecond(5.0), SECOND);
+    for listed in [start(1), start(2), start(3)] {
+        let permission = book.permission(&"entry-1".into(), &listed, SECOND);
+        assert!(
+            matches!(&permission, Permission::Ask(ask) if ask.started_at_ms == 2
+                && ask.statement.is_some_and(|statement| statement.rate_per_s == Some(5.0))),
+            "start {}: {permission:?}",
+            listed.started_at_ms
+        );
+    }
+    let change = book.record_answer(&start(3), StatedLimit::None, 2 * SECOND);
+    assert_eq!(change.unwrap().rate_per_s, None);
+    let permission = book.permission(&"entry-1".into(), &start(3), 2 * SECOND);
+    assert_eq!(permission, Permission::Free);
+}
+
 /// Items start on an engine that names a limit as far as permits are left, and on the
 /// others as far as slots are free.
 #[test]
