--- a/src/platform/documents.rs
+++ b/src/platform/documents.rs
@@ -130,6 +130,7 @@
     pub busy: bool,
     #[serde(default)]
     pub sequence: u64,
+    pub born: Option<u64>,
 }
 
 /// An order to an engine.
--- a/src/platform/wire.rs
+++ b/src/platform/wire.rs
@@ -291,6 +291,7 @@
             order_count: document.sequence,
             is_busy: document.busy,
             versions: model_versions(document.models),
+            started_at_ms: document.born,
         })
     }
 
