--- a/src/connection.rs
+++ b/src/connection.rs
@@ -149,17 +149,6 @@
     }
 }
 
-impl From<SendError> for SendFailure {
-    fn from(error: SendError) -> Self {
-        match error {
-            SendError::HandedBack(_) => Self::NotRun("closed-before-send"),
-            SendError::Refused(_) => Self::NotRun("refused"),
-            SendError::Lost(_) => Self::Unknown("connection-lost"),
-            SendError::Flooded => Self::Unknown("interim-answers"),
-        }
-    }
-}
-
 impl From<ConnectError> for SendFailure {
     fn from(error: ConnectError) -> Self {
         match error {
@@ -215,7 +204,6 @@
 struct PooledConnection {
     id: u64,
     sender: Sender,
-    peer_started_at_ms: Option<u64>,
 }
 
 #[derive(Debug)]
@@ -250,9 +238,6 @@
     sender: Sender,
     pool: Pool,
     reused: bool,
-    /// When the process at the other end started, in Unix milliseconds, if it has said so on
-    /// this connection. A connection ends with that process.
-    peer_started_at_ms: Option<u64>,
 }
 
 impl Pool {
@@ -302,7 +287,6 @@
             sender,
             pool: self.clone(),
             reused: false,
-            peer_started_at_ms: None,
         };
         // An HTTP/2 connection is shared by requests, so it is pooled immediately.
         connection.pool_if_shared();
@@ -355,7 +339,12 @@
                     request = *back;
                     connection = self.open(target).await?;
                 }
-                Err(error) => return Err(error.into()),
+                Err(SendError::HandedBack(_)) => {
+                    return Err(SendFailure::NotRun("closed-before-send"));
+                }
+                Err(SendError::Refused(_)) => return Err(SendFailure::NotRun("refused")),
+                Err(SendError::Lost(_)) => return Err(SendFailure::Unknown("connection-lost")),
+                Err(SendError::Flooded) => return Err(SendFailure::Unknown("interim-answers")),
             }
         }
     }
@@ -393,20 +382,19 @@
         let ready = connections
             .iter()
             .rposition(|pooled| pooled.sender.is_ready())?;
-        let pooled = match &connections[ready].sender {
-            Sender::Http2(sender) => PooledConnection {
-                sender: Sender::Http2(sender.clone()),
-                ..connections[ready]
-            },
-            Sender::Http1(_) => connections.swap_remove(ready),
+        let (id, sender) = match &connections[ready].sender {
+            Sender::Http2(sender) => (connections[ready].id, Sender::Http2(sender.clone())),
+            Sender::Http1(_) => {
+                let pooled = connections.swap_remove(ready);
+                (pooled.id, pooled.sender)
+            }
         };
         Some(Connection {
-            id: pooled.id,
+            id,
             target,
-            sender: pooled.sender,
+            sender,
             pool: self.clone(),
             reused: true,
-            peer_started_at_ms: pooled.peer_started_at_ms,
         })
     }
 
@@ -457,16 +445,6 @@
         self.reused
     }
 
-    /// Returns when the process at the other end started, if it has said so.
-    pub const fn peer_started_at_ms(&self) -> Option<u64> {
-        self.peer_started_at_ms
-    }
-
-    /// Records what the process at the other end said of its start.
-    pub const fn set_peer_started_at_ms(&mut self, started_at_ms: u64) {
-        self.peer_started_at_ms = Some(started_at_ms);
-    }
-
     /// Sends `request` once and returns the head of its response.
     ///
     /// # Errors
@@ -501,7 +479,6 @@
             target,
             sender,
             pool,
-            peer_started_at_ms,
             ..
         } = self;
         if matches!(sender, Sender::Http2(_)) || sender.is_closed() {
@@ -510,11 +487,7 @@
         let mut pooled = pool.pooled();
         let connections = pooled.entry(target).or_default();
         if connections.len() < MAX_IDLE_COUNT {
-            connections.push(PooledConnection {
-                id,
-                sender,
-                peer_started_at_ms,
-            });
+            connections.push(PooledConnection { id, sender });
         }
     }
 
@@ -527,7 +500,6 @@
                 .push(PooledConnection {
                     id: self.id,
                     sender: Sender::Http2(sender.clone()),
-                    peer_started_at_ms: self.peer_started_at_ms,
                 });
         }
     }
--- a/src/ingress/calls.rs
+++ b/src/ingress/calls.rs
@@ -14,7 +14,7 @@
 use tokio::time::timeout;
 
 pub use self::call::{Call, Fingerprint, split_point};
-pub use self::sending::{Answer, OTHER_START, record_leaving, send, send_to_start, send_while};
+pub use self::sending::{Answer, record_leaving, send, send_while};
 pub use self::stream::{EndMark, StreamEnd, forward_body, is_delimited};
 use self::stream::{Stream, stream_reply};
 use crate::{
@@ -358,7 +358,7 @@
     open.failed = match &result {
         AttemptOutcome::Answered(_) => Some(false),
         // A full upstream is not counted as failed, nor one that got no request.
-        AttemptOutcome::NotRun(FULL | EXPIRED | OTHER_START) => None,
+        AttemptOutcome::NotRun(FULL | EXPIRED) => None,
         AttemptOutcome::NotRun(_) | AttemptOutcome::Unknown(_) => Some(true),
     };
     result
@@ -386,16 +386,12 @@
         to,
         client_timeout.saturating_sub(elapsed),
     );
-    let sent = match origins::goes_on(&call.route, &call.head) {
-        true => send_to_start(host, upstream, request, is_allowed).await,
-        false => send_while(host, upstream, request, is_allowed).await,
-    };
     let Answer {
         connection,
         parts,
         head,
         body,
-    } = match sent {
+    } = match send_while(host, upstream, request, is_allowed).await {
         Ok(answer) => answer,
         Err(SendFailure::NotRun(reason)) => return AttemptOutcome::NotRun(reason),
         Err(SendFailure::Unknown(reason)) => return AttemptOutcome::Unknown(reason),
--- a/src/ingress/calls/sending.rs
+++ b/src/ingress/calls/sending.rs
@@ -3,29 +3,21 @@
 
 use std::rc::Rc;
 
-use http::{Response, response};
-use http_body_util::{BodyExt as _, Limited};
+use http::response;
 use hyper::body::Incoming;
 
 use crate::{
-    connection::{
-        CONNECT_FAILURES, Connection, EXPIRED, Protocol, SendFailure, Target, UpstreamRequest,
-    },
+    connection::{CONNECT_FAILURES, Connection, Protocol, SendFailure, Target, UpstreamRequest},
     ingress::{
         directory::Upstream,
         host::Host,
-        orders::MAX_REPORT_BYTES,
         permits, reach,
-        wire::{Addressee, AnswerHead, StatedLimit, Wire},
+        wire::{AnswerHead, StatedLimit, Wire},
     },
     observe::telemetry::UPSTREAMS_LIMITED,
     store::rows::RowStore,
 };
 
-/// The reason where a request was not sent, because another start of the upstream than the
-/// listed one answered.
-pub const OTHER_START: &str = "other-start";
-
 /// An answer whose body is not read yet.
 #[derive(Debug)]
 pub struct Answer {
@@ -64,129 +56,11 @@
     request: UpstreamRequest,
     is_allowed: impl Fn() -> bool,
 ) -> Result<Answer, SendFailure> {
-    let sent = host
-        .pool
-        .send_while(target(upstream), request, is_allowed)
-        .await;
-    record_sent(host, upstream, sent)
-}
-
-/// Sends `request` like [`send_while`] to the start of `upstream` that is listed, and to no
-/// other one.
-///
-/// An upstream that starts again under its id may have another software version, and is listed
-/// some tenths of a second later. It is asked for its start on the connection that the request
-/// then uses, once for each connection (see docs/design/software-versions.md).
-///
-/// # Errors
-///
-/// Fails like [`send_while`], and as not run where another start answers.
-pub async fn send_to_start<S: RowStore, W: Wire>(
-    host: &Rc<Host<S, W>>,
-    upstream: &Upstream,
-    request: UpstreamRequest,
-    is_allowed: impl Fn() -> bool,
-) -> Result<Answer, SendFailure> {
-    let sent = async {
-        let mut connection = confirmed_connection(host, upstream).await?;
-        if !is_allowed() {
-            connection.release();
-            return Err(SendFailure::NotRun(EXPIRED));
-        }
-        let answer = connection.send(request).await?;
-        Ok((connection, answer))
-    };
-    let sent = sent.await;
-    record_sent(host, upstream, sent)
-}
-
-/// Returns a connection behind which the listed start of `upstream` runs.
-async fn confirmed_connection<S: RowStore, W: Wire>(
-    host: &Rc<Host<S, W>>,
-    upstream: &Upstream,
-) -> Result<Connection, SendFailure> {
-    let mut connection = host.pool.checkout(target(upstream)).await?;
-    loop {
-        let was_reused = connection.is_reused();
-        if let Some(started_at_ms) = connection.peer_started_at_ms() {
-            return match started_at_ms == upstream.started_at_ms {
-                true => Ok(connection),
-                false => Err(SendFailure::NotRun(OTHER_START)),
-            };
-        }
-        match ask_start(host, upstream, connection).await {
-            Ok(asked) => connection = asked,
-            Err(StartUnknown::Closed) if was_reused => {
-                connection = host.pool.open(target(upstream)).await?;
-            }
-            Err(StartUnknown::Closed) => return Err(SendFailure::NotRun("closed-before-send")),
-            Err(StartUnknown::Denied(reason)) => return Err(SendFailure::NotRun(reason)),
-        }
-    }
-}
-
-/// Why the start of an upstream could not be asked for.
-enum StartUnknown {
-    /// The connection ended.
-    Closed,
-    /// No permit is left.
-    Denied(&'static str),
-}
-
-/// Asks the upstream behind `connection` for its start, and returns the connection with it. One
-/// that does not say is taken for the listed one.
-async fn ask_start<S: RowStore, W: Wire>(
-    host: &Rc<Host<S, W>>,
-    upstream: &Upstream,
-    mut connection: Connection,
-) -> Result<Connection, StartUnknown> {
-    let is_limited = host.view.borrow().limits.get(upstream).is_some();
-    if is_limited {
-        permits::acquire(host, upstream)
-            .await
-            .map_err(|denied| StartUnknown::Denied(denied.reason))?;
-    }
-    let to = Addressee {
-        id: &upstream.id,
-        address: upstream.address,
-    };
-    let answer = connection
-        .send(W::report_request(to))
-        .await
-        .map_err(|_| StartUnknown::Closed)?;
-    let is_readable = answer.status().is_success();
-    let body = Limited::new(answer.into_body(), MAX_REPORT_BYTES);
-    let body = body.collect().await.map_err(|_| StartUnknown::Closed)?;
-    let report = match is_readable {
-        true => W::report(&body.to_bytes()).ok(),
-        false => None,
-    };
-    let stated = report.and_then(|report| report.started_at_ms);
-    if stated != Some(upstream.started_at_ms) {
-        tracing::info!(
-            event = "upstream.start_asked",
-            upstream = &*upstream.id,
-            started_at_ms = upstream.started_at_ms,
-            stated_at_ms = stated,
-        );
-    }
-    connection.set_peer_started_at_ms(stated.unwrap_or(upstream.started_at_ms));
-    Ok(connection)
-}
-
-const fn target(upstream: &Upstream) -> Target {
-    Target {
+    let target = Target {
         address: upstream.address,
         protocol: Protocol::Http1,
-    }
-}
-
-/// Records what became of a request to `upstream`, and what its answer says of it.
-fn record_sent<S: RowStore, W: Wire>(
-    host: &Rc<Host<S, W>>,
-    upstream: &Upstream,
-    sent: Result<(Connection, Response<Incoming>), SendFailure>,
-) -> Result<Answer, SendFailure> {
+    };
+    let sent = host.pool.send_while(target, request, is_allowed).await;
     match &sent {
         Ok(_) => {
             let now = host.now();
--- a/src/ingress/orders.rs
+++ b/src/ingress/orders.rs
@@ -26,7 +26,7 @@
 const REPORT_LAG: Duration = Duration::from_millis(350);
 
 /// The largest report that is accepted.
-pub const MAX_REPORT_BYTES: usize = 1 << 20;
+const MAX_REPORT_BYTES: usize = 1 << 20;
 
 /// How many orders each engine has accepted, by its id and start time.
 pub type OrderCounts = BTreeMap<(UpstreamId, u64), u64>;
--- a/src/ingress/runs.rs
+++ b/src/ingress/runs.rs
@@ -67,22 +67,14 @@
     };
     let is_allowed = || run.permit.is_valid(host.now());
     let request = W::item_request(&run.authority, &run.item, to, run.last_event);
-    // A text goes on at the software version that began it.
-    let sent = match run.last_event > 0 {
-        true => calls::send_to_start(host, &run.upstream, request, is_allowed).await,
-        false => calls::send_while(host, &run.upstream, request, is_allowed).await,
-    };
     let Answer {
         connection,
         parts,
         head,
         mut body,
-    } = match sent {
+    } = match calls::send_while(host, &run.upstream, request, is_allowed).await {
         Ok(answer) => answer,
         Err(SendFailure::NotRun(EXPIRED)) => return outcome(RunEnd::NotRun, EXPIRED),
-        Err(SendFailure::NotRun(calls::OTHER_START)) => {
-            return outcome(RunEnd::WrongEngine, calls::OTHER_START);
-        }
         Err(SendFailure::NotRun(reason) | SendFailure::Unknown(reason)) => {
             return outcome(RunEnd::Broken, reason);
         }
--- a/src/ingress/wire.rs
+++ b/src/ingress/wire.rs
@@ -181,8 +181,6 @@
     pub is_busy: bool,
     /// The loaded version of each model.
     pub versions: std::collections::BTreeMap<ModelId, WeightVersion>,
-    /// When the engine started, in Unix milliseconds, if it says so.
-    pub started_at_ms: Option<u64>,
 }
 
 /// A change made by the operator or a trainer.
--- a/src/platform/documents.rs
+++ b/src/platform/documents.rs
@@ -130,7 +130,6 @@
     pub busy: bool,
     #[serde(default)]
     pub sequence: u64,
-    pub born: Option<u64>,
 }
 
 /// An order to an engine.
--- a/src/platform/standin/engine.rs
+++ b/src/platform/standin/engine.rs
@@ -295,7 +295,7 @@
                 200,
                 &json!({
                     "models": self.models(), "busy": self.loading.borrow().is_some(),
-                    "sequence": self.order_count.get(), "born": self.start_count.get(),
+                    "sequence": self.order_count.get(),
                 }),
             )),
             (names::ORDER_PATH, EngineRole::Generates) => self.handle_order(request.body()).await,
--- a/src/platform/wire.rs
+++ b/src/platform/wire.rs
@@ -291,7 +291,6 @@
             order_count: document.sequence,
             is_busy: document.busy,
             versions: model_versions(document.models),
-            started_at_ms: document.born,
         })
     }
 
--- a/tests/rows_support/page.rs
+++ b/tests/rows_support/page.rs
@@ -52,24 +52,12 @@
     }
 }
 
-/// A report that does not say when the upstream started.
-const SILENT_REPORT: &str = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}";
-
 /// Serves `answers`, which gets the numbers of the connection and of the request on
 /// it, both from 0, and returns the bytes to write and whether the connection ends
-/// after them. Counts the requests, apart from those for reports.
+/// after them. Counts the requests.
 pub async fn serve(
     answers: impl Fn(usize, usize) -> (&'static str, bool) + 'static,
 ) -> (SocketAddr, Rc<Cell<usize>>) {
-    serve_reporting(|| SILENT_REPORT, answers).await
-}
-
-/// Serves `answers` like [`serve`], and the answers of `report` to requests for a report.
-pub async fn serve_reporting(
-    report: impl Fn() -> &'static str + 'static,
-    answers: impl Fn(usize, usize) -> (&'static str, bool) + 'static,
-) -> (SocketAddr, Rc<Cell<usize>>) {
-    let report = Rc::new(report);
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let request_count = Rc::new(Cell::new(0));
@@ -79,7 +67,6 @@
         for connection in 0.. {
             let (mut stream, _) = listener.accept().await.unwrap();
             let (counter, answers) = (counter.clone(), answers.clone());
-            let report = report.clone();
             spawn_local(async move {
                 let mut head = Vec::new();
                 let mut byte = [0];
@@ -87,13 +74,7 @@
                 while stream.read(&mut byte).await.unwrap_or(0) == 1 {
                     head.push(byte[0]);
                     if head.ends_with(b"\r\n\r\n") {
-                        let is_report = head.starts_with(b"GET /-/report ");
                         head.clear();
-                        if is_report {
-                            // The host may have closed the connection.
-                            let _ = stream.write_all(report().as_bytes()).await;
-                            continue;
-                        }
                         counter.set(counter.get() + 1);
                         let (answer, is_last) = answers(connection, number);
                         number += 1;
