Pass on no refusal of a call that may have run elsewhere

Cause: a host that reaches no upstream hands the call over. The first host was silent and ran it later, the second took it and refused it, and its 503 was passed on: that the call may have run was heeded only where no host took it.

Ruled out: a refusal by the host that ran it; calls that run once at most, which are not handed to a second host after a silent one.

Change: a refusal of a host that took the call becomes 502 once the call may have run before, at another host or at an upstream that this host tried.

Tests: handover_outcomes::refused_after_lost_answer and refused_after_broken_attempt; before both got 503. stranded_host passes.

Conclusion: the answer of one host speaks for that host alone.

--- a/src/ingress/calls.rs
+++ b/src/ingress/calls.rs
@@ -89,7 +89,7 @@
         let attempts_left = call.route.max_attempts;
         let handed_over = match call.taken {
             Some(_) => None,
-            None => handover::hand_over(host, call, &service, attempts_left).await,
+            None => handover::hand_over(host, call, &service, attempts_left, false).await,
         };
         return handed_over.unwrap_or_else(|| handover::unserved_reply(host, call));
     }
@@ -235,7 +235,8 @@
     let attempts_left = max_attempts.saturating_sub(sent_count);
     let may_hand_over = is_unreached && call.taken.is_none() && attempts_left > 0;
     if may_hand_over && (call.is_idempotent() || !may_have_run) {
-        let handed_over = handover::hand_over(host, call, service, attempts_left).await;
+        let handed_over =
+            handover::hand_over(host, call, service, attempts_left, may_have_run).await;
         if let Some(reply) = handed_over {
             return reply;
         }
--- a/src/ingress/handover.rs
+++ b/src/ingress/handover.rs
@@ -51,6 +51,14 @@
 /// Whether the other host took the call; its answer is final then.
 const TAKEN: HeaderName = HeaderName::from_static("handover-taken");
 
+/// The statuses by which a host promises that a call has not run.
+const REFUSALS: [StatusCode; 4] = [
+    StatusCode::REQUEST_TIMEOUT,
+    StatusCode::MISDIRECTED_REQUEST,
+    StatusCode::TOO_MANY_REQUESTS,
+    StatusCode::SERVICE_UNAVAILABLE,
+];
+
 /// How many other hosts are asked to take one call.
 const MAX_PEER_COUNT: usize = 4;
 
@@ -118,6 +126,8 @@
 enum Outcome {
     /// The other host took the call; this is its answer.
     Answered(Reply),
+    /// The other host took the call and refuses it: it has not run there.
+    Refused(Reply),
     /// The other host cannot take it, and nothing has run.
     NotTaken(&'static str),
     /// The other host may have sent the call to an upstream.
@@ -125,14 +135,16 @@
 }
 
 /// Hands `call` over to another host, which may send it to `attempts_left` upstreams, and
-/// returns the reply; or `None` if no host takes it, and nothing has run.
+/// returns the reply; or `None` if no host takes it, and nothing has run at another one.
+/// `may_have_run` says whether the call may have run before, so that no refusal is passed on.
 pub async fn hand_over<S: RowStore, W: Wire>(
     host: &Rc<Host<S, W>>,
     call: &Call,
     service: &ServiceName,
     attempts_left: u32,
+    may_have_run: bool,
 ) -> Option<Reply> {
-    let mut may_have_run = false;
+    let mut may_run_elsewhere = false;
     for peer in candidates(host, call, service) {
         let time_left = call.deadline().saturating_sub(host.now());
         if time_left < MIN_TIME_LEFT {
@@ -149,6 +161,7 @@
         };
         let (name, status) = match &outcome {
             Outcome::Answered(reply) => ("answered", Some(reply.status().as_u16())),
+            Outcome::Refused(reply) => ("refused", Some(reply.status().as_u16())),
             Outcome::NotTaken(reason) | Outcome::Unknown(reason) => (*reason, None),
         };
         tracing::info!(
@@ -167,17 +180,24 @@
                 host.metrics.count(CALLS_HANDED_OVER, 1);
                 return Some(reply);
             }
+            Outcome::Refused(refusal) => {
+                host.metrics.count(CALLS_HANDED_OVER, 1);
+                return Some(match may_have_run || may_run_elsewhere {
+                    true => reply(StatusCode::BAD_GATEWAY, Bytes::new()),
+                    false => refusal,
+                });
+            }
             Outcome::NotTaken(_) => {}
-            Outcome::Unknown(_) => may_have_run = true,
+            Outcome::Unknown(_) => may_run_elsewhere = true,
         }
         let now = host.now();
         host.reach.borrow_mut().pause_peer(peer, service, now);
-        if may_have_run && !call.is_idempotent() {
+        if may_run_elsewhere && !call.is_idempotent() {
             break;
         }
     }
     // No refusal, which would say that nothing has run.
-    may_have_run.then(|| reply(StatusCode::BAD_GATEWAY, Bytes::new()))
+    may_run_elsewhere.then(|| reply(StatusCode::BAD_GATEWAY, Bytes::new()))
 }
 
 /// Returns the refusal of a call that neither this host nor another one can serve.
@@ -231,8 +251,9 @@
     }
     let mut headers = terms::end_to_end(&parts.headers);
     headers.remove(&TAKEN);
-    if let Some(upstream) = headers.remove(&ANSWERED_BY) {
-        record_answer(host, &upstream, &parts);
+    let answered_by = headers.remove(&ANSWERED_BY);
+    if let Some(upstream) = &answered_by {
+        record_answer(host, upstream, &parts);
     }
     let body = if call.route.kind == RouteKind::Streaming && parts.status.is_success() {
         let time_left = call.deadline().saturating_sub(host.now());
@@ -254,7 +275,10 @@
     let mut reply = Reply::new(body);
     *reply.status_mut() = parts.status;
     *reply.headers_mut() = headers;
-    Outcome::Answered(reply)
+    match answered_by.is_none() && REFUSALS.contains(&parts.status) {
+        true => Outcome::Refused(reply),
+        false => Outcome::Answered(reply),
+    }
 }
 
 /// Records what an upstream's answer says of itself, as if this host had got it directly.
