End a presumed limit only by the word of a newer start

Cause: a coordinator that knew a limit from reports only cleared it on its own answer without one, also of the same start. An answer that was made a moment before the upstream began to name the limit would have cleared it.

Change: only an answer of a start after the one that named the limit clears it (PermitLedger::has_earlier_limit).

Conclusion: the same start's word is ordered by its age, as before.

--- a/src/ingress/calls/sending.rs
+++ b/src/ingress/calls/sending.rs
@@ -152,7 +152,7 @@
             origin = "answer",
         );
         permits::report(host, upstream, change.rate_per_s);
-    } else if stated == StatedLimit::None && permits::issues_by_report(host, upstream) {
+    } else if stated == StatedLimit::None && permits::issues_by_earlier_start(host, upstream) {
         permits::report(host, upstream, None);
     }
 }
--- a/src/ingress/limits/ledger.rs
+++ b/src/ingress/limits/ledger.rs
@@ -210,10 +210,12 @@
         self.entries.insert(ask.upstream.clone(), entry);
     }
 
-    /// Returns whether the upstream is known to name a limit.
-    pub fn names_limit(&self, upstream: &UpstreamId) -> bool {
-        let entry = self.entries.get(upstream);
-        entry.is_some_and(|entry| entry.rate_per_s.is_some())
+    /// Returns whether the limit that holds for the upstream was named by a start before the
+    /// one at `started_at_ms`.
+    pub fn has_earlier_limit(&self, upstream: &UpstreamId, started_at_ms: u64) -> bool {
+        self.entries
+            .get(upstream)
+            .is_some_and(|entry| entry.rate_per_s.is_some() && entry.started_at_ms < started_at_ms)
     }
 
     /// Returns how many permits are left for each upstream that names a limit.
--- a/src/ingress/permits.rs
+++ b/src/ingress/permits.rs
@@ -159,11 +159,14 @@
     host.is_issuing.set(!host.is_stopping());
 }
 
-/// Returns whether this host issues permits for `upstream` by the word of other hosts alone.
-pub fn issues_by_report<S: RowStore, W: Wire>(host: &Rc<Host<S, W>>, upstream: &Upstream) -> bool {
-    host.is_issuing.get()
-        && host.view.borrow().limits.get(upstream).is_none()
-        && host.permits.borrow().names_limit(&upstream.id)
+/// Returns whether this host issues permits by the limit of an earlier start of `upstream`, of
+/// which it may have heard from other hosts only.
+pub fn issues_by_earlier_start<S: RowStore, W: Wire>(
+    host: &Rc<Host<S, W>>,
+    upstream: &Upstream,
+) -> bool {
+    let permits = host.permits.borrow();
+    host.is_issuing.get() && permits.has_earlier_limit(&upstream.id, upstream.started_at_ms)
 }
 
 /// Tells the coordinator that `upstream` now names the limit `rate_per_s`, or none.
--- a/tests/permit_ledger.rs
+++ b/tests/permit_ledger.rs
@@ -401,6 +401,8 @@
         let left_count = if started_at_ms == 1 { 5 } else { 0 };
         assert_eq!(granted_count, left_count, "start {started_at_ms}");
     }
+    assert!(ledger.has_earlier_limit(&"i-1".into(), 3));
+    assert!(!ledger.has_earlier_limit(&"i-1".into(), 2));
     // The newest start names no limit, and a late report of an older one changes nothing.
     ledger.answer(&ask(3, Some(None), 0), 11 * SECOND);
     ledger.answer(&ask(2, Some(Some(5.0)), 0), 11 * SECOND);
