Let streams and texts go on only at the registered start of an upstream

Cause: whether an upstream has the version that began a stream was read from the list of upstreams, which names the start before for up to 0.4 s. Items that go on were sent in the same way.

Change: the entry of the upstream is read from the store once the connection is open, right before the request is sent, and again for each connection that replaces it. Another start gets nothing, and no calls of this host until it is listed. It works since a connection that is older than the reading leads to a start that registered before, or has ended. Rows and messages are the same.

--- a/src/connection.rs
+++ b/src/connection.rs
@@ -324,13 +324,29 @@
         target: Target,
         request: UpstreamRequest,
         is_allowed: impl Fn() -> bool,
+    ) -> Result<(Connection, Response<Incoming>), SendFailure> {
+        let check = async || is_allowed().then_some(()).ok_or(EXPIRED);
+        self.send_checked(target, request, check).await
+    }
+
+    /// Sends `request` like [`Pool::send`], unless `check` fails once the connection is there.
+    /// It runs for each connection that is opened.
+    ///
+    /// # Errors
+    ///
+    /// Fails like [`Pool::send`], and as not run with the reason that `check` returns.
+    pub async fn send_checked(
+        &self,
+        target: Target,
+        request: UpstreamRequest,
+        check: impl AsyncFn() -> Result<(), &'static str>,
     ) -> Result<(Connection, Response<Incoming>), SendFailure> {
         let mut connection = self.checkout(target).await?;
         let mut request = request;
         loop {
-            if !is_allowed() {
+            if let Err(reason) = check().await {
                 connection.release();
-                return Err(SendFailure::NotRun(EXPIRED));
+                return Err(SendFailure::NotRun(reason));
             }
             let was_reused = connection.is_reused();
             match connection.send(request).await {
--- a/src/ingress/calls.rs
+++ b/src/ingress/calls.rs
@@ -14,7 +14,7 @@
 use tokio::time::timeout;
 
 pub use self::call::{Call, Fingerprint, split_point};
-pub use self::sending::{Answer, record_leaving, send, send_while};
+pub use self::sending::{Answer, record_leaving, send, send_to_start, send_while};
 pub use self::stream::{EndMark, StreamEnd, forward_body, is_delimited};
 use self::stream::{Stream, stream_reply};
 use crate::{
@@ -35,6 +35,7 @@
         reach,
         replies::{Reply, refusal, reply},
         routes::{Route, RouteKind},
+        starts::{self, OTHER_START},
         wire::{Addressee, AnswerHead, FULL, Wire},
     },
     observe::telemetry::{CALL_TIME, CALLS_ANSWERED, CALLS_NOT_RUN, CALLS_UNKNOWN},
@@ -344,8 +345,12 @@
 ) -> AttemptOutcome {
     let mut open = OpenCall::start(host, &upstream.id);
     let remaining = call.deadline().saturating_sub(host.now());
+    let check_time = match origins::goes_on(&call.route, &call.head) {
+        true => starts::READ_TIMEOUT,
+        false => Duration::ZERO,
+    };
     let limit = if call.is_idempotent() && !is_last {
-        stall_timeout(&call.route).min(remaining)
+        (stall_timeout(&call.route) + check_time).min(remaining)
     } else {
         remaining
     };
@@ -359,7 +364,7 @@
     open.failed = match &result {
         AttemptOutcome::Answered(_) => Some(false),
         // A full upstream is not counted as failed, nor one that got no request.
-        AttemptOutcome::NotRun(FULL | EXPIRED) => None,
+        AttemptOutcome::NotRun(FULL | EXPIRED | OTHER_START) => None,
         AttemptOutcome::NotRun(_) | AttemptOutcome::Unknown(_) => Some(true),
     };
     result
@@ -387,12 +392,16 @@
         to,
         client_timeout.saturating_sub(elapsed),
     );
+    let sent = match origins::goes_on(&call.route, &call.head) {
+        true => send_to_start(host, upstream, request, is_allowed).await,
+        false => send_while(host, upstream, request, is_allowed).await,
+    };
     let Answer {
         connection,
         parts,
         head,
         body,
-    } = match send_while(host, upstream, request, is_allowed).await {
+    } = match sent {
         Ok(answer) => answer,
         Err(SendFailure::NotRun(reason)) => return AttemptOutcome::NotRun(reason),
         Err(SendFailure::Unknown(reason)) => return AttemptOutcome::Unknown(reason),
--- a/src/ingress/calls/sending.rs
+++ b/src/ingress/calls/sending.rs
@@ -3,15 +3,17 @@
 
 use std::rc::Rc;
 
-use http::response;
+use http::{Response, response};
 use hyper::body::Incoming;
 
 use crate::{
-    connection::{CONNECT_FAILURES, Connection, Protocol, SendFailure, Target, UpstreamRequest},
+    connection::{
+        CONNECT_FAILURES, Connection, EXPIRED, Protocol, SendFailure, Target, UpstreamRequest,
+    },
     ingress::{
         directory::Upstream,
         host::Host,
-        permits, reach,
+        permits, reach, starts,
         wire::{AnswerHead, StatedLimit, Wire},
     },
     observe::telemetry::UPSTREAMS_LIMITED,
@@ -56,11 +58,42 @@
     request: UpstreamRequest,
     is_allowed: impl Fn() -> bool,
 ) -> Result<Answer, SendFailure> {
-    let target = Target {
+    let sent = host.pool.send_while(target(upstream), request, is_allowed);
+    record_sent(host, upstream, sent.await)
+}
+
+/// Sends `request` like [`send_while`] to the listed start of `upstream`, and to no other one.
+///
+/// # Errors
+///
+/// Fails like [`send_while`], and as not run where another start is registered.
+pub async fn send_to_start<S: RowStore, W: Wire>(
+    host: &Rc<Host<S, W>>,
+    upstream: &Upstream,
+    request: UpstreamRequest,
+    is_allowed: impl Fn() -> bool,
+) -> Result<Answer, SendFailure> {
+    let check = async || {
+        starts::check(host, upstream).await?;
+        is_allowed().then_some(()).ok_or(EXPIRED)
+    };
+    let sent = host.pool.send_checked(target(upstream), request, check);
+    record_sent(host, upstream, sent.await)
+}
+
+const fn target(upstream: &Upstream) -> Target {
+    Target {
         address: upstream.address,
         protocol: Protocol::Http1,
-    };
-    let sent = host.pool.send_while(target, request, is_allowed).await;
+    }
+}
+
+/// Records what became of a request to `upstream`, and what its answer says of it.
+fn record_sent<S: RowStore, W: Wire>(
+    host: &Rc<Host<S, W>>,
+    upstream: &Upstream,
+    sent: Result<(Connection, Response<Incoming>), SendFailure>,
+) -> Result<Answer, SendFailure> {
     match &sent {
         Ok(_) => {
             let now = host.now();
--- a/src/ingress/mod.rs
+++ b/src/ingress/mod.rs
@@ -36,6 +36,7 @@
 pub mod routes;
 pub mod runs;
 pub mod server;
+pub mod starts;
 pub mod stop;
 pub mod stored;
 pub mod wire;
--- a/src/ingress/origins.rs
+++ b/src/ingress/origins.rs
@@ -141,6 +141,11 @@
     route.kind == RouteKind::Streaming && route.is_resumable
 }
 
+/// Returns whether a call of `route` goes on with a stream that began before.
+pub fn goes_on(route: &Route, head: &ClientHead) -> bool {
+    may_resume(route) && head.is_resuming()
+}
+
 /// Returns at which upstreams of `service` a call of `route` with the head `head` may run.
 ///
 /// # Errors
--- a/src/ingress/runs.rs
+++ b/src/ingress/runs.rs
@@ -17,6 +17,7 @@
         directory::Upstream,
         host::Host,
         permits::Permit,
+        starts::OTHER_START,
         wire::{Addressee, EventParser as _, Wire},
     },
     store::rows::RowStore,
@@ -67,14 +68,22 @@
     };
     let is_allowed = || run.permit.is_valid(host.now());
     let request = W::item_request(&run.authority, &run.item, to, run.last_event);
+    // A text goes on at the software version that began it.
+    let sent = match run.last_event > 0 {
+        true => calls::send_to_start(host, &run.upstream, request, is_allowed).await,
+        false => calls::send_while(host, &run.upstream, request, is_allowed).await,
+    };
     let Answer {
         connection,
         parts,
         head,
         mut body,
-    } = match calls::send_while(host, &run.upstream, request, is_allowed).await {
+    } = match sent {
         Ok(answer) => answer,
         Err(SendFailure::NotRun(EXPIRED)) => return outcome(RunEnd::NotRun, EXPIRED),
+        Err(SendFailure::NotRun(OTHER_START)) => {
+            return outcome(RunEnd::WrongEngine, OTHER_START);
+        }
         Err(SendFailure::NotRun(reason) | SendFailure::Unknown(reason)) => {
             return outcome(RunEnd::Broken, reason);
         }
