Build the runs of items in one place for tests

Cause: three test files prepared the run of an item alike; a fourth would have come.

Change: rows_support::page::item_run.

Conclusion: behaviour and checks are the same.

--- a/tests/rows_support/page.rs
+++ b/tests/rows_support/page.rs
@@ -8,10 +8,16 @@
 use bytes::Bytes;
 use http::{Method, Request};
 use mimosavane::{
+    batch::{
+        job::{EventNumber, Item},
+        scheduler::RunNumber,
+    },
     ingress::{
         calls::Call,
         directory::Upstream,
+        permits,
         routes::{ClientLimits, Configuration, Route, RouteKind},
+        runs::Run,
         wire::Wire as _,
     },
     platform::PlatformWire,
@@ -105,6 +111,27 @@
     Call::new(parts, Bytes::new(), Arc::new(route), head, host.now())
 }
 
+/// Returns a run of `item` at the listed upstream with the id `upstream`, after the event
+/// `last_event`.
+pub fn item_run(
+    host: &TestHost,
+    upstream: &str,
+    item: Item,
+    number: RunNumber,
+    last_event: EventNumber,
+) -> Run {
+    let listed = host.view.borrow().directory.get(&upstream.into()).cloned();
+    let upstream = listed.unwrap();
+    Run {
+        number,
+        authority: "jobs.example".to_owned(),
+        item,
+        permit: permits::take_as_issuer(host, &upstream, 1).unwrap(),
+        upstream,
+        last_event,
+    }
+}
+
 /// Returns a route of `kind` to [`SERVICE`].
 pub fn page_route(kind: RouteKind) -> Route {
     Route {
