--- a/src/batch/job.rs
+++ b/src/batch/job.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{StepNumber, WeightVersion};
+use crate::ids::{AccountId, StepNumber, WeightVersion};
 
 /// The identifier of a batch job, chosen by the client.
 pub type JobId = Arc<str>;
@@ -94,6 +94,13 @@
     pub accepted_at: Duration,
     /// The number of items.
     pub item_count: usize,
+    /// The account that submitted the job; `None` if requests carried no keys. It is
+    /// encoded apart from the other fields, as [`Item::reward`] is.
+    #[serde(skip)]
+    pub account: Option<AccountId>,
+    /// The priority of the job; 0 is the most urgent. It is encoded with the account.
+    #[serde(skip)]
+    pub priority: u32,
 }
 
 /// A batch job with its items.
--- a/src/batch/layout.rs
+++ b/src/batch/layout.rs
@@ -28,6 +28,7 @@
 
 use crate::{
     batch::job::{Item, ItemId, ItemResult, Job, JobHead, JobId, RewardRequest},
+    ids::AccountId,
     store::rows::{RowName, RowRange, RowStamp, RowTransaction, StoredRow},
 };
 
@@ -146,6 +147,34 @@
     Ok(bytes.into())
 }
 
+/// Encodes a job's head. Its account and priority follow the other fields, unless the job
+/// has no account.
+fn encode_head(head: &JobHead) -> Result<Bytes, LayoutError> {
+    let account = head
+        .account
+        .as_ref()
+        .map(|account| (account, head.priority));
+    encode_extended(head, account.as_ref())
+}
+
+/// Decodes the head of a job.
+///
+/// # Errors
+///
+/// Fails if the bytes were not written by [`acceptance`].
+pub fn decode_head(value: &[u8]) -> Result<JobHead, LayoutError> {
+    let (head, rest) = take::<JobHead>(HEAD_KEY, value)?;
+    if rest.is_empty() {
+        return Ok(head);
+    }
+    let ((account, priority), _) = take::<(AccountId, u32)>(HEAD_KEY, rest)?;
+    Ok(JobHead {
+        account: Some(account),
+        priority,
+        ..head
+    })
+}
+
 /// Decodes the value of the row `key` and the fields that follow it, which are
 /// the default if the row was written without them.
 fn decode_extended<T: DeserializeOwned, E: DeserializeOwned + Default>(
@@ -203,7 +232,7 @@
     transactions.push(
         current
             .expect(head.clone(), 0)
-            .put(head, encode(&job.head)?)
+            .put(head, encode_head(&job.head)?)
             .put(RowName::new(OPEN, &*job.id, JOB_KEY), Bytes::new()),
     );
     Ok(transactions)
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -15,6 +15,9 @@
 /// member.
 pub type RowId = Arc<str>;
 
+/// The name of a client account on the users' platform.
+pub type AccountId = Arc<str>;
+
 /// The name of a failure domain of the platform.
 pub type FailureDomain = Arc<str>;
 
--- a/src/ingress/calls.rs
+++ b/src/ingress/calls.rs
@@ -389,6 +389,7 @@
     let request = W::call_request(
         &call.parts,
         call.body.clone(),
+        &call.caller,
         to,
         client_timeout.saturating_sub(elapsed),
     );
--- a/src/ingress/calls/call.rs
+++ b/src/ingress/calls/call.rs
@@ -11,7 +11,7 @@
     ingress::{
         handover::TakenCall,
         routes::{Route, RouteKind},
-        wire::ClientHead,
+        wire::{Caller, ClientHead},
     },
 };
 
@@ -27,6 +27,8 @@
     pub body: Bytes,
     /// The route that matches the request.
     pub route: Arc<Route>,
+    /// On whose behalf the request is sent.
+    pub caller: Caller,
     /// The fields of the head that the platform defines.
     pub head: ClientHead,
     /// When the request arrived.
@@ -51,6 +53,7 @@
             parts,
             body,
             route,
+            caller: Caller::Unknown,
             head,
             arrived_at,
             fingerprint,
@@ -58,6 +61,12 @@
         }
     }
 
+    /// Returns the call as one of `caller`.
+    #[must_use]
+    pub fn of(self, caller: Caller) -> Self {
+        Self { caller, ..self }
+    }
+
     /// Returns the deadline of the call: the shorter of the client's and the
     /// route's timeout after its arrival.
     pub fn deadline(&self) -> Timestamp {
--- a/src/ingress/coordinator/mod.rs
+++ b/src/ingress/coordinator/mod.rs
@@ -353,9 +353,9 @@
             .cloned();
         let job_and_item = self.scheduler.borrow().job(job).and_then(|job| {
             let item = job.items.get(item_index)?.clone();
-            Some((job.head.authority.clone(), item))
+            Some((job.head.authority.clone(), job.head.account.clone(), item))
         });
-        let (Some(upstream), Some((authority, item))) = (upstream, job_and_item) else {
+        let (Some(upstream), Some((authority, account, item))) = (upstream, job_and_item) else {
             self.scheduler
                 .borrow_mut()
                 .record_run_end(number, RunEnd::WrongEngine, now);
@@ -370,6 +370,7 @@
         let run = Run {
             number,
             authority,
+            account,
             item,
             upstream,
             permit,
--- a/src/ingress/coordinator/rewards.rs
+++ b/src/ingress/coordinator/rewards.rs
@@ -7,10 +7,12 @@
 use super::Coordinator;
 use crate::{
     batch::{
+        job::JobId,
         reward::{CallNumber, RewardLimits},
         scheduler::DueReward,
     },
     clock::{Timestamp, millis},
+    ids::AccountId,
     ingress::{
         calls,
         directory::Upstream,
@@ -67,6 +69,7 @@
             if let Some(number) = number {
                 let call = RewardCall {
                     request: reward.request.clone(),
+                    account: self.account(&reward.job),
                     upstream,
                     permit,
                     deadline: route.timeout,
@@ -77,6 +80,11 @@
         }
     }
 
+    /// Returns the account of an open job, if it has one.
+    fn account(&self, job: &JobId) -> Option<AccountId> {
+        self.scheduler.borrow().job(job)?.head.account.clone()
+    }
+
     /// Chooses the upstream for a reward call, and takes the permit to send it.
     fn choose_permitted(
         &self,
--- a/src/ingress/directory.rs
+++ b/src/ingress/directory.rs
@@ -76,6 +76,10 @@
     pub software_version: SoftwareVersion,
     /// The loaded version of each model.
     pub versions: BTreeMap<ModelId, WeightVersion>,
+    /// Whether the platform may reclaim it.
+    pub is_spot: bool,
+    /// The time until it leaves, as it was listed, if that is known.
+    pub leaves_in: Option<Duration>,
 }
 
 /// Why an entry names no upstream to use, although it can be decoded.
--- a/src/ingress/feeds.rs
+++ b/src/ingress/feeds.rs
@@ -7,14 +7,14 @@
 use tokio::time::sleep;
 
 use crate::{
-    clock::millis,
+    clock::{Timestamp, millis},
     ingress::{
         directory::{UnusableUpstream, Upstream},
         host::{FleetView, Host},
         stored,
         wire::{DecodeError, OperatorChange, Wire},
     },
-    observe::telemetry::STORE_LOST,
+    observe::telemetry::{CONFIGURATION_AGE, STORE_LOST},
     retry,
     store::rows::{RowError, RowPage, RowRange, RowStamp, RowStore, StoredRow},
 };
@@ -28,6 +28,10 @@
 /// upstream must get no new work 2 s after it announced that it is leaving.
 const UPSTREAM_BATCH_DELAY: Duration = Duration::from_millis(400);
 
+/// How often a host confirms its configuration in the time after which it must not accept
+/// removed keys: a feed may be silent for two of its waits before it is replaced.
+const CONFIRMATIONS_PER_BOUND: u32 = 8;
+
 /// The initial backoff after a store error.
 const MIN_BACKOFF: Duration = Duration::from_millis(100);
 
@@ -68,8 +72,8 @@
         stored::read_page(&self.host.store, range).await
     }
 
-    async fn next_page(&mut self, after: RowStamp) -> Result<RowPage, RowError> {
-        self.host.store.changes(self.table, after, FEED_WAIT).await
+    async fn next_page(&mut self, after: RowStamp, wait: Duration) -> Result<RowPage, RowError> {
+        self.host.store.changes(self.table, after, wait).await
     }
 
     /// Records that the store answered, and returns whether it was unavailable
@@ -110,17 +114,25 @@
         failure_count: 0,
     };
     let mut stamp = None;
+    // Whether the newest configuration that was read is in force.
+    let mut is_configuration_known = false;
     loop {
+        let sent_at = host.now();
         let result = match stamp {
             None => follower.read_all().await,
-            Some(after) => follower.next_page(after).await,
+            Some(after) => follower.next_page(after, operator_feed_wait(&host)).await,
         };
         match result {
             Ok(page) => {
                 follower.record_success(&page);
                 stamp = Some(page.stamp);
                 for row in &page.rows {
-                    apply_operator_row(&host, row);
+                    if let Some(is_known) = apply_operator_row(&host, row) {
+                        is_configuration_known = is_known;
+                    }
+                }
+                if is_configuration_known {
+                    confirm_configuration(&host, sent_at);
                 }
             }
             Err(RowError::HistoryGone) => {
@@ -155,13 +167,37 @@
     Ok(())
 }
 
-fn apply_operator_row<S: RowStore, W: Wire>(host: &Rc<Host<S, W>>, row: &StoredRow) {
-    match W::operator_change(row) {
+/// Records that a read sent at `sent_at` showed the newest configuration.
+fn confirm_configuration<S: RowStore, W: Wire>(host: &Rc<Host<S, W>>, sent_at: Timestamp) {
+    if host.has_accounts() {
+        let age = host.view.borrow().freshness.age(host.now());
+        host.metrics.time(CONFIGURATION_AGE, age);
+    }
+    host.view.borrow_mut().freshness.confirm(sent_at);
+}
+
+/// Returns how long one request to the operator's feed waits for a change. Where removed keys
+/// must be refused after a bound, a host that cannot confirm its configuration for that long
+/// refuses all requests, so that several confirmations fit into it.
+fn operator_feed_wait<S: RowStore, W: Wire>(host: &Rc<Host<S, W>>) -> Duration {
+    match host.settings.revocation_bound {
+        Some(bound) if host.has_accounts() => FEED_WAIT.min(bound / CONFIRMATIONS_PER_BOUND),
+        _ => FEED_WAIT,
+    }
+}
+
+/// Puts a row of the operator's table into force. Returns whether the configuration in force
+/// is at least as new as the row, or `None` for rows of other uses.
+fn apply_operator_row<S: RowStore, W: Wire>(
+    host: &Rc<Host<S, W>>,
+    row: &StoredRow,
+) -> Option<bool> {
+    let is_configuration = match W::operator_change(row) {
         Ok(Some(OperatorChange::Configuration(configuration))) => {
             let mut view = host.view.borrow_mut();
             let known = view.configuration.as_ref().map(|known| known.version);
             if known.is_some_and(|known| known >= configuration.version) {
-                return;
+                return Some(true);
             }
             tracing::info!(
                 event = "configuration.applied",
@@ -171,12 +207,13 @@
                 route_count = configuration.routes.len(),
             );
             view.configuration = Some(configuration.into());
+            true
         }
         Ok(Some(OperatorChange::Version(model, version))) => {
             let mut view = host.view.borrow_mut();
             let named = view.named_versions.entry(model.clone()).or_default();
             if version <= *named {
-                return;
+                return None;
             }
             *named = version;
             tracing::info!(
@@ -185,14 +222,17 @@
                 version,
                 stamp = row.stamp
             );
+            false
         }
-        Ok(None) => return,
+        Ok(None) => return None,
         Err(error) => {
             tracing::warn!(event = "operator.unreadable", key = row.key, stamp = row.stamp, %error);
-            return;
+            // Keys may have been removed in a configuration that cannot be read.
+            return (row.key == W::CONFIGURATION_KEY).then_some(false);
         }
-    }
+    };
     host.view_changed.notify_waiters();
+    is_configuration.then_some(true)
 }
 
 /// Follows the table in which upstreams register.
@@ -207,7 +247,7 @@
         let is_full_listing = stamp.is_none();
         let result = match stamp {
             None => follower.read_all().await,
-            Some(after) => follower.next_page(after).await,
+            Some(after) => follower.next_page(after, FEED_WAIT).await,
         };
         match result {
             Ok(page) => {
--- a/src/ingress/handover.rs
+++ b/src/ingress/handover.rs
@@ -19,6 +19,7 @@
     clock::millis,
     connection::{Protocol, SendFailure, Target, UpstreamRequest},
     ingress::{
+        authentication::{self, Unauthenticated},
         calls::{self, Call, EndMark, MAX_ANSWER_BYTES, StreamEnd},
         host::Host,
         reach,
@@ -119,6 +120,14 @@
     OutOfReach,
     #[error("too many calls of other hosts are open")]
     TooMany,
+    #[error("the account of the call is not known here")]
+    Unauthenticated,
+}
+
+impl From<Unauthenticated> for NotTaken {
+    fn from(_: Unauthenticated) -> Self {
+        Self::Unauthenticated
+    }
 }
 
 /// How an attempt to hand a call over ended.
@@ -366,6 +375,8 @@
         .route(authority, parts.uri.path())
         .filter(|route| route.kind != RouteKind::Batch)
         .ok_or(NotTaken::NoRoute)?;
+    let caller =
+        authentication::authenticate(host, &configuration, &parts.headers, route.is_public)?;
     let attempts_left = u32::try_from(attempts_left).unwrap_or(u32::MAX);
     let route = Route {
         max_attempts: route.max_attempts.min(attempts_left),
@@ -373,7 +384,7 @@
     };
     let mut head = W::client_head(&parts);
     head.client_timeout = Some(Duration::from_millis(time_left_ms));
-    let mut call = Call::new(parts, body, Arc::new(route), head, host.now());
+    let mut call = Call::new(parts, body, Arc::new(route), head, host.now()).of(caller);
     let service = call
         .route
         .service(call.split_point())
--- a/src/ingress/host.rs
+++ b/src/ingress/host.rs
@@ -19,8 +19,9 @@
     batch::job::{JobId, ModelId},
     clock::{Clock, Timestamp},
     connection::{Limits, Pool},
-    ids::{FailureDomain, HostId, WeightVersion},
+    ids::{AccountId, FailureDomain, HostId, WeightVersion},
     ingress::{
+        accounts::{Freshness, StaleConfiguration},
         crashes::CrashBook,
         directory::Directory,
         limits::{LimitBook, ledger::PermitLedger},
@@ -71,6 +72,30 @@
     pub memory_limit_mb: u64,
     /// The share of a core that the machine provides.
     pub cpu_share_ratio: f64,
+    /// The limit on open file descriptors of the process.
+    pub max_fd_count: usize,
+    /// How long after its removal was acknowledged a key may still be accepted;
+    /// `None` if there is no bound that holds for every host.
+    pub revocation_bound: Option<Duration>,
+    /// The duties towards the platform, if it asks for any.
+    pub duties: Option<DutySettings>,
+}
+
+/// The settings of the calls to the platform that one host makes for all.
+#[derive(Clone, Debug, PartialEq)]
+pub struct DutySettings {
+    /// The address at which the platform takes the calls.
+    pub address: SocketAddr,
+    /// How many calls per second the platform takes from all hosts.
+    pub max_rate_per_s: f64,
+    /// Whether the requests of accounts are reported.
+    pub reports_usage: bool,
+    /// Whether upstreams are ordered.
+    pub orders_upstreams: bool,
+    /// The length of the windows of usage reports.
+    pub usage_window: Duration,
+    /// How long after its end the report of a window is due.
+    pub usage_due: Duration,
 }
 
 /// A host's view of the fleet, as it last read it from the store.
@@ -78,6 +103,8 @@
 pub struct FleetView {
     /// The configuration in force.
     pub configuration: Option<Arc<Configuration>>,
+    /// When the configuration was last confirmed to be the newest one.
+    pub freshness: Freshness,
     /// The upstreams that the platform lists.
     pub directory: Directory,
     /// The limits that upstreams name in their answers.
@@ -90,9 +117,17 @@
     /// How many hosts the fleet has, as the coordinator counted them; 0 if that is not
     /// known yet.
     pub host_count: u32,
-    /// The item counts of jobs that this host has seen; a job's items never
-    /// change.
-    pub item_counts: HashMap<JobId, usize>,
+    /// What this host has seen of jobs that never changes.
+    pub jobs: HashMap<JobId, KnownJob>,
+}
+
+/// What never changes of a job.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KnownJob {
+    /// The number of its items.
+    pub item_count: usize,
+    /// The account that submitted it, if it has one.
+    pub account: Option<AccountId>,
 }
 
 /// The state that the tasks of one host share.
@@ -253,8 +288,30 @@
         }
     }
 
+    /// Returns whether requests carry keys of accounts.
+    pub fn has_accounts(&self) -> bool {
+        let view = self.view.borrow();
+        view.configuration
+            .as_ref()
+            .is_some_and(|configuration| configuration.accounts.is_some())
+    }
+
+    /// Checks that the keys of the configuration in force may be accepted now.
+    ///
+    /// # Errors
+    ///
+    /// Fails where a key may have been removed for longer than the bound, if there is one.
+    pub fn check_freshness(&self) -> Result<(), StaleConfiguration> {
+        match self.settings.revocation_bound {
+            Some(bound) => self.view.borrow().freshness.check(bound, self.now()),
+            None => Ok(()),
+        }
+    }
+
     /// Returns whether the host can serve requests.
     pub fn is_ready(&self) -> bool {
-        !self.is_stopping() && self.view.borrow().configuration.is_some()
+        let is_configured = self.view.borrow().configuration.is_some();
+        let is_stale = self.has_accounts() && self.check_freshness().is_err();
+        !self.is_stopping() && is_configured && !is_stale
     }
 }
--- a/src/ingress/jobs.rs
+++ b/src/ingress/jobs.rs
@@ -1,7 +1,7 @@
 //! The client interface of batch jobs: submitting, reading and ending them at
 //! any host.
 //!
-//! A host caches only how many items a job has. Every answer is read from the
+//! A host caches only how many items a job has and whose it is. Every answer is read from the
 //! store, so that all hosts give the same one (see docs/design/platform.md,
 //! "Batch jobs").
 
@@ -13,16 +13,16 @@
 
 use crate::{
     batch::{
-        job::{ItemId, ItemResult, JobHead, JobId},
+        job::{ItemId, ItemResult, JobId},
         layout,
     },
     clock::millis,
     ingress::{
-        host::Host,
+        host::{Host, KnownJob},
         replies::{Reply, as_json, refusal, reply},
         routes::Route,
         stored,
-        wire::{ClientHead, JobCall, Wire},
+        wire::{Caller, ClientHead, JobCall, Wire},
     },
     observe::telemetry::{JOB_ACCEPT_TIME, JOBS_ACCEPTED, JOBS_REFUSED},
     store::rows::{RowError, RowPage, RowRange, RowStore, RowTransaction},
@@ -52,7 +52,7 @@
 /// whole answer, with names and escapes, to 1 MB.
 const MAX_RESULT_BYTES: usize = 800_000;
 
-/// The number of jobs for which a host caches the item count.
+/// The number of jobs for which a host caches what never changes.
 const MAX_CACHED_JOB_COUNT: usize = 4_096;
 
 /// Why a change to a job cannot be reported as applied.
@@ -72,12 +72,13 @@
     parts: &request::Parts,
     body: &[u8],
     route: &Route,
+    caller: &Caller,
     head: &ClientHead,
 ) -> Reply {
     let Some(id) = head.attempt_id.clone() else {
         return reply(StatusCode::BAD_REQUEST, Bytes::new());
     };
-    let mut job = match W::job(&id, parts, body, route) {
+    let mut job = match W::job(&id, parts, body, route, caller) {
         Ok(job) => job,
         Err(error) => {
             tracing::info!(event = "job.malformed", job = &*id, %error);
@@ -105,11 +106,20 @@
     }
     let took = host.now().saturating_sub(started_at);
     let took_ms = millis(took);
+    if matches!(outcome, Ok(true))
+        && let Some(denied) = deny_existing(host, &id, caller).await
+    {
+        return denied;
+    }
     match outcome {
         Ok(existed) => {
             host.metrics.count(JOBS_ACCEPTED, 1);
             host.metrics.time(JOB_ACCEPT_TIME, took);
-            cache_item_count(host, &id, job.head.item_count);
+            let known = KnownJob {
+                item_count: job.head.item_count,
+                account: job.head.account.clone(),
+            };
+            remember_job(host, &id, known);
             tracing::info!(
                 event = "job.accepted",
                 job = &*id,
@@ -117,6 +127,7 @@
                 model = &*job.head.model,
                 step = job.head.step,
                 min_version = job.head.min_version,
+                account = job.head.account.as_deref(),
                 item_count = job.head.item_count,
                 existed,
                 took_ms,
@@ -134,6 +145,33 @@
     }
 }
 
+/// Returns the reply to a submission of a job that exists, if it belongs to another account.
+async fn deny_existing<S: RowStore, W: Wire>(
+    host: &Rc<Host<S, W>>,
+    job: &JobId,
+    caller: &Caller,
+) -> Option<Reply> {
+    if *caller == Caller::Unknown {
+        return None;
+    }
+    match known_job(host, job).await {
+        Ok(Some(known)) if known.account.as_ref() == caller.account() => None,
+        Ok(_) => {
+            tracing::info!(
+                event = "job.denied",
+                call = "submit",
+                job = &**job,
+                account = caller.account().map(|id| &**id)
+            );
+            Some(reply(StatusCode::CONFLICT, Bytes::new()))
+        }
+        Err(error) => {
+            tracing::warn!(event = "job.unsure", call = "submit", job = &**job, %error);
+            Some(reply(StatusCode::BAD_GATEWAY, Bytes::new()))
+        }
+    }
+}
+
 /// Commits a transaction whose conditions can hold only once, and returns
 /// whether it had been applied before.
 async fn commit_once<S: RowStore, W: Wire>(
@@ -166,9 +204,15 @@
 pub async fn handle_call<S: RowStore, W: Wire>(
     host: &Rc<Host<S, W>>,
     call: JobCall,
+    caller: &Caller,
     head: &ClientHead,
 ) -> Reply {
     let wait = head.wait.unwrap_or_default().min(MAX_WAIT);
+    if let Some(job) = call.job()
+        && let Some(denied) = deny_call(host, job, caller).await
+    {
+        return denied;
+    }
     let (name, job, result) = match &call {
         JobCall::Malformed => return reply(StatusCode::BAD_REQUEST, Bytes::new()),
         JobCall::Results { job, from } => ("read", job, read_results(host, job, *from, wait).await),
@@ -194,6 +238,34 @@
     }
 }
 
+/// Returns the reply to a call to a job that `caller` may not see.
+async fn deny_call<S: RowStore, W: Wire>(
+    host: &Rc<Host<S, W>>,
+    job: &JobId,
+    caller: &Caller,
+) -> Option<Reply> {
+    if *caller == Caller::Unknown {
+        return None;
+    }
+    let status = match known_job(host, job).await {
+        Ok(Some(known)) if caller.may_see(known.account.as_ref()) => return None,
+        Ok(_) if caller.account().is_none() => StatusCode::UNAUTHORIZED,
+        // Other accounts do not learn that the job exists.
+        Ok(_) => StatusCode::NOT_FOUND,
+        Err(error) => {
+            tracing::warn!(event = "job.unsure", call = "account", job = &**job, %error);
+            return Some(refusal(READ_RETRY_AFTER));
+        }
+    };
+    tracing::info!(
+        event = "job.denied",
+        job = &**job,
+        account = caller.account().map(|id| &**id),
+        status = status.as_u16(),
+    );
+    Some(reply(status, Bytes::new()))
+}
+
 /// Reads rows, with one retry if the store gives no answer.
 async fn read_rows<S: RowStore, W: Wire>(
     host: &Rc<Host<S, W>>,
@@ -208,21 +280,21 @@
     }
 }
 
-fn cache_item_count<S: RowStore, W: Wire>(host: &Rc<Host<S, W>>, job: &JobId, item_count: usize) {
-    let counts = &mut host.view.borrow_mut().item_counts;
-    if counts.len() >= MAX_CACHED_JOB_COUNT {
-        counts.clear();
+fn remember_job<S: RowStore, W: Wire>(host: &Rc<Host<S, W>>, job: &JobId, known: KnownJob) {
+    let jobs = &mut host.view.borrow_mut().jobs;
+    if jobs.len() >= MAX_CACHED_JOB_COUNT {
+        jobs.clear();
     }
-    counts.insert(job.clone(), item_count);
+    jobs.insert(job.clone(), known);
 }
 
-/// Returns how many items the job has, or `None` if it does not exist.
-async fn item_count<S: RowStore, W: Wire>(
+/// Returns what never changes of the job, or `None` if it does not exist.
+async fn known_job<S: RowStore, W: Wire>(
     host: &Rc<Host<S, W>>,
     job: &JobId,
-) -> Result<Option<usize>, RowError> {
-    if let Some(count) = host.view.borrow().item_counts.get(job) {
-        return Ok(Some(*count));
+) -> Result<Option<KnownJob>, RowError> {
+    if let Some(known) = host.view.borrow().jobs.get(job) {
+        return Ok(Some(known.clone()));
     }
     let range = RowRange {
         table: layout::JOBS,
@@ -235,9 +307,13 @@
     let Some(row) = page.rows.first() else {
         return Ok(None);
     };
-    let head: JobHead = layout::decode(&row.key, &row.value).map_err(stored::unreadable)?;
-    cache_item_count(host, job, head.item_count);
-    Ok(Some(head.item_count))
+    let head = layout::decode_head(&row.value).map_err(stored::unreadable)?;
+    let known = KnownJob {
+        item_count: head.item_count,
+        account: head.account,
+    };
+    remember_job(host, job, known.clone());
+    Ok(Some(known))
 }
 
 async fn read_results<S: RowStore, W: Wire>(
@@ -246,9 +322,10 @@
     from: usize,
     wait: Duration,
 ) -> Result<Reply, RowError> {
-    let Some(total) = item_count(host, job).await? else {
+    let Some(KnownJob { item_count, .. }) = known_job(host, job).await? else {
         return Ok(reply(StatusCode::NOT_FOUND, Bytes::new()));
     };
+    let total = item_count;
     let wait_until = host.now() + wait;
     let range = layout::result_range(job, from);
     loop {
@@ -288,7 +365,7 @@
     let found = items.into_iter().find(|found| found.id == *item);
     // Items are written before the job's head, so that they may exist without
     // it.
-    if found.is_none() || item_count(host, job).await?.is_none() {
+    if found.is_none() || known_job(host, job).await?.is_none() {
         return Ok(reply(StatusCode::NOT_FOUND, Bytes::new()));
     }
     let body = found.map(|found| found.body).unwrap_or_default();
@@ -299,7 +376,7 @@
     host: &Rc<Host<S, W>>,
     job: &JobId,
 ) -> Result<Reply, RowError> {
-    if item_count(host, job).await?.is_none() {
+    if known_job(host, job).await?.is_none() {
         return Ok(reply(StatusCode::NOT_FOUND, Bytes::new()));
     }
     match commit_once(host, &layout::ending(job)).await {
--- a/src/ingress/mod.rs
+++ b/src/ingress/mod.rs
@@ -9,6 +9,8 @@
 //! [`host`] for the state of a host and how it starts and stops (see
 //! docs/design/platform.md).
 
+pub mod accounts;
+pub mod authentication;
 pub mod bounded;
 pub mod calls;
 pub mod coordinator;
--- a/src/ingress/retention.rs
+++ b/src/ingress/retention.rs
@@ -5,10 +5,7 @@
 use tokio::time::sleep;
 
 use crate::{
-    batch::{
-        job::{JobHead, JobId},
-        layout,
-    },
+    batch::{job::JobId, layout},
     clock::millis,
     ingress::{
         host::Host,
@@ -105,7 +102,7 @@
     let (Some(head), Some(_)) = (row(layout::HEAD_KEY), row(layout::END_KEY)) else {
         return Ok(None);
     };
-    let head: JobHead = layout::decode(&head.key, &head.value).map_err(stored::unreadable)?;
+    let head = layout::decode_head(&head.value).map_err(stored::unreadable)?;
     Ok(Some(
         head.accepted_at + result_ttl.max(head.item_ttl) + CLOCK_SKEW_MARGIN,
     ))
--- a/src/ingress/rewards.rs
+++ b/src/ingress/rewards.rs
@@ -9,6 +9,7 @@
 use crate::{
     batch::{job::RewardRequest, reward::RewardEnd},
     connection::{EXPIRED, SendFailure},
+    ids::AccountId,
     ingress::{
         calls::{self, OpenCall},
         directory::Upstream,
@@ -46,6 +47,8 @@
 pub struct RewardCall {
     /// The request.
     pub request: Arc<RewardRequest>,
+    /// The account of the job, if it has one.
+    pub account: Option<AccountId>,
     /// The upstream to which it is sent.
     pub upstream: Arc<Upstream>,
     /// The permission to send it.
@@ -88,7 +91,7 @@
         id: &call.upstream.id,
         address: call.upstream.address,
     };
-    let request = W::reward_request(&call.request, to, call.deadline);
+    let request = W::reward_request(&call.request, call.account.as_ref(), to, call.deadline);
     let is_allowed = || call.permit.is_valid(host.now());
     let answer = match calls::send_while(host, &call.upstream, request, is_allowed).await {
         Ok(answer) => answer,
--- a/src/ingress/routes.rs
+++ b/src/ingress/routes.rs
@@ -2,6 +2,8 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
+use crate::{ids::FailureDomain, ingress::accounts::Accounts};
+
 /// The name of a service to which routes lead.
 pub type ServiceName = Arc<str>;
 
@@ -50,6 +52,8 @@
     pub single_version: bool,
     /// Whether a stream may be resumed on another upstream.
     pub is_resumable: bool,
+    /// Whether requests need no key of an account.
+    pub is_public: bool,
 }
 
 /// One service as the operator configured it.
@@ -64,6 +68,23 @@
     pub engine_memory_tokens: u64,
     /// The number of tokens in one event of its streams.
     pub tokens_per_event: u64,
+    /// How many upstreams may be ordered, if the service is scaled.
+    pub scaling: Option<Scaling>,
+}
+
+/// The bounds and prices of the upstreams of a service that is scaled.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Scaling {
+    /// The fewest upstreams in one failure domain, of both kinds together.
+    pub min_count: usize,
+    /// The most upstreams in one failure domain, of both kinds together.
+    pub max_count: usize,
+    /// How long after its order an upstream serves.
+    pub boot_time: Duration,
+    /// The price of an upstream that may be reclaimed, relative to that of the others.
+    pub spot_price_ratio: f64,
+    /// The price of an upstream per second, by failure domain.
+    pub domain_prices: BTreeMap<FailureDomain, f64>,
 }
 
 /// The limits on client requests.
@@ -91,6 +112,8 @@
     pub services: BTreeMap<ServiceName, Service>,
     /// The limits on client requests.
     pub limits: ClientLimits,
+    /// The accounts of clients; `None` if requests carry no keys.
+    pub accounts: Option<Accounts>,
 }
 
 impl Configuration {
--- a/src/ingress/runs.rs
+++ b/src/ingress/runs.rs
@@ -12,6 +12,7 @@
         scheduler::{RunEnd, RunNumber, Scheduler},
     },
     connection::{EXPIRED, SendFailure},
+    ids::AccountId,
     ingress::{
         calls::{self, Answer},
         directory::Upstream,
@@ -30,6 +31,8 @@
     pub number: RunNumber,
     /// The value of the `Host` header.
     pub authority: String,
+    /// The account of the job, if it has one.
+    pub account: Option<AccountId>,
     /// The item to run.
     pub item: Item,
     /// The engine that runs it.
@@ -67,7 +70,13 @@
         address: run.upstream.address,
     };
     let is_allowed = || run.permit.is_valid(host.now());
-    let request = W::item_request(&run.authority, &run.item, to, run.last_event);
+    let request = W::item_request(
+        &run.authority,
+        run.account.as_ref(),
+        &run.item,
+        to,
+        run.last_event,
+    );
     // A text goes on at the software version that began it.
     let sent = match run.last_event > 0 {
         true => calls::send_to_start(host, &run.upstream, request, is_allowed).await,
--- a/src/ingress/server.rs
+++ b/src/ingress/server.rs
@@ -23,12 +23,12 @@
 
 use crate::{
     ingress::{
-        calls,
+        authentication, calls,
         host::{Host, OpenConnection},
         jobs,
         replies::{Reply, refusal, reply},
-        routes::RouteKind,
-        wire::{ClientHead, Wire},
+        routes::{Configuration, RouteKind},
+        wire::{ClientHead, PresentedKey, Wire},
     },
     store::rows::RowStore,
 };
@@ -263,8 +263,18 @@
         );
         return refusal(STARTING_RETRY_AFTER);
     };
+    let id = head.attempt_id.as_deref();
+    let refused = |configuration: &Configuration, cause| {
+        authentication::unauthenticated_reply(host, configuration, id, cause)
+    };
     if let Some(call) = W::job_call(&parts) {
-        return jobs::handle_call(host, call, head).await;
+        // Jobs without an account may be read without a key.
+        let is_public = W::presented_key(&parts.headers) == PresentedKey::Missing;
+        let found = authentication::authenticate(host, &configuration, &parts.headers, is_public);
+        return match found {
+            Ok(caller) => jobs::handle_call(host, call, &caller, head).await,
+            Err(cause) => refused(&configuration, cause),
+        };
     }
     let authority = parts
         .headers
@@ -282,6 +292,10 @@
         );
         return reply(StatusCode::NOT_FOUND, Bytes::new());
     };
+    let found = authentication::authenticate(host, &configuration, &parts.headers, route.is_public);
+    if let Err(cause) = found {
+        return refused(&configuration, cause);
+    }
     let limited = Limited::new(body, configuration.limits.max_body_bytes);
     let body = match limited.collect().await {
         Ok(body) => body.to_bytes(),
@@ -301,10 +315,17 @@
             return reply(status, Bytes::new());
         }
     };
+    // A key may have been removed while the body was on its way.
+    let configuration = host.configuration().unwrap_or(configuration);
+    let found = authentication::authenticate(host, &configuration, &parts.headers, route.is_public);
+    let caller = match found {
+        Ok(caller) => caller,
+        Err(cause) => return refused(&configuration, cause),
+    };
     match route.kind {
-        RouteKind::Batch => jobs::submit(host, &parts, &body, &route, head).await,
+        RouteKind::Batch => jobs::submit(host, &parts, &body, &route, &caller, head).await,
         _ => {
-            let call = calls::Call::new(parts, body, route, head.clone(), arrived_at);
+            let call = calls::Call::new(parts, body, route, head.clone(), arrived_at).of(caller);
             if !host.admits(call.deadline()) {
                 return calls::stopping_reply(host, &call);
             }
--- a/src/ingress/stored.rs
+++ b/src/ingress/stored.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     batch::{
-        job::{ItemId, Job, JobHead, JobId},
+        job::{ItemId, Job, JobId},
         layout::{self, LayoutError, Tally},
         output::Output,
     },
@@ -73,7 +73,7 @@
     let Some(head) = row(layout::HEAD_KEY) else {
         return Ok(None);
     };
-    let head: JobHead = layout::decode(&head.key, &head.value).map_err(unreadable)?;
+    let head = layout::decode_head(&head.value).map_err(unreadable)?;
     let (mut tally, stamp) = tally(&rows)?.unwrap_or_default();
     if tally.listed.len() != tally.listed_count {
         // The tally was written without the items. The results are read after it,
--- a/src/ingress/wire.rs
+++ b/src/ingress/wire.rs
@@ -4,20 +4,21 @@
 //! messages: no name of the platform's protocol appears outside
 //! `src/platform/`.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http::{request, response};
+use http::{HeaderMap, request, response};
 
 use crate::{
     batch::job::{
         EventNumber, Item, ItemId, ItemResult, Job, JobId, ModelId, RewardRequest, Score,
     },
     connection::UpstreamRequest,
-    ids::{FenceNumber, UpstreamId, WeightVersion},
+    ids::{AccountId, FailureDomain, FenceNumber, HostId, UpstreamId, WeightVersion},
     ingress::{
+        accounts::Holder,
         directory::Upstream,
-        routes::{Configuration, Route},
+        routes::{Configuration, Route, ServiceName},
     },
     store::rows::StoredRow,
 };
@@ -44,6 +45,95 @@
     }
 }
 
+/// The key in the head of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PresentedKey<'a> {
+    /// The request has no key.
+    Missing,
+    /// The request has one key.
+    One(&'a [u8]),
+    /// The request has several keys, so that it is not clear whose it is.
+    Several,
+}
+
+/// On whose behalf a request is sent to an upstream.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum Caller {
+    /// Requests carry no keys, and nothing of them is hidden from upstreams.
+    #[default]
+    Unknown,
+    /// The request has no account, which its route allows.
+    Public,
+    /// The request was sent with a key of this account.
+    Account(Holder),
+}
+
+impl Caller {
+    /// Returns the account, if the request has one.
+    pub const fn account(&self) -> Option<&AccountId> {
+        match self {
+            Self::Account(holder) => Some(&holder.id),
+            Self::Unknown | Self::Public => None,
+        }
+    }
+
+    /// Returns whether the caller may see what belongs to `owner`. Anyone may see what
+    /// belongs to no account.
+    pub fn may_see(&self, owner: Option<&AccountId>) -> bool {
+        match self {
+            Self::Unknown => true,
+            Self::Public | Self::Account(_) => owner.is_none() || owner == self.account(),
+        }
+    }
+}
+
+/// The usage of one window, for the platform.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UsageReport {
+    /// The number of the window since the Unix epoch.
+    pub window: u64,
+    /// How many requests of each account began to run in it.
+    pub counts: BTreeMap<AccountId, u64>,
+}
+
+/// An order of upstreams.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ScaleOrder {
+    /// The service.
+    pub service: ServiceName,
+    /// The failure domain.
+    pub failure_domain: FailureDomain,
+    /// How many upstreams of the kind are wanted there.
+    pub wanted_count: usize,
+    /// Whether upstreams are ordered that the platform may reclaim.
+    pub is_spot: bool,
+}
+
+/// Who makes a call to the platform on behalf of all hosts.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DutyHolder {
+    /// The host.
+    pub host: HostId,
+    /// The fencing number of its lease.
+    pub fence: FenceNumber,
+}
+
+/// How the platform answered a call that one host makes for all.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum DutyAnswer {
+    /// It was done.
+    Done,
+    /// There are no upstreams to be had.
+    NoneToBeHad,
+    /// The platform takes no more calls at present.
+    RateLimited,
+    /// The platform refuses the call for good, also when it is repeated.
+    Rejected,
+    /// Anything else, which leaves the outcome unknown.
+    Unclear,
+}
+
 /// A call to the batch job interface.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum JobCall {
@@ -70,6 +160,16 @@
     Malformed,
 }
 
+impl JobCall {
+    /// Returns the job, if the call names one.
+    pub const fn job(&self) -> Option<&JobId> {
+        match self {
+            Self::Results { job, .. } | Self::Body { job, .. } | Self::End { job } => Some(job),
+            Self::Malformed => None,
+        }
+    }
+}
+
 /// What an answer says of the rate of requests that its upstream takes from all
 /// hosts together.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -180,7 +280,7 @@
     /// Whether an order is in progress.
     pub is_busy: bool,
     /// The loaded version of each model.
-    pub versions: std::collections::BTreeMap<ModelId, WeightVersion>,
+    pub versions: BTreeMap<ModelId, WeightVersion>,
 }
 
 /// A change made by the operator or a trainer.
@@ -242,6 +342,8 @@
     /// The first key of the rows in which trainers name versions, and the key after
     /// the last one.
     const VERSION_KEYS: (&'static str, &'static str);
+    /// The key of the row with the operator's configuration.
+    const CONFIGURATION_KEY: &'static str;
     /// The table in which upstreams register.
     const UPSTREAM_TABLE: &'static str;
     /// The path of the platform's readiness probe.
@@ -252,11 +354,14 @@
     /// Decodes the platform's fields in the head of a client's request.
     fn client_head(parts: &request::Parts) -> ClientHead;
 
+    /// Decodes the key of an account in the head of a request.
+    fn presented_key(headers: &HeaderMap) -> PresentedKey<'_>;
+
     /// Decodes a call to the batch job interface, or returns `None` if the path
     /// is not part of it.
     fn job_call(parts: &request::Parts) -> Option<JobCall>;
 
-    /// Decodes a submitted batch job.
+    /// Decodes a batch job that `caller` submitted.
     ///
     /// # Errors
     ///
@@ -266,30 +371,35 @@
         parts: &request::Parts,
         body: &[u8],
         route: &Route,
+        caller: &Caller,
     ) -> Result<Job, DecodeError>;
 
     /// Encodes results of a job.
     fn results(total_count: usize, next: usize, results: &[ItemResult]) -> Bytes;
 
-    /// Encodes a client's request for an upstream.
+    /// Encodes a request of `caller` for an upstream.
     fn call_request(
         parts: &request::Parts,
         body: Bytes,
+        caller: &Caller,
         to: Addressee<'_>,
         remaining: Duration,
     ) -> UpstreamRequest;
 
-    /// Encodes an item's request for an engine.
+    /// Encodes an item's request for an engine, on behalf of `account` if it has one.
     fn item_request(
         authority: &str,
+        account: Option<&AccountId>,
         item: &Item,
         to: Addressee<'_>,
         last_event: EventNumber,
     ) -> UpstreamRequest;
 
-    /// Encodes a reward call, which the upstream may work on for `remaining`.
+    /// Encodes a reward call on behalf of `account` if it has one, which the upstream may
+    /// work on for `remaining`.
     fn reward_request(
         reward: &RewardRequest,
+        account: Option<&AccountId>,
         to: Addressee<'_>,
         remaining: Duration,
     ) -> UpstreamRequest;
@@ -300,6 +410,23 @@
     /// Encodes a request for an engine's report.
     fn report_request(to: Addressee<'_>) -> UpstreamRequest;
 
+    /// Encodes a usage report, which is sent to the platform at `address`.
+    fn usage_request(
+        report: &UsageReport,
+        holder: &DutyHolder,
+        address: SocketAddr,
+    ) -> UpstreamRequest;
+
+    /// Encodes an order of upstreams, which is sent to the platform at `address`.
+    fn scale_request(
+        order: &ScaleOrder,
+        holder: &DutyHolder,
+        address: SocketAddr,
+    ) -> UpstreamRequest;
+
+    /// Decodes the platform's answer to a usage report or an order of upstreams.
+    fn duty_answer(parts: &response::Parts) -> DutyAnswer;
+
     /// Decodes the platform's fields in the head of an upstream's answer.
     fn answer_head(parts: &response::Parts) -> AnswerHead;
 
--- a/src/observe/telemetry.rs
+++ b/src/observe/telemetry.rs
@@ -72,6 +72,9 @@
     CALLS_UNKNOWN, "calls.unknown_count", Counter, "Calls for which it is unknown whether they ran.";
     CALL_TIME, "calls.time_ms", Timer, "Time from a call's arrival to the head of its answer.";
     CALLS_BLOCKED, "calls.blocked_count", Counter, "Calls that were refused because upstreams crash under them.";
+    KEYS_REFUSED, "keys.refused_count", Counter, "Requests that were refused since their key belongs to no account.";
+    KEYS_UNCHECKED, "keys.unchecked_count", Counter, "Requests that were refused since their key may have been removed.";
+    CONFIGURATION_AGE, "configuration.age_ms", Timer, "Time since the configuration was last confirmed, as it is confirmed again.";
     STREAMS_RESUMED, "streams.resumed_count", Counter, "Streams that were taken up and may go on.";
     STREAMS_NOT_RESUMED, "streams.not_resumed_count", Counter, "Streams that were taken up and may not go on, since the version that began them is not known.";
     CALLS_HANDED_OVER, "calls.handed_over_count", Counter, "Calls that another host answered for this one.";
--- a/src/platform/boot.rs
+++ b/src/platform/boot.rs
@@ -8,7 +8,25 @@
 
 use serde::Deserialize;
 
-use crate::ingress::host::HostSettings;
+use crate::ingress::host::{DutySettings, HostSettings};
+
+/// The limit on open file descriptors where the file names none.
+const DEFAULT_MAX_FD_COUNT: usize = 4_096;
+
+/// The window of usage reports where the file names none.
+const DEFAULT_USAGE_WINDOW_S: f64 = 5.0;
+
+/// The time until a usage report is due where the file names none.
+const DEFAULT_USAGE_DUE_S: f64 = 10.0;
+
+/// The rate of duty calls where the file names none.
+const DEFAULT_DUTY_RATE_PER_S: f64 = 10.0;
+
+/// The name of the duty to report usage.
+const USAGE_DUTY: &str = "usage_report";
+
+/// The name of the duty to order upstreams.
+const SCALE_DUTY: &str = "autoscale";
 
 /// The environment variable with the path of the file.
 pub const PATH_VARIABLE: &str = "MIMOSAVANE_BOOT";
@@ -56,6 +74,9 @@
     provider: Provider,
     /// The interval at which upstreams renew their entries.
     heartbeat_ms: u64,
+    /// Where the platform takes calls that one host makes for all.
+    #[serde(default)]
+    cloud: Option<Cloud>,
     /// The first and the last port that hosts may use to reach each other.
     #[serde(default)]
     internal_ports: Vec<u16>,
@@ -73,6 +94,8 @@
 struct Limits {
     memory_mb: u64,
     cpu_share: f64,
+    #[serde(default)]
+    max_fds: Option<usize>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -85,6 +108,27 @@
     /// The time for which a job's results must stay readable after its
     /// submission.
     status_ttl_s: f64,
+    /// Whether `revoke_ms` binds every machine.
+    #[serde(default)]
+    strict_revoke: bool,
+    /// The time after which no request with a removed key may run.
+    #[serde(default)]
+    revoke_ms: Option<u64>,
+    /// The length of the windows of usage reports.
+    #[serde(default)]
+    report_window_s: Option<f64>,
+    /// How long after its end the report of a window is due.
+    #[serde(default)]
+    usage_late_s: Option<f64>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Cloud {
+    address: SocketAddr,
+    #[serde(default)]
+    duties: Vec<String>,
+    #[serde(default)]
+    duty_per_s: Option<f64>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -151,14 +195,51 @@
                 faults.push(format!("{field}: must be above 0"));
             }
         }
+        for (field, value) in [
+            ("bounds.report_window_s", self.bounds.report_window_s),
+            ("bounds.usage_late_s", self.bounds.usage_late_s),
+            (
+                "cloud.duty_per_s",
+                self.cloud.as_ref().and_then(|cloud| cloud.duty_per_s),
+            ),
+        ] {
+            if value.is_some_and(|value| !(value.is_finite() && value > 0.0)) {
+                faults.push(format!("{field}: must be above 0"));
+            }
+        }
+        if self.bounds.strict_revoke && self.bounds.revoke_ms.is_none_or(|ms| ms == 0) {
+            faults.push("bounds.revoke_ms: must be above 0 with strict_revoke".to_owned());
+        }
         if self.heartbeat_ms == 0 {
             faults.push("heartbeat_ms: must be above 0".to_owned());
         }
         faults
     }
 
+    fn duties(&self) -> Option<DutySettings> {
+        let cloud = self.cloud.as_ref()?;
+        let has_duty = |name: &str| cloud.duties.iter().any(|duty| duty == name);
+        let seconds =
+            |value: Option<f64>, default| Duration::from_secs_f64(value.unwrap_or(default));
+        Some(DutySettings {
+            address: cloud.address,
+            max_rate_per_s: cloud.duty_per_s.unwrap_or(DEFAULT_DUTY_RATE_PER_S),
+            reports_usage: has_duty(USAGE_DUTY),
+            orders_upstreams: has_duty(SCALE_DUTY),
+            usage_window: seconds(self.bounds.report_window_s, DEFAULT_USAGE_WINDOW_S),
+            usage_due: seconds(self.bounds.usage_late_s, DEFAULT_USAGE_DUE_S),
+        })
+    }
+
     fn into_settings(self) -> HostSettings {
         HostSettings {
+            duties: self.duties(),
+            max_fd_count: self.limits.max_fds.unwrap_or(DEFAULT_MAX_FD_COUNT),
+            revocation_bound: self
+                .bounds
+                .revoke_ms
+                .filter(|_| self.bounds.strict_revoke)
+                .map(Duration::from_millis),
             host: self.node.into(),
             failure_domain: self.zone.into(),
             client_address: self.listen.front,
--- a/src/platform/documents.rs
+++ b/src/platform/documents.rs
@@ -13,6 +13,19 @@
     #[serde(default)]
     pub services: Vec<ServiceDocument>,
     pub limits: LimitsDocument,
+    /// The accounts of clients; absent if requests carry no keys.
+    #[serde(default)]
+    pub tenants: Option<Vec<TenantDocument>>,
+}
+
+/// An account of clients. Other fields, such as quotas, are not in force here.
+#[derive(Debug, Deserialize)]
+pub struct TenantDocument {
+    pub name: String,
+    #[serde(default)]
+    pub api_keys: Vec<String>,
+    #[serde(default)]
+    pub priority: Option<u32>,
 }
 
 /// A route.
@@ -45,6 +58,9 @@
     pub single_version: bool,
     #[serde(default)]
     pub resumable: bool,
+    /// Whether requests need no key.
+    #[serde(default)]
+    pub public: bool,
 }
 
 /// The share of one service in a route's traffic.
@@ -60,6 +76,23 @@
     pub name: String,
     #[serde(default)]
     pub engine: Option<EngineDocument>,
+    #[serde(default)]
+    pub scaling: Option<ScalingDocument>,
+}
+
+/// The bounds and prices of a service's upstreams.
+#[derive(Debug, Deserialize)]
+pub struct ScalingDocument {
+    #[serde(default)]
+    pub min: usize,
+    pub max: usize,
+    #[serde(default)]
+    pub boot_s: f64,
+    /// The price of upstreams that may be reclaimed, relative to the others.
+    #[serde(default)]
+    pub spot_price: Option<f64>,
+    #[serde(default)]
+    pub zone_prices: BTreeMap<String, f64>,
 }
 
 /// The resources of each engine of a service.
@@ -111,6 +144,12 @@
     /// The start time of the upstream, in milliseconds since the Unix epoch.
     #[serde(default)]
     pub born: u64,
+    /// Whether the platform may reclaim it.
+    #[serde(default)]
+    pub spot: bool,
+    /// The time until it leaves.
+    #[serde(default)]
+    pub leaves_ms: Option<f64>,
 }
 
 /// The weights of one model that an engine holds.
@@ -147,6 +186,23 @@
     pub expected: Option<u64>,
 }
 
+/// The usage of one window.
+#[derive(Debug, Serialize)]
+pub struct UsageDocument<'a> {
+    pub window: u64,
+    pub counts: BTreeMap<&'a str, u64>,
+}
+
+/// An order of upstreams.
+#[derive(Debug, Serialize)]
+pub struct ScaleDocument<'a> {
+    pub service: &'a str,
+    pub zone: &'a str,
+    pub desired_count: usize,
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    pub spot: bool,
+}
+
 /// A submitted batch job.
 #[derive(Debug, Deserialize)]
 pub struct JobDocument {
--- a/src/platform/names.rs
+++ b/src/platform/names.rs
@@ -30,6 +30,14 @@
 /// The header with the number of prompt tokens and the maximum number of output
 /// tokens.
 pub const TOKEN_USAGE: &str = "token-usage";
+/// The header with the key by which a client shows its account.
+pub const API_KEY: &str = "x-api-key";
+/// The header with the name of the account on whose behalf an upstream runs a request.
+pub const TENANT: &str = "tenant";
+/// The header with the name of the host that makes a call for all.
+pub const DUTY_HOLDER: &str = "duty-holder";
+/// The header with the fencing number under which a host makes such a call.
+pub const FENCE_TOKEN: &str = "fence-token";
 
 /// The path of an engine's report.
 pub const REPORT_PATH: &str = "/-/report";
@@ -41,6 +49,10 @@
 pub const JOBS_PATH: &str = "/-/lots/";
 /// The prefix of the paths of items' bodies.
 pub const ITEMS_PATH: &str = "/-/items/";
+/// The path of usage reports.
+pub const USAGE_PATH: &str = "/usage";
+/// The path of orders of upstreams.
+pub const SCALE_PATH: &str = "/scale";
 
 /// The table with the operator's configuration and the trainers' versions.
 pub const OPERATOR_TABLE: &str = "op";
--- a/src/platform/wire.rs
+++ b/src/platform/wire.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Uri, header, request, response};
 use http_body_util::Full;
-use serde::de::DeserializeOwned;
+use serde::{Serialize, de::DeserializeOwned};
 
 use crate::{
     batch::job::{
@@ -15,19 +15,22 @@
     call::terms,
     clock::millis,
     connection::UpstreamRequest,
+    ids::AccountId,
     ingress::{
+        accounts::{Account, Accounts},
         directory::Upstream,
-        routes::{ClientLimits, Configuration, Route, RouteKind, Service},
+        routes::{ClientLimits, Configuration, Route, RouteKind, Scaling, Service},
         wire::{
-            Addressee, AnswerHead, ClientHead, DecodeError, EngineReport, JobCall, LoadOrder,
-            OperatorChange, OrderAnswer, StatedLimit, Wire,
+            Addressee, AnswerHead, Caller, ClientHead, DecodeError, DutyAnswer, DutyHolder,
+            EngineReport, JobCall, LoadOrder, OperatorChange, OrderAnswer, PresentedKey,
+            ScaleOrder, StatedLimit, UsageReport, Wire,
         },
     },
     platform::{
         documents::{
             ConfigurationDocument, JobDocument, ModelDocument, OrderDocument, ReportDocument,
-            ResultDocument, ResultsDocument, RouteDocument, ScorerDocument, UpstreamDocument,
-            VersionDocument,
+            ResultDocument, ResultsDocument, RouteDocument, ScaleDocument, ScalingDocument,
+            ScorerDocument, UpstreamDocument, UsageDocument, VersionDocument,
         },
         events::PlatformEvents,
         names,
@@ -44,6 +47,9 @@
 /// The maximum length of an id, which is that of a partition name in the store.
 const MAX_ID_BYTES: usize = 200;
 
+/// The headers by which requests name accounts, which clients do not set for upstreams.
+const ACCOUNT_HEADERS: [&str; 2] = [names::API_KEY, names::TENANT];
+
 /// The platform's message formats.
 #[derive(Debug)]
 pub struct PlatformWire;
@@ -51,6 +57,7 @@
 impl Wire for PlatformWire {
     const OPERATOR_TABLE: &'static str = names::OPERATOR_TABLE;
     const VERSION_KEYS: (&'static str, &'static str) = (names::VERSION_PREFIX, names::VERSION_END);
+    const CONFIGURATION_KEY: &'static str = names::CONFIGURATION_KEY;
     const UPSTREAM_TABLE: &'static str = names::UPSTREAM_TABLE;
     const READY_PATH: &'static str = names::READY_PATH;
     type Events = PlatformEvents;
@@ -66,6 +73,15 @@
         }
     }
 
+    fn presented_key(headers: &HeaderMap) -> PresentedKey<'_> {
+        let mut keys = headers.get_all(names::API_KEY).iter();
+        match (keys.next(), keys.next()) {
+            (None, _) => PresentedKey::Missing,
+            (Some(key), None) => PresentedKey::One(key.as_bytes()),
+            (Some(_), Some(_)) => PresentedKey::Several,
+        }
+    }
+
     fn job_call(parts: &request::Parts) -> Option<JobCall> {
         let path = parts.uri.path();
         let query = parts.uri.query().unwrap_or("");
@@ -95,6 +111,7 @@
         parts: &request::Parts,
         body: &[u8],
         route: &Route,
+        caller: &Caller,
     ) -> Result<Job, DecodeError> {
         let document: JobDocument = parse_json(body)?;
         let service = route
@@ -125,7 +142,7 @@
                 id: item.id.into(),
                 group: item.group.into(),
                 path: item.path,
-                headers: item.headers.into_iter().collect(),
+                headers: item_headers(item.headers, caller),
                 body: body.into(),
                 prompt_tokens,
                 length_hint_tokens: hint.unwrap_or(max_tokens).min(max_tokens),
@@ -152,6 +169,11 @@
                 due: route.result_due,
                 accepted_at: Duration::ZERO,
                 item_count: items.len(),
+                account: caller.account().cloned(),
+                priority: match caller {
+                    Caller::Account(holder) => holder.priority.unwrap_or(route.priority),
+                    Caller::Unknown | Caller::Public => route.priority,
+                },
             },
             items,
         })
@@ -182,6 +204,7 @@
     fn call_request(
         parts: &request::Parts,
         body: Bytes,
+        caller: &Caller,
         to: Addressee<'_>,
         remaining: Duration,
     ) -> UpstreamRequest {
@@ -189,6 +212,12 @@
         let mut request = base_request(parts.method.clone(), path, body);
         let headers = request.headers_mut();
         *headers = terms::end_to_end(&parts.headers);
+        if *caller != Caller::Unknown {
+            for name in ACCOUNT_HEADERS {
+                headers.remove(name);
+            }
+        }
+        insert_account(headers, caller.account());
         if let Some(host) = parts.headers.get(header::HOST) {
             headers.insert(header::HOST, host.clone());
         }
@@ -199,6 +228,7 @@
 
     fn item_request(
         authority: &str,
+        account: Option<&AccountId>,
         item: &Item,
         to: Addressee<'_>,
         last_event: EventNumber,
@@ -208,6 +238,7 @@
         for (name, value) in &item.headers {
             insert_header(headers, name, value);
         }
+        insert_account(headers, account);
         insert_header(headers, names::ATTEMPT_ID, &item.id);
         insert_header(headers, header::HOST.as_str(), authority);
         insert_header(headers, names::EXPECT_INSTANCE, to.id);
@@ -219,11 +250,13 @@
 
     fn reward_request(
         reward: &RewardRequest,
+        account: Option<&AccountId>,
         to: Addressee<'_>,
         remaining: Duration,
     ) -> UpstreamRequest {
         let mut request = base_request(Method::POST, &reward.path, reward.body.clone());
         let headers = request.headers_mut();
+        insert_account(headers, account);
         insert_header(headers, names::ATTEMPT_ID, &reward.id);
         insert_header(headers, header::HOST.as_str(), &reward.authority);
         insert_header(headers, names::EXPECT_INSTANCE, to.id);
@@ -259,6 +292,46 @@
         request
     }
 
+    fn usage_request(
+        report: &UsageReport,
+        holder: &DutyHolder,
+        address: SocketAddr,
+    ) -> UpstreamRequest {
+        let document = UsageDocument {
+            window: report.window,
+            counts: report
+                .counts
+                .iter()
+                .map(|(id, count)| (&**id, *count))
+                .collect(),
+        };
+        duty_request(names::USAGE_PATH, &document, holder, address)
+    }
+
+    fn scale_request(
+        order: &ScaleOrder,
+        holder: &DutyHolder,
+        address: SocketAddr,
+    ) -> UpstreamRequest {
+        let document = ScaleDocument {
+            service: &order.service,
+            zone: &order.failure_domain,
+            desired_count: order.wanted_count,
+            spot: order.is_spot,
+        };
+        duty_request(names::SCALE_PATH, &document, holder, address)
+    }
+
+    fn duty_answer(parts: &response::Parts) -> DutyAnswer {
+        match parts.status.as_u16() {
+            200..=299 => DutyAnswer::Done,
+            409 => DutyAnswer::NoneToBeHad,
+            429 => DutyAnswer::RateLimited,
+            400..=499 => DutyAnswer::Rejected,
+            _ => DutyAnswer::Unclear,
+        }
+    }
+
     fn answer_head(parts: &response::Parts) -> AnswerHead {
         let headers = &parts.headers;
         AnswerHead {
@@ -334,6 +407,10 @@
             is_draining,
             software_version: document.version.into(),
             versions: model_versions(document.models),
+            is_spot: document.spot,
+            leaves_in: document
+                .leaves_ms
+                .map(|ms| duration_or(Some(ms), Duration::ZERO)),
         })
     }
 }
@@ -357,6 +434,7 @@
                     .as_ref()
                     .map_or(1, |engine| engine.stride.max(1)),
                 engine_memory_tokens: service.engine.map_or(0, |engine| engine.kv_capacity_tokens),
+                scaling: service.scaling.map(decode_scaling),
             };
             (name, service)
         })
@@ -371,9 +449,68 @@
             header_timeout: Duration::from_millis(document.limits.header_timeout_ms),
             idle_timeout: Duration::from_millis(document.limits.idle_timeout_ms),
         },
+        accounts: document.tenants.map(|tenants| {
+            Accounts::new(tenants.into_iter().map(|tenant| Account {
+                id: tenant.name.into(),
+                priority: tenant.priority,
+                keys: tenant.api_keys,
+            }))
+        }),
     })
 }
 
+fn decode_scaling(document: ScalingDocument) -> Scaling {
+    Scaling {
+        min_count: document.min,
+        max_count: document.max,
+        boot_time: duration_or(Some(document.boot_s * 1_000.0), Duration::ZERO),
+        spot_price_ratio: document.spot_price.unwrap_or(1.0),
+        domain_prices: document
+            .zone_prices
+            .into_iter()
+            .map(|(zone, price)| (zone.into(), price))
+            .collect(),
+    }
+}
+
+/// Returns the headers of a submitted item. A client names no account for its items.
+fn item_headers(headers: BTreeMap<String, String>, caller: &Caller) -> Vec<(String, String)> {
+    let is_kept = |name: &str| {
+        *caller == Caller::Unknown
+            || !ACCOUNT_HEADERS
+                .iter()
+                .any(|header| name.eq_ignore_ascii_case(header))
+    };
+    headers
+        .into_iter()
+        .filter(|(name, _)| is_kept(name))
+        .collect()
+}
+
+fn insert_account(headers: &mut HeaderMap, account: Option<&AccountId>) {
+    if let Some(account) = account {
+        insert_header(headers, names::TENANT, account);
+    }
+}
+
+/// Builds a call to the platform that one host makes for all.
+fn duty_request(
+    path: &str,
+    document: &impl Serialize,
+    holder: &DutyHolder,
+    address: SocketAddr,
+) -> UpstreamRequest {
+    // Strings and numbers can always be encoded as JSON.
+    let body = serde_json::to_vec(document).unwrap_or_default();
+    let mut request = base_request(Method::POST, path, body.into());
+    let headers = request.headers_mut();
+    insert_header(headers, header::CONTENT_TYPE.as_str(), "application/json");
+    insert_header(headers, header::HOST.as_str(), &address.to_string());
+    insert_header(headers, names::DUTY_HOLDER, &holder.host);
+    headers.insert(names::FENCE_TOKEN, HeaderValue::from(holder.fence));
+    request
+}
+
 fn decode_reward(document: ScorerDocument) -> Result<RewardRequest, DecodeError> {
     let body = STANDARD
         .decode(document.body.as_bytes())
@@ -431,6 +568,7 @@
         result_due: duration_or(document.result_due_ms, DEFAULT_TIMEOUT),
         single_version: document.single_version,
         is_resumable: document.resumable,
+        is_public: document.public,
     })
 }
 
--- a/tests/cut_heads.rs
+++ b/tests/cut_heads.rs
@@ -339,6 +339,7 @@
                 };
                 let call = RewardCall {
                     request: request.into(),
+                    account: None,
                     permit: permits::take_as_issuer(&host, &upstream, 1).unwrap(),
                     upstream,
                     deadline: Duration::from_secs(2),
--- a/tests/directory.rs
+++ b/tests/directory.rs
@@ -17,6 +17,8 @@
         is_draining: false,
         software_version: "v1".into(),
         versions: BTreeMap::new(),
+        is_spot: false,
+        leaves_in: None,
     }
 }
 
--- a/tests/job_interface.rs
+++ b/tests/job_interface.rs
@@ -16,10 +16,11 @@
         layout,
     },
     ingress::{
+        host::KnownJob,
         jobs,
         replies::Reply,
         routes::{Route, RouteKind},
-        wire::{ClientHead, JobCall},
+        wire::{Caller, ClientHead, JobCall},
     },
     store::rows::RowStore as _,
 };
@@ -43,6 +44,7 @@
         result_due: Duration::from_millis(7_500),
         single_version: false,
         is_resumable: true,
+        is_public: false,
     }
 }
 
@@ -63,11 +65,19 @@
         attempt_id: Some("7c41".into()),
         ..ClientHead::default()
     };
-    jobs::submit(host, &parts(), BODY.as_bytes(), &route(), &head).await
+    jobs::submit(
+        host,
+        &parts(),
+        BODY.as_bytes(),
+        &route(),
+        &Caller::Unknown,
+        &head,
+    )
+    .await
 }
 
 async fn call(host: &TestHost, call: JobCall) -> (StatusCode, Bytes) {
-    let reply = jobs::handle_call(host, call, &ClientHead::default()).await;
+    let reply = jobs::handle_call(host, call, &Caller::Unknown, &ClientHead::default()).await;
     let status = reply.status();
     (
         status,
@@ -248,7 +258,11 @@
             stamp = rows.commit(&listing.transaction).await.unwrap().stamp;
             tally = listing.tally;
         }
-        host.view.borrow_mut().item_counts.insert(id, 300);
+        let known = KnownJob {
+            item_count: 300,
+            account: None,
+        };
+        host.view.borrow_mut().jobs.insert(id, known);
         let (_, body) = call(&host, results(0)).await;
         assert!(body.len() <= 1_000_000);
         assert!(body.starts_with(br#"{"total":300,"next":88,"#));
--- a/tests/platform_wire.rs
+++ b/tests/platform_wire.rs
@@ -15,7 +15,7 @@
         rewards,
         routes::RouteKind,
         wire::{
-            Addressee, EventParser as _, JobCall, LoadOrder, OperatorChange, OrderAnswer,
+            Addressee, Caller, EventParser as _, JobCall, LoadOrder, OperatorChange, OrderAnswer,
             StatedLimit, Wire,
         },
     },
@@ -173,7 +173,7 @@
     let route = configuration.route("ficu95.example", "/pufi791/x").unwrap();
     let parts = parts("POST", "/pufi791/7c41e0");
     let id = "7c41e09b52d6a3f8".into();
-    let job = PlatformWire::job(&id, &parts, body.as_bytes(), route).unwrap();
+    let job = PlatformWire::job(&id, &parts, body.as_bytes(), route, &Caller::Unknown).unwrap();
     assert_eq!(
         (job.head.step, job.head.min_version, job.head.item_count),
         (7, 6, 1)
@@ -185,7 +185,7 @@
         id: &"i-7".into(),
         address: "10.1.0.2:80".parse().unwrap(),
     };
-    let request = PlatformWire::item_request(&job.head.authority, &job.items[0], to, 3);
+    let request = PlatformWire::item_request(&job.head.authority, None, &job.items[0], to, 3);
     assert_eq!(request.uri().path(), "/pufi791/3/91c4");
     let header = |name: &str| request.headers()[name].to_str().unwrap();
     assert_eq!(header("attempt-id"), "e5b2");
@@ -193,7 +193,9 @@
     assert_eq!(header("last-event-id"), "3");
     assert_eq!(header("host"), "ficu95.example");
     for malformed in ["", "{", r#"{"items":[{"id":"a","path":"/","body":"%"}]}"#] {
-        assert!(PlatformWire::job(&id, &parts, malformed.as_bytes(), route).is_err());
+        assert!(
+            PlatformWire::job(&id, &parts, malformed.as_bytes(), route, &Caller::Unknown).is_err()
+        );
     }
 }
 
@@ -213,13 +215,20 @@
     let configuration = configuration();
     let route = configuration.route("ficu95.example", "/pufi791/x").unwrap();
     let parts = parts("POST", "/pufi791/7c41e0");
-    let job = PlatformWire::job(&"7c41".into(), &parts, body.as_bytes(), route).unwrap();
+    let job = PlatformWire::job(
+        &"7c41".into(),
+        &parts,
+        body.as_bytes(),
+        route,
+        &Caller::Unknown,
+    )
+    .unwrap();
     let reward = job.items[0].reward.as_ref().unwrap();
     let to = Addressee {
         id: &"i-7".into(),
         address: "10.1.0.2:80".parse().unwrap(),
     };
-    let request = PlatformWire::reward_request(reward, to, Duration::from_millis(2_900));
+    let request = PlatformWire::reward_request(reward, None, to, Duration::from_millis(2_900));
     assert_eq!(request.method(), "POST");
     assert_eq!(request.uri(), "/pufi791/5e07?a=1");
     for (name, value) in [
@@ -266,7 +275,14 @@
         ("7", "scorer"),
     ] {
         let body = job_with_scorer(scorer);
-        let error = PlatformWire::job(&"7c41".into(), &parts, body.as_bytes(), route).unwrap_err();
+        let error = PlatformWire::job(
+            &"7c41".into(),
+            &parts,
+            body.as_bytes(),
+            route,
+            &Caller::Unknown,
+        )
+        .unwrap_err();
         assert!(error.to_string().contains(field), "{scorer}: {error}");
     }
 }
@@ -339,6 +355,7 @@
     let request = PlatformWire::call_request(
         &parts("POST", "/lohu930/2f?a=1"),
         Bytes::new(),
+        &Caller::Unknown,
         to,
         Duration::from_millis(640),
     );
--- a/tests/reward_burst.rs
+++ b/tests/reward_burst.rs
@@ -78,6 +78,8 @@
                 is_draining: false,
                 software_version: "v1".into(),
                 versions: BTreeMap::new(),
+                is_spot: false,
+                leaves_in: None,
             });
         }
         Self {
--- a/tests/rows_support/host.rs
+++ b/tests/rows_support/host.rs
@@ -33,6 +33,9 @@
         result_ttl: Duration::from_secs(120),
         memory_limit_mb: 340,
         cpu_share_ratio: 0.5,
+        max_fd_count: 4_096,
+        revocation_bound: None,
+        duties: None,
     }
 }
 
--- a/tests/rows_support/leader.rs
+++ b/tests/rows_support/leader.rs
@@ -37,6 +37,7 @@
                 engine_slot_count: Some(4),
                 engine_memory_tokens: 1_000_000,
                 tokens_per_event: 61,
+                scaling: None,
             },
         )]),
         limits: ClientLimits {
@@ -45,6 +46,7 @@
             header_timeout: Duration::from_secs(5),
             idle_timeout: Duration::from_secs(10),
         },
+        accounts: None,
     }));
     view.directory.put(Upstream {
         id: "engine-1".into(),
@@ -57,6 +59,8 @@
         is_draining: false,
         software_version: "v1".into(),
         versions: BTreeMap::from([("writer".into(), 1)]),
+        is_spot: false,
+        leaves_in: None,
     });
     drop(view);
     host
--- a/tests/rows_support/mod.rs
+++ b/tests/rows_support/mod.rs
@@ -439,6 +439,8 @@
             due: Duration::from_millis(7_500),
             accepted_at: Duration::ZERO,
             item_count,
+            account: None,
+            priority: 0,
         },
         items,
     }
--- a/tests/rows_support/page.rs
+++ b/tests/rows_support/page.rs
@@ -55,6 +55,8 @@
         is_draining: false,
         software_version: "v1".into(),
         versions: BTreeMap::new(),
+        is_spot: false,
+        leaves_in: None,
     }
 }
 
@@ -125,6 +127,7 @@
     Run {
         number,
         authority: "jobs.example".to_owned(),
+        account: None,
         item,
         permit: permits::take_as_issuer(host, &upstream, 1).unwrap(),
         upstream,
@@ -148,6 +151,7 @@
         result_due: Duration::from_secs(30),
         single_version: false,
         is_resumable: false,
+        is_public: false,
     }
 }
 
@@ -163,5 +167,6 @@
             header_timeout: Duration::from_secs(5),
             idle_timeout: Duration::from_secs(10),
         },
+        accounts: None,
     }
 }
