Count the requests of accounts and report them by windows

Cause: the platform asks for the usage of each account in each window; no host counted anything, and every report was missed.

Change: hosts count calls as upstreams begin them and append the counts to rows that are written once. The coordinator commits a window's sum in the store before it sends it, so that every holder sends the same report, under the fencing number of its lease.

Ruled out: counts told to the coordinator by peer calls, which are lost with it.

--- a/src/ingress/calls.rs
+++ b/src/ingress/calls.rs
@@ -5,7 +5,7 @@
 mod sending;
 mod stream;
 
-use std::{rc::Rc, time::Duration};
+use std::{cell::Cell, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http::{Response, StatusCode, header, response};
@@ -36,6 +36,7 @@
         replies::{Reply, refusal, reply},
         routes::{Route, RouteKind},
         starts::{self, OTHER_START},
+        usage_reports,
         wire::{Addressee, AnswerHead, FULL, Wire},
     },
     observe::telemetry::{CALL_TIME, CALLS_ANSWERED, CALLS_NOT_RUN, CALLS_UNKNOWN},
@@ -354,13 +355,20 @@
     } else {
         remaining
     };
-    let result = match timeout(limit, exchange(host, call, upstream, permit)).await {
+    let sent_at = Cell::new(None);
+    let result = match timeout(limit, exchange(host, call, upstream, permit, &sent_at)).await {
         Ok(result) => result,
         Err(_) => {
             reach::record_failure(host, &upstream.service);
             AttemptOutcome::Unknown("silent")
         }
     };
+    let may_have_begun = !matches!(result, AttemptOutcome::NotRun(_));
+    // Streams are counted with their first data.
+    let is_counted = call.route.kind != RouteKind::Streaming && may_have_begun;
+    if let Some(sent_at) = sent_at.get().filter(|_| is_counted) {
+        usage_reports::record(host, call.caller.account(), sent_at);
+    }
     open.failed = match &result {
         AttemptOutcome::Answered(_) => Some(false),
         // A full upstream is not counted as failed, nor one that got no request.
@@ -375,10 +383,13 @@
     call: &Call,
     upstream: &Upstream,
     permit: Permit,
+    sent_at: &Cell<Option<Timestamp>>,
 ) -> AttemptOutcome {
     let is_allowed = || {
         let now = host.now();
-        permit.is_valid(now) && now < call.deadline()
+        let is_allowed = permit.is_valid(now) && now < call.deadline();
+        sent_at.set(is_allowed.then_some(now));
+        is_allowed
     };
     let to = Addressee {
         id: &upstream.id,
@@ -420,6 +431,7 @@
             upstream: upstream.clone(),
             is_resuming: call.head.is_resuming(),
             deadline: call.deadline(),
+            account: call.caller.account().cloned(),
             _taken: call.taken.clone(),
         };
         return AttemptOutcome::Answered(stream_reply(stream, parts, body, connection));
--- a/src/ingress/calls/stream.rs
+++ b/src/ingress/calls/stream.rs
@@ -14,12 +14,14 @@
     call::terms,
     clock::Timestamp,
     connection::Connection,
+    ids::AccountId,
     ingress::{
         crashes,
         directory::Upstream,
         handover::TakenCall,
         host::Host,
         replies::{Reply, ReplyBody, StreamCut},
+        usage_reports,
         wire::Wire,
     },
     store::rows::RowStore,
@@ -37,6 +39,8 @@
     pub(super) is_resuming: bool,
     /// When the stream is cut off, although it is not whole.
     pub(super) deadline: Timestamp,
+    /// The account of the call, if it has one.
+    pub(super) account: Option<AccountId>,
     /// Counts the call of another host as open until the stream ends.
     pub(super) _taken: Option<Rc<TakenCall>>,
 }
@@ -111,7 +115,7 @@
 }
 
 /// Returns the body of a reply to which `body` is forwarded as it arrives, for `time_left`
-/// at most. Calls `end` once that has ended. A body that ends without its `end_mark` is torn.
+/// at most. Calls `begin` at its first data, and `end` once it has ended. A body that ends without its `end_mark` is torn.
 ///
 /// Dropping `body` when the client disconnects closes its connection, which stops the work
 /// at the other side.
@@ -119,11 +123,12 @@
     body: Incoming,
     end_mark: EndMark,
     time_left: Duration,
+    begin: impl FnOnce() + 'static,
     end: impl FnOnce(StreamEnd) -> F + 'static,
 ) -> ReplyBody {
     let (sender, receiver) = mpsc::channel(STREAM_BUFFER_FRAME_COUNT);
     spawn_local(async move {
-        let ended = forward_frames(body, end_mark, &sender, time_left).await;
+        let ended = forward_frames(body, end_mark, &sender, time_left, begin).await;
         drop(sender);
         end(ended).await;
     });
@@ -135,7 +140,9 @@
     end_mark: EndMark,
     sender: &mpsc::Sender<Result<Frame<Bytes>, StreamCut>>,
     time_left: Duration,
+    begin: impl FnOnce(),
 ) -> StreamEnd {
+    let mut begin = Some(begin);
     let deadline = sleep(time_left);
     tokio::pin!(deadline);
     let mut tail = Tail::default();
@@ -154,6 +161,9 @@
             None => Err(StreamCut),
             Some(Ok(frame)) => match frame.into_data() {
                 Ok(data) => {
+                    if let Some(begin) = begin.take() {
+                        begin();
+                    }
                     tail.push(&data);
                     Ok(Frame::data(data))
                 }
@@ -180,7 +190,11 @@
 ) -> Reply {
     let time_left = stream.deadline.saturating_sub(stream.host.now());
     let end_mark = EndMark::of(&parts.headers, &body, stream.is_resuming);
-    let body = forward_body(body, end_mark, time_left, async move |end| {
+    let begin = {
+        let (host, account) = (stream.host.clone(), stream.account.clone());
+        move || usage_reports::record(&host, account.as_ref(), host.now())
+    };
+    let body = forward_body(body, end_mark, time_left, begin, async move |end| {
         // All of it lives until here, with the count of open calls.
         let stream = stream;
         match end {
--- a/src/ingress/coordinator/leadership.rs
+++ b/src/ingress/coordinator/leadership.rs
@@ -19,7 +19,7 @@
         orders::ORDER_TIMEOUT,
         permits, reach, retention,
         routes::ServiceName,
-        stored,
+        stored, usage_reports,
         wire::Wire,
     },
     observe::telemetry::LEASES_TAKEN,
@@ -291,7 +291,8 @@
                     LEASE_PARTITION,
                     fence.unwrap_or_default()
                 ),
-                retention::run_sweeps(this.host.clone())
+                retention::run_sweeps(this.host.clone()),
+                usage_reports::report(this.host.clone(), &*this)
             );
         });
         *self.follow_task.borrow_mut() = Some(follow_task.abort_handle());
--- a/src/ingress/handover.rs
+++ b/src/ingress/handover.rs
@@ -267,11 +267,17 @@
     let body = if call.route.kind == RouteKind::Streaming && parts.status.is_success() {
         let time_left = call.deadline().saturating_sub(host.now());
         let end_mark = EndMark::of(&parts.headers, &body, call.head.is_resuming());
-        calls::forward_body(body, end_mark, time_left, async move |end| {
-            if end == StreamEnd::Whole {
-                connection.release();
-            }
-        })
+        calls::forward_body(
+            body,
+            end_mark,
+            time_left,
+            || (),
+            async move |end| {
+                if end == StreamEnd::Whole {
+                    connection.release();
+                }
+            },
+        )
     } else {
         match Limited::new(body, MAX_ANSWER_BYTES).collect().await {
             Ok(body) => {
--- a/src/ingress/host.rs
+++ b/src/ingress/host.rs
@@ -30,6 +30,7 @@
         reach::book::ReachBook,
         routes::Configuration,
         stop::StopSchedule,
+        usage_reports::UsageBook,
         wire::Wire,
     },
     observe::telemetry::Metrics,
@@ -153,6 +154,8 @@
     pub origin_unsaved: Notify,
     /// When the last successful read of the versions was sent.
     pub versions_read_at: Mutex<Timestamp>,
+    /// The requests of accounts that this host counts, if the platform wants reports.
+    pub usage: Option<UsageBook>,
     /// What this host knows of its links to upstreams.
     pub reach: RefCell<ReachBook>,
     /// The number of calls of other hosts that are open here.
@@ -210,11 +213,16 @@
             connect_timeout: CONNECT_TIMEOUT,
             silence_timeout: SILENCE_TIMEOUT,
         });
+        let clock = Clock::start();
+        let duties = settings.duties.as_ref();
         Rc::new(Self {
+            usage: duties
+                .filter(|duties| duties.reports_usage)
+                .map(|duties| UsageBook::new(duties, clock.now())),
             store: connect(pool.clone()),
             pool,
             settings,
-            clock: Clock::start(),
+            clock,
             view: RefCell::default(),
             permits: RefCell::default(),
             crashes: RefCell::default(),
--- a/src/ingress/process.rs
+++ b/src/ingress/process.rs
@@ -10,7 +10,7 @@
 use crate::{
     ingress::{
         coordinator::Coordinator, feeds, host::Host, origins, server, stop::StopSchedule,
-        wire::Wire,
+        usage_reports, wire::Wire,
     },
     observe::{build, telemetry::BUILD},
     store::rows::RowStore,
@@ -55,6 +55,7 @@
         spawn_local(feeds::follow_upstreams(self.clone()));
         spawn_local(origins::follow_versions(self.clone()));
         spawn_local(origins::save_origins(self.clone()));
+        spawn_local(usage_reports::save_counts(self.clone()));
         spawn_local(server::serve_ready(self.clone(), ready));
         let accepting = spawn_local(server::serve_clients(self.clone(), clients));
         spawn_local(coordinator.clone().run());
@@ -76,6 +77,7 @@
         while self.open_count.get() + self.taken_count.get() > 0 && self.now() < schedule.exit_at {
             sleep(STOP_POLL_INTERVAL).await;
         }
+        usage_reports::save_last_counts(&self).await;
         tracing::info!(
             event = "host.stop",
             host = &*self.settings.host,
--- a/src/observe/telemetry.rs
+++ b/src/observe/telemetry.rs
@@ -108,6 +108,13 @@
     REWARDS_WAITING, "rewards.waiting_count", Gauge, "Items with a whole output that wait for their score.";
     REWARD_TIME, "rewards.time_ms", Timer, "Time from the start of a reward call to its score.";
     ORDERS_SENT, "orders.sent_count", Counter, "Orders that this host sent to engines.";
+    DUTIES_SENT, "duties.sent_count", Counter, "Calls to the platform that this host made for all hosts.";
+    USAGE_COUNTED, "usage.counted_count", Counter, "Requests of accounts that this host counted.";
+    USAGE_REPORTED, "usage.reported_count", Counter, "Windows of usage that this host reported first.";
+    USAGE_REPEATED, "usage.repeated_count", Counter, "Windows of usage that this host reported again for an earlier coordinator.";
+    USAGE_UNSENT, "usage.unsent_count", Gauge, "Windows of usage whose report has not arrived for certain.";
+    USAGE_LATE, "usage.late_count", Counter, "Requests whose counts were saved after the report of their window.";
+    USAGE_LOST, "usage.lost_count", Counter, "Requests whose counts this host could not save.";
     LEASES_TAKEN, "lease.taken_count", Counter, "Number of times that this host became the coordinator.";
     STORE_LOST, "store.lost_count", Counter, "Number of times that a feed from the store began to fail.";
     BUILD, "build.info", Gauge, "Always 1; the tags `version` and `sources` name the build of the program.";
