Check an operator's configuration in code without I/O

Cause: faults of a configuration show only once all hosts follow it, and hosts replace some unusable values by defaults without a word. Change: `ingress/configuration_check/` finds errors, contradictions and entries without effect in a draft, and lists what it changes. The platform decodes drafts with the functions that hosts use and names the fields. Mended in the hosts' decoder on the way: times beyond the range of durations caused a panic; the error of an unknown kind of route had no place; an error in the list of accounts quoted the value, which may be a key, also in the hosts' log.

--- a/src/ingress/mod.rs
+++ b/src/ingress/mod.rs
@@ -13,6 +13,7 @@
 pub mod authentication;
 pub mod bounded;
 pub mod calls;
+pub mod configuration_check;
 pub mod coordinator;
 pub mod crashes;
 pub mod detour;
--- a/src/ingress/stored.rs
+++ b/src/ingress/stored.rs
@@ -28,7 +28,7 @@
 
 /// Appended to the last key of a page to request the next page: no key
 /// continues with a lower byte, and it needs no escape in a request.
-const KEY_SUCCESSOR: &str = "!";
+pub const KEY_SUCCESSOR: &str = "!";
 
 /// Reads all rows of `range` with as many calls as needed.
 ///
--- a/src/ingress/wire.rs
+++ b/src/ingress/wire.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, request, response};
+use serde::de::Error as _;
 
 use crate::{
     batch::job::{
@@ -17,6 +18,7 @@
     ids::{AccountId, FailureDomain, FenceNumber, HostId, UpstreamId, WeightVersion},
     ingress::{
         accounts::Holder,
+        configuration_check::Undecodable,
         directory::Upstream,
         routes::{Configuration, Route, ServiceName},
     },
@@ -322,6 +324,36 @@
     },
 }
 
+impl DecodeError {
+    /// Returns the error of a parser at `path`. If the value there may be a secret, the text
+    /// does not quote it.
+    pub fn format(path: String, source: serde_json::Error, is_secret: bool) -> Self {
+        let text = source.to_string();
+        let source = match text.rsplit_once(", expected ") {
+            Some((_, expected)) if is_secret => {
+                serde_json::Error::custom(format_args!("expected {expected}"))
+            }
+            _ => source,
+        };
+        Self::Format { path, source }
+    }
+}
+
+impl From<DecodeError> for Undecodable {
+    fn from(error: DecodeError) -> Self {
+        match error {
+            DecodeError::Format { path, source } => Self {
+                path,
+                reason: source.to_string(),
+            },
+            DecodeError::Field { field } => Self {
+                path: field.to_owned(),
+                reason: "unusable value".to_owned(),
+            },
+        }
+    }
+}
+
 /// An incremental parser of an event stream.
 pub trait EventParser: Default {
     /// Parses more bytes, and returns the events that they complete.
--- a/src/platform/documents.rs
+++ b/src/platform/documents.rs
@@ -2,7 +2,9 @@
 
 use std::collections::BTreeMap;
 
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize, de::Error as _};
+
+use crate::ingress::routes::RouteKind;
 
 /// The newest configuration.
 #[derive(Debug, Deserialize)]
@@ -35,7 +37,8 @@
     pub name: String,
     pub host: String,
     pub path_prefix: String,
-    pub kind: String,
+    #[serde(deserialize_with = "decode_kind")]
+    pub kind: RouteKind,
     #[serde(default)]
     pub timeout_ms: Option<f64>,
     #[serde(default)]
@@ -63,6 +66,18 @@
     pub public: bool,
 }
 
+const KINDS: &[&str] = &["idempotent", "non_idempotent", "streaming", "rollout"];
+
+fn decode_kind<'a, D: Deserializer<'a>>(deserializer: D) -> Result<RouteKind, D::Error> {
+    match &*String::deserialize(deserializer)? {
+        "idempotent" => Ok(RouteKind::Idempotent),
+        "non_idempotent" => Ok(RouteKind::NonIdempotent),
+        "streaming" => Ok(RouteKind::Streaming),
+        "rollout" | "batch" => Ok(RouteKind::Batch),
+        other => Err(D::Error::unknown_variant(other, KINDS)),
+    }
+}
+
 /// The share of one service in a route's traffic.
 #[derive(Debug, Deserialize)]
 pub struct SplitDocument {
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -7,6 +7,7 @@
 //! docs/SOAK.md).
 
 pub mod boot;
+mod configuration;
 mod documents;
 mod events;
 mod names;
--- a/src/platform/wire.rs
+++ b/src/platform/wire.rs
@@ -18,8 +18,9 @@
     ids::AccountId,
     ingress::{
         accounts::{Account, Accounts},
+        configuration_check::Format as _,
         directory::Upstream,
-        routes::{ClientLimits, Configuration, Route, RouteKind, Scaling, Service},
+        routes::{ClientLimits, Configuration, Route, Scaling, Service},
         wire::{
             Addressee, AnswerHead, Caller, ClientHead, DecodeError, DutyAnswer, DutyHolder,
             EngineReport, JobCall, LoadOrder, OperatorChange, OrderAnswer, PresentedKey,
@@ -30,7 +31,8 @@
         documents::{
             ConfigurationDocument, JobDocument, ModelDocument, OrderDocument, ReportDocument,
             ResultDocument, ResultsDocument, RouteDocument, ScaleDocument, ScalingDocument,
-            ScorerDocument, UpstreamDocument, UsageDocument, VersionDocument,
+            ScorerDocument, ServiceDocument, TenantDocument, UpstreamDocument, UsageDocument,
+            VersionDocument,
         },
         events::PlatformEvents,
         names,
@@ -373,8 +375,9 @@
         }
         if row.key == names::CONFIGURATION_KEY {
             let document: ConfigurationDocument = parse_json(&row.value)?;
-            return decode_configuration(document)
-                .map(|configuration| Some(OperatorChange::Configuration(configuration)));
+            return Ok(Some(OperatorChange::Configuration(decode_configuration(
+                document,
+            ))));
         }
         if row.key.starts_with(names::VERSION_PREFIX) {
             let document: VersionDocument = parse_json(&row.value)?;
@@ -415,31 +418,21 @@
     }
 }
 
-fn decode_configuration(document: ConfigurationDocument) -> Result<Configuration, DecodeError> {
+pub(super) fn decode_configuration(document: ConfigurationDocument) -> Configuration {
     let routes = document
         .routes
         .into_iter()
-        .map(|route| self::decode_route(route).map(Arc::new))
-        .collect::<Result<_, _>>()?;
+        .map(|route| Arc::new(decode_route(route)))
+        .collect();
     let services = document
         .services
         .into_iter()
         .map(|service| {
-            let name: Arc<str> = service.name.into();
-            let service = Service {
-                name: name.clone(),
-                engine_slot_count: service.engine.as_ref().map(|engine| engine.slots),
-                tokens_per_event: service
-                    .engine
-                    .as_ref()
-                    .map_or(1, |engine| engine.stride.max(1)),
-                engine_memory_tokens: service.engine.map_or(0, |engine| engine.kv_capacity_tokens),
-                scaling: service.scaling.map(decode_scaling),
-            };
-            (name, service)
+            let service = decode_service(service);
+            (service.name.clone(), service)
         })
         .collect();
-    Ok(Configuration {
+    Configuration {
         version: document.version,
         routes,
         services,
@@ -449,14 +442,29 @@
             header_timeout: Duration::from_millis(document.limits.header_timeout_ms),
             idle_timeout: Duration::from_millis(document.limits.idle_timeout_ms),
         },
-        accounts: document.tenants.map(|tenants| {
-            Accounts::new(tenants.into_iter().map(|tenant| Account {
-                id: tenant.name.into(),
-                priority: tenant.priority,
-                keys: tenant.api_keys,
-            }))
-        }),
-    })
+        accounts: document
+            .tenants
+            .map(|tenants| Accounts::new(tenants.into_iter().map(decode_account))),
+    }
+}
+
+pub(super) fn decode_account(document: TenantDocument) -> Account {
+    Account {
+        id: document.name.into(),
+        priority: document.priority,
+        keys: document.api_keys,
+    }
+}
+
+pub(super) fn decode_service(document: ServiceDocument) -> Service {
+    let engine = document.engine.as_ref();
+    Service {
+        name: document.name.into(),
+        engine_slot_count: engine.map(|engine| engine.slots),
+        tokens_per_event: engine.map_or(1, |engine| engine.stride.max(1)),
+        engine_memory_tokens: engine.map_or(0, |engine| engine.kv_capacity_tokens),
+        scaling: document.scaling.map(decode_scaling),
+    }
 }
 
 fn decode_scaling(document: ScalingDocument) -> Scaling {
@@ -538,14 +546,7 @@
     })
 }
 
-fn decode_route(document: RouteDocument) -> Result<Route, DecodeError> {
-    let kind = match document.kind.as_str() {
-        "idempotent" => RouteKind::Idempotent,
-        "non_idempotent" => RouteKind::NonIdempotent,
-        "streaming" => RouteKind::Streaming,
-        "rollout" | "batch" => RouteKind::Batch,
-        _ => return Err(DecodeError::Field { field: "kind" }),
-    };
+fn decode_route(document: RouteDocument) -> Route {
     let splits = match document.service {
         Some(service) => vec![(service.into(), 1.0)],
         None => document
@@ -554,11 +555,11 @@
             .map(|split| (split.service.into(), split.weight))
             .collect(),
     };
-    Ok(Route {
+    Route {
         name: document.name.into(),
         authority: document.host,
         path_prefix: document.path_prefix,
-        kind,
+        kind: document.kind,
         timeout: duration_or(document.timeout_ms, DEFAULT_TIMEOUT),
         target_latency: duration_or(document.target_latency_ms, DEFAULT_TARGET_LATENCY),
         priority: document.priority,
@@ -569,13 +570,14 @@
         single_version: document.single_version,
         is_resumable: document.resumable,
         is_public: document.public,
-    })
+    }
 }
 
 fn duration_or(value_ms: Option<f64>, default: Duration) -> Duration {
+    // Fails for negative times, and for those beyond the range of durations.
     value_ms
-        .filter(|ms| ms.is_finite() && *ms >= 0.0)
-        .map_or(default, |ms| Duration::from_secs_f64(ms / 1_000.0))
+        .and_then(|ms| Duration::try_from_secs_f64(ms / 1_000.0).ok())
+        .unwrap_or(default)
 }
 
 fn model_versions(models: Vec<ModelDocument>) -> BTreeMap<Arc<str>, u64> {
@@ -639,10 +641,11 @@
     is_id.then(|| text.into())
 }
 
-fn parse_json<T: DeserializeOwned>(body: &[u8]) -> Result<T, DecodeError> {
+pub(super) fn parse_json<T: DeserializeOwned>(body: &[u8]) -> Result<T, DecodeError> {
     let mut parser = serde_json::Deserializer::from_slice(body);
-    serde_path_to_error::deserialize(&mut parser).map_err(|error| DecodeError::Format {
-        path: error.path().to_string(),
-        source: error.into_inner(),
+    serde_path_to_error::deserialize(&mut parser).map_err(|error| {
+        let path = error.path().to_string();
+        let is_secret = path.starts_with(PlatformWire::SPELLING.accounts);
+        DecodeError::format(path, error.into_inner(), is_secret)
     })
 }
