Add the command check-config to the entry host's program

Cause: the check needs a program that reads the document and, from a file or the store, the configuration in force. Change: `mimosavane-entry check-config FILE` prints text or JSON and exits with 0, 1, 2 or 3. Wrong usage of it exits with 3, since 2 stands for warnings. `--check FILE` and the other options behave as before.

--- a/src/bin/mimosavane-entry.rs
+++ b/src/bin/mimosavane-entry.rs
@@ -1,15 +1,17 @@
 //! The entry host, which serves callers, trainers and peers.
 
 use std::{
-    io::stdout,
+    io::{Write as _, stdout},
     net::SocketAddr,
     path::{Path, PathBuf},
     process::ExitCode,
 };
 
 use anyhow::{Context, Result};
-use clap::{Arg, Command, value_parser};
+use clap::{Arg, ArgMatches, Command, value_parser};
 use mimosavane::{
+    command::configuration::{self, Verdict},
+    connection::{Limits, Pool},
     entry::Running,
     host::drain::Requester,
     ingress::{
@@ -31,7 +33,32 @@
 const DEFAULT_LOG_FILTER: &str = "info";
 
 fn main() -> ExitCode {
-    let matches = Command::new("mimosavane-entry")
+    let matches = match command_line().try_get_matches() {
+        Ok(matches) => matches,
+        Err(error) => return explain(&error),
+    };
+    if let Some((configuration::NAME, matches)) = matches.subcommand() {
+        return check_configuration(matches);
+    }
+    let metrics_port = matches.get_one::<u16>("metrics-port").copied();
+    if let Some(path) = matches.get_one::<PathBuf>("check") {
+        return check(path);
+    }
+    let result = match matches.get_one::<PathBuf>("settings") {
+        Some(path) => run(path),
+        None => run_on_platform(metrics_port),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("error: {error:#}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn command_line() -> Command {
+    Command::new("mimosavane-entry")
         .about("Serves callers, trainers and peers")
         .version(build::NAME)
         .arg(
@@ -59,20 +86,44 @@
                 .conflicts_with("settings")
                 .help("Port that serves metrics as text; only on the platform"),
         )
-        .get_matches();
-    let metrics_port = matches.get_one::<u16>("metrics-port").copied();
-    if let Some(path) = matches.get_one::<PathBuf>("check") {
-        return check(path);
+        .args_conflicts_with_subcommands(true)
+        .subcommand(configuration::command())
+}
+
+/// Prints an error of the command line, or the help. The exit code of wrong usage is that of
+/// warnings of a check, for which another one is returned therefore.
+fn explain(error: &clap::Error) -> ExitCode {
+    // Without an open output there is nobody to tell.
+    drop(error.print());
+    let is_check = std::env::args_os().any(|argument| argument == configuration::NAME);
+    match error.exit_code() {
+        0 => ExitCode::SUCCESS,
+        _ if is_check => ExitCode::from(Verdict::Unchecked as u8),
+        _ => ExitCode::from(2),
     }
-    let result = match matches.get_one::<PathBuf>("settings") {
-        Some(path) => run(path),
-        None => run_on_platform(metrics_port),
-    };
+}
+
+/// Checks an operator's configuration.
+fn check_configuration(matches: &ArgMatches) -> ExitCode {
+    let open = |address| PlatformStore::new(Pool::new(Limits::default()), address);
+    let result = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .and_then(|runtime| {
+            let outcome = runtime.block_on(configuration::run::<PlatformWire, _>(matches, open));
+            stdout().write_all(outcome.text.as_bytes())?;
+            Ok(outcome)
+        });
     match result {
-        Ok(()) => ExitCode::SUCCESS,
+        Ok(outcome) => {
+            if let Some(failure) = outcome.failure {
+                eprintln!("error: {failure}");
+            }
+            ExitCode::from(outcome.verdict as u8)
+        }
         Err(error) => {
-            eprintln!("error: {error:#}");
-            ExitCode::from(2)
+            eprintln!("error: {error}");
+            ExitCode::from(Verdict::Unchecked as u8)
         }
     }
 }
