Bound what a host holds for clients by its memory limit

Cause: each body was collected up to the limit of one body, without a bound over all of them; connections had no bound; unread answers were held without one.

Change: a ledger (ingress/memory, no I/O) bounds bytes and connections by the settings' memory and descriptor limits. An announced length is checked before the body is read. When room is short, the holder goes that holds the most for the longest without progress. Bodies are copied into one buffer whose capacity is counted, end with their request's deadline or the idle timeout, and are counted until their last use; answers and frames until they are written. Calls of other hosts use the same ledger with a reserve of their own. Base64 in jobs is decoded as it is parsed, and the raw body is dropped before rows are encoded.

--- a/src/connection.rs
+++ b/src/connection.rs
@@ -125,6 +125,10 @@
     Flooded,
 }
 
+/// The largest buffer for what an HTTP/1 connection received and nobody has read. The
+/// library's default of 400 kB, times the connections of a host, exceeds small machines.
+const MAX_BUFFER_BYTES: usize = 64 << 10;
+
 /// The reason where a request was not sent, because its lease, permit or deadline had ended.
 pub const EXPIRED: &str = "expired";
 
@@ -432,7 +436,10 @@
         let io = self.dial(target).await?;
         match target.protocol {
             Protocol::Http1 => {
-                let (sender, connection) = http1::handshake(io).await?;
+                let (sender, connection) = http1::Builder::new()
+                    .max_buf_size(MAX_BUFFER_BYTES)
+                    .handshake(io)
+                    .await?;
                 tokio::spawn(connection);
                 Ok(Sender::Http1(sender))
             }
--- a/src/ingress/calls.rs
+++ b/src/ingress/calls.rs
@@ -30,6 +30,8 @@
         directory::Upstream,
         handover,
         host::Host,
+        intake::{self, BodyError},
+        memory::Holder,
         origins,
         permits::{self, Permit},
         reach,
@@ -72,6 +74,9 @@
 /// Why a call got no answer where its upstream may have crashed.
 const LOST_REASONS: [&str; 2] = ["connection-lost", "answer-torn"];
 
+/// The reason where this host had no memory for an answer, which says nothing of its upstream.
+const ANSWER_NO_MEMORY: &str = "answer-no-memory";
+
 /// The outcome of sending a call to one upstream.
 #[derive(Debug)]
 enum AttemptOutcome {
@@ -373,6 +378,7 @@
         AttemptOutcome::Answered(_) => Some(false),
         // A full upstream is not counted as failed, nor one that got no request.
         AttemptOutcome::NotRun(FULL | EXPIRED | OTHER_START) => None,
+        AttemptOutcome::Unknown(ANSWER_NO_MEMORY) => None,
         AttemptOutcome::NotRun(_) | AttemptOutcome::Unknown(_) => Some(true),
     };
     result
@@ -432,18 +438,20 @@
             is_resuming: call.head.is_resuming(),
             deadline: call.deadline(),
             account: call.caller.account().cloned(),
+            holder: call.parts.extensions.get::<Holder>().cloned(),
             _taken: call.taken.clone(),
         };
         return AttemptOutcome::Answered(stream_reply(stream, parts, body, connection));
     }
-    match Limited::new(body, MAX_ANSWER_BYTES).collect().await {
+    match intake::collect_answer(&call.parts.extensions, body, MAX_ANSWER_BYTES).await {
         Ok(body) => {
             connection.release();
-            let mut response = Response::new(Either::Left(Full::new(body.to_bytes())));
+            let mut response = Response::new(Either::Left(Full::new(body)));
             *response.status_mut() = parts.status;
             *response.headers_mut() = terms::end_to_end(&parts.headers);
             AttemptOutcome::Answered(response)
         }
+        Err(BodyError::Denied(_)) => AttemptOutcome::Unknown(ANSWER_NO_MEMORY),
         Err(_) => AttemptOutcome::Unknown("answer-torn"),
     }
 }
--- a/src/ingress/calls/stream.rs
+++ b/src/ingress/calls/stream.rs
@@ -20,6 +20,8 @@
         directory::Upstream,
         handover::TakenCall,
         host::Host,
+        intake,
+        memory::Holder,
         replies::{Reply, ReplyBody, StreamCut},
         usage_reports,
         wire::Wire,
@@ -41,6 +43,8 @@
     pub(super) deadline: Timestamp,
     /// The account of the call, if it has one.
     pub(super) account: Option<AccountId>,
+    /// For whom the frames are held that the client has not read.
+    pub(super) holder: Option<Holder>,
     /// Counts the call of another host as open until the stream ends.
     pub(super) _taken: Option<Rc<TakenCall>>,
 }
@@ -123,12 +127,13 @@
     body: Incoming,
     end_mark: EndMark,
     time_left: Duration,
+    holder: Option<Holder>,
     begin: impl FnOnce() + 'static,
     end: impl FnOnce(StreamEnd) -> F + 'static,
 ) -> ReplyBody {
     let (sender, receiver) = mpsc::channel(STREAM_BUFFER_FRAME_COUNT);
     spawn_local(async move {
-        let ended = forward_frames(body, end_mark, &sender, time_left, begin).await;
+        let ended = forward_frames(body, end_mark, &sender, time_left, holder, begin).await;
         drop(sender);
         end(ended).await;
     });
@@ -140,6 +145,7 @@
     end_mark: EndMark,
     sender: &mpsc::Sender<Result<Frame<Bytes>, StreamCut>>,
     time_left: Duration,
+    holder: Option<Holder>,
     begin: impl FnOnce(),
 ) -> StreamEnd {
     let mut begin = Some(begin);
@@ -165,7 +171,19 @@
                         begin();
                     }
                     tail.push(&data);
-                    Ok(Frame::data(data))
+                    let held = tokio::select! {
+                        held = intake::hold_frame(holder.as_ref(), data) => held,
+                        () = &mut deadline => None,
+                        () = sender.closed() => return StreamEnd::ClientGone,
+                    };
+                    match held {
+                        Some(data) => Ok(Frame::data(data)),
+                        None => {
+                            // A client that disconnects does not need the error.
+                            let _ = sender.send(Err(StreamCut)).await;
+                            return StreamEnd::Late;
+                        }
+                    }
                 }
                 Err(_) => continue,
             },
@@ -194,7 +212,8 @@
         let (host, account) = (stream.host.clone(), stream.account.clone());
         move || usage_reports::record(&host, account.as_ref(), host.now())
     };
-    let body = forward_body(body, end_mark, time_left, begin, async move |end| {
+    let holder = stream.holder.clone();
+    let body = forward_body(body, end_mark, time_left, holder, begin, async move |end| {
         // All of it lives until here, with the count of open calls.
         let stream = stream;
         match end {
--- a/src/ingress/detour/relay.rs
+++ b/src/ingress/detour/relay.rs
@@ -5,7 +5,6 @@
 
 use bytes::Bytes;
 use http::{Method, Request, StatusCode};
-use http_body_util::{BodyExt as _, Limited};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{net::TcpListener, task::spawn_local};
@@ -13,6 +12,8 @@
 use super::FallbackStore;
 use crate::{
     ingress::{
+        intake::{self, BodyError, BodyTerms},
+        memory::{Activity, Holder, READ_BYTES, Side},
         replies::{Reply, reply},
         server,
     },
@@ -22,8 +23,17 @@
 /// The idle timeout of a connection from another host.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 
-/// The largest body of a relayed call; the platform accepts 1 MB.
-const MAX_BODY_BYTES: usize = 2 << 20;
+/// What the body of a relayed call must keep to; the platform accepts 1 MB, and a host sends
+/// a body in one piece.
+const BODY_TERMS: BodyTerms = BodyTerms {
+    max_bytes: 2 << 20,
+    idle_timeout: Duration::from_secs(5),
+    time_left: Duration::from_secs(10),
+};
+
+/// The largest buffer of a connection from another host, whose heads are as large as those of
+/// clients.
+const MAX_BUFFER_BYTES: usize = 32 << 10;
 
 impl<S: RelayedStore> FallbackStore<S> {
     /// Serves calls that other hosts relay through this one.
@@ -32,16 +42,33 @@
             let Some(stream) = server::accept(&listener).await else {
                 continue;
             };
+            let Ok(connection) = peers.memory().open(Side::Peer).await else {
+                tracing::info!(event = "peer.not_admitted");
+                continue;
+            };
             let (this, peers) = (self.clone(), peers.clone());
             spawn_local(async move {
-                let service =
-                    service_fn(|request: Request<Incoming>| this.handle_peer_call(request, &peers));
-                let connection = http1::Builder::new()
+                let holder = connection.holder.clone();
+                let service = service_fn(|request: Request<Incoming>| {
+                    holder.set_activity(Activity::Working);
+                    let (this, peers, holder) = (&this, &peers, &holder);
+                    async move {
+                        let answer = this.handle_peer_call(request, peers, holder).await;
+                        holder.set_activity(Activity::Idle);
+                        answer
+                    }
+                });
+                let served = http1::Builder::new()
                     .timer(TokioTimer::new())
                     .header_read_timeout(IDLE_TIMEOUT)
+                    .max_buf_size(MAX_BUFFER_BYTES)
                     .serve_connection(TokioIo::new(stream), service);
                 // The other host notices that its connection ended.
-                let _ = connection.await;
+                tokio::select! {
+                    biased;
+                    _ = served => {}
+                    () = holder.evicted() => {}
+                }
             });
         }
     }
@@ -53,13 +80,20 @@
         &self,
         request: Request<Incoming>,
         peers: &impl PeerCalls,
+        holder: &Holder,
     ) -> Result<Reply, RowError> {
-        let (parts, body) = request.into_parts();
-        let body = Limited::new(body, MAX_BODY_BYTES)
-            .collect()
-            .await
-            .map_err(|_| RowError::Unknown)?
-            .to_bytes();
+        let (mut parts, body) = request.into_parts();
+        let body = match intake::collect_request(holder, body, BODY_TERMS, |_| 0).await {
+            Ok(body) => body.into_bytes(),
+            Err(BodyError::Broken(_)) => return Err(RowError::Unknown),
+            Err(error) => {
+                let reason = error.reason();
+                tracing::info!(event = "peer.refused", reason, path = parts.uri.path());
+                return Ok(error.into_reply());
+            }
+        };
+        // The answer is counted for the same holder.
+        parts.extensions.insert(holder.clone());
         let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
         if let Some(answer) = peers.answer(path, &body) {
             return Ok(reply(StatusCode::OK, answer));
@@ -67,6 +101,9 @@
         if let Some(answer) = peers.answer_later(&parts, &body).await {
             return Ok(answer);
         }
+        let Ok(mut room) = holder.charge(READ_BYTES).await else {
+            return Ok(reply(StatusCode::SERVICE_UNAVAILABLE, Bytes::new()));
+        };
         let forwarded = self.forward(parts.method, path, body).await;
         let (status, body) = match forwarded {
             Ok(Some(answer)) => answer,
@@ -74,7 +111,8 @@
             Err(RowError::NotApplied { .. }) => (StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
             Err(error) => return Err(error),
         };
-        Ok(reply(status, body))
+        room.shrink_to(body.len());
+        Ok(reply(status, room.hold(body)))
     }
 
     /// Forwards a call of another host to the store, if the store is available
--- a/src/ingress/handover.rs
+++ b/src/ingress/handover.rs
@@ -11,7 +11,7 @@
 use http::{
     HeaderMap, HeaderName, HeaderValue, Request, StatusCode, Uri, header, request, response,
 };
-use http_body_util::{BodyExt as _, Either, Full, Limited};
+use http_body_util::{BodyExt as _, Either, Full};
 use tokio::time::timeout;
 
 use crate::{
@@ -22,6 +22,8 @@
         authentication::{self, Unauthenticated},
         calls::{self, Call, EndMark, MAX_ANSWER_BYTES, StreamEnd},
         host::Host,
+        intake,
+        memory::Holder,
         reach,
         replies::{Reply, refusal, reply},
         routes::{Route, RouteKind, ServiceName},
@@ -271,6 +273,7 @@
             body,
             end_mark,
             time_left,
+            call.parts.extensions.get::<Holder>().cloned(),
             || (),
             async move |end| {
                 if end == StreamEnd::Whole {
@@ -279,10 +282,10 @@
             },
         )
     } else {
-        match Limited::new(body, MAX_ANSWER_BYTES).collect().await {
+        match intake::collect_answer(&call.parts.extensions, body, MAX_ANSWER_BYTES).await {
             Ok(body) => {
                 connection.release();
-                Either::Left(Full::new(body.to_bytes()))
+                Either::Left(Full::new(body))
             }
             Err(_) => return Outcome::Unknown("answer-torn"),
         }
--- a/src/ingress/host.rs
+++ b/src/ingress/host.rs
@@ -25,6 +25,7 @@
         crashes::CrashBook,
         directory::Directory,
         limits::{LimitBook, ledger::PermitLedger},
+        memory::{Budget, Memory},
         metrics::Exposition,
         origins::book::OriginBook,
         reach::book::ReachBook,
@@ -172,6 +173,8 @@
     pub stop: watch::Sender<Option<StopSchedule>>,
     /// Whether the host has stopped accepting connections and closes idle ones.
     pub closing: watch::Sender<bool>,
+    /// What this host holds for clients and other hosts.
+    pub memory: Memory,
     /// The number of client connections that have not ended.
     pub open_count: Cell<usize>,
     wire: PhantomData<W>,
@@ -219,6 +222,10 @@
             usage: duties
                 .filter(|duties| duties.reports_usage)
                 .map(|duties| UsageBook::new(duties, clock.now())),
+            memory: Memory::new(
+                Budget::of(settings.memory_limit_mb, settings.max_fd_count),
+                clock,
+            ),
             store: connect(pool.clone()),
             pool,
             settings,
--- a/src/ingress/jobs.rs
+++ b/src/ingress/jobs.rs
@@ -19,13 +19,14 @@
     clock::millis,
     ingress::{
         host::{Host, KnownJob},
+        intake,
         replies::{Reply, as_json, refusal, reply},
         routes::Route,
         stored,
         wire::{Caller, ClientHead, JobCall, Wire},
     },
     observe::telemetry::{JOB_ACCEPT_TIME, JOBS_ACCEPTED, JOBS_REFUSED},
-    store::rows::{RowError, RowPage, RowRange, RowStore, RowTransaction},
+    store::rows::{NotAppliedReason, RowError, RowPage, RowRange, RowStore, RowTransaction},
 };
 
 /// How many times a commit whose repetition is safe is attempted.
@@ -70,7 +71,7 @@
 pub async fn submit<S: RowStore, W: Wire>(
     host: &Rc<Host<S, W>>,
     parts: &request::Parts,
-    body: &[u8],
+    body: impl AsRef<[u8]>,
     route: &Route,
     caller: &Caller,
     head: &ClientHead,
@@ -78,13 +79,15 @@
     let Some(id) = head.attempt_id.clone() else {
         return reply(StatusCode::BAD_REQUEST, Bytes::new());
     };
-    let mut job = match W::job(&id, parts, body, route, caller) {
+    let mut job = match W::job(&id, parts, body.as_ref(), route, caller) {
         Ok(job) => job,
         Err(error) => {
             tracing::info!(event = "job.malformed", job = &*id, %error);
             return reply(StatusCode::BAD_REQUEST, Bytes::new());
         }
     };
+    // Its rows are encoded in the place of the raw body.
+    drop(body);
     let Some(store_time) = host.store_time() else {
         return refusal(SUBMIT_RETRY_AFTER);
     };
@@ -271,6 +274,10 @@
     host: &Rc<Host<S, W>>,
     range: &RowRange,
 ) -> Result<RowPage, RowError> {
+    let room = intake::room_for_read(&host.memory).await;
+    let _room = room.map_err(|_| RowError::NotApplied {
+        reason: NotAppliedReason::Unavailable,
+    })?;
     match host.store.read(range).await {
         Ok(page) => Ok(page),
         Err(_) => {
--- a/src/ingress/peers.rs
+++ b/src/ingress/peers.rs
@@ -11,7 +11,9 @@
 use crate::{
     batch::layout::{self, LayoutError},
     connection::{Protocol, SendFailure, Target},
-    ingress::{crashes, handover, host::Host, origins, permits, replies::Reply, wire::Wire},
+    ingress::{
+        crashes, handover, host::Host, memory::Memory, origins, permits, replies::Reply, wire::Wire,
+    },
     observe::telemetry::PEERS_UNANSWERED,
     store::rows::{PeerCalls, RowStore},
 };
@@ -94,6 +96,10 @@
 }
 
 impl<S: RowStore, W: Wire> PeerCalls for Rc<Host<S, W>> {
+    fn memory(&self) -> &Memory {
+        &self.memory
+    }
+
     async fn answer_later(&self, parts: &request::Parts, body: &Bytes) -> Option<Reply> {
         handover::answer(self, parts, body).await
     }
--- a/src/ingress/process.rs
+++ b/src/ingress/process.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     ingress::{
-        coordinator::Coordinator, feeds, host::Host, origins, server, stop::StopSchedule,
+        clients, coordinator::Coordinator, feeds, host::Host, origins, server, stop::StopSchedule,
         usage_reports, wire::Wire,
     },
     observe::{build, telemetry::BUILD},
@@ -57,6 +57,7 @@
         spawn_local(origins::save_origins(self.clone()));
         spawn_local(usage_reports::save_counts(self.clone()));
         spawn_local(server::serve_ready(self.clone(), ready));
+        spawn_local(clients::watch(self.clone()));
         let accepting = spawn_local(server::serve_clients(self.clone(), clients));
         spawn_local(coordinator.clone().run());
         stop.await;
--- a/src/ingress/server.rs
+++ b/src/ingress/server.rs
@@ -5,31 +5,31 @@
 //! handler then (see docs/design/platform.md, "Libraries").
 
 use std::{
-    cell::Cell, convert::Infallible, io::ErrorKind::WouldBlock, net::SocketAddr, rc::Rc,
-    time::Duration,
+    convert::Infallible, io::ErrorKind::WouldBlock, net::SocketAddr, rc::Rc, time::Duration,
 };
 
 use bytes::Bytes;
 use http::{HeaderValue, Request, StatusCode, header, request};
-use http_body_util::{BodyExt as _, Limited};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
     net::{TcpListener, TcpSocket, TcpStream},
-    pin,
     task::spawn_local,
     time::sleep,
 };
 
 use crate::{
     ingress::{
-        authentication, calls,
-        host::{Host, OpenConnection},
+        authentication, calls, clients,
+        host::Host,
+        intake::{self, BodyError, BodyTerms},
         jobs,
+        memory::{self, Holder},
         replies::{Reply, refusal, reply},
         routes::{Configuration, RouteKind},
         wire::{ClientHead, PresentedKey, Wire},
     },
+    observe::telemetry::{BODIES_LATE, BODIES_TOO_LARGE},
     store::rows::RowStore,
 };
 
@@ -40,22 +40,15 @@
 /// descriptors are in use.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
-/// The idle timeout of a connection before a configuration is in force.
+/// The idle timeout of a connection of the platform.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 
-/// The largest request head before a configuration is in force.
-const DEFAULT_HEAD_BYTES: usize = 16 << 10;
-
 /// The smallest head buffer that hyper accepts.
 const MIN_HEAD_BYTES: usize = 8 << 10;
 
 /// The `Retry-After` of a host that has no configuration yet.
 const STARTING_RETRY_AFTER: Duration = Duration::from_millis(300);
 
-/// How long after it was accepted a connection without a request is kept by a host that
-/// closes; its first request may be on its way.
-const FIRST_REQUEST_TIME: Duration = Duration::from_millis(500);
-
 /// The path at which metrics are served.
 const METRICS_PATH: &str = "/metrics";
 
@@ -112,8 +105,10 @@
     loop {
         tokio::select! {
             stream = accept(&listener) => {
-                if let Some(stream) = stream {
-                    spawn_local(serve_connection(host.clone(), stream));
+                if let Some(stream) = stream
+                    && let Some((stream, connection)) = clients::admit(&host, stream).await
+                {
+                    spawn_local(clients::serve_connection(host.clone(), stream, connection));
                 }
             }
             // The sender lives as long as the host.
@@ -126,7 +121,9 @@
         Ok(listener) => {
             for stream in queued(&listener) {
                 queued_count += 1;
-                spawn_local(serve_connection(host.clone(), stream));
+                if let Some((stream, connection)) = clients::admit(&host, stream).await {
+                    spawn_local(clients::serve_connection(host.clone(), stream, connection));
+                }
             }
         }
         Err(error) => tracing::warn!(event = "client.not_accepted", %error),
@@ -180,55 +177,15 @@
     }
 }
 
-async fn serve_connection<S: RowStore, W: Wire>(host: Rc<Host<S, W>>, stream: TcpStream) {
-    let _open = OpenConnection::new(host.clone());
-    let first_request_until = host.now() + FIRST_REQUEST_TIME;
-    let is_used = Rc::new(Cell::new(false));
-    let limits = host
-        .configuration()
-        .map(|configuration| configuration.limits);
-    let idle_timeout = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_timeout);
-    let head_bytes = limits.map_or(DEFAULT_HEAD_BYTES, |limits| limits.max_header_bytes);
-    let service = {
-        let (host, is_used) = (host.clone(), is_used.clone());
-        service_fn(move |request| {
-            is_used.set(true);
-            let host = host.clone();
-            async move { Ok::<_, Infallible>(serve(&host, request).await) }
-        })
-    };
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        // This timeout also applies to the time between two requests.
-        .header_read_timeout(idle_timeout)
-        .max_buf_size(head_bytes.max(MIN_HEAD_BYTES))
-        .serve_connection(TokioIo::new(stream), service);
-    pin!(connection);
-    let mut closing = host.closing.subscribe();
-    let may_close = async {
-        // The sender lives as long as the host.
-        let _ = closing.wait_for(|is_closing| *is_closing).await;
-        if !is_used.get() {
-            sleep(first_request_until.saturating_sub(host.now())).await;
-        }
-    };
-    let result = tokio::select! {
-        result = connection.as_mut() => result,
-        () = may_close => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
-        }
-    };
-    if let Err(error) = result {
-        // Clients may disconnect at any time.
-        tracing::debug!(event = "client.gone", %error);
-    }
-}
-
-async fn serve<S: RowStore, W: Wire>(host: &Rc<Host<S, W>>, request: Request<Incoming>) -> Reply {
+/// Answers a request of the client for which `holder` holds.
+pub async fn serve<S: RowStore, W: Wire>(
+    host: &Rc<Host<S, W>>,
+    request: Request<Incoming>,
+    holder: &Holder,
+) -> Reply {
     let (parts, body) = request.into_parts();
     let head = W::client_head(&parts);
-    let handled = handle_request(host, parts, body, &head);
+    let handled = handle_request(host, parts, body, &head, holder);
     let mut response = match host.answer_in_time(handled).await {
         Some(response) => response,
         None => {
@@ -250,9 +207,10 @@
 
 async fn handle_request<S: RowStore, W: Wire>(
     host: &Rc<Host<S, W>>,
-    parts: request::Parts,
+    mut parts: request::Parts,
     body: Incoming,
     head: &ClientHead,
+    holder: &Holder,
 ) -> Reply {
     let arrived_at = host.now();
     let Some(configuration) = host.configuration() else {
@@ -272,7 +230,10 @@
         let is_public = W::presented_key(&parts.headers) == PresentedKey::Missing;
         let found = authentication::authenticate(host, &configuration, &parts.headers, is_public);
         return match found {
-            Ok(caller) => jobs::handle_call(host, call, &caller, head).await,
+            Ok(caller) => {
+                let reply = jobs::handle_call(host, call, &caller, head).await;
+                intake::hold_reply(holder, reply).await
+            }
             Err(cause) => refused(&configuration, cause),
         };
     }
@@ -296,23 +257,44 @@
     if let Err(cause) = found {
         return refused(&configuration, cause);
     }
-    let limited = Limited::new(body, configuration.limits.max_body_bytes);
-    let body = match limited.collect().await {
-        Ok(body) => body.to_bytes(),
+    let is_job = route.kind == RouteKind::Batch;
+    let terms = BodyTerms {
+        max_bytes: configuration.limits.max_body_bytes,
+        idle_timeout: configuration.limits.idle_timeout,
+        time_left: head
+            .client_timeout
+            .unwrap_or(route.timeout)
+            .min(route.timeout),
+    };
+    let extra_bytes = |body_bytes| match is_job {
+        true => memory::job_bytes(body_bytes, 0),
+        false => 0,
+    };
+    let mut received = intake::collect_request(holder, body, terms, extra_bytes).await;
+    if is_job && let Ok(body) = &mut received {
+        let overhead_bytes = W::job_overhead_bytes(body.data());
+        let job_bytes = memory::job_bytes(body.data().len(), overhead_bytes);
+        if let Err(denial) = body.charge_extra(holder, job_bytes).await {
+            received = Err(denial.into());
+        }
+    }
+    let body = match received {
+        Ok(body) => body,
         Err(error) => {
-            let is_too_long = error.is::<http_body_util::LengthLimitError>();
             tracing::info!(
                 event = "request.refused",
                 id = head.attempt_id.as_deref(),
-                reason = "body",
+                reason = error.reason(),
                 %error,
+                route = &*route.name,
+                held_bytes = host.memory.held_bytes(),
             );
-            let status = if is_too_long {
-                StatusCode::PAYLOAD_TOO_LARGE
-            } else {
-                StatusCode::BAD_REQUEST
-            };
-            return reply(status, Bytes::new());
+            match error {
+                BodyError::TooLarge => host.metrics.count(BODIES_TOO_LARGE, 1),
+                BodyError::TooSlow => host.metrics.count(BODIES_LATE, 1),
+                BodyError::Denied(_) | BodyError::Broken(_) => {}
+            }
+            return error.into_reply();
         }
     };
     // A key may have been removed while the body was on its way.
@@ -323,8 +305,14 @@
         Err(cause) => return refused(&configuration, cause),
     };
     match route.kind {
-        RouteKind::Batch => jobs::submit(host, &parts, &body, &route, &caller, head).await,
+        RouteKind::Batch => {
+            let (data, _charges) = body.into_parts();
+            jobs::submit(host, &parts, data, &route, &caller, head).await
+        }
         _ => {
+            // The answer is counted for the same holder.
+            parts.extensions.insert(holder.clone());
+            let body = body.into_bytes();
             let call = calls::Call::new(parts, body, route, head.clone(), arrived_at).of(caller);
             if !host.admits(call.deadline()) {
                 return calls::stopping_reply(host, &call);
--- a/src/ingress/wire.rs
+++ b/src/ingress/wire.rs
@@ -374,6 +374,10 @@
         caller: &Caller,
     ) -> Result<Job, DecodeError>;
 
+    /// Returns what the structure of a batch job in `body` needs at most once it is decoded,
+    /// beside the bodies of its items.
+    fn job_overhead_bytes(body: &[u8]) -> usize;
+
     /// Encodes results of a job.
     fn results(total_count: usize, next: usize, results: &[ItemResult]) -> Bytes;
 
--- a/src/observe/telemetry.rs
+++ b/src/observe/telemetry.rs
@@ -72,6 +72,15 @@
     CALLS_UNKNOWN, "calls.unknown_count", Counter, "Calls for which it is unknown whether they ran.";
     CALL_TIME, "calls.time_ms", Timer, "Time from a call's arrival to the head of its answer.";
     CALLS_BLOCKED, "calls.blocked_count", Counter, "Calls that were refused because upstreams crash under them.";
+    MEMORY_HELD, "memory.held_bytes", Gauge, "Bytes that are held for clients and other hosts.";
+    BODIES_NO_ROOM, "bodies.no_room_count", Counter, "Requests that were refused since there was no memory for them.";
+    BODIES_TOO_LARGE, "bodies.too_large_count", Counter, "Requests that were refused since they exceed the limit on a body, or what this host can hold.";
+    BODIES_LATE, "bodies.late_count", Counter, "Requests that were refused since their body did not arrive in time.";
+    BODIES_EVICTED, "bodies.evicted_count", Counter, "Incomplete heads and bodies that were given up for others.";
+    ANSWERS_EVICTED, "answers.evicted_count", Counter, "Connections that were closed since their answer was not read.";
+    CONNECTIONS_OPEN, "connections.open_count", Gauge, "Open connections of clients.";
+    CONNECTIONS_EVICTED, "connections.evicted_count", Counter, "Idle connections that were closed for others.";
+    CONNECTIONS_REFUSED, "connections.refused_count", Counter, "Connections that were refused since there were too many.";
     KEYS_REFUSED, "keys.refused_count", Counter, "Requests that were refused since their key belongs to no account.";
     KEYS_UNCHECKED, "keys.unchecked_count", Counter, "Requests that were refused since their key may have been removed.";
     CONFIGURATION_AGE, "configuration.age_ms", Timer, "Time since the configuration was last confirmed, as it is confirmed again.";
--- a/src/platform/documents.rs
+++ b/src/platform/documents.rs
@@ -1,8 +1,12 @@
 //! The JSON bodies of the platform's messages, with the platform's field names.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, fmt};
 
-use serde::{Deserialize, Serialize};
+use base64::{Engine as _, engine::general_purpose::STANDARD};
+use serde::{
+    Deserialize, Deserializer, Serialize,
+    de::{self, Visitor},
+};
 
 /// The newest configuration.
 #[derive(Debug, Deserialize)]
@@ -215,6 +219,44 @@
     pub items: Vec<ItemDocument>,
 }
 
+/// Bytes that are written in base64. They are decoded as they are parsed, since the text of a
+/// large job would otherwise be held beside them.
+#[derive(Debug)]
+pub struct Base64Text {
+    /// The bytes, or `None` if the text is not base64.
+    pub decoded: Option<Vec<u8>>,
+}
+
+impl Default for Base64Text {
+    fn default() -> Self {
+        Self {
+            decoded: Some(Vec::new()),
+        }
+    }
+}
+
+impl<'de> Deserialize<'de> for Base64Text {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        struct TextVisitor;
+
+        impl Visitor<'_> for TextVisitor {
+            type Value = Base64Text;
+
+            fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+                formatter.write_str("a text in base64")
+            }
+
+            fn visit_str<E: de::Error>(self, text: &str) -> Result<Base64Text, E> {
+                Ok(Base64Text {
+                    decoded: STANDARD.decode(text).ok(),
+                })
+            }
+        }
+
+        deserializer.deserialize_str(TextVisitor)
+    }
+}
+
 /// An item of a submitted batch job.
 #[derive(Debug, Deserialize)]
 pub struct ItemDocument {
@@ -224,7 +266,7 @@
     pub headers: BTreeMap<String, String>,
     /// The body, in base64.
     #[serde(default)]
-    pub body: String,
+    pub body: Base64Text,
     /// The sum of the prompt tokens and the maximum output tokens.
     #[serde(default)]
     pub tokens: u64,
@@ -243,7 +285,7 @@
     pub path: String,
     /// The body, in base64.
     #[serde(default)]
-    pub body: String,
+    pub body: Base64Text,
 }
 
 /// A page of results of a batch job.
--- a/src/platform/wire.rs
+++ b/src/platform/wire.rs
@@ -2,7 +2,6 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
-use base64::{Engine as _, engine::general_purpose::STANDARD};
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Uri, header, request, response};
 use http_body_util::Full;
@@ -47,6 +46,10 @@
 /// The maximum length of an id, which is that of a partition name in the store.
 const MAX_ID_BYTES: usize = 200;
 
+/// What one string of a job needs beside its characters: an item has ten strings at least,
+/// whose fields take 800 bytes before and after they are decoded.
+const STRING_BYTES: usize = 96;
+
 /// The headers by which requests name accounts, which clients do not set for upstreams.
 const ACCOUNT_HEADERS: [&str; 2] = [names::API_KEY, names::TENANT];
 
@@ -119,9 +122,10 @@
             .ok_or(DecodeError::Field { field: "service" })?;
         let mut items = Vec::with_capacity(document.items.len());
         for item in document.items {
-            let body = STANDARD
-                .decode(item.body.as_bytes())
-                .map_err(|_| DecodeError::Field { field: "body" })?;
+            let body = item
+                .body
+                .decoded
+                .ok_or(DecodeError::Field { field: "body" })?;
             let header = |name: &str| {
                 item.headers
                     .iter()
@@ -179,6 +183,19 @@
         })
     }
 
+    fn job_overhead_bytes(body: &[u8]) -> usize {
+        let quote_count = body.iter().filter(|byte| **byte == b'"').count();
+        let longest_escaped = match body.contains(&b'\\') {
+            true => body
+                .split(|byte| *byte == b'"')
+                .map(<[u8]>::len)
+                .max()
+                .unwrap_or_default(),
+            false => 0,
+        };
+        quote_count / 2 * STRING_BYTES + longest_escaped
+    }
+
     fn results(total_count: usize, next: usize, results: &[ItemResult]) -> Bytes {
         let document = ResultsDocument {
             total: total_count,
@@ -512,11 +529,9 @@
 }
 
 fn decode_reward(document: ScorerDocument) -> Result<RewardRequest, DecodeError> {
-    let body = STANDARD
-        .decode(document.body.as_bytes())
-        .map_err(|_| DecodeError::Field {
-            field: "scorer.body",
-        })?;
+    let body = document.body.decoded.ok_or(DecodeError::Field {
+        field: "scorer.body",
+    })?;
     let is_sendable = |text: &str| HeaderValue::from_str(text).is_ok() && !text.is_empty();
     for (field, is_valid) in [
         ("scorer.id", is_sendable(&document.id)),
--- a/src/store/rows.rs
+++ b/src/store/rows.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use http::{Method, StatusCode, request};
 
-use crate::ingress::replies::Reply;
+use crate::ingress::{memory::Memory, replies::Reply};
 
 /// The version of a row, taken from a store-wide counter. 0 denotes an absent
 /// row.
@@ -246,6 +246,9 @@
     /// Returns the answer to a call to `path`, or `None` if there is none.
     fn answer(&self, path: &str, body: &[u8]) -> Option<Bytes>;
 
+    /// Returns the memory of the host, in which the calls are held.
+    fn memory(&self) -> &Memory;
+
     /// Returns the answer to a call that takes time, or `None` if there is none.
     fn answer_later(
         &self,
