Track what moves over the connections of peers as over those of clients

Cause: a peer's connection counted as idle between the end of its handler and the last byte of its answer, so that it could be given up for another one and the outcome of its call be lost. Each relayed call reserved the largest page for the time of a feed's wait, of which a host of 120 MB has room for seven.

Change: one wrapper of the stream and of the answer's body serves both listeners. A relayed answer is counted at its size; where there is no room for it, the connection closes, as the change may have been applied. A read of few rows reserves only what few rows need.

--- a/src/ingress/calls.rs
+++ b/src/ingress/calls.rs
@@ -31,7 +31,6 @@
         handover,
         host::Host,
         intake::{self, BodyError},
-        memory::Holder,
         origins,
         permits::{self, Permit},
         reach,
@@ -438,12 +437,12 @@
             is_resuming: call.head.is_resuming(),
             deadline: call.deadline(),
             account: call.caller.account().cloned(),
-            holder: call.parts.extensions.get::<Holder>().cloned(),
+            holder: call.holder(),
             _taken: call.taken.clone(),
         };
         return AttemptOutcome::Answered(stream_reply(stream, parts, body, connection));
     }
-    match intake::collect_answer(&call.parts.extensions, body, MAX_ANSWER_BYTES).await {
+    match intake::collect_answer(call.holder(), body, MAX_ANSWER_BYTES).await {
         Ok(body) => {
             connection.release();
             let mut response = Response::new(Either::Left(Full::new(body)));
--- a/src/ingress/calls/call.rs
+++ b/src/ingress/calls/call.rs
@@ -10,6 +10,7 @@
     clock::Timestamp,
     ingress::{
         handover::TakenCall,
+        memory::Holder,
         routes::{Route, RouteKind},
         wire::{Caller, ClientHead},
     },
@@ -74,6 +75,11 @@
         self.arrived_at + client_timeout.min(self.route.timeout)
     }
 
+    /// Returns for whom the body and the answer are held, if they are counted.
+    pub fn holder(&self) -> Option<Holder> {
+        self.parts.extensions.get().cloned()
+    }
+
     /// Returns the id of the client's attempt.
     pub fn id(&self) -> Option<&str> {
         self.head.attempt_id.as_deref()
--- a/src/ingress/detour/relay.rs
+++ b/src/ingress/detour/relay.rs
@@ -13,9 +13,10 @@
 use crate::{
     ingress::{
         intake::{self, BodyError, BodyTerms},
-        memory::{Activity, Holder, READ_BYTES, Side},
+        memory::{Holder, Side},
         replies::{Reply, reply},
         server,
+        tracked::{OpenRequest, Progress, TrackedStream},
     },
     store::rows::{NotAppliedReason, PeerCalls, RelayedStore, RowError},
 };
@@ -49,15 +50,16 @@
             let (this, peers) = (self.clone(), peers.clone());
             spawn_local(async move {
                 let holder = connection.holder.clone();
+                let progress = Progress::new(holder.clone());
                 let service = service_fn(|request: Request<Incoming>| {
-                    holder.set_activity(Activity::Working);
+                    let open = OpenRequest::new(&progress);
                     let (this, peers, holder) = (&this, &peers, &holder);
                     async move {
                         let answer = this.handle_peer_call(request, peers, holder).await;
-                        holder.set_activity(Activity::Idle);
-                        answer
+                        answer.map(|answer| open.answer(answer))
                     }
                 });
+                let stream = TrackedStream::new(stream, progress.clone());
                 let served = http1::Builder::new()
                     .timer(TokioTimer::new())
                     .header_read_timeout(IDLE_TIMEOUT)
@@ -101,9 +103,6 @@
         if let Some(answer) = peers.answer_later(&parts, &body).await {
             return Ok(answer);
         }
-        let Ok(mut room) = holder.charge(READ_BYTES).await else {
-            return Ok(reply(StatusCode::SERVICE_UNAVAILABLE, Bytes::new()));
-        };
         let forwarded = self.forward(parts.method, path, body).await;
         let (status, body) = match forwarded {
             Ok(Some(answer)) => answer,
@@ -111,8 +110,10 @@
             Err(RowError::NotApplied { .. }) => (StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
             Err(error) => return Err(error),
         };
-        room.shrink_to(body.len());
-        Ok(reply(status, room.hold(body)))
+        // A change may have been applied, so that there is no refusal from here on.
+        let charge = holder.charge(body.len()).await;
+        let charge = charge.map_err(|_| RowError::Unknown)?;
+        Ok(reply(status, charge.hold(body)))
     }
 
     /// Forwards a call of another host to the store, if the store is available
--- a/src/ingress/handover.rs
+++ b/src/ingress/handover.rs
@@ -22,9 +22,7 @@
         authentication::{self, Unauthenticated},
         calls::{self, Call, EndMark, MAX_ANSWER_BYTES, StreamEnd},
         host::Host,
-        intake,
-        memory::Holder,
-        reach,
+        intake, reach,
         replies::{Reply, refusal, reply},
         routes::{Route, RouteKind, ServiceName},
         wire::Wire,
@@ -273,7 +271,7 @@
             body,
             end_mark,
             time_left,
-            call.parts.extensions.get::<Holder>().cloned(),
+            call.holder(),
             || (),
             async move |end| {
                 if end == StreamEnd::Whole {
@@ -282,7 +280,7 @@
             },
         )
     } else {
-        match intake::collect_answer(&call.parts.extensions, body, MAX_ANSWER_BYTES).await {
+        match intake::collect_answer(call.holder(), body, MAX_ANSWER_BYTES).await {
             Ok(body) => {
                 connection.release();
                 Either::Left(Full::new(body))
--- a/src/ingress/intake.rs
+++ b/src/ingress/intake.rs
@@ -4,13 +4,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Extensions, HeaderValue, StatusCode, header};
+use http::{HeaderValue, StatusCode, header};
 use http_body_util::{BodyExt as _, Either, Full};
 use hyper::body::{Body as _, Incoming};
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use crate::ingress::{
-    memory::{Activity, Charge, Denial, Holder, Memory, READ_BYTES, Side},
+    memory::{self, Activity, Charge, Denial, Holder, Memory, Side},
     replies::{Reply, refusal, reply},
 };
 
@@ -147,15 +147,16 @@
     result
 }
 
-/// Counts what one read from the store needs for a client, and waits for other reads to end.
+/// Counts what one read of `row_count` rows at most needs for a client, and waits for other reads to end.
 ///
 /// # Errors
 ///
 /// Fails where there is no room for long.
-pub async fn room_for_read(memory: &Memory) -> Result<Charge, Denial> {
+pub async fn room_for_read(memory: &Memory, row_count: usize) -> Result<Charge, Denial> {
+    let bytes = memory::read_bytes(row_count);
     let until = Instant::now() + ROOM_TIMEOUT;
     loop {
-        let charged = timeout(ROOM_TIMEOUT, memory.charge_apart(Side::Client, READ_BYTES)).await;
+        let charged = timeout(ROOM_TIMEOUT, memory.charge_apart(Side::Client, bytes)).await;
         match charged {
             Ok(Ok(charge)) => return Ok(charge),
             _ if Instant::now() >= until => {
@@ -287,22 +288,22 @@
     })
 }
 
-/// Collects the body of an answer for the holder in `extensions`, if there is one.
+/// Collects the body of an answer for `holder`, if it is counted.
 ///
 /// # Errors
 ///
 /// Fails where the body breaks off, exceeds `max_bytes`, or the host has no memory for it.
 pub async fn collect_answer(
-    extensions: &Extensions,
+    holder: Option<Holder>,
     mut body: Incoming,
     max_bytes: usize,
 ) -> Result<Bytes, BodyError> {
-    let Some(holder) = extensions.get::<Holder>() else {
+    let Some(holder) = holder else {
         let limited = http_body_util::Limited::new(body, max_bytes);
         let collected = limited.collect().await.map_err(|_| BodyError::TooLarge)?;
         return Ok(collected.to_bytes());
     };
-    let mut buffer = Buffer::new(holder, body.size_hint().exact(), max_bytes).await?;
+    let mut buffer = Buffer::new(&holder, body.size_hint().exact(), max_bytes).await?;
     while let Some(frame) = body.frame().await {
         if let Ok(data) = frame?.into_data() {
             buffer.push(&data).await?;
--- a/src/ingress/jobs.rs
+++ b/src/ingress/jobs.rs
@@ -274,7 +274,7 @@
     host: &Rc<Host<S, W>>,
     range: &RowRange,
 ) -> Result<RowPage, RowError> {
-    let room = intake::room_for_read(&host.memory).await;
+    let room = intake::room_for_read(&host.memory, range.limit_count).await;
     let _room = room.map_err(|_| RowError::NotApplied {
         reason: NotAppliedReason::Unavailable,
     })?;
--- a/src/ingress/memory/charge.rs
+++ b/src/ingress/memory/charge.rs
@@ -318,15 +318,6 @@
         self.bytes
     }
 
-    /// Counts no more than `bytes` from now on.
-    pub fn shrink_to(&mut self, bytes: usize) {
-        let freed = self.bytes.saturating_sub(bytes);
-        self.bytes -= freed;
-        let mut state = self.memory.state();
-        state.ledger.release(self.id, freed);
-        state.wake_waiting();
-    }
-
     /// Counts the bytes of `other`, which has the same holder, as its own.
     pub fn absorb(&mut self, mut other: Self) {
         self.bytes += std::mem::take(&mut other.bytes);
--- a/src/ingress/memory/ledger.rs
+++ b/src/ingress/memory/ledger.rs
@@ -236,6 +236,9 @@
         let Some(claim) = self.claims.get(&id).filter(|claim| !claim.is_evicted) else {
             return Decision::Denied(Denial::Evicted);
         };
+        if bytes == 0 {
+            return Decision::Granted;
+        }
         let (side, own_bytes) = (claim.side, claim.bytes + bytes);
         let decision = self.make_room(Some(id), side, bytes, own_bytes, now);
         if decision == Decision::Granted {
--- a/src/ingress/memory/mod.rs
+++ b/src/ingress/memory/mod.rs
@@ -54,7 +54,10 @@
 
 /// What reading one page of rows from the store costs: rows of 1 MB, as they arrive, parsed
 /// and decoded.
-pub const READ_BYTES: usize = 5 << 20;
+const READ_BYTES: usize = 5 << 20;
+
+/// What reading one row costs, which has 65,536 bytes at most.
+const ROW_READ_BYTES: usize = 180 << 10;
 
 /// What saving a job costs beside the job: one transaction of 650 kB in base64 and JSON.
 const TRANSACTION_BYTES: usize = 3 << 20;
@@ -111,6 +114,11 @@
     (whole as f64 * ratio) as usize
 }
 
+/// Returns what reading a page of at most `row_count` rows from the store costs.
+pub fn read_bytes(row_count: usize) -> usize {
+    row_count.saturating_mul(ROW_READ_BYTES).min(READ_BYTES)
+}
+
 /// Returns what a job costs at its peak beside its raw body of `body_bytes`, which is counted
 /// until the job is saved: its decoded bodies, and then its encoded rows in the place of the
 /// raw body. `overhead_bytes` is the cost of its structure.
--- a/src/ingress/mod.rs
+++ b/src/ingress/mod.rs
@@ -45,6 +45,7 @@
 pub mod starts;
 pub mod stop;
 pub mod stored;
+pub mod tracked;
 pub mod usage;
 pub mod usage_reports;
 pub mod wire;
