Count jobs at the coordinator and reads of items

Cause: a coordinator held every open job, and each job three times while it was read, without a bound over all of them: as rows, as joined values and decoded. An item of more than 100 rows was joined in the order of texts, in which 100 comes before 11, so that its body could not be decoded; a read of its body took only the first page.

Change: rows are counted as they are read and joined one value at a time. A job for which there is no room is not opened and is tried again once the host has what it needed.

--- a/src/batch/layout.rs
+++ b/src/batch/layout.rs
@@ -255,9 +255,11 @@
     Ok(rows)
 }
 
-/// Splits `value` into rows of at most [`MAX_VALUE_BYTES`], named after `name`.
+/// Splits `value` into rows of at most [`MAX_VALUE_BYTES`], named after `name`. The store sorts
+/// the names as texts, so that the numbers of more than 100 parts are longer.
 fn split_value(name: &str, value: &Bytes) -> Vec<(String, Bytes)> {
     let count = value.len().div_ceil(MAX_VALUE_BYTES).max(1);
+    let width = if count > 100 { 5 } else { 2 };
     (0..count)
         .map(|part| {
             let start = part * MAX_VALUE_BYTES;
@@ -265,7 +267,7 @@
             // The first part's key ends with the number of parts.
             let mark = if part == 0 { count } else { part };
             (
-                format!("{name}.{part:02}.{mark:02}"),
+                format!("{name}.{part:0width$}.{mark:0width$}"),
                 value.slice(start..end),
             )
         })
@@ -303,38 +305,33 @@
 /// The platform's limit on the number of rows in an answer.
 const MAX_PAGE_ROWS: usize = 500;
 
-/// Joins values that were split into several rows, and returns them with the
-/// part of their key before the first dot. Stops at the first value with a
-/// missing part.
-pub fn join_parts(rows: &[StoredRow]) -> Vec<(String, Bytes)> {
-    let mut values: Vec<(String, Bytes)> = Vec::new();
+/// Joins values that were split into several rows, and returns them one by one, so that they
+/// do not all exist beside the rows, with the part of their key before the first dot. Stops at
+/// the first value with a missing part.
+pub fn join_parts(rows: &[StoredRow]) -> impl Iterator<Item = (String, Bytes)> {
     let mut rest = rows;
-    while let Some(first) = rest.first() {
+    std::iter::from_fn(move || {
+        let first = rest.first()?;
         let mut fields = first.key.split('.');
-        let (Some(name), Some("00"), Some(Ok(count))) = (
-            fields.next(),
-            fields.next(),
-            fields.next().map(str::parse::<usize>),
-        ) else {
-            break;
-        };
-        if rest.len() < count {
-            break;
+        let name = fields.next()?;
+        let part: usize = fields.next()?.parse().ok()?;
+        let count: usize = fields.next()?.parse().ok()?;
+        if part > 0 || rest.len() < count {
+            return None;
         }
         let value = if count == 1 {
             first.value.clone()
         } else {
-            Bytes::from(
-                rest[..count]
-                    .iter()
-                    .flat_map(|row| row.value.clone())
-                    .collect::<Vec<_>>(),
-            )
+            let size_bytes = rest[..count].iter().map(|row| row.value.len()).sum();
+            let mut joined = Vec::with_capacity(size_bytes);
+            for row in &rest[..count] {
+                joined.extend_from_slice(&row.value);
+            }
+            joined.into()
         };
-        values.push((name.to_owned(), value));
         rest = &rest[count.max(1)..];
-    }
-    values
+        Some((name.to_owned(), value))
+    })
 }
 
 /// Decodes the items of a job, in the order of their submission.
@@ -379,7 +376,6 @@
 /// Fails if a row was not written by [`listing`], or a position is missing.
 pub fn decode_results(rows: &[StoredRow], position: usize) -> Result<Vec<ItemResult>, LayoutError> {
     join_parts(rows)
-        .into_iter()
         .enumerate()
         .map(|(index, (name, value))| {
             if name != format!("{:06}", position + index) {
--- a/src/ingress/coordinator/jobs.rs
+++ b/src/ingress/coordinator/jobs.rs
@@ -21,6 +21,8 @@
     ids::FenceNumber,
     ingress::{
         feeds,
+        memory::{Charge, Side},
+        metered::{MeteredStore, NO_ROOM},
         stored::{self, StoredJob},
         wire::Wire,
     },
@@ -53,6 +55,9 @@
 /// How long one request to the feed of open jobs waits for a change.
 const FEED_WAIT: Duration = Duration::from_millis(1_500);
 
+/// A job with its saved outputs, and the charges for both.
+type ReadJob = (Option<StoredJob>, BTreeMap<usize, Output>, Vec<Charge>);
+
 impl<S: RowStore, W: Wire> Coordinator<S, W> {
     /// Lists the finished items of `job` until none is left.
     pub(super) async fn list_results(self: Rc<Self>, job: JobId) {
@@ -81,6 +86,8 @@
     pub(super) fn drop_job(&self, job: &JobId) {
         let actions = self.scheduler.borrow_mut().end(job);
         self.cancel_runs(&actions);
+        self.held_jobs.borrow_mut().remove(job);
+        self.job_needs.borrow_mut().remove(job);
         self.lister.forget(job);
     }
 
@@ -369,22 +376,42 @@
         }
         self.reads.borrow_mut().remove(job);
         match read {
-            Ok((Some(loaded), _)) if loaded.is_ended => self.end_job(job),
-            Ok((Some(loaded), outputs)) => self.take_up(job, loaded, outputs),
-            Ok((None, _)) => {}
+            Ok((Some(loaded), ..)) if loaded.is_ended => self.end_job(job),
+            Ok((Some(loaded), outputs, charges)) => {
+                self.held_jobs.borrow_mut().insert(job.clone(), charges);
+                self.take_up(job, loaded, outputs);
+            }
+            Ok((None, ..)) => {}
             Err(error) => tracing::info!(event = "job.not_opened", job = &**job, %error),
         }
     }
 
-    /// Reads a job and its saved outputs, beside a few other jobs.
-    async fn read_job(
-        &self,
-        job: &JobId,
-    ) -> Result<(Option<StoredJob>, BTreeMap<usize, Output>), RowError> {
+    /// Reads a job and its saved outputs, beside a few other jobs, if the memory of this host
+    /// has room for it.
+    async fn read_job(&self, job: &JobId) -> Result<ReadJob, RowError> {
         // Nobody closes the semaphore.
         let _permit = self.read_permits.acquire().await;
-        let store = &self.host.store;
-        tokio::try_join!(stored::load(store, job), stored::outputs(store, job))
+        let memory = &self.host.memory;
+        let need = self.job_needs.borrow().get(job).copied();
+        if let Some(bytes) = need {
+            let room = memory.charge_apart(Side::Job, bytes).await;
+            room.map_err(|_| NO_ROOM)?;
+        }
+        let store = MeteredStore::new(self.host.store.clone(), memory.clone(), Side::Job);
+        let read = tokio::try_join!(stored::load(&store, job), stored::outputs(&store, job));
+        match read {
+            Ok((loaded, outputs)) => {
+                self.job_needs.borrow_mut().remove(job);
+                Ok((loaded, outputs, store.into_charges()))
+            }
+            Err(error) => {
+                if error == NO_ROOM {
+                    let bytes = store.held_bytes();
+                    self.job_needs.borrow_mut().insert(job.clone(), bytes);
+                }
+                Err(error)
+            }
+        }
     }
 
     /// Opens a job as it was read.
--- a/src/ingress/coordinator/leadership.rs
+++ b/src/ingress/coordinator/leadership.rs
@@ -314,6 +314,8 @@
         self.engines_revision.set(None);
         self.lister.forget_all();
         self.reads.borrow_mut().clear();
+        self.held_jobs.borrow_mut().clear();
+        self.job_needs.borrow_mut().clear();
         self.closing_jobs.borrow_mut().clear();
         self.epoch.set(self.epoch.get() + 1);
     }
--- a/src/ingress/coordinator/mod.rs
+++ b/src/ingress/coordinator/mod.rs
@@ -39,6 +39,7 @@
         host::Host,
         limits::ledger::ORDER_PERMIT_COUNT,
         listing::Lister,
+        memory::Charge,
         orders::{self, FenceSource, OrderCounts},
         permits, reach,
         runs::{self, Run},
@@ -101,6 +102,11 @@
     last_read: Cell<u64>,
     /// Limits how many jobs are read at once.
     read_permits: Semaphore,
+    /// What open jobs hold.
+    held_jobs: RefCell<BTreeMap<JobId, Vec<Charge>>>,
+    /// What jobs needed at least that found no room, which they must find before they are
+    /// read again.
+    job_needs: RefCell<BTreeMap<JobId, usize>>,
     /// The jobs that are being removed from the list of open jobs.
     closing_jobs: RefCell<BTreeSet<JobId>>,
     /// Increments whenever another coordinator takes over.
@@ -147,6 +153,8 @@
             reads: RefCell::default(),
             last_read: Cell::new(0),
             read_permits: Semaphore::new(jobs::MAX_CONCURRENT_READS),
+            held_jobs: RefCell::default(),
+            job_needs: RefCell::default(),
             closing_jobs: RefCell::default(),
             epoch: Cell::new(0),
             wake: Notify::new(),
--- a/src/ingress/intake.rs
+++ b/src/ingress/intake.rs
@@ -147,24 +147,35 @@
     result
 }
 
-/// Counts what one read of `row_count` rows at most needs for a client, and waits for other reads to end.
+/// Counts what one read from the store needs for a client, whose page has `row_count` rows at
+/// most, and waits for other reads to end.
 ///
 /// # Errors
 ///
 /// Fails where there is no room for long.
 pub async fn room_for_read(memory: &Memory, row_count: usize) -> Result<Charge, Denial> {
-    let bytes = memory::read_bytes(row_count);
+    room_apart(memory, Side::Client, memory::read_bytes(row_count)).await
+}
+
+/// Counts `bytes` for `side` apart from any connection, and waits a while for room.
+///
+/// # Errors
+///
+/// Fails where there is no room for long.
+pub async fn room_apart(memory: &Memory, side: Side, bytes: usize) -> Result<Charge, Denial> {
     let until = Instant::now() + ROOM_TIMEOUT;
     loop {
-        let charged = timeout(ROOM_TIMEOUT, memory.charge_apart(Side::Client, bytes)).await;
-        match charged {
+        let charged = timeout(ROOM_TIMEOUT, memory.charge_apart(side, bytes)).await;
+        let denial = match charged {
             Ok(Ok(charge)) => return Ok(charge),
-            _ if Instant::now() >= until => {
-                memory.record_denial(Denial::NoRoom);
-                return Err(Denial::NoRoom);
-            }
-            _ => sleep(ROOM_POLL_INTERVAL).await,
+            Ok(Err(denial)) => denial,
+            Err(_) => Denial::NoRoom,
+        };
+        if denial == Denial::TooLarge || Instant::now() >= until {
+            memory.record_denial(denial);
+            return Err(denial);
         }
+        sleep(ROOM_POLL_INTERVAL).await;
     }
 }
 
--- a/src/ingress/jobs.rs
+++ b/src/ingress/jobs.rs
@@ -20,6 +20,8 @@
     ingress::{
         host::{Host, KnownJob},
         intake,
+        memory::Side,
+        metered::MeteredStore,
         replies::{Reply, as_json, refusal, reply},
         routes::Route,
         stored,
@@ -367,8 +369,16 @@
     job: &JobId,
     item: &ItemId,
 ) -> Result<Reply, RowError> {
-    let page = read_rows(host, &layout::item_range(job, item)).await?;
-    let items = layout::decode_items(&page.rows).map_err(stored::unreadable)?;
+    let store = MeteredStore::new(host.store.clone(), host.memory.clone(), Side::Client);
+    let rows = match stored::read_all(&store, layout::item_range(job, item)).await {
+        Ok(rows) => rows,
+        Err(_) => {
+            sleep(RETRY_DELAY).await;
+            stored::read_all(&store, layout::item_range(job, item)).await?
+        }
+    };
+    let items = layout::decode_items(&rows).map_err(stored::unreadable)?;
+    drop(rows);
     let found = items.into_iter().find(|found| found.id == *item);
     // Items are written before the job's head, so that they may exist without
     // it.
--- a/src/ingress/memory/charge.rs
+++ b/src/ingress/memory/charge.rs
@@ -141,7 +141,7 @@
             Decision::Granted => {
                 let id = state.ledger.register(side, now);
                 let bytes = match side {
-                    Side::Client => CLIENT_CONNECTION_BYTES,
+                    Side::Client | Side::Job => CLIENT_CONNECTION_BYTES,
                     Side::Peer => PEER_CONNECTION_BYTES,
                 };
                 state.ledger.add(id, bytes);
@@ -318,6 +318,15 @@
         self.bytes
     }
 
+    /// Counts no more than `bytes` from now on.
+    pub fn shrink_to(&mut self, bytes: usize) {
+        let freed = self.bytes.saturating_sub(bytes);
+        self.bytes -= freed;
+        let mut state = self.memory.state();
+        state.ledger.release(self.id, freed);
+        state.wake_waiting();
+    }
+
     /// Counts the bytes of `other`, which has the same holder, as its own.
     pub fn absorb(&mut self, mut other: Self) {
         self.bytes += std::mem::take(&mut other.bytes);
--- a/src/ingress/memory/ledger.rs
+++ b/src/ingress/memory/ledger.rs
@@ -193,7 +193,7 @@
     /// then those that stall, each time the one that did so for the longest.
     pub fn check_connection(&mut self, side: Side, now: Timestamp) -> Decision {
         let max_count = match side {
-            Side::Client => self.budget.max_client_count,
+            Side::Client | Side::Job => self.budget.max_client_count,
             Side::Peer => self.budget.max_peer_count,
         };
         let open = || {
@@ -225,7 +225,7 @@
             };
         }
         let bytes = match side {
-            Side::Client => CLIENT_CONNECTION_BYTES,
+            Side::Client | Side::Job => CLIENT_CONNECTION_BYTES,
             Side::Peer => PEER_CONNECTION_BYTES,
         };
         self.make_room(None, side, bytes, bytes, now)
@@ -254,7 +254,7 @@
         if let Some(claim) = self.claims.get_mut(&id) {
             claim.bytes += bytes;
             match claim.side {
-                Side::Client => self.client_bytes += bytes,
+                Side::Client | Side::Job => self.client_bytes += bytes,
                 Side::Peer => self.peer_bytes += bytes,
             }
         }
@@ -265,7 +265,7 @@
         if let Some(claim) = self.claims.get_mut(&id) {
             claim.bytes -= bytes;
             match claim.side {
-                Side::Client => self.client_bytes -= bytes,
+                Side::Client | Side::Job => self.client_bytes -= bytes,
                 Side::Peer => self.peer_bytes -= bytes,
             }
         }
@@ -344,7 +344,7 @@
             .total_bytes
             .saturating_sub(budget.peer_reserve_bytes.max(self.peer_bytes) + small_reserve);
         let (most_bytes, shortage) = match side {
-            Side::Client => (
+            Side::Client | Side::Job => (
                 budget
                     .total_bytes
                     .saturating_sub(budget.peer_reserve_bytes + small_reserve),
@@ -365,6 +365,11 @@
         if shortage == 0 {
             return Decision::Granted;
         }
+        // Jobs were accepted, which no body is yet.
+        let own_bytes = match side {
+            Side::Job => 0,
+            Side::Client | Side::Peer => own_bytes,
+        };
         // A client never displaces another host, which stands for many clients.
         self.free(id, own_bytes, shortage, now, |victim| {
             victim == Side::Client || side == Side::Peer
--- a/src/ingress/memory/mod.rs
+++ b/src/ingress/memory/mod.rs
@@ -70,6 +70,8 @@
     Client,
     /// Another host.
     Peer,
+    /// An open job, which this host coordinates. It counts among what clients hold.
+    Job,
 }
 
 /// How much may be held.
--- a/src/ingress/mod.rs
+++ b/src/ingress/mod.rs
@@ -28,6 +28,7 @@
 pub mod listing;
 pub mod log;
 pub mod memory;
+pub mod metered;
 pub mod metrics;
 pub mod notices;
 pub mod orders;
