Make the tests of the ledger fail without what they guard

Cause: with single bytes counted as progress, and without the reserve for small requests, the tests that guard these passed: the client that trickles was the older of two equal ones, and the crowd left room.

Change: the other client is the older one, and the crowd takes all it gets.

Measured: single_bytes_stall fails with a progress of 1 byte, small_beside_crowd without the reserve; client_ledger 9 of 9 on the code as it is.

--- a/tests/client_ledger.rs
+++ b/tests/client_ledger.rs
@@ -44,8 +44,12 @@
 #[test]
 fn small_beside_crowd() {
     let mut ledger = Ledger::new(BUDGET);
-    for _ in 0..4 {
-        receiving(&mut ledger, 4 * MIB, at(0));
+    loop {
+        let id = ledger.register(Side::Client, at(0));
+        ledger.set_activity(id, Activity::Working, at(0));
+        if ledger.claim(id, MIB, at(0)) != Decision::Granted {
+            break;
+        }
     }
     assert_eq!(given_up(&mut ledger, SMALL_BYTES, at(1)), Ok(vec![]));
 }
@@ -64,8 +68,8 @@
 #[test]
 fn single_bytes_stall() {
     let mut ledger = Ledger::new(BUDGET);
-    let trickling = receiving(&mut ledger, 8 * MIB, at(0));
     let moving = receiving(&mut ledger, 8 * MIB, at(0));
+    let trickling = receiving(&mut ledger, 8 * MIB, at(0));
     for second in 1..10 {
         ledger.record_moved(trickling, 1, at(second * 1_000));
         ledger.record_moved(moving, MIB, at(second * 1_000));
