Check accounts, duties and usage reports in the soak

Cause: no stand-in had accounts, keys or the address for duties, so that the soak saw nothing of them.

--- a/src/bin/mimosavane-soak/caller.rs
+++ b/src/bin/mimosavane-soak/caller.rs
@@ -10,7 +10,7 @@
 };
 use tokio::time::sleep;
 
-use crate::{fleet::Host, scene::Harness};
+use crate::{accounts, fleet::Host, scene::Harness};
 
 /// The delay between two calls of one caller.
 const CALL_DELAY: Duration = Duration::from_millis(40);
@@ -48,9 +48,15 @@
             if is_once && !is_crashing {
                 harness.record.borrow_mut().add_once_call(&attempt);
             }
+            let account = accounts::account(number);
+            let key = harness.identify(&mut client, account, [attempt.clone()]);
             let memory_name = host.memory_name();
             let sent_at = Instant::now();
             match client.call(path, &attempt).await {
+                Ok(answer) if harness.is_denial_of_removed(key.as_deref(), &answer) => {
+                    let mut record = harness.record.borrow_mut();
+                    record.count("removed keys replaced");
+                }
                 Ok(answer) => {
                     check_answer(&harness, &attempt, &answer);
                     if let Some(start) = answer.upstream_start()
--- a/src/bin/mimosavane-soak/fault.rs
+++ b/src/bin/mimosavane-soak/fault.rs
@@ -7,7 +7,7 @@
 };
 
 use mimosavane::platform::standin::{
-    Client, EngineFault, EngineRole, HangingAddress, ONCE_PATH, REPEATABLE_PATH, ReservedAddress,
+    EngineFault, EngineRole, HangingAddress, ONCE_PATH, REPEATABLE_PATH, ReservedAddress,
     StoreFault,
 };
 use nix::sys::signal::Signal;
@@ -15,7 +15,7 @@
 use rand_chacha::ChaCha8Rng;
 use tokio::{task::spawn_local, time::sleep};
 
-use crate::{proxy::LinkFault, scene::Harness};
+use crate::{accounts, proxy::LinkFault, scene::Harness};
 
 /// The range of a fault's duration, in milliseconds.
 const FAULT_TIME_MS: std::ops::Range<u64> = 300..3_000;
@@ -156,7 +156,29 @@
             duration
         },
     ));
-    for task in series.into_iter().chain([limits, cuts]) {
+    let planned_only = seed.is_multiple_of(PLANNED_PERIOD);
+    let own_random = |turn: u32| ChaCha8Rng::seed_from_u64((!seed).rotate_left(turn));
+    let keys = spawn_local(accounts::change_keys(
+        harness.clone(),
+        own_random(8),
+        duration,
+    ));
+    let cloud = spawn_local(accounts::fail_cloud(
+        harness.clone(),
+        own_random(16),
+        duration,
+    ));
+    let isolations = spawn_local(accounts::isolate_hosts(
+        harness.clone(),
+        own_random(24),
+        if planned_only {
+            Duration::ZERO
+        } else {
+            duration
+        },
+    ));
+    let others = [limits, cuts, keys, cloud, isolations];
+    for task in series.into_iter().chain(others) {
         // The faults after a panic are missing, so that the seed proves nothing.
         harness.check_task("a series of faults", task.await);
     }
@@ -224,9 +246,12 @@
     for number in 0..CUT_CALL_COUNT {
         let attempt = format!("cut-off-{number}");
         let path = [REPEATABLE_PATH, ONCE_PATH][number % 2];
-        let answer = Client::send_once(host.addresses.clients, async |client| {
-            client.call(path, &attempt).await
-        });
+        let answer = harness.send_as(
+            host.addresses.clients,
+            accounts::account(number),
+            [attempt.clone()],
+            async |client| client.call(path, &attempt).await,
+        );
         served_count += usize::from(answer.await.is_ok_and(|answer| answer.status.is_success()));
     }
     host.store.cut_upstreams(None);
--- a/src/bin/mimosavane-soak/fleet.rs
+++ b/src/bin/mimosavane-soak/fleet.rs
@@ -3,6 +3,7 @@
 use std::{
     cell::{Cell, RefCell},
     fs::{self, File},
+    net::SocketAddr,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     rc::Rc,
@@ -36,6 +37,8 @@
     pub link: Rc<Proxy>,
     /// The store as the host sees it.
     pub store: Store,
+    /// The platform's address for duties, in a deployment with accounts.
+    cloud: Option<SocketAddr>,
     program: PathBuf,
     folder: PathBuf,
     child: RefCell<Option<Child>>,
@@ -63,6 +66,7 @@
         folder: &Path,
         link: Rc<Proxy>,
         store: Store,
+        cloud: Option<SocketAddr>,
     ) -> Result<Self> {
         let reserve = || ReservedAddress::new().context("finding a free port");
         let reserved = [reserve()?, reserve()?, reserve()?];
@@ -78,6 +82,7 @@
             name,
             link,
             store,
+            cloud,
             program: program.to_owned(),
             folder: folder.to_owned(),
             child: RefCell::default(),
@@ -103,7 +108,7 @@
         let settings = self.folder.join(format!("{}.json", self.name));
         fs::write(
             &settings,
-            boot_file(&self.name, "zone-a", self.addresses, GRACE),
+            boot_file(&self.name, "zone-a", self.addresses, GRACE, self.cloud),
         )
         .context("writing the settings of a host")?;
         let log = File::create(
--- a/src/bin/mimosavane-soak/main.rs
+++ b/src/bin/mimosavane-soak/main.rs
@@ -1,6 +1,7 @@
 //! Runs the real programs as processes on loopback, injects faults from outside,
 //! and checks the promises to callers and upstreams (see docs/SOAK.md).
 
+mod accounts;
 mod caller;
 mod fault;
 mod fleet;
--- a/src/bin/mimosavane-soak/scene.rs
+++ b/src/bin/mimosavane-soak/scene.rs
@@ -13,7 +13,8 @@
 
 use anyhow::{Context, Result};
 use mimosavane::platform::standin::{
-    self, Client, Engine, EngineRole, MODELS, Record, Store, StoreFault,
+    self, Client, Cloud, CloudFault, Engine, EngineRole, Keyring, MODELS, REVOKE_TIME, Record,
+    Store, StoreFault,
 };
 use rand::{Rng as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
@@ -24,6 +25,7 @@
 };
 
 use crate::{
+    accounts::{self, Accounts},
     caller, fault,
     fleet::Host,
     proxy::{LinkFault, Proxy},
@@ -77,6 +79,8 @@
     pub hosts: Vec<Rc<Host>>,
     /// The store.
     pub store: Store,
+    /// What a deployment with accounts has.
+    pub accounts: Option<Accounts>,
     /// The current upstreams, engines first.
     pub engines: RefCell<Vec<Rc<Engine>>>,
     /// The proxies in front of the upstreams, in the same order.
@@ -134,7 +138,7 @@
 }
 
 async fn run_harness(plan: &Plan, seed: Seed, folder: &std::path::Path) -> Result<Record> {
-    let harness = Rc::new(Harness::start(plan, folder).await?);
+    let harness = Rc::new(Harness::start(plan, seed, folder).await?);
     harness.wait_until_ready().await;
     let mut tasks = Vec::new();
     for (number, host) in harness.hosts.iter().enumerate() {
@@ -143,6 +147,7 @@
             host.clone(),
             number,
         )));
+        tasks.push(spawn_local(accounts::probe(harness.clone(), host.clone())));
     }
     for (model, path) in MODELS {
         tasks.push(spawn_local(trainer::train(harness.clone(), model, path)));
@@ -161,7 +166,14 @@
     harness.clear_faults();
     harness.log_event("healed");
     harness.wait_until_ready().await;
-    sleep(SETTLE_TIME).await;
+    if harness.accounts.is_some() {
+        sleep(accounts::UNCALM_TIME).await;
+        harness.record.borrow_mut().begin_calm();
+        sleep(accounts::CALM_TIME).await;
+        harness.record.borrow_mut().end_calm();
+    } else {
+        sleep(SETTLE_TIME).await;
+    }
     harness.is_stopping.set(true);
     for task in tasks {
         harness.check_task("a caller or trainer", task.await);
@@ -176,7 +188,7 @@
 }
 
 impl Harness {
-    async fn start(plan: &Plan, folder: &std::path::Path) -> Result<Self> {
+    async fn start(plan: &Plan, seed: Seed, folder: &std::path::Path) -> Result<Self> {
         let program = std::env::current_exe()
             .context("finding this program")?
             .with_file_name(PROGRAM);
@@ -188,6 +200,21 @@
             .context("reading the address of the store")?;
         let store = Store::start(listener);
         standin::configure(&store, 1);
+        let record: Rc<RefCell<Record>> = Rc::default();
+        let (mut accounts, mut cloud_address) = (None, None);
+        if accounts::has_accounts(seed) {
+            let listener = TcpListener::bind("127.0.0.1:0")
+                .await
+                .context("binding a port for duties")?;
+            let address = listener.local_addr();
+            cloud_address = Some(address.context("reading the address for duties")?);
+            let keyring = Keyring::new(REVOKE_TIME);
+            keyring.configure(&store, 1);
+            accounts = Some(Accounts {
+                keyring: RefCell::new(keyring),
+                cloud: Cloud::start(listener, record.clone()),
+            });
+        }
         let mut hosts = Vec::new();
         for number in 0..plan.host_count {
             let listener = TcpListener::bind("127.0.0.1:0")
@@ -198,16 +225,18 @@
                 .context("reading the address of the store")?;
             let own_store = store.serve_apart(listener);
             let link = Proxy::start(address).await?;
-            let host = Host::new(format!("host-{number}"), &program, folder, link, own_store)?;
+            let name = format!("host-{number}");
+            let host = Host::new(name, &program, folder, link, own_store, cloud_address)?;
             host.start()?;
             hosts.push(Rc::new(host));
         }
         let harness = Self {
             hosts,
             store,
+            accounts,
             engines: RefCell::default(),
             engine_links: Vec::new(),
-            record: Rc::default(),
+            record,
             is_stopping: Cell::new(false),
             started: Instant::now(),
             last_disturbance_at: Cell::new(None),
@@ -294,7 +323,10 @@
     pub fn configure(&self) {
         let version = self.configuration.get() + 1;
         self.configuration.set(version);
-        standin::configure(&self.store, version);
+        match &self.accounts {
+            Some(accounts) => accounts.keyring.borrow().configure(&self.store, version),
+            None => standin::configure(&self.store, version),
+        }
     }
 
     /// Records that an unplanned fault disturbed the whole fleet.
@@ -358,6 +390,9 @@
 
     fn clear_faults(&self) {
         self.store.set_fault(StoreFault::None);
+        if let Some(accounts) = &self.accounts {
+            accounts.cloud.set_fault(CloudFault::None);
+        }
         for host in &self.hosts {
             host.link.set_fault(LinkFault::None);
             host.store.cut_upstreams(None);
@@ -415,10 +450,15 @@
         }
         for host in &self.hosts {
             let attempt = format!("added-{}-{version}", host.name);
-            let answer = Client::send_once(host.addresses.clients, async |client| {
-                client.call(&standin::added_path(version), &attempt).await
-            })
-            .await;
+            let requests = [attempt.clone()];
+            let answer = self
+                .send_as(
+                    host.addresses.clients,
+                    accounts::account(0),
+                    requests,
+                    async |client| client.call(&standin::added_path(version), &attempt).await,
+                )
+                .await;
             let status = answer.as_ref().map(|answer| answer.status.as_u16());
             if status != Ok(200) {
                 let seen = format!("{}: version {version}: {status:?}", host.name);
--- a/src/bin/mimosavane-soak/stream.rs
+++ b/src/bin/mimosavane-soak/stream.rs
@@ -5,7 +5,7 @@
 use mimosavane::platform::standin::{Client, STREAM_PATH};
 use tokio::time::sleep;
 
-use crate::scene::Harness;
+use crate::{accounts, scene::Harness};
 
 /// The number of events of a whole stream.
 const EVENT_COUNT: u64 = 100;
@@ -26,7 +26,8 @@
         let mut last_event = 0;
         for attempt in 0..=RESUME_COUNT {
             let id = format!("{begun}-{attempt}");
-            last_event = follow(&harness, &id, &format!("{begun}-0"), last_event).await;
+            let account = accounts::account(number);
+            last_event = follow(&harness, account, &id, &format!("{begun}-0"), last_event).await;
             if last_event >= EVENT_COUNT || (attempt == 0 && last_event == 0) {
                 break;
             }
@@ -42,11 +43,12 @@
 
 /// Opens the stream of `begun` at any host, or takes it up after `last_event`, and returns
 /// the number of the last event that arrived.
-async fn follow(harness: &Harness, id: &str, begun: &str, last_event: u64) -> u64 {
+async fn follow(harness: &Harness, account: &str, id: &str, begun: &str, last_event: u64) -> u64 {
     let address = harness.random_host().addresses.clients;
     let Ok(mut client) = Client::connect(address).await else {
         return last_event;
     };
+    harness.identify(&mut client, account, [id.to_owned()]);
     let resumed = (last_event > 0).then_some((begun, last_event));
     let count = usize::try_from(EVENT_COUNT).unwrap_or(usize::MAX);
     match client.stream(STREAM_PATH, id, resumed, count).await {
--- a/src/bin/mimosavane-soak/trainer.rs
+++ b/src/bin/mimosavane-soak/trainer.rs
@@ -8,12 +8,15 @@
 };
 
 use mimosavane::platform::standin::{
-    Client, ReceivedAnswer, RequestError, ResultPage, SCORED_MODEL, TrainerJob, name_version,
+    ReceivedAnswer, RequestError, ResultPage, SCORED_MODEL, TrainerJob, name_version, reward_id,
 };
 use rand::Rng as _;
 use tokio::time::sleep;
 
-use crate::scene::{Harness, RECOVERY};
+use crate::{
+    accounts,
+    scene::{Harness, RECOVERY},
+};
 
 /// The number of items of a job.
 const ITEM_COUNT: usize = 24;
@@ -157,10 +160,17 @@
     job: &TrainerJob,
 ) -> Result<ReceivedAnswer, RequestError> {
     let host = harness.random_host();
-    Client::send_once(host.addresses.clients, async |client| {
-        client.submit(path, job).await
-    })
-    .await
+    let items: Vec<String> = job.event_counts.keys().cloned().collect();
+    let requests = items
+        .iter()
+        .cloned()
+        .chain(items.iter().map(|item| reward_id(item)));
+    let account = accounts::job_account(&job.id);
+    harness
+        .send_as(host.addresses.clients, account, requests, async |client| {
+            client.submit(path, job).await
+        })
+        .await
 }
 
 fn record_refusal(harness: &Harness, job: &TrainerJob) {
@@ -245,10 +255,12 @@
 /// Reads one page at a random host, and returns whether the host returned one.
 pub async fn read_from(harness: &Harness, job: &str, from: usize, wait: Duration) -> bool {
     let host = harness.random_host();
-    let answer = Client::send_once(host.addresses.clients, async |client| {
-        client.read(job, from, wait).await
-    })
-    .await;
+    let account = accounts::job_account(job);
+    let answer = harness
+        .send_as(host.addresses.clients, account, [], async |client| {
+            client.read(job, from, wait).await
+        })
+        .await;
     let Ok(answer) = answer else {
         return false;
     };
@@ -284,10 +296,12 @@
     let deadline = Instant::now() + SUBMIT_TIME;
     while Instant::now() < deadline {
         let host = harness.random_host();
-        let ended = Client::send_once(host.addresses.clients, async |client| {
-            client.end(&job.id).await
-        })
-        .await;
+        let account = accounts::job_account(&job.id);
+        let ended = harness
+            .send_as(host.addresses.clients, account, [], async |client| {
+                client.end(&job.id).await
+            })
+            .await;
         match ended {
             Ok(ReceivedAnswer { status, .. }) if status.is_success() => return true,
             Ok(ReceivedAnswer { status, .. }) if matches!(status.as_u16(), 404 | 410) => {
--- a/src/platform/standin/client.rs
+++ b/src/platform/standin/client.rs
@@ -4,7 +4,7 @@
 
 use base64::{Engine as _, engine::general_purpose::STANDARD};
 use bytes::Bytes;
-use http::{Method, Request, StatusCode};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode};
 use http_body_util::{BodyExt as _, Full};
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
@@ -82,6 +82,8 @@
 #[derive(Debug)]
 pub struct Client {
     sender: SendRequest<Full<Bytes>>,
+    /// The headers of all requests that show or claim an account.
+    account_headers: HeaderMap,
 }
 
 impl Client {
@@ -101,7 +103,10 @@
             // The request in flight reports a failure of the connection.
             let _ = connection.await;
         });
-        Ok(Self { sender })
+        Ok(Self {
+            sender,
+            account_headers: HeaderMap::new(),
+        })
     }
 
     /// Sends one request with `send` on a new connection.
@@ -117,6 +122,25 @@
         send(&mut client).await
     }
 
+    /// Sends `keys` with all further requests; more than one is an error of the client.
+    pub fn present_keys(&mut self, keys: &[&str]) {
+        let name = HeaderName::from_static(names::API_KEY);
+        self.account_headers.remove(&name);
+        for key in keys {
+            if let Ok(key) = HeaderValue::from_str(key) {
+                self.account_headers.append(name.clone(), key);
+            }
+        }
+    }
+
+    /// Names `account` in all further requests and their items, which only hosts may do.
+    pub fn claim_account(&mut self, account: &str) {
+        if let Ok(account) = HeaderValue::from_str(account) {
+            let name = HeaderName::from_static(names::TENANT);
+            self.account_headers.insert(name, account);
+        }
+    }
+
     /// Returns whether the connection is closed.
     pub fn is_closed(&self) -> bool {
         self.sender.is_closed()
@@ -124,8 +148,9 @@
 
     async fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
     ) -> Result<ReceivedAnswer, RequestError> {
+        request.headers_mut().extend(self.account_headers.clone());
         let answered = async {
             self.sender
                 .ready()
@@ -192,9 +217,10 @@
                 .header(names::RESUMES, begun)
                 .header(names::LAST_EVENT_ID, last_event.to_string());
         }
-        let request = request
+        let mut request = request
             .body(Full::new(body.to_string().into()))
             .map_err(|_| RequestError::NotConnected)?;
+        request.headers_mut().extend(self.account_headers.clone());
         let answered = async {
             let answer = self
                 .sender
@@ -243,6 +269,11 @@
                     "headers": {names::TOKEN_USAGE: format!("20,{events}")},
                     "body": STANDARD.encode(body.to_string()),
                 });
+                if let Some(account) = header_text(&self.account_headers, names::TENANT) {
+                    let headers = &mut item_document["headers"];
+                    headers[names::TENANT] = json!(account);
+                    headers[names::API_KEY] = json!("key-of-an-item");
+                }
                 if job.model == SCORED_MODEL {
                     item_document["scorer"] = json!({
                         "id": reward_id(item), "host": AUTHORITY,
--- a/src/platform/standin/engine.rs
+++ b/src/platform/standin/engine.rs
@@ -1,5 +1,7 @@
 //! Stand-ins for upstreams: engines that generate, and services that answer calls.
 
+mod calls;
+
 use std::{
     cell::{Cell, RefCell},
     collections::BTreeMap,
@@ -9,7 +11,7 @@
 };
 
 use bytes::Bytes;
-use http::{HeaderName, HeaderValue, Request, Response};
+use http::{HeaderMap, HeaderName, HeaderValue, Request, Response};
 use http_body_util::StreamBody;
 use hyper::body::Frame;
 use rand::Rng as _;
@@ -21,11 +23,9 @@
     time::sleep,
 };
 use tokio_stream::wrappers::ReceiverStream;
-use xxhash_rust::xxh3::xxh3_64;
 
 use super::{
-    CALLS, CRASH_PATH, ENGINES, MODELS, NoAnswer, Record, SCORE_PATH, STREAM_PATH, Store,
-    header_text, json_reply, serve,
+    CALLS, ENGINES, MODELS, NoAnswer, Record, STREAM_PATH, Store, header_text, json_reply, serve,
 };
 use crate::{
     ingress::replies::{Reply, ReplyBody, StreamCut},
@@ -44,12 +44,6 @@
 /// The delay after which an engine executes an order that it does not answer.
 const LATE_ORDER_DELAY: Duration = Duration::from_millis(1_500);
 
-/// The duration of a call.
-const CALL_TIME: Duration = Duration::from_millis(10);
-
-/// How long an upstream stays down after a request crashed it.
-const CRASH_DOWN_TIME: Duration = Duration::from_millis(400);
-
 /// The interval at which an upstream renews its entry.
 const HEARTBEAT: Duration = Duration::from_millis(1_000);
 
@@ -90,9 +84,6 @@
     Mismatched,
 }
 
-/// One reward call in this many fails at every upstream.
-const FAILING_REWARD_PERIOD: u64 = 40;
-
 /// An upstream. Each start has a new id.
 #[derive(Debug)]
 pub struct Engine {
@@ -362,6 +353,15 @@
         }
     }
 
+    /// Records on whose behalf a request runs, and returns the account.
+    fn record_account(&self, request: &str, headers: &HeaderMap) -> Option<String> {
+        let account = header_text(headers, names::TENANT);
+        let has_key = headers.contains_key(names::API_KEY);
+        let mut record = self.record.borrow_mut();
+        record.add_account_run(request, account, has_key);
+        account.map(str::to_owned)
+    }
+
     fn generate(self: Rc<Self>, request: &Request<Bytes>) -> Result<Reply, NoAnswer> {
         let headers = request.headers();
         let Some(item) = header_text(headers, names::ATTEMPT_ID).map(str::to_owned) else {
@@ -379,7 +379,11 @@
             .unwrap_or(0);
         let software_version = self.software_version.borrow().clone();
         let resumed = header_text(headers, names::RESUMES).unwrap_or(&item);
-        if request.uri().path().starts_with(STREAM_PATH) {
+        let account = self.record_account(&item, headers);
+        let is_stream = request.uri().path().starts_with(STREAM_PATH);
+        // Items are not part of the usage.
+        let mut begun_account = account.filter(|_| is_stream);
+        if is_stream {
             self.record
                 .borrow_mut()
                 .add_stream_run(resumed, &software_version, last_event);
@@ -417,6 +421,9 @@
                 event.push_str(&format!(
                     "id: {number}\ndata: {item}:{number}:{current_version}:{software_version}\n\n"
                 ));
+                if let Some(account) = begun_account.take() {
+                    engine.record.borrow_mut().add_begun(&account);
+                }
                 if number == event_count {
                     engine.record.borrow_mut().add_whole_item(&item);
                 }
@@ -442,81 +449,4 @@
         tasks.retain(|task| !task.is_finished());
         tasks.push(task);
     }
-
-    /// Ends the upstream and starts it again under the same id.
-    fn crash(self: &Rc<Self>, path: &str) {
-        if self.is_down.replace(true) {
-            return;
-        }
-        self.record.borrow_mut().add_end(path);
-        let this = self.clone();
-        let restart = spawn_local(async move {
-            sleep(CRASH_DOWN_TIME).await;
-            this.start_count.set(this.start_count.get() + 1);
-            this.is_down.set(false);
-            // What one start states says nothing of the next one.
-            this.is_draining.set(false);
-            this.is_listed_draining.set(false);
-            let limit_per_s = this.limit_per_s.get();
-            this.set_limit(None);
-            this.set_limit(limit_per_s);
-            this.register();
-        });
-        self.track_task(restart.abort_handle());
-    }
-
-    async fn call(self: Rc<Self>, request: &Request<Bytes>) -> Result<Reply, NoAnswer> {
-        let Some(attempt) = header_text(request.headers(), names::ATTEMPT_ID) else {
-            return Ok(json_reply(400, &json!({})));
-        };
-        if self.running_count.get() >= SLOT_COUNT {
-            return Ok(self.refuse());
-        }
-        let running = RunningGuard::new(&self);
-        self.record.borrow_mut().add_call_run(attempt);
-        let stamp = format!(
-            "{}.{}.{}",
-            self.id,
-            self.start_count.get(),
-            self.call_count.get()
-        );
-        self.call_count.set(self.call_count.get() + 1);
-        let is_failing = xxh3_64(attempt.as_bytes()).is_multiple_of(FAILING_REWARD_PERIOD);
-        let is_reward = request.uri().path().starts_with(SCORE_PATH);
-        if is_reward {
-            let result = if is_failing {
-                Err(())
-            } else {
-                Ok(stamp.as_str())
-            };
-            self.record.borrow_mut().add_reward_run(attempt, result);
-        }
-        let is_slow = self.fault.get() == EngineFault::Slow;
-        let start_count = self.start_count.get();
-        let is_crashing = request.uri().path().starts_with(CRASH_PATH);
-        if is_crashing {
-            self.record.borrow_mut().add_crash(request.uri().path());
-        }
-        sleep(CALL_TIME * if is_slow { SLOW_FACTOR } else { 1 }).await;
-        drop(running);
-        if is_crashing && self.start_count.get() == start_count {
-            self.crash(request.uri().path());
-        }
-        if self.is_down.get() || self.start_count.get() != start_count {
-            return Err(NoAnswer);
-        }
-        if self.fault.get() == EngineFault::Grey && rand::rng().random_bool(GREY_FAILURE_RATIO) {
-            return Err(NoAnswer);
-        }
-        let status = if is_reward && is_failing { 500 } else { 200 };
-        let own = (attempt.to_owned(), stamp);
-        let earlier = self.last_call.replace(own.clone());
-        let (attempt, stamp) = match self.fault.get() {
-            EngineFault::Mismatched => earlier,
-            _ => own,
-        };
-        let mut reply = json_reply(status, &json!({"attempt": attempt}));
-        Self::sign(&mut reply, &attempt, &stamp);
-        Ok(reply)
-    }
 }
--- a/src/platform/standin/mod.rs
+++ b/src/platform/standin/mod.rs
@@ -5,16 +5,20 @@
 //! record the observations of callers and upstreams in a [`Record`], against
 //! which the promises are checked.
 
+mod accounts;
 mod client;
+mod cloud;
 mod engine;
 mod record;
 mod reserved;
 mod store;
 
 pub use self::{
+    accounts::{ACCOUNTS, Keyring, PUBLIC_PATH, REVOKE_TIME, Sender, USAGE_DUE, USAGE_WINDOW},
     client::{Client, ReceivedAnswer, RequestError, ResultPage, StreamStart, TrainerJob},
+    cloud::{Cloud, CloudFault},
     engine::{Engine, EngineFault, EngineRole},
-    record::{Record, SeenResult, Violation},
+    record::{ArrivedReport, Record, SeenResult, Violation},
     reserved::{HangingAddress, ReservedAddress},
     store::{Store, StoreFault},
 };
@@ -120,9 +124,16 @@
     pub store: SocketAddr,
 }
 
-/// Returns the settings file that the platform would write for a host.
-pub fn boot_file(name: &str, zone: &str, addresses: HostAddresses, grace: Duration) -> String {
-    json!({
+/// Returns the settings file that the platform would write for a host. A deployment with
+/// accounts has an address for duties at `cloud`.
+pub fn boot_file(
+    name: &str,
+    zone: &str,
+    addresses: HostAddresses,
+    grace: Duration,
+    cloud: Option<SocketAddr>,
+) -> String {
+    let mut file = json!({
         "node": name, "role": "entry", "zone": zone,
         "listen": {
             "front": addresses.clients.to_string(),
@@ -133,8 +144,20 @@
         "internal_ports": [addresses.relay.port(), addresses.relay.port()],
         "bounds": {"grace_s": grace.as_secs_f64(), "lease_ms": 3_000, "status_ttl_s": 120},
         "provider": {"address": addresses.store.to_string()},
-    })
-    .to_string()
+    });
+    if let Some(cloud) = cloud {
+        let bounds = &mut file["bounds"];
+        bounds["strict_revoke"] = json!(true);
+        bounds["revoke_ms"] = json!(REVOKE_TIME.as_millis() as u64);
+        bounds["report_window_s"] = json!(USAGE_WINDOW.as_secs_f64());
+        bounds["usage_late_s"] = json!(USAGE_DUE.as_secs_f64());
+        bounds["require_fence"] = json!(false);
+        file["cloud"] = json!({
+            "address": cloud.to_string(), "duty_per_s": 50,
+            "duties": ["usage_report", "autoscale"],
+        });
+    }
+    file.to_string()
 }
 
 /// Returns the environment variable with the path of a host's settings file.
--- a/tests/fleet_support/mod.rs
+++ b/tests/fleet_support/mod.rs
@@ -12,13 +12,13 @@
 use mimosavane::{
     ingress::{
         detour::FallbackStore,
-        host::{Host, HostSettings},
+        host::{DutySettings, Host, HostSettings},
         metrics::Exposition,
     },
     observe::telemetry::Metrics,
     platform::{
         PlatformWire,
-        standin::{self, Client, Engine, EngineRole, Record, ReservedAddress, Store},
+        standin::{self, Client, Engine, EngineRole, Keyring, Record, ReservedAddress, Store},
         store::PlatformStore,
     },
 };
@@ -37,10 +37,18 @@
 /// The time without an answer after which a host counts as paused.
 const PAUSE_SIGN: Duration = Duration::from_millis(300);
 
+/// What a deployment with accounts has.
+#[derive(Clone, Default)]
+pub struct Deployment {
+    pub keyring: Option<Keyring>,
+    pub revocation_bound: Option<Duration>,
+    pub duties: Option<DutySettings>,
+}
+
 /// One host.
 pub struct FleetHost {
     pub clients: SocketAddr,
-    ready: SocketAddr,
+    pub ready: SocketAddr,
     _reserved: [ReservedAddress; 3],
     /// For how long the thread is paused in all.
     pause_time: Duration,
@@ -57,12 +65,18 @@
     store_addresses: Vec<SocketAddr>,
     pub upstreams: Vec<Rc<Engine>>,
     pub record: Rc<RefCell<Record>>,
+    deployment: Deployment,
 }
 
 impl FleetHost {
     /// Starts a host that reaches the store at `store`. Its thread is paused for the
     /// given times before the polls with these numbers.
-    pub fn start(name: String, store: SocketAddr, pauses: BTreeMap<usize, Duration>) -> Self {
+    pub fn start(
+        name: String,
+        store: SocketAddr,
+        pauses: BTreeMap<usize, Duration>,
+        deployment: &Deployment,
+    ) -> Self {
         let reserved = std::array::from_fn(|_| ReservedAddress::new().unwrap());
         let [clients, ready, relay] = reserved.each_ref().map(|reserved| reserved.address);
         let settings = HostSettings {
@@ -79,8 +93,8 @@
             memory_limit_mb: 340,
             cpu_share_ratio: 0.5,
             max_fd_count: 4_096,
-            revocation_bound: None,
-            duties: None,
+            revocation_bound: deployment.revocation_bound,
+            duties: deployment.duties.clone(),
         };
         let pause_time = pauses.values().sum();
         let (stop, stopped) = oneshot::channel();
@@ -169,6 +183,16 @@
         pauses: Vec<BTreeMap<usize, Duration>>,
         upstream_count: usize,
         engine_count: usize,
+    ) -> Self {
+        Self::start_as(pauses, upstream_count, engine_count, Deployment::default()).await
+    }
+
+    /// Starts a fleet like [`Fleet::start_paused`] in `deployment`.
+    pub async fn start_as(
+        pauses: Vec<BTreeMap<usize, Duration>>,
+        upstream_count: usize,
+        engine_count: usize,
+        deployment: Deployment,
     ) -> Self {
         let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
         let store = Store::start(listener);
@@ -179,7 +203,10 @@
             store_addresses.push(listener.local_addr().unwrap());
             host_stores.push(store.serve_apart(listener));
         }
-        standin::configure(&store, 1);
+        match &deployment.keyring {
+            Some(keyring) => keyring.configure(&store, 1),
+            None => standin::configure(&store, 1),
+        }
         let record: Rc<RefCell<Record>> = Rc::default();
         let mut upstreams = Vec::new();
         for number in 0..upstream_count + engine_count {
@@ -203,7 +230,8 @@
             .into_iter()
             .enumerate()
             .map(|(number, pauses)| {
-                FleetHost::start(format!("entry-{number}"), store_addresses[number], pauses)
+                let name = format!("entry-{number}");
+                FleetHost::start(name, store_addresses[number], pauses, &deployment)
             })
             .collect();
         for host in &hosts {
@@ -216,6 +244,7 @@
             store_addresses,
             upstreams,
             record,
+            deployment,
         }
     }
 
@@ -252,6 +281,7 @@
                     format!("entry-{number}"),
                     addresses[number],
                     BTreeMap::new(),
+                    &self.deployment,
                 )
             })
             .collect();
