Save usage once after a refused repetition, and remove late rows

Cause: a write of counts without an answer may still be applied. When its repetition was refused, the host put the counts into a new batch, and both were applied: 30 requests were reported for 20 (tests/usage_windows.rs, faulty_writes). Rows that were saved after the rows of their window had been removed stayed in the store for ever (rows_removed).

Change: a batch is repeated unchanged until it is confirmed, also where one write of it was certainly not applied. The rows of a window are removed again once no host saves any for it.

--- a/src/ingress/usage_reports.rs
+++ b/src/ingress/usage_reports.rs
@@ -65,6 +65,10 @@
 /// then.
 const SWEPT_AFTER: u64 = 4;
 
+/// After how many windows they are removed again: hosts save counts of kept windows still
+/// after the first removal, which may also have failed.
+const SWEPT_AGAIN_AFTER: u64 = KEPT_WINDOW_COUNT + 2;
+
 /// The largest number of rows that one transaction removes.
 const MAX_REMOVAL_COUNT: usize = layout::MAX_ENTRY_COUNT;
 
@@ -186,9 +190,8 @@
             Ok(_) | Err(RowError::Conflict { .. }) => {
                 book.tally.borrow_mut().record_saved(batch.sequence);
             }
-            Err(RowError::NotApplied { .. }) => {
-                book.tally.borrow_mut().record_not_saved(batch.sequence);
-            }
+            // Also where this write was certainly not applied: an earlier one of the same batch
+            // may still be, and its counts would be saved twice in another batch.
             Err(error) => {
                 tracing::debug!(event = "usage.not_saved", window = batch.window, %error);
             }
@@ -306,6 +309,7 @@
             self.unsent.push_back(report);
             self.next += 1;
             sweep(host, window.saturating_sub(SWEPT_AFTER)).await?;
+            sweep(host, window.saturating_sub(SWEPT_AGAIN_AFTER)).await?;
         }
         Ok(())
     }
