--- a/tests/usage_windows.rs
+++ b/tests/usage_windows.rs
@@ -10,7 +10,7 @@
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     rc::Rc,
-    time::Duration,
+    time::{Duration, SystemTime},
 };
 
 use mimosavane::{
@@ -86,10 +86,15 @@
     address: SocketAddr,
     cloud: Rc<Cloud>,
     record: Rc<RefCell<Record>>,
+    window: Duration,
 }
 
 impl Platform {
     async fn start() -> Self {
+        Self::start_with(WINDOW).await
+    }
+
+    async fn start_with(window: Duration) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let record: Rc<RefCell<Record>> = Rc::default();
         Self {
@@ -97,6 +102,7 @@
             address: listener.local_addr().unwrap(),
             cloud: Cloud::start(listener, record.clone()),
             record,
+            window,
         }
     }
 
@@ -106,7 +112,7 @@
             max_rate_per_s: 50.0,
             reports_usage: true,
             orders_upstreams: false,
-            usage_window: WINDOW,
+            usage_window: self.window,
             usage_due: Duration::from_secs(10),
         }
     }
@@ -163,6 +169,16 @@
         }
         sum
     }
+
+    async fn wait_until_saved(&self, what: &str, count: u64) {
+        for _ in 0..400 {
+            if self.saved_count().await == count {
+                return;
+            }
+            sleep(Duration::from_millis(50)).await;
+        }
+        panic!("{what}: {}", self.saved_count().await);
+    }
 }
 
 fn record(host: &TestHost, count: usize, begun_at: Timestamp) {
@@ -302,10 +318,13 @@
     run(async {
         let platform = Platform::start().await;
         let [one, two] = ["entry-1", "entry-2"].map(|name| platform.host(name));
-        platform.cloud.set_fault(CloudFault::LosesAnswers);
         let begun_at = one.now();
         record(&one, 5, begun_at);
         let first_task = platform.report(&one, &Lease::held(7));
+        let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+        let before = Windows::new(WINDOW).number(since_epoch.unwrap()) - 1;
+        wait_until("never began", || platform.contents().contains_key(&before)).await;
+        platform.cloud.set_fault(CloudFault::LosesAnswers);
         wait_until("never sent", || platform.reported_count() == 5).await;
         first_task.abort();
         record(&two, 3, begun_at);
@@ -387,7 +406,7 @@
         };
         wait_until("too few reports", || {
             let windows: BTreeSet<u64> = taken().iter().map(|(window, _)| *window).collect();
-            windows.len() >= 8
+            windows.len() >= 8 && platform.reported_count() == 5
         })
         .await;
         let mut taken = taken();
@@ -426,22 +445,22 @@
     });
 }
 
-/// Guards against rows of counts that stay in the store for ever: reported windows, and
-/// counts that are saved after their window was swept.
+/// Guards against rows of counts that stay in the store for ever: those of reported windows,
+/// and those that are saved after the rows of their window were removed.
 #[test]
 fn rows_removed() {
     run(async {
-        let platform = Platform::start().await;
+        let window = Duration::from_millis(300);
+        let platform = Platform::start_with(window).await;
         let [host, late] = ["entry-1", "entry-2"].map(|name| platform.host(name));
         platform.report(&host, &Lease::held(7));
         let begun_at = host.now();
         record(&host, 5, begun_at);
         wait_until("never reported", || platform.reported_count() == 5).await;
-        // The window is swept four windows later.
-        sleep(WINDOW * 6).await;
-        assert_eq!(platform.saved_count().await, 0);
+        platform.wait_until_saved("kept after the report", 0).await;
+        // Hosts still save what they counted in windows that are no longer kept.
         record(&late, 3, begun_at);
-        sleep(WINDOW * 6).await;
-        assert_eq!(platform.saved_count().await, 0, "late rows are kept");
+        platform.wait_until_saved("never saved", 3).await;
+        platform.wait_until_saved("kept for ever", 0).await;
     });
 }
