--- a/tests/usage_windows.rs
+++ b/tests/usage_windows.rs
@@ -27,7 +27,7 @@
     },
     platform::{
         PlatformWire,
-        standin::{Cloud, CloudFault, Record},
+        standin::{ArrivedReport, Cloud, CloudFault, Record},
     },
     store::rows::{RowRange, RowStore as _},
 };
@@ -466,3 +466,30 @@
         platform.wait_until_saved("kept for ever", 0).await;
     });
 }
+
+/// Guards against a record that does not see what the platform would: duty calls of two
+/// holders, and two reports of one window.
+#[test]
+fn record_of_duties() {
+    let broken_by = |calls: &[(&str, u64)]| -> Vec<&'static str> {
+        let mut record = Record::default();
+        for (holder, fence) in calls {
+            record.add_duty_call("usage", holder, *fence);
+        }
+        let violations = record.close();
+        violations.iter().map(|found| found.promise).collect()
+    };
+    let one = ["one-duty-holder"];
+    assert!(broken_by(&[("a", 1), ("a", 1), ("a", 3), ("b", 4)]).is_empty());
+    assert_eq!(broken_by(&[("a", 2), ("a", 1)]), one);
+    assert_eq!(broken_by(&[("a", 1), ("b", 1)]), one);
+    assert_eq!(broken_by(&[("a", 1), ("b", 2), ("a", 3)]), one);
+    let mut record = Record::default();
+    for count in [5, 5, 6] {
+        let counts = BTreeMap::from([(ACCOUNT.to_owned(), count)]);
+        record.add_usage_report(ArrivedReport::new(1, counts, "a", 1, 200));
+    }
+    let violations = record.close();
+    let promises: Vec<&str> = violations.iter().map(|found| found.promise).collect();
+    assert_eq!(promises, ["one-report"]);
+}
