Order the upstreams of scaled services

Cause: the platform takes orders of upstreams and reclaims some of them, all of a failure domain at once; nobody ordered, and what was reclaimed stayed away.

Change: while a host coordinates, it decides the number of upstreams of each scaled service, failure domain and kind (src/ingress/capacity/, without I/O), and sends orders under the fencing number of its lease (src/ingress/capacity_orders.rs). What is lost is ordered elsewhere at once, work that would miss its due time raises the number, and it falls only after long low demand.

--- a/src/batch/scheduler/mod.rs
+++ b/src/batch/scheduler/mod.rs
@@ -34,7 +34,7 @@
 
 pub use self::{
     engine::EngineSpec,
-    report::ModelLoad,
+    report::{JobLoad, ModelLoad, ServiceLoad},
     rewards::{DueReward, RewardOutcome},
 };
 use self::{
--- a/src/batch/scheduler/report.rs
+++ b/src/batch/scheduler/report.rs
@@ -1,8 +1,12 @@
 //! Summarises the load of each model, for logs and metrics.
 
-use std::{collections::BTreeSet, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
 
-use super::Scheduler;
+use super::{Scheduler, engine::DEFAULT_EVENT_INTERVAL};
 use crate::{batch::job::ModelId, clock::Timestamp, ids::WeightVersion};
 
 /// The load of one model: its jobs, its items and the engines for it.
@@ -34,7 +38,54 @@
     pub min_version: WeightVersion,
 }
 
+/// The work of the open jobs of one service.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ServiceLoad {
+    /// The number of items that run.
+    pub running_count: usize,
+    /// The number of items that wait for an engine.
+    pub waiting_count: usize,
+    /// The open jobs with such items.
+    pub jobs: Vec<JobLoad>,
+}
+
+/// The remaining work of one job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct JobLoad {
+    /// The time until the job is due.
+    pub due_in: Duration,
+    /// The expected time for which its items will run, all together.
+    pub work: Duration,
+}
+
 impl Scheduler {
+    /// Returns the load of each service that has open jobs.
+    pub fn service_loads(&self, now: Timestamp) -> BTreeMap<Arc<str>, ServiceLoad> {
+        let typical_interval = self.typical_interval.unwrap_or(DEFAULT_EVENT_INTERVAL);
+        let mut loads: BTreeMap<Arc<str>, ServiceLoad> = BTreeMap::new();
+        for job in self.jobs.values() {
+            let head = &job.job.head;
+            let running = (0..job.items.len()).filter(|index| job.items[*index].run.is_some());
+            let open: Vec<usize> = running.chain(job.queue.iter().copied()).collect();
+            if open.is_empty() {
+                continue;
+            }
+            let tokens_per_event = self.tokens_per_event(job);
+            let event_count: u64 = open
+                .iter()
+                .map(|index| job.remaining_event_count(*index, tokens_per_event))
+                .sum();
+            let load = loads.entry(head.service.clone()).or_default();
+            load.waiting_count += job.queue.len();
+            load.running_count += open.len() - job.queue.len();
+            load.jobs.push(JobLoad {
+                due_in: (job.opened_at + head.due).saturating_sub(job.age + now),
+                work: typical_interval.mul_f64(event_count as f64),
+            });
+        }
+        loads
+    }
+
     /// Returns the services with items that run, or that wait for engines which all
     /// failed lately.
     pub fn services_in_use(&self) -> BTreeSet<Arc<str>> {
--- a/src/ingress/coordinator/leadership.rs
+++ b/src/ingress/coordinator/leadership.rs
@@ -14,7 +14,7 @@
     clock::{Timestamp, millis},
     ids::HostId,
     ingress::{
-        handover,
+        capacity_orders, handover,
         notices::{self, NOTICE_KEY},
         orders::ORDER_TIMEOUT,
         permits, reach, retention,
@@ -292,7 +292,8 @@
                     fence.unwrap_or_default()
                 ),
                 retention::run_sweeps(this.host.clone()),
-                usage_reports::report(this.host.clone(), &*this)
+                usage_reports::report(this.host.clone(), &*this),
+                capacity_orders::run(this.host.clone(), &*this)
             );
         });
         *self.follow_task.borrow_mut() = Some(follow_task.abort_handle());
--- a/src/ingress/coordinator/mod.rs
+++ b/src/ingress/coordinator/mod.rs
@@ -29,18 +29,22 @@
 use crate::{
     batch::{
         job::JobId,
-        scheduler::{Action, EngineSpec, ModelLoad, Rights, RunEnd, RunNumber, Scheduler},
+        scheduler::{
+            Action, EngineSpec, ModelLoad, Rights, RunEnd, RunNumber, Scheduler, ServiceLoad,
+        },
         weights::Load,
     },
     clock::{Timestamp, millis},
     ids::{FenceNumber, UpstreamId},
     ingress::{
+        capacity_orders::LoadSource,
         directory::Upstream,
         host::Host,
         limits::ledger::ORDER_PERMIT_COUNT,
         listing::Lister,
         orders::{self, FenceSource, OrderCounts},
         permits, reach,
+        routes::ServiceName,
         runs::{self, Run},
         wire::Wire,
     },
@@ -120,6 +124,12 @@
     }
 }
 
+impl<S: RowStore, W: Wire> LoadSource for Coordinator<S, W> {
+    fn service_loads(&self, now: Timestamp) -> BTreeMap<ServiceName, ServiceLoad> {
+        self.scheduler.borrow().service_loads(now)
+    }
+}
+
 impl<S: RowStore, W: Wire> Coordinator<S, W> {
     /// Creates a coordinator that does not hold the lease yet.
     pub fn new(host: Rc<Host<S, W>>) -> Rc<Self> {
--- a/src/ingress/mod.rs
+++ b/src/ingress/mod.rs
@@ -13,6 +13,8 @@
 pub mod authentication;
 pub mod bounded;
 pub mod calls;
+pub mod capacity;
+pub mod capacity_orders;
 pub mod coordinator;
 pub mod crashes;
 pub mod detour;
--- a/src/observe/telemetry.rs
+++ b/src/observe/telemetry.rs
@@ -115,6 +115,11 @@
     USAGE_UNSENT, "usage.unsent_count", Gauge, "Windows of usage whose report has not arrived for certain.";
     USAGE_LATE, "usage.late_count", Counter, "Requests whose counts were saved after the report of their window.";
     USAGE_LOST, "usage.lost_count", Counter, "Requests whose counts this host could not save.";
+    CAPACITY_ORDERED, "capacity.ordered_count", Counter, "Orders of upstreams that the platform took from this host.";
+    CAPACITY_REFUSED, "capacity.refused_count", Counter, "Orders of upstreams for which the platform had none.";
+    CAPACITY_LOST, "capacity.lost_count", Counter, "Upstreams of scaled services that left or did not come, though they were wanted.";
+    CAPACITY_WANTED, "capacity.wanted_count", Gauge, "Upstreams that this host wants of all scaled services.";
+    CAPACITY_PRESENT, "capacity.present_count", Gauge, "Upstreams of scaled services that are listed and not leaving.";
     LEASES_TAKEN, "lease.taken_count", Counter, "Number of times that this host became the coordinator.";
     STORE_LOST, "store.lost_count", Counter, "Number of times that a feed from the store began to fail.";
     BUILD, "build.info", Gauge, "Always 1; the tags `version` and `sources` name the build of the program.";
--- a/tests/import_direction.rs
+++ b/tests/import_direction.rs
@@ -10,7 +10,15 @@
 };
 
 /// The folders with decision code, which does no I/O.
-const DECISION_FOLDERS: [&str; 6] = ["batch", "control", "engine", "host", "share", "step"];
+const DECISION_FOLDERS: [&str; 7] = [
+    "batch",
+    "control",
+    "engine",
+    "host",
+    "ingress/capacity",
+    "share",
+    "step",
+];
 
 /// The folders whose code does I/O or starts code that does.
 const IO_FOLDERS: [&str; 9] = [
