Move runs from engines that leave before the runs end

Cause: a run on an engine that leaves stayed until its stream broke off, and where the machine went silent, its item waited 0.7 to 1.6 s more.

Change: runs that would outlast the listed time left move once another engine has room; the last ones are stopped 100 ms before it is over. Nothing changes for engines without a time left.

--- a/src/batch/scheduler/engine.rs
+++ b/src/batch/scheduler/engine.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use super::{RunEnd, RunNumber};
+use super::{RunEnd, RunNumber, departures::Departure};
 use crate::{
     batch::{
         job::{Item, JobHead, ModelId},
@@ -117,6 +117,8 @@
     pub(super) unconfirmed: Option<UnconfirmedLoad>,
     /// Whether the directory no longer lists the engine.
     pub(super) is_gone: bool,
+    /// When the engine leaves, if that is known.
+    pub(super) departure: Option<Departure>,
     /// The exponential moving average of the time between two events of a run.
     pub(super) recent_interval: Option<Duration>,
     /// The average of the same interval over many more events.
@@ -164,6 +166,7 @@
             loading: None,
             unconfirmed: None,
             is_gone: false,
+            departure: None,
             recent_interval: None,
             baseline_interval: None,
             last_event_at: Duration::ZERO,
--- a/src/batch/scheduler/mod.rs
+++ b/src/batch/scheduler/mod.rs
@@ -6,6 +6,7 @@
 //! previous one did not list (see docs/design/platform.md, "Batch jobs").
 
 mod candidates;
+mod departures;
 mod dispatch;
 mod engine;
 mod events;
@@ -200,6 +201,7 @@
                 }
                 Some(engine) => {
                     engine.spec = spec;
+                    engine.departure = None;
                     engine.loading = None;
                     engine.unconfirmed = None;
                     engine.backoff_until = Duration::ZERO;
@@ -325,8 +327,11 @@
             actions.extend(self.stop_stalled(now));
             actions.extend(self.fail_overdue(now));
             if rights.may_start {
-                let moved = self.move_from_slow(now);
-                // Both would move runs to the same free slots.
+                let mut moved = self.move_from_leaving(now);
+                if moved.is_empty() {
+                    moved = self.move_from_slow(now);
+                }
+                // All would move runs to the same free slots.
                 if moved.is_empty() {
                     actions.extend(self.move_to_faster(now));
                 }
--- a/src/batch/scheduler/moves.rs
+++ b/src/batch/scheduler/moves.rs
@@ -81,7 +81,7 @@
     }
 
     /// Stops `runs`, so that their items continue on other engines.
-    fn stop(&mut self, runs: &[RunNumber], end: RunEnd, now: Timestamp) -> Vec<Action> {
+    pub(super) fn stop(&mut self, runs: &[RunNumber], end: RunEnd, now: Timestamp) -> Vec<Action> {
         runs.iter()
             .map(|run| {
                 self.record_run_end(*run, end, now);
@@ -201,7 +201,12 @@
 
     /// Returns whether an item that must start before `start_by` is waiting and
     /// could start on `engine`.
-    fn has_earlier_waiter(&self, engine: &Engine, start_by: Timestamp, now: Timestamp) -> bool {
+    pub(super) fn has_earlier_waiter(
+        &self,
+        engine: &Engine,
+        start_by: Timestamp,
+        now: Timestamp,
+    ) -> bool {
         self.jobs.values().any(|job| {
             let Some(&first) = job.queue.front() else {
                 return false;
--- a/src/ingress/coordinator/mod.rs
+++ b/src/ingress/coordinator/mod.rs
@@ -216,6 +216,7 @@
             };
             if self.engines_revision.replace(Some(revision)) != Some(revision) {
                 scheduler.set_engines(self.engine_specs());
+                scheduler.set_departures(&self.times_left(), now);
             }
             scheduler.set_permits(&self.run_permits(now));
             for (model, version) in &self.host.view.borrow().named_versions {
@@ -334,6 +335,15 @@
             .collect()
     }
 
+    /// Returns the time left of each upstream that is listed as leaving.
+    fn times_left(&self) -> BTreeMap<UpstreamId, Duration> {
+        let view = self.host.view.borrow();
+        let upstreams = view.directory.upstreams();
+        upstreams
+            .filter_map(|upstream| Some((upstream.id.clone(), upstream.leaves_in?)))
+            .collect()
+    }
+
     fn cancel_runs(&self, actions: &[Action]) {
         let mut runs = self.runs.borrow_mut();
         for action in actions {
--- a/tests/item_scheduling.rs
+++ b/tests/item_scheduling.rs
@@ -591,3 +591,55 @@
 fn probe_of_overdue_item() {
     play_cancelled_probe(|scheduler, now| scheduler.poll(now + Duration::from_millis(600), RIGHTS));
 }
+
+/// Sets the time left of `engine-0`, which is leaving, and of how many engines there are.
+fn announce_departure(fleet: &mut Fleet, engine_count: usize, left: Duration) {
+    let engines = (0..engine_count).map(|index| EngineSpec {
+        is_draining: index == 0,
+        ..engine(&format!("engine-{index}"), 12)
+    });
+    fleet.scheduler.set_engines(engines.collect());
+    let times_left = BTreeMap::from([("engine-0".into(), left)]);
+    fleet.scheduler.set_departures(&times_left, fleet.now);
+}
+
+/// Runs that outlast their engine move while another one has room, and those that end in time
+/// stay. Guards against items that wait until the silence of an engine that is gone is noticed.
+#[test]
+fn leaving_engine() {
+    let mut fleet = Fleet::new(3, 12, 100);
+    fleet.long_count = 4;
+    fleet.open("job", 12);
+    fleet.run_for(Duration::from_millis(100));
+    assert_eq!(fleet.running_on("engine-0"), 4);
+    announce_departure(&mut fleet, 3, Duration::from_millis(2_500));
+    // An item is expected to generate as much again once it exceeds its hint.
+    fleet.run_for(Duration::from_millis(1_600));
+    assert_eq!(fleet.running_on("engine-0"), 0);
+    let moved: Vec<_> = fleet.starts.iter().filter(|(.., last)| *last > 0).collect();
+    assert!(!moved.is_empty() && moved.iter().all(|(_, index, ..)| *index < 4));
+    assert_eq!(moved.len(), fleet.cancelled.len());
+    fleet.run_for(Duration::from_millis(900));
+    fleet
+        .intervals
+        .insert("engine-0".into(), Duration::from_secs(1_000));
+    fleet.run_for(Duration::from_secs(2));
+    assert_eq!(fleet.scheduler.finished(&"job".into()).len(), 12);
+}
+
+/// Without room elsewhere, runs stay as long as their engine and resume where they were.
+#[test]
+fn leaving_without_room() {
+    let mut fleet = Fleet::new(2, 12, 100);
+    fleet.open("job", 24);
+    fleet.run_for(Duration::from_millis(100));
+    announce_departure(&mut fleet, 2, Duration::from_millis(1_500));
+    fleet.run_for(Duration::from_millis(1_200));
+    assert_eq!(fleet.running_on("engine-0"), 12);
+    fleet.run_for(Duration::from_millis(300));
+    assert_eq!(fleet.running_on("engine-0"), 0);
+    fleet.run_for(Duration::from_secs(8));
+    let resumed = fleet.starts.iter().filter(|(.., last)| *last >= 30);
+    assert_eq!(resumed.count(), 12);
+    assert_eq!(fleet.scheduler.finished(&"job".into()).len(), 24);
+}
