--- a/src/ingress/coordinator/mod.rs
+++ b/src/ingress/coordinator/mod.rs
@@ -29,12 +29,15 @@
 use crate::{
     batch::{
         job::JobId,
-        scheduler::{Action, EngineSpec, ModelLoad, Rights, RunEnd, RunNumber, Scheduler},
+        scheduler::{
+            Action, EngineSpec, ModelLoad, Rights, RunEnd, RunNumber, Scheduler, ServiceLoad,
+        },
         weights::Load,
     },
     clock::{Timestamp, millis},
     ids::{FenceNumber, UpstreamId},
     ingress::{
+        capacity_orders::LoadSource,
         directory::Upstream,
         host::Host,
         limits::ledger::ORDER_PERMIT_COUNT,
@@ -42,6 +45,7 @@
         memory::Charge,
         orders::{self, FenceSource, OrderCounts},
         permits, reach,
+        routes::ServiceName,
         runs::{self, Run},
         wire::Wire,
     },
@@ -126,6 +130,12 @@
     }
 }
 
+impl<S: RowStore, W: Wire> LoadSource for Coordinator<S, W> {
+    fn service_loads(&self, now: Timestamp) -> BTreeMap<ServiceName, ServiceLoad> {
+        self.scheduler.borrow().service_loads(now)
+    }
+}
+
 impl<S: RowStore, W: Wire> Coordinator<S, W> {
     /// Creates a coordinator that does not hold the lease yet.
     pub fn new(host: Rc<Host<S, W>>) -> Rc<Self> {
@@ -214,6 +224,7 @@
             };
             if self.engines_revision.replace(Some(revision)) != Some(revision) {
                 scheduler.set_engines(self.engine_specs());
+                scheduler.set_departures(&self.times_left(), now);
             }
             scheduler.set_permits(&self.run_permits(now));
             for (model, version) in &self.host.view.borrow().named_versions {
@@ -332,6 +343,15 @@
             .collect()
     }
 
+    /// Returns the time left of each upstream that is listed as leaving.
+    fn times_left(&self) -> BTreeMap<UpstreamId, Duration> {
+        let view = self.host.view.borrow();
+        let upstreams = view.directory.upstreams();
+        upstreams
+            .filter_map(|upstream| Some((upstream.id.clone(), upstream.leaves_in?)))
+            .collect()
+    }
+
     fn cancel_runs(&self, actions: &[Action]) {
         let mut runs = self.runs.borrow_mut();
         for action in actions {
--- a/tests/client_memory.rs
+++ b/tests/client_memory.rs
@@ -115,7 +115,7 @@
             relay: relay.address,
             store: store_address,
         };
-        let text = boot_file("entry-1", "zone-a", addresses, Duration::from_secs(3));
+        let text = boot_file("entry-1", "zone-a", addresses, Duration::from_secs(3), None);
         let mut boot: Value = serde_json::from_str(&text).unwrap();
         boot["limits"]["memory_mb"] = json!(limits.memory_mb);
         boot["limits"]["max_fds"] = json!(limits.max_fd_count);
--- a/tests/import_direction.rs
+++ b/tests/import_direction.rs
@@ -16,6 +16,7 @@
     "engine",
     "host",
     "ingress/memory",
+    "ingress/capacity",
     "share",
     "step",
 ];
