--- a/src/batch/job.rs
+++ b/src/batch/job.rs
@@ -98,7 +98,8 @@
     /// encoded apart from the other fields, as [`Item::reward`] is.
     #[serde(skip)]
     pub account: Option<AccountId>,
-    /// The priority of the job; 0 is the most urgent. It is encoded with the account.
+    /// The priority of the job; 0 is the most urgent, and that of all jobs where requests
+    /// carry no keys. It is encoded with the account.
     #[serde(skip)]
     pub priority: u32,
 }
--- a/src/ingress/usage/tally.rs
+++ b/src/ingress/usage/tally.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use super::{Counts, KEPT_WINDOW_COUNT, WindowNumber, add_counts, total};
+use super::{Counts, KEPT_WINDOW_COUNT, WindowNumber, total};
 use crate::ids::AccountId;
 
 /// Counts that are saved in one row.
@@ -61,19 +61,6 @@
         self.unconfirmed.retain(|batch| batch.sequence != sequence);
     }
 
-    /// Records that the batch `sequence` was certainly not saved, so that later counts of its
-    /// window can join it.
-    pub fn record_not_saved(&mut self, sequence: u64) {
-        let position = self
-            .unconfirmed
-            .iter()
-            .position(|batch| batch.sequence == sequence);
-        if let Some(position) = position {
-            let batch = self.unconfirmed.swap_remove(position);
-            add_counts(self.counts.entry(batch.window).or_default(), &batch.counts);
-        }
-    }
-
     /// Drops the counts of windows that are no longer reported at `current`, and returns
     /// their number.
     pub fn drop_outdated(&mut self, current: WindowNumber) -> u64 {
--- a/src/platform/wire.rs
+++ b/src/platform/wire.rs
@@ -178,7 +178,8 @@
                 account: caller.account().cloned(),
                 priority: match caller {
                     Caller::Account(holder) => holder.priority.unwrap_or(route.priority),
-                    Caller::Unknown | Caller::Public => route.priority,
+                    Caller::Public => route.priority,
+                    Caller::Unknown => 0,
                 },
             },
             items,
