Decode the shared parts of an item's prompt

Cause: the scheduler is to know which parts of a prompt an engine holds already. The client names them in a header of the item.

Change: Wire::prompt_parts decodes them from the item's stored headers, so that the stored rows stay as they are and hosts of earlier builds read them. The list of the platform's names that may not stand elsewhere has the header.

--- a/src/batch/job.rs
+++ b/src/batch/job.rs
@@ -41,6 +41,18 @@
     pub body: Bytes,
 }
 
+/// A part of a prompt that other items may have as well.
+///
+/// An engine that holds a part and all parts before it, read under the same weights, does
+/// not read them again.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PromptPart {
+    /// The identifier, chosen by the client.
+    pub id: String,
+    /// The length of the part.
+    pub tokens: u64,
+}
+
 /// One item as the client submitted it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Item {
--- a/src/ingress/wire.rs
+++ b/src/ingress/wire.rs
@@ -11,7 +11,8 @@
 
 use crate::{
     batch::job::{
-        EventNumber, Item, ItemId, ItemResult, Job, JobId, ModelId, RewardRequest, Score,
+        EventNumber, Item, ItemId, ItemResult, Job, JobId, ModelId, PromptPart, RewardRequest,
+        Score,
     },
     connection::UpstreamRequest,
     ids::{AccountId, FailureDomain, FenceNumber, HostId, UpstreamId, WeightVersion},
@@ -374,6 +375,9 @@
         caller: &Caller,
     ) -> Result<Job, DecodeError>;
 
+    /// Decodes the shared parts of an item's prompt, in their order.
+    fn prompt_parts(item: &Item) -> Vec<PromptPart>;
+
     /// Encodes results of a job.
     fn results(total_count: usize, next: usize, results: &[ItemResult]) -> Bytes;
 
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -10,6 +10,7 @@
 mod documents;
 mod events;
 mod names;
+mod prompts;
 pub mod standin;
 pub mod store;
 pub mod sweep;
--- a/src/platform/names.rs
+++ b/src/platform/names.rs
@@ -30,6 +30,9 @@
 /// The header with the number of prompt tokens and the maximum number of output
 /// tokens.
 pub const TOKEN_USAGE: &str = "token-usage";
+/// The header with the shared parts of an item's prompt, in their order: `ID:TOKENS`,
+/// separated by commas.
+pub const PROMPT_PREFIX: &str = "prompt-prefix";
 /// The header with the key by which a client shows its account.
 pub const API_KEY: &str = "x-api-key";
 /// The header with the name of the account on whose behalf an upstream runs a request.
--- a/src/platform/wire.rs
+++ b/src/platform/wire.rs
@@ -10,7 +10,8 @@
 
 use crate::{
     batch::job::{
-        EventNumber, Item, ItemId, ItemResult, ItemState, Job, JobHead, JobId, RewardRequest,
+        EventNumber, Item, ItemId, ItemResult, ItemState, Job, JobHead, JobId, PromptPart,
+        RewardRequest,
     },
     call::terms,
     clock::millis,
@@ -33,7 +34,7 @@
             ScorerDocument, UpstreamDocument, UsageDocument, VersionDocument,
         },
         events::PlatformEvents,
-        names,
+        names, prompts,
     },
     store::rows::StoredRow,
 };
@@ -179,6 +180,10 @@
         })
     }
 
+    fn prompt_parts(item: &Item) -> Vec<PromptPart> {
+        prompts::decode_parts(item)
+    }
+
     fn results(total_count: usize, next: usize, results: &[ItemResult]) -> Bytes {
         let document = ResultsDocument {
             total: total_count,
--- a/tests/platform_names.rs
+++ b/tests/platform_names.rs
@@ -7,7 +7,7 @@
     path::{Path, PathBuf},
 };
 
-const PROTOCOL_NAMES: [&str; 18] = [
+const PROTOCOL_NAMES: [&str; 19] = [
     "attempt-id",
     "\"deadline-ms",
     "not-executed",
@@ -16,6 +16,7 @@
     "weight-versions",
     "length-hint",
     "token-usage",
+    "prompt-prefix",
     "rows-tx",
     "rows-get",
     "rows-feed",
--- a/tests/platform_wire.rs
+++ b/tests/platform_wire.rs
@@ -206,6 +206,40 @@
     )
 }
 
+/// The shared parts of a prompt are read up to the first that cannot be decoded, and the
+/// engine gets the header as the client sent it.
+#[test]
+fn prompt_parts() {
+    let configuration = configuration();
+    let route = configuration.route("ficu95.example", "/pufi791/x").unwrap();
+    let parts = parts("POST", "/pufi791/7c41e0");
+    for (value, expected) in [
+        ("s1:260", vec![("s1", 260)]),
+        ("s1:260, g:7:1000", vec![("s1", 260), ("g:7", 1_000)]),
+        ("s1:260,broken,s2:4", vec![("s1", 260)]),
+        ("s1:-1", vec![]),
+        ("", vec![]),
+    ] {
+        let body = format!(
+            r#"{{"step":7,"model":"m","min_version":6,"items":[{{"id":"e5b2","path":"/p/1",
+            "headers":{{"Prompt-Prefix":"{value}"}},"body":"","tokens":940,"group":"g1"}}]}}"#
+        );
+        let job = PlatformWire::job(
+            &"7c41".into(),
+            &parts,
+            body.as_bytes(),
+            route,
+            &Caller::Unknown,
+        )
+        .unwrap();
+        let found = PlatformWire::prompt_parts(&job.items[0]);
+        let found: Vec<(&str, u64)> = found.iter().map(|p| (&*p.id, p.tokens)).collect();
+        assert_eq!(found, expected, "{value}");
+        let header = ("Prompt-Prefix".to_owned(), value.to_owned());
+        assert!(job.items[0].headers.contains(&header));
+    }
+}
+
 /// An item names the request for its score, which is sent as it is.
 #[test]
 fn reward_request() {
