Divide slots among accounts, and place items by their prompts

Cause: the item that must start soonest went first, whoever sent it, so that a large account took the slots of small ones. Prompts counted for memory only, so that several long ones met on one engine and delayed first events there.

Change: while items of several accounts wait in a service, the order is by priority, then by how the account's runs compare to its equal part, then by time; one item of lower priorities starts for each ten others. A long prompt starts where the prompts that wait leave room for it within a budget, which follows the share of long prompts, and the time to read prompts is part of an engine's cost. Engines that hold shared parts are looked at besides the index.

Turned off one at a time: ranks, the lower part, the minimum of priorities, the observed runs, the budget, its growth, held parts, the rule for engines without prompts; at least one test failed each time.

--- a/src/batch/scheduler/dispatch.rs
+++ b/src/batch/scheduler/dispatch.rs
@@ -3,11 +3,14 @@
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use super::{
-    Action, Run, Scheduler,
-    candidates::Candidates,
+    Action, OpenJob, Run, Scheduler,
+    candidates::{Candidates, Found, Search},
     engine::{
         DEFAULT_EVENT_INTERVAL, Engine, LOAD_TIMEOUT, Loading, UnconfirmedLoad, planned_tokens,
     },
+    fairness::Round,
+    prompts::Prompt,
+    reading,
 };
 use crate::{
     batch::{
@@ -26,6 +29,16 @@
 /// The interval below which searches are not limited.
 const MIN_DISPATCH_INTERVAL: Duration = Duration::from_millis(1);
 
+/// A job with waiting items in a round of starts.
+#[derive(Clone, Debug)]
+struct WaitingJob {
+    id: JobId,
+    /// The position in the queue of the first item that is not put off in this round.
+    next: usize,
+    /// The position of the job's account in the round.
+    share: usize,
+}
+
 /// Returns whether no engine can go on with `output`, now or later, so that its item must
 /// start anew: no engine of its software version takes new runs, or a single weight
 /// version must generate it and no engine holds that.
@@ -58,23 +71,51 @@
 
 impl Scheduler {
     /// Starts waiting items of all jobs, in the order of the time by which they
-    /// must start.
+    /// must start, as far as accounts and priorities have their parts.
     ///
     /// A step cannot end before its longest item, so short items of one job
     /// give way to long items of another.
     pub(super) fn dispatch(&mut self, now: Timestamp, actions: &mut Vec<Action>) {
-        let mut waiting: Vec<JobId> = self
+        let is_waiting = |job: &&OpenJob| !job.queue.is_empty();
+        let shares = self.jobs.values().filter(is_waiting);
+        let mut round = self
+            .shares
+            .begin_round(shares.map(|job| (&job.share, job.queue.len())), |service| {
+                self.slot_count(service)
+            });
+        let mut waiting: Vec<WaitingJob> = self
             .jobs
             .iter()
-            .filter(|(_, job)| !job.queue.is_empty())
-            .map(|(id, _)| id.clone())
+            .filter(|(_, job)| is_waiting(job))
+            .map(|(id, job)| WaitingJob {
+                id: id.clone(),
+                next: 0,
+                share: round.position(&job.share),
+            })
             .collect();
         let mut candidates: BTreeMap<(ModelId, Arc<str>), Candidates> = BTreeMap::new();
-        while let Some(position) = self.most_urgent(&waiting) {
-            if !self.start_first(&waiting[position], &mut candidates, now, actions) {
+        self.has_put_off_prompts = false;
+        while let Some((position, is_most_urgent)) = self.first_in_order(&waiting, &round) {
+            let job = &mut waiting[position];
+            if self.start_first(job, &mut candidates, now, actions) {
+                round.record_start(job.share);
+                if !is_most_urgent {
+                    self.shares.record_put_off();
+                }
+            } else {
                 waiting.swap_remove(position);
             }
         }
+        self.shares.end_round(round);
+    }
+
+    /// Returns the number of requests that the engines of a service run at once.
+    fn slot_count(&self, service: &str) -> usize {
+        self.engines
+            .values()
+            .filter(|engine| engine.serves(service))
+            .map(|engine| engine.spec.slot_count)
+            .sum()
     }
 
     /// Returns whether the last poll looked for no engines, since the one before
@@ -93,33 +134,39 @@
         interval
     }
 
-    /// Returns the position in `jobs` of the job whose first waiting item must
-    /// start the earliest.
-    fn most_urgent(&self, jobs: &[JobId]) -> Option<usize> {
-        jobs.iter()
+    /// Returns the position in `jobs` of the job whose item starts next, and whether it has
+    /// the item that must start the earliest of all.
+    fn first_in_order(&self, jobs: &[WaitingJob], round: &Round) -> Option<(usize, bool)> {
+        let start_by = |waiting: &WaitingJob| {
+            let job = self.jobs.get(&waiting.id)?;
+            let first = *job.queue.get(waiting.next)?;
+            Some(job.start_by(first, self.tokens_per_event(job)))
+        };
+        let mut earliest = Timestamp::MAX;
+        let (.., position, at) = jobs
+            .iter()
             .enumerate()
-            .filter_map(|(position, id)| {
-                let job = self.jobs.get(id)?;
-                let first = *job.queue.front()?;
-                Some((
-                    job.start_by(first, self.tokens_per_event(job)),
-                    id,
-                    position,
-                ))
+            .filter_map(|(position, waiting)| {
+                let at = start_by(waiting)?;
+                if at < earliest {
+                    earliest = at;
+                }
+                Some((round.rank(waiting.share), at, &waiting.id, position, at))
             })
-            .min()
-            .map(|(.., position)| position)
+            .min()?;
+        Some((position, earliest == at))
     }
 
     /// Starts the first waiting item of a job that can start, and returns whether the
     /// job may have more items to start now.
     fn start_first(
         &mut self,
-        id: &JobId,
+        waiting: &mut WaitingJob,
         candidates: &mut BTreeMap<(ModelId, Arc<str>), Candidates>,
         now: Timestamp,
         actions: &mut Vec<Action>,
     ) -> bool {
+        let id = &waiting.id;
         let Some(tokens_per_event) = self.jobs.get(id).map(|job| self.tokens_per_event(job)) else {
             return false;
         };
@@ -130,9 +177,12 @@
         let head = &job.job.head;
         let candidates = candidates
             .entry((head.model.clone(), head.service.clone()))
-            .or_insert_with(|| Candidates::new(self.engines.values(), head, typical_interval, now));
+            .or_insert_with(|| {
+                let engines = self.engines.values();
+                Candidates::new(engines, head, typical_interval, self.reading, now)
+            });
         let mut chosen = None;
-        for (position, &item_index) in job.queue.iter().enumerate() {
+        for (position, &item_index) in job.queue.iter().enumerate().skip(waiting.next) {
             let item = &job.job.items[item_index];
             let state = &mut job.items[item_index];
             if is_lost(&self.engines, head, &state.output) {
@@ -140,10 +190,34 @@
                 state.is_begun_anew = true;
             }
             let tokens = planned_tokens(item, &state.output, tokens_per_event);
-            let engine = candidates.cheapest(&self.engines, head, item, &state.output, tokens, now);
-            if let Some(engine) = engine {
-                chosen = Some((position, item_index, tokens, engine));
-                break;
+            let output_tokens = state.output.last_event() * tokens_per_event;
+            let prompt = Prompt::new(item, &state.parts, output_tokens, state.put_off_at, now);
+            let search = Search {
+                head,
+                item,
+                output: &state.output,
+                tokens,
+                prompt,
+            };
+            let holders = self.part_holders.find(&state.parts);
+            match candidates.cheapest(&self.engines, &search, holders, now) {
+                Found::Engine(engine) => {
+                    chosen = Some((position, item_index, tokens, engine));
+                    break;
+                }
+                Found::PutOff => {
+                    self.has_put_off_prompts = true;
+                    if state.put_off_at.is_none() {
+                        state.put_off_at = Some(now);
+                        self.prompt_put_off_count += 1;
+                    }
+                    // The next search of this round begins behind it.
+                    if position == waiting.next {
+                        waiting.next += 1;
+                    }
+                    continue;
+                }
+                Found::Nothing => {}
             }
             // An item that can start anywhere finds no engine, and no later one will. One
             // that goes on waits for its version, and one that is too large for engines in use
@@ -171,6 +245,24 @@
             unconfirmed.probe = Some(run);
         }
         engine.begin_run(tokens, now);
+        let output_tokens = state.output.last_event() * tokens_per_event;
+        let item = &job.job.items[item_index];
+        let prompt = Prompt::new(item, &state.parts, output_tokens, state.put_off_at, now);
+        let version = engine.version(&head.model);
+        let memory_tokens = engine.spec.memory_tokens;
+        let slowness_ratio = reading::slowness_ratio(engine, typical_interval, now);
+        let run_prompt = engine.prompts.begin_run(
+            &prompt,
+            version,
+            memory_tokens,
+            &self.reading,
+            slowness_ratio,
+            now,
+        );
+        self.reading.record_start(&prompt, &run_prompt);
+        self.part_holders.record(&state.parts, &engine.spec.id);
+        state.put_off_at = None;
+        self.shares.begin_run(&job.share);
         self.runs.insert(
             run,
             Run {
@@ -179,6 +271,8 @@
                 engine: engine.spec.id.clone(),
                 software_version: engine.spec.software_version.clone(),
                 tokens,
+                share: job.share.clone(),
+                prompt: run_prompt,
                 last_event_at: now,
                 event_count: 0,
             },
--- a/src/batch/scheduler/engine.rs
+++ b/src/batch/scheduler/engine.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use super::{RunEnd, RunNumber};
+use super::{RunEnd, RunNumber, prompts::EnginePrompts};
 use crate::{
     batch::{
         job::{Item, JobHead, ModelId},
@@ -125,6 +125,7 @@
     pub(super) last_event_at: Timestamp,
     /// The end of the last load, which had paused the runs.
     pub(super) load_ended_at: Timestamp,
+    pub(super) prompts: EnginePrompts,
 }
 
 /// A load of weights in progress.
@@ -151,7 +152,7 @@
 }
 
 impl Engine {
-    pub(super) const fn new(spec: EngineSpec) -> Self {
+    pub(super) fn new(spec: EngineSpec) -> Self {
         Self {
             spec,
             run_count: 0,
@@ -168,6 +169,7 @@
             baseline_interval: None,
             last_event_at: Duration::ZERO,
             load_ended_at: Duration::ZERO,
+            prompts: EnginePrompts::default(),
         }
     }
 
@@ -223,10 +225,11 @@
             .is_some_and(|loading| loading.load.model == *model)
     }
 
-    /// Records the end of a load, which had paused the engine's runs.
+    /// Records the end of a load, which had paused the engine's runs and dropped its cache.
     pub(super) fn end_load(&mut self, now: Timestamp) {
         self.loading = None;
         self.load_ended_at = now;
+        self.prompts.clear_held();
     }
 
     pub(super) fn set_version(&mut self, model: &ModelId, version: WeightVersion) {
--- a/src/batch/scheduler/events.rs
+++ b/src/batch/scheduler/events.rs
@@ -2,7 +2,8 @@
 
 use super::{
     OrderState, RunEnd, RunNumber, Scheduler,
-    engine::{LOAD_DURATION, PROBE_INTERVAL},
+    engine::{DEFAULT_EVENT_INTERVAL, LOAD_DURATION, PROBE_INTERVAL},
+    reading,
 };
 use crate::{
     batch::{
@@ -92,6 +93,16 @@
                         + interval.mul_f64(TYPICAL_SMOOTHING_RATIO),
                 );
             }
+            if state.event_count == 0 {
+                let event_interval = self.typical_interval.unwrap_or(DEFAULT_EVENT_INTERVAL);
+                reading::record_first_event(
+                    engine,
+                    &mut self.reading,
+                    &state.prompt,
+                    event_interval,
+                    now,
+                );
+            }
             engine.record_event(now);
         }
         state.event_count += 1;
@@ -118,6 +129,12 @@
         };
         let max_attempts = job.job.head.max_attempts.max(1);
         let item = &mut job.items[state.item_index];
+        if state.event_count == 0
+            && let Some(engine) = self.engines.get_mut(&state.engine)
+        {
+            let version = engine.version(&job.job.head.model);
+            engine.prompts.forget(&item.parts, version);
+        }
         match end {
             RunEnd::Completed => job.complete(state.item_index, now),
             RunEnd::Impossible => job.finish(state.item_index, ItemState::Failed, None),
--- a/src/batch/scheduler/mod.rs
+++ b/src/batch/scheduler/mod.rs
@@ -9,8 +9,12 @@
 mod dispatch;
 mod engine;
 mod events;
+mod fairness;
 mod moves;
 mod outputs;
+mod prompts;
+mod reading;
+mod release;
 mod report;
 mod results;
 mod rewards;
@@ -18,6 +22,7 @@
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, BTreeSet, VecDeque},
+    sync::Arc,
     time::Duration,
 };
 
@@ -34,11 +39,15 @@
 
 pub use self::{
     engine::EngineSpec,
+    prompts::PromptLoad,
     report::ModelLoad,
     rewards::{DueReward, RewardOutcome},
 };
 use self::{
     engine::{DEFAULT_EVENT_INTERVAL, Engine, remaining_event_count},
+    fairness::{ShareKey, Shares},
+    prompts::{KeyedPart, PartHolders, RunPrompt},
+    reading::Reading,
     rewards::{HedgeBudget, RewardCall},
 };
 
@@ -53,9 +62,6 @@
 /// the number of engines.
 const REVIEW_INTERVAL_PER_ENGINE: Duration = Duration::from_micros(40);
 
-/// The margin after its TTL before an item is failed, to allow for clock skew.
-const TTL_MARGIN: Duration = Duration::from_millis(500);
-
 /// How a run ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "kebab-case")]
@@ -124,12 +130,18 @@
     run: Option<RunNumber>,
     failed_count: u32,
     is_done: bool,
+    /// The shared parts of the prompt.
+    parts: Box<[KeyedPart]>,
+    /// When the item was first put off, since engines read other prompts.
+    put_off_at: Option<Timestamp>,
 }
 
 /// The state of an open job.
 #[derive(Clone, Debug)]
 struct OpenJob {
     job: Job,
+    /// Whose part of the slots the job's runs take.
+    share: Arc<ShareKey>,
     items: Vec<OpenItem>,
     /// The indexes of items that wait for an engine, the most urgent first.
     queue: VecDeque<usize>,
@@ -152,6 +164,8 @@
     software_version: SoftwareVersion,
     /// The planned memory use.
     tokens: u64,
+    share: Arc<ShareKey>,
+    prompt: RunPrompt,
     last_event_at: Timestamp,
     event_count: u64,
 }
@@ -182,6 +196,11 @@
     /// The time of the last search for engines for waiting items.
     dispatched_at: Timestamp,
     is_dispatch_deferred: bool,
+    shares: Shares,
+    reading: Reading,
+    part_holders: PartHolders,
+    has_put_off_prompts: bool,
+    prompt_put_off_count: u64,
 }
 
 impl Scheduler {
@@ -204,6 +223,7 @@
                     engine.unconfirmed = None;
                     engine.backoff_until = Duration::ZERO;
                     engine.failure_count = 0;
+                    engine.prompts.clear_held();
                 }
                 None => {
                     self.engines.insert(spec.id.clone(), Engine::new(spec));
@@ -247,6 +267,8 @@
                 run: None,
                 failed_count: 0,
                 is_done: listed.contains(&item.id),
+                parts: Box::default(),
+                put_off_at: None,
             });
         }
         let (whole, mut order): (Vec<usize>, Vec<usize>) = (0..items.len())
@@ -260,8 +282,14 @@
             )
         });
         let id = job.id.clone();
+        let share = ShareKey {
+            service: job.head.service.clone(),
+            priority: job.head.priority,
+            account: job.head.account.clone(),
+        };
         let mut open_job = OpenJob {
             job,
+            share: share.into(),
             items,
             queue: order.into(),
             scorings: BTreeMap::new(),
@@ -373,45 +401,6 @@
         runs.into_iter().map(|run| Action::Cancel { run }).collect()
     }
 
-    /// Fails the unfinished items of jobs whose TTL has passed, and stops their
-    /// runs.
-    fn fail_overdue(&mut self, now: Timestamp) -> Vec<Action> {
-        let overdue: Vec<JobId> = self
-            .jobs
-            .iter()
-            .filter(|(_, job)| {
-                let age = job.age + now.saturating_sub(job.opened_at);
-                age >= job.job.head.item_ttl + TTL_MARGIN
-            })
-            .map(|(id, _)| id.clone())
-            .collect();
-        let mut stopped = Vec::new();
-        for id in overdue {
-            let Some(job) = self.jobs.get_mut(&id) else {
-                continue;
-            };
-            for index in 0..job.items.len() {
-                stopped.extend(job.items[index].run.take());
-                stopped.extend(job.stop_scoring(index));
-                job.finish(index, ItemState::Failed, None);
-            }
-            job.queue.clear();
-        }
-        self.cancel(stopped)
-    }
-
-    /// Removes runs and reward calls, and returns the actions that cancel them.
-    fn cancel(&mut self, numbers: impl IntoIterator<Item = RunNumber>) -> Vec<Action> {
-        numbers
-            .into_iter()
-            .map(|run| {
-                self.rewards.remove(&run);
-                self.release(run);
-                Action::Cancel { run }
-            })
-            .collect()
-    }
-
     /// Returns the number of tokens per event on the engines of `job`'s
     /// service, or 1 if no such engine is known.
     fn tokens_per_event(&self, job: &OpenJob) -> u64 {
@@ -420,23 +409,6 @@
             .find(|engine| engine.spec.service == job.job.head.service)
             .map_or(1, |engine| engine.spec.tokens_per_event)
     }
-
-    /// Removes `run` from its engine and its item, and returns it with whether it probed a
-    /// load.
-    fn release(&mut self, run: RunNumber) -> Option<(Run, bool)> {
-        let state = self.runs.remove(&run)?;
-        let was_probe = self
-            .engines
-            .get_mut(&state.engine)
-            .is_some_and(|engine| engine.end_run(run, state.tokens));
-        if let Some(job) = self.jobs.get_mut(&state.job)
-            && let Some(item) = job.items.get_mut(state.item_index)
-            && item.run == Some(run)
-        {
-            item.run = None;
-        }
-        Some((state, was_probe))
-    }
 }
 
 /// An engine's answer to an order that it accepted.
--- a/src/ingress/coordinator/jobs.rs
+++ b/src/ingress/coordinator/jobs.rs
@@ -405,6 +405,9 @@
         self.scheduler
             .borrow_mut()
             .open(loaded.job, &loaded.listed, age, now);
+        self.scheduler
+            .borrow_mut()
+            .set_prompt_parts(job, W::prompt_parts);
         // No run of the job can have started yet, since nothing was awaited after
         // it was opened.
         if !outputs.is_empty() {
--- a/src/ingress/coordinator/mod.rs
+++ b/src/ingress/coordinator/mod.rs
@@ -10,6 +10,7 @@
 pub mod deference;
 mod jobs;
 mod leadership;
+mod loads;
 mod rewards;
 
 use std::{
@@ -29,7 +30,7 @@
 use crate::{
     batch::{
         job::JobId,
-        scheduler::{Action, EngineSpec, ModelLoad, Rights, RunEnd, RunNumber, Scheduler},
+        scheduler::{Action, EngineSpec, Rights, RunEnd, RunNumber, Scheduler},
         weights::Load,
     },
     clock::{Timestamp, millis},
@@ -44,9 +45,7 @@
         runs::{self, Run},
         wire::Wire,
     },
-    observe::telemetry::{
-        ITEMS_WAITING, JOBS_LED, ORDERS_SENT, REWARDS_WAITING, RUNS_BROKEN, RUNS_OPEN, RUNS_STARTED,
-    },
+    observe::telemetry::{ORDERS_SENT, RUNS_BROKEN, RUNS_STARTED},
     store::rows::RowStore,
     weights::lease::Machine,
 };
@@ -61,6 +60,10 @@
 /// How often the scheduler runs if nothing wakes it earlier.
 const SCHEDULER_TICK: Duration = Duration::from_millis(100);
 
+/// The interval at which the scheduler runs at least while items wait for engines to read
+/// other prompts, since first events do not wake it.
+const PROMPT_TICK: Duration = Duration::from_millis(10);
+
 /// How long the scheduler waits after it is woken, so that runs that end
 /// together are handled in one round.
 const ROUND_BATCH_DELAY: Duration = Duration::from_millis(4);
@@ -91,6 +94,8 @@
     lister: Lister<S>,
     follow_task: RefCell<Option<AbortHandle>>,
     last_reported_at: Cell<Timestamp>,
+    /// How many starts prompts and shares had put off at the last report.
+    put_off_counts: Cell<(u64, u64)>,
     /// The directory's revision and the configuration's version from which the
     /// scheduler's engines were last set.
     engines_revision: Cell<Option<(u64, Option<u64>)>>,
@@ -143,6 +148,7 @@
             order_counts: RefCell::default(),
             follow_task: RefCell::default(),
             last_reported_at: Cell::new(Duration::ZERO),
+            put_off_counts: Cell::default(),
             engines_revision: Cell::new(None),
             reads: RefCell::default(),
             last_read: Cell::new(0),
@@ -174,9 +180,14 @@
             let woken = self.wake.notified();
             let tick = {
                 let scheduler = self.scheduler.borrow();
-                match scheduler.has_deferred_dispatch() {
-                    true => scheduler.dispatch_interval().min(SCHEDULER_TICK),
-                    false => SCHEDULER_TICK,
+                if scheduler.has_deferred_dispatch() {
+                    scheduler.dispatch_interval().min(SCHEDULER_TICK)
+                } else if scheduler.has_put_off_prompts() {
+                    scheduler
+                        .dispatch_interval()
+                        .clamp(PROMPT_TICK, SCHEDULER_TICK)
+                } else {
+                    SCHEDULER_TICK
                 }
             };
             tokio::select! {
@@ -271,34 +282,6 @@
         now.saturating_sub(self.last_held_at.get()) < START_GRACE && !self.host.is_stopping()
     }
 
-    /// Logs the load of each model.
-    fn log_loads(&self, now: Timestamp) {
-        let loads = self.scheduler.borrow().model_loads(now);
-        let sum = |count: fn(&ModelLoad) -> usize| loads.iter().map(count).sum::<usize>() as u64;
-        let metrics = &self.host.metrics;
-        metrics.gauge(JOBS_LED, sum(|load| load.job_count));
-        metrics.gauge(ITEMS_WAITING, sum(|load| load.waiting_count));
-        metrics.gauge(RUNS_OPEN, sum(|load| load.running_count));
-        let unscored_count = self.scheduler.borrow().unscored_count();
-        metrics.gauge(REWARDS_WAITING, unscored_count as u64);
-        for load in loads {
-            tracing::info!(
-                event = "model.load",
-                model = &*load.model,
-                job_count = load.job_count,
-                waiting_count = load.waiting_count,
-                running_count = load.running_count,
-                usable_count = load.usable_count,
-                fresh_count = load.fresh_count,
-                loading_count = load.loading_count,
-                unconfirmed_count = load.unconfirmed_count,
-                avoided_count = load.avoided_count,
-                named_version = load.named_version,
-                min_version = load.min_version,
-            );
-        }
-    }
-
     fn engine_specs(&self) -> Vec<EngineSpec> {
         let view = self.host.view.borrow();
         let Some(configuration) = &view.configuration else {
--- a/src/observe/telemetry.rs
+++ b/src/observe/telemetry.rs
@@ -103,6 +103,9 @@
     RUNS_BROKEN, "runs.broken_count", Counter, "Runs that did not end with a complete output.";
     RUNS_OPEN, "runs.open_count", Gauge, "Runs that are in progress.";
     ITEMS_WAITING, "items.waiting_count", Gauge, "Items that wait for an engine.";
+    PROMPTS_WAITING, "prompts.waiting_tokens", Gauge, "Tokens of prompts of runs without an event, less the parts that engines hold.";
+    PROMPTS_PUT_OFF, "prompts.put_off_count", Counter, "Items that were put off, since engines read other prompts.";
+    SHARES_PUT_OFF, "shares.put_off_count", Counter, "Starts that went to another item than the most urgent one, since accounts and priorities have their parts.";
     REWARD_CALLS, "rewards.called_count", Counter, "Reward calls that this host sent.";
     REWARDS_FAILED, "rewards.failed_count", Counter, "Reward calls that ended without a score.";
     REWARDS_WAITING, "rewards.waiting_count", Gauge, "Items with a whole output that wait for their score.";
