--- a/src/ingress/wire.rs
+++ b/src/ingress/wire.rs
@@ -12,7 +12,8 @@
 
 use crate::{
     batch::job::{
-        EventNumber, Item, ItemId, ItemResult, Job, JobId, ModelId, RewardRequest, Score,
+        EventNumber, Item, ItemId, ItemResult, Job, JobId, ModelId, PromptPart, RewardRequest,
+        Score,
     },
     connection::UpstreamRequest,
     ids::{AccountId, FailureDomain, FenceNumber, HostId, UpstreamId, WeightVersion},
@@ -410,6 +411,9 @@
     /// beside the bodies of its items.
     fn job_overhead_bytes(body: &[u8]) -> usize;
 
+    /// Decodes the shared parts of an item's prompt, in their order.
+    fn prompt_parts(item: &Item) -> Vec<PromptPart>;
+
     /// Encodes results of a job.
     fn results(total_count: usize, next: usize, results: &[ItemResult]) -> Bytes;
 
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -11,6 +11,7 @@
 mod documents;
 mod events;
 mod names;
+mod prompts;
 pub mod standin;
 pub mod store;
 pub mod sweep;
--- a/src/platform/wire.rs
+++ b/src/platform/wire.rs
@@ -9,7 +9,8 @@
 
 use crate::{
     batch::job::{
-        EventNumber, Item, ItemId, ItemResult, ItemState, Job, JobHead, JobId, RewardRequest,
+        EventNumber, Item, ItemId, ItemResult, ItemState, Job, JobHead, JobId, PromptPart,
+        RewardRequest,
     },
     call::terms,
     clock::millis,
@@ -34,7 +35,7 @@
             VersionDocument,
         },
         events::PlatformEvents,
-        names,
+        names, prompts,
     },
     store::rows::StoredRow,
 };
@@ -199,6 +200,10 @@
         quote_count / 2 * STRING_BYTES + longest_escaped
     }
 
+    fn prompt_parts(item: &Item) -> Vec<PromptPart> {
+        prompts::decode_parts(item)
+    }
+
     fn results(total_count: usize, next: usize, results: &[ItemResult]) -> Bytes {
         let document = ResultsDocument {
             total: total_count,
