Keep the last save of counts within the grace of a stop

Cause: a host whose connections took all their time waited 0.8 s more for the store, which could pass the grace of 8 s.

Change: the save ends with the time for connections, or takes 2.5% of the grace beyond it. An answer of the platform is renamed to the usual term.

--- a/src/ingress/capacity/cell.rs
+++ b/src/ingress/capacity/cell.rs
@@ -15,7 +15,7 @@
 /// How long after a lowering order the upstreams above it may still be listed.
 const LOWERING_TIME: Duration = Duration::from_secs(10);
 
-/// How long no upstreams are ordered where some were reclaimed. None are to be had there for
+/// How long no upstreams are ordered where some were reclaimed. None are available there for
 /// 8 to 11 s.
 const RECLAIM_BACKOFF: Duration = Duration::from_secs(8);
 
@@ -142,7 +142,7 @@
         self.refusal_count = 0;
     }
 
-    /// Records that there are no upstreams to be had, and returns whether that is new.
+    /// Records that no upstreams are available, and returns whether that is new.
     pub(super) fn record_refused(&mut self, is_final: bool, now: Timestamp) -> bool {
         let backoff = match is_final {
             true => MAX_REFUSAL_BACKOFF,
--- a/src/ingress/capacity/mod.rs
+++ b/src/ingress/capacity/mod.rs
@@ -81,7 +81,7 @@
 pub enum Answer {
     /// The platform took it.
     Done,
-    /// There are no upstreams to be had at the place now.
+    /// No upstreams are available at the place now.
     Refused,
     /// The platform takes no such order.
     Rejected,
--- a/src/ingress/capacity_orders.rs
+++ b/src/ingress/capacity_orders.rs
@@ -226,7 +226,7 @@
 const fn decoded_answer(answer: Option<DutyAnswer>) -> Answer {
     match answer {
         Some(DutyAnswer::Done) => Answer::Done,
-        Some(DutyAnswer::NoneToBeHad) => Answer::Refused,
+        Some(DutyAnswer::NoCapacity) => Answer::Refused,
         Some(DutyAnswer::Rejected) => Answer::Rejected,
         Some(DutyAnswer::RateLimited) | None => Answer::NotSent,
         Some(DutyAnswer::Unclear) => Answer::Unclear,
@@ -256,7 +256,7 @@
 ) {
     let counter = match answer {
         Some(DutyAnswer::Done) => CAPACITY_ORDERED,
-        Some(DutyAnswer::NoneToBeHad | DutyAnswer::Rejected) => CAPACITY_REFUSED,
+        Some(DutyAnswer::NoCapacity | DutyAnswer::Rejected) => CAPACITY_REFUSED,
         _ => {
             tracing::debug!(
                 event = "capacity.unanswered",
--- a/src/ingress/memory/ledger.rs
+++ b/src/ingress/memory/ledger.rs
@@ -39,7 +39,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error, strum::IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
 pub enum Denial {
-    /// It exceeds what this host holds for one request, also in calm.
+    /// It exceeds what this host holds for one request, even when it holds nothing else.
     #[error("the request exceeds the memory that this host has for one")]
     TooLarge,
     /// There is no room, and nothing may be given up for it.
--- a/src/ingress/process.rs
+++ b/src/ingress/process.rs
@@ -16,6 +16,13 @@
     store::rows::RowStore,
 };
 
+/// How long a stopping host may take to save its last counts.
+const LAST_SAVE_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// The part of the grace that is left for this where the connections took all of their time;
+/// the process ends at 95% of the grace otherwise.
+const LAST_SAVE_RATIO: f64 = 0.025;
+
 /// How often a stopping host checks for open connections.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -78,7 +85,10 @@
         while self.open_count.get() + self.taken_count.get() > 0 && self.now() < schedule.exit_at {
             sleep(STOP_POLL_INTERVAL).await;
         }
-        usage_reports::save_last_counts(&self).await;
+        let time_left = schedule.exit_at.saturating_sub(self.now());
+        let least = self.settings.stop_grace.mul_f64(LAST_SAVE_RATIO);
+        let time_left = time_left.max(least).min(LAST_SAVE_TIMEOUT);
+        usage_reports::save_last_counts(&self, time_left).await;
         tracing::info!(
             event = "host.stop",
             host = &*self.settings.host,
--- a/src/ingress/usage_reports.rs
+++ b/src/ingress/usage_reports.rs
@@ -72,9 +72,6 @@
 /// The largest number of rows that one transaction removes.
 const MAX_REMOVAL_COUNT: usize = layout::MAX_ENTRY_COUNT;
 
-/// How long a stopping host waits until its last counts are saved.
-const LAST_SAVE_TIMEOUT: Duration = Duration::from_millis(800);
-
 /// What a host counts.
 #[derive(Debug)]
 pub struct UsageBook {
@@ -151,12 +148,10 @@
     }
 }
 
-/// Saves the last counts of a host that stops.
-pub async fn save_last_counts<S: RowStore, W: Wire>(host: &Rc<Host<S, W>>) {
+/// Saves the last counts of a host that stops, for `time_left` at most.
+pub async fn save_last_counts<S: RowStore, W: Wire>(host: &Rc<Host<S, W>>, time_left: Duration) {
     let Some(book) = &host.usage else { return };
-    if timeout(LAST_SAVE_TIMEOUT, save_batches(host, book))
-        .await
-        .is_err()
+    if timeout(time_left, save_batches(host, book)).await.is_err()
         || book.tally.borrow().unsaved_count() > 0
     {
         let lost_count = book.tally.borrow().unsaved_count();
--- a/src/ingress/wire.rs
+++ b/src/ingress/wire.rs
@@ -127,8 +127,8 @@
 pub enum DutyAnswer {
     /// It was done.
     Done,
-    /// There are no upstreams to be had.
-    NoneToBeHad,
+    /// No upstreams are available there now.
+    NoCapacity,
     /// The platform takes no more calls at present.
     RateLimited,
     /// The platform refuses the call for good, also when it is repeated.
--- a/src/platform/wire.rs
+++ b/src/platform/wire.rs
@@ -350,7 +350,7 @@
     fn duty_answer(parts: &response::Parts) -> DutyAnswer {
         match parts.status.as_u16() {
             200..=299 => DutyAnswer::Done,
-            409 => DutyAnswer::NoneToBeHad,
+            409 => DutyAnswer::NoCapacity,
             429 => DutyAnswer::RateLimited,
             400..=499 => DutyAnswer::Rejected,
             _ => DutyAnswer::Unclear,
