--- a/src/ingress/usage/mod.rs
+++ b/src/ingress/usage/mod.rs
@@ -36,7 +36,7 @@
 ///
 /// let windows = Windows::new(Duration::from_secs(5));
 /// assert_eq!(windows.number(Duration::from_secs(12)), 2);
-/// assert_eq!(windows.last_settled(Duration::from_secs(18)), None);
+/// assert_eq!(windows.last_settled(Duration::from_secs(18)), Some(1));
 /// assert_eq!(windows.last_settled(Duration::from_secs(19)), Some(2));
 /// ```
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
