Serve what the new parts wrote twice by one piece of code

Cause: on a second reading the change had copies of what stood beside it: two types for the scaling of a service, copied field by field in each round of orders; ranges of rows written out where the layout has a function; a read that is tried once more, twice; the decoding of a row with its error, seven times; what a connection costs, twice; two loops over the same check of settings; the rows of a job's items in two tests.

Change: one type, function or loop each. The names of the account and duty headers join those that may not stand outside src/platform/. No assertion of a test changes.

Ruled out: one function for the two answers about jobs of other accounts, whose statuses and fallbacks differ.

--- a/src/batch/layout.rs
+++ b/src/batch/layout.rs
@@ -290,11 +290,12 @@
     }
 }
 
-/// Returns the range of all rows of `job` in `table` from the key `from` on.
-pub fn range(table: &'static str, job: &JobId, from: impl Into<String>) -> RowRange {
+/// Returns the range of all rows of `partition` in `table` from the key `from` on. A job has
+/// a partition of its own in each table.
+pub fn range(table: &'static str, partition: &str, from: impl Into<String>) -> RowRange {
     RowRange {
         table,
-        partition: job.to_string(),
+        partition: partition.to_owned(),
         from: from.into(),
         to: String::new(),
         limit_count: MAX_PAGE_ROWS,
--- a/src/ingress/authentication.rs
+++ b/src/ingress/authentication.rs
@@ -77,17 +77,15 @@
     cause: Unauthenticated,
 ) -> Reply {
     let age = host.view.borrow().freshness.age(host.now());
-    let (reason, answer) = match cause {
-        Unauthenticated::NoKey => ("no-key", reply(StatusCode::UNAUTHORIZED, Bytes::new())),
-        Unauthenticated::UnknownKey => {
-            let answer = reply(StatusCode::UNAUTHORIZED, Bytes::new());
-            ("unknown-key", answer)
-        }
-        Unauthenticated::Stale(_) => ("stale-configuration", refusal(STALE_RETRY_AFTER)),
-    };
-    let counter = match cause {
-        Unauthenticated::NoKey | Unauthenticated::UnknownKey => KEYS_REFUSED,
-        Unauthenticated::Stale(_) => KEYS_UNCHECKED,
+    let denied = || reply(StatusCode::UNAUTHORIZED, Bytes::new());
+    let (reason, counter, answer) = match cause {
+        Unauthenticated::NoKey => ("no-key", KEYS_REFUSED, denied()),
+        Unauthenticated::UnknownKey => ("unknown-key", KEYS_REFUSED, denied()),
+        Unauthenticated::Stale(_) => (
+            "stale-configuration",
+            KEYS_UNCHECKED,
+            refusal(STALE_RETRY_AFTER),
+        ),
     };
     host.metrics.count(counter, 1);
     tracing::info!(
--- a/src/ingress/capacity/changes.rs
+++ b/src/ingress/capacity/changes.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use super::{
-    Bounds, Order, Place, ServiceState,
+    Order, Place, Scaling, ServiceState,
     placement::{self, Draft, Needs},
     planner::{LIFE_BEFORE_LOWERING, Planner},
 };
@@ -92,7 +92,7 @@
     }
 
     /// Adds upstreams where some were lost, if others replace them at a higher price.
-    fn add_moves(&self, draft: &mut Draft, bounds: &Bounds, now: Timestamp) {
+    fn add_moves(&self, draft: &mut Draft, bounds: &Scaling, now: Timestamp) {
         let mut replacing: Vec<(&Place, usize)> = self
             .cells
             .iter()
--- a/src/ingress/capacity/mod.rs
+++ b/src/ingress/capacity/mod.rs
@@ -15,9 +15,9 @@
 };
 use crate::ids::FailureDomain;
 
-/// The bounds and prices of the upstreams of one service.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Bounds {
+/// The bounds and prices of the upstreams of a service that is scaled.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Scaling {
     /// The fewest upstreams in one failure domain, of both kinds together.
     pub min_count: usize,
     /// The most upstreams in one failure domain, of both kinds together.
@@ -52,7 +52,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct ServiceState {
     /// The bounds and prices.
-    pub bounds: Bounds,
+    pub bounds: Scaling,
     /// How many requests one upstream runs concurrently.
     pub slot_count: usize,
     /// The listed upstreams.
--- a/src/ingress/capacity/placement.rs
+++ b/src/ingress/capacity/placement.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use super::{Bounds, Place};
+use super::{Place, Scaling};
 use crate::ids::FailureDomain;
 
 /// The price of a failure domain that the configuration does not name.
@@ -68,7 +68,7 @@
 }
 
 /// Returns the price per second of an upstream at `place`.
-pub(super) fn price(bounds: &Bounds, place: &Place) -> f64 {
+pub(super) fn price(bounds: &Scaling, place: &Place) -> f64 {
     let price = bounds.domain_prices.get(&place.domain).copied();
     let ratio = match place.is_spot {
         true => bounds.spot_price_ratio,
@@ -78,7 +78,7 @@
 }
 
 /// Returns whether it pays to move an upstream from `from` to `to`.
-pub(super) fn is_worth_moving(bounds: &Bounds, from: &Place, to: &Place) -> bool {
+pub(super) fn is_worth_moving(bounds: &Scaling, from: &Place, to: &Place) -> bool {
     price(bounds, to) < price(bounds, from) * (1.0 - MIN_SAVING_RATIO)
 }
 
@@ -88,7 +88,7 @@
 /// that cannot hurt, or if there is no other.
 pub(super) fn choose(
     draft: &Draft,
-    bounds: &Bounds,
+    bounds: &Scaling,
     needs: Needs,
     domain: Option<&FailureDomain>,
     is_open: impl Fn(&Place) -> bool,
--- a/src/ingress/capacity/planner.rs
+++ b/src/ingress/capacity/planner.rs
@@ -6,7 +6,7 @@
 };
 
 use super::{
-    Answer, Bounds, Loss, LossReason, Order, Place, Presence, ServiceState, cell::Cell,
+    Answer, Loss, LossReason, Order, Place, Presence, Scaling, ServiceState, cell::Cell,
     demand::History,
 };
 use crate::{clock::Timestamp, ids::FailureDomain};
@@ -138,7 +138,7 @@
         &mut self,
         order: &Order,
         answer: Answer,
-        bounds: &Bounds,
+        bounds: &Scaling,
         now: Timestamp,
     ) -> bool {
         let Some(subject) = self.subjects.get_mut(&order.place.domain) else {
@@ -273,7 +273,7 @@
 
     /// Returns the fewest upstreams that a failure domain keeps: one where there were some,
     /// since hosts prefer upstreams of their own failure domain.
-    pub(super) fn floor_count(&self, domain: &str, bounds: &Bounds) -> usize {
+    pub(super) fn floor_count(&self, domain: &str, bounds: &Scaling) -> usize {
         let is_used = self
             .cells
             .iter()
@@ -284,7 +284,7 @@
             .min(bounds.max_count)
     }
 
-    fn floor_total(&self, bounds: &Bounds) -> usize {
+    fn floor_total(&self, bounds: &Scaling) -> usize {
         self.subjects
             .keys()
             .map(|domain| self.floor_count(domain, bounds))
--- a/src/ingress/capacity_orders.rs
+++ b/src/ingress/capacity_orders.rs
@@ -11,14 +11,12 @@
     clock::Timestamp,
     ids::FenceNumber,
     ingress::{
-        capacity::{
-            Answer, Backlog, Bounds, Demand, Loss, Order, Place, Planner, Presence, ServiceState,
-        },
+        capacity::{Answer, Backlog, Demand, Loss, Order, Place, Planner, Presence, ServiceState},
         directory::Directory,
         duties,
         host::{DutySettings, Host},
         orders::FenceSource,
-        routes::{Configuration, RouteKind, Scaling, Service, ServiceName},
+        routes::{Configuration, RouteKind, Service, ServiceName},
         wire::{DutyAnswer, ScaleOrder, Wire},
     },
     observe::telemetry::{
@@ -157,7 +155,7 @@
             let listed = listing.services.get(name).cloned().unwrap_or_default();
             let load = loads.remove(name).unwrap_or_default();
             let state = ServiceState {
-                bounds: bounds(scaling),
+                bounds: scaling.clone(),
                 slot_count: service.engine_slot_count.unwrap_or(listed.slot_count),
                 present: listed.present,
                 is_listed: !listing.services.is_empty(),
@@ -168,16 +166,6 @@
         .collect()
 }
 
-fn bounds(scaling: &Scaling) -> Bounds {
-    Bounds {
-        min_count: scaling.min_count,
-        max_count: scaling.max_count,
-        boot_time: scaling.boot_time,
-        spot_price_ratio: scaling.spot_price_ratio,
-        domain_prices: scaling.domain_prices.clone(),
-    }
-}
-
 /// Returns the demand for a service, which is known in full if only jobs lead to it.
 fn demand(configuration: &Configuration, service: &Service, load: ServiceLoad) -> Demand {
     let leads_to = |route_splits: &[(ServiceName, f64)]| {
--- a/src/ingress/coordinator/leadership.rs
+++ b/src/ingress/coordinator/leadership.rs
@@ -340,6 +340,6 @@
     };
     Ok(Some(Versioned {
         version: row.stamp,
-        record: layout::decode(&row.key, &row.value).map_err(stored::unreadable)?,
+        record: stored::decode(row)?,
     }))
 }
--- a/src/ingress/jobs.rs
+++ b/src/ingress/jobs.rs
@@ -280,11 +280,16 @@
     let _room = room.map_err(|_| RowError::NotApplied {
         reason: NotAppliedReason::Unavailable,
     })?;
-    match host.store.read(range).await {
-        Ok(page) => Ok(page),
+    retry_once(async || host.store.read(range).await).await
+}
+
+/// Reads, once more if the store gives no answer.
+async fn retry_once<T>(read: impl AsyncFn() -> Result<T, RowError>) -> Result<T, RowError> {
+    match read().await {
+        Ok(found) => Ok(found),
         Err(_) => {
             sleep(RETRY_DELAY).await;
-            host.store.read(range).await
+            read().await
         }
     }
 }
@@ -331,10 +336,12 @@
     from: usize,
     wait: Duration,
 ) -> Result<Reply, RowError> {
-    let Some(KnownJob { item_count, .. }) = known_job(host, job).await? else {
+    let Some(KnownJob {
+        item_count: total, ..
+    }) = known_job(host, job).await?
+    else {
         return Ok(reply(StatusCode::NOT_FOUND, Bytes::new()));
     };
-    let total = item_count;
     let wait_until = host.now() + wait;
     let range = layout::result_range(job, from);
     loop {
@@ -370,13 +377,8 @@
     item: &ItemId,
 ) -> Result<Reply, RowError> {
     let store = MeteredStore::new(host.store.clone(), host.memory.clone(), Side::Client);
-    let rows = match stored::read_all(&store, layout::item_range(job, item)).await {
-        Ok(rows) => rows,
-        Err(_) => {
-            sleep(RETRY_DELAY).await;
-            stored::read_all(&store, layout::item_range(job, item)).await?
-        }
-    };
+    let range = layout::item_range(job, item);
+    let rows = retry_once(async || stored::read_all(&store, range.clone()).await).await?;
     let items = layout::decode_items(&rows).map_err(stored::unreadable)?;
     drop(rows);
     let found = items.into_iter().find(|found| found.id == *item);
--- a/src/ingress/memory/charge.rs
+++ b/src/ingress/memory/charge.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 
 use super::{
-    Budget, CLIENT_CONNECTION_BYTES, PEER_CONNECTION_BYTES, Side,
+    Budget, Side,
     ledger::{Activity, ClaimId, Decision, Denial, Eviction, Ledger},
 };
 use crate::clock::{Clock, millis};
@@ -140,10 +140,7 @@
         match state.ledger.check_connection(side, now) {
             Decision::Granted => {
                 let id = state.ledger.register(side, now);
-                let bytes = match side {
-                    Side::Client | Side::Job => CLIENT_CONNECTION_BYTES,
-                    Side::Peer => PEER_CONNECTION_BYTES,
-                };
+                let bytes = side.connection_bytes();
                 state.ledger.add(id, bytes);
                 let holder = Holder {
                     memory: self.clone(),
--- a/src/ingress/memory/ledger.rs
+++ b/src/ingress/memory/ledger.rs
@@ -2,7 +2,7 @@
 
 use std::{cmp::Reverse, collections::BTreeMap, time::Duration};
 
-use super::{Budget, CLIENT_CONNECTION_BYTES, PEER_CONNECTION_BYTES, SMALL_BYTES, Side};
+use super::{Budget, SMALL_BYTES, Side};
 use crate::clock::Timestamp;
 
 /// The number of a holder.
@@ -224,10 +224,7 @@
                 None => Decision::Denied(Denial::TooManyConnections),
             };
         }
-        let bytes = match side {
-            Side::Client | Side::Job => CLIENT_CONNECTION_BYTES,
-            Side::Peer => PEER_CONNECTION_BYTES,
-        };
+        let bytes = side.connection_bytes();
         self.make_room(None, side, bytes, bytes, now)
     }
 
--- a/src/ingress/memory/mod.rs
+++ b/src/ingress/memory/mod.rs
@@ -74,6 +74,16 @@
     Job,
 }
 
+impl Side {
+    /// Returns what a connection costs.
+    const fn connection_bytes(self) -> usize {
+        match self {
+            Self::Client | Self::Job => CLIENT_CONNECTION_BYTES,
+            Self::Peer => PEER_CONNECTION_BYTES,
+        }
+    }
+}
+
 /// How much may be held.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Budget {
--- a/src/ingress/notices.rs
+++ b/src/ingress/notices.rs
@@ -289,8 +289,6 @@
     let page = store.read(&range).await?;
     match page.rows.first().filter(|row| row.key == name.key) {
         None => Ok((0, Notice::default())),
-        Some(row) => layout::decode(&row.key, &row.value)
-            .map(|notice| (row.stamp, notice))
-            .map_err(stored::unreadable),
+        Some(row) => Ok((row.stamp, stored::decode(row)?)),
     }
 }
--- a/src/ingress/routes.rs
+++ b/src/ingress/routes.rs
@@ -2,7 +2,8 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use crate::{ids::FailureDomain, ingress::accounts::Accounts};
+use crate::ingress::accounts::Accounts;
+pub use crate::ingress::capacity::Scaling;
 
 /// The name of a service to which routes lead.
 pub type ServiceName = Arc<str>;
@@ -72,21 +73,6 @@
     pub scaling: Option<Scaling>,
 }
 
-/// The bounds and prices of the upstreams of a service that is scaled.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct Scaling {
-    /// The fewest upstreams in one failure domain, of both kinds together.
-    pub min_count: usize,
-    /// The most upstreams in one failure domain, of both kinds together.
-    pub max_count: usize,
-    /// How long after its order an upstream serves.
-    pub boot_time: Duration,
-    /// The price of an upstream that may be reclaimed, relative to that of the others.
-    pub spot_price_ratio: f64,
-    /// The price of an upstream per second, by failure domain.
-    pub domain_prices: BTreeMap<FailureDomain, f64>,
-}
-
 /// The limits on client requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ClientLimits {
--- a/src/ingress/stored.rs
+++ b/src/ingress/stored.rs
@@ -2,6 +2,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use serde::de::DeserializeOwned;
+
 use crate::{
     batch::{
         job::{ItemId, Job, JobId},
@@ -127,6 +129,15 @@
         .transpose()
 }
 
+/// Decodes the value of `row`.
+///
+/// # Errors
+///
+/// Fails where the value is not an encoded `T`.
+pub fn decode<T: DeserializeOwned>(row: &StoredRow) -> Result<T, RowError> {
+    layout::decode(&row.key, &row.value).map_err(unreadable)
+}
+
 /// Converts a decoding error into the store's error.
 pub fn unreadable(error: LayoutError) -> RowError {
     RowError::Unreadable {
--- a/src/ingress/usage_reports.rs
+++ b/src/ingress/usage_reports.rs
@@ -244,21 +244,15 @@
         book: &UsageBook,
         duties: &DutySettings,
     ) -> Result<Self, RowError> {
-        let range = RowRange {
-            table: REPORT_TABLE,
-            partition: REPORT_PARTITION.to_owned(),
-            from: String::new(),
-            to: String::new(),
-            limit_count: layout::MAX_ENTRY_COUNT,
-        };
+        let range = layout::range(REPORT_TABLE, REPORT_PARTITION, "");
         let rows = stored::read_all(&host.store, range).await?;
         let mut sent = None;
         let mut reports: BTreeMap<WindowNumber, Counts> = BTreeMap::new();
         for row in &rows {
             if row.key == SENT_KEY {
-                sent = Some(layout::decode(&row.key, &row.value).map_err(stored::unreadable)?);
+                sent = Some(stored::decode(row)?);
             } else if let Ok(window) = row.key.parse() {
-                let counts = layout::decode(&row.key, &row.value).map_err(stored::unreadable)?;
+                let counts = stored::decode(row)?;
                 reports.insert(window, counts);
             }
         }
@@ -335,7 +329,7 @@
             Err(RowError::Conflict { current }) => {
                 let row = current.iter().find(|row| row.key == name.key);
                 let row = row.ok_or(RowError::Unknown)?;
-                let counts = layout::decode(&row.key, &row.value).map_err(stored::unreadable)?;
+                let counts = stored::decode(row)?;
                 Ok(UsageReport { window, counts })
             }
             Err(error) => Err(error),
@@ -397,16 +391,9 @@
     let mut sum = Counts::new();
     let mut names = Vec::new();
     for bucket in 0..BUCKET_COUNT {
-        let range = RowRange {
-            table: COUNT_TABLE,
-            partition: partition(window, bucket),
-            from: String::new(),
-            to: String::new(),
-            limit_count: MAX_REMOVAL_COUNT,
-        };
+        let range = layout::range(COUNT_TABLE, &partition(window, bucket), "");
         for row in stored::read_all(store, range).await? {
-            let counts: Counts =
-                layout::decode(&row.key, &row.value).map_err(stored::unreadable)?;
+            let counts: Counts = stored::decode(&row)?;
             usage::add_counts(&mut sum, &counts);
             names.push(RowName::new(COUNT_TABLE, row.partition, row.key));
         }
@@ -423,17 +410,14 @@
     if names.is_empty() {
         return Ok(());
     }
+    let key = report_row(window).key;
     let range = RowRange {
-        table: REPORT_TABLE,
-        partition: REPORT_PARTITION.to_owned(),
-        from: report_row(window).key,
-        to: String::new(),
         limit_count: 1,
+        ..layout::range(REPORT_TABLE, REPORT_PARTITION, &key)
     };
     let page = host.store.read(&range).await?;
-    let key = report_row(window).key;
     let reported: Counts = match page.rows.iter().find(|row| row.key == key) {
-        Some(row) => layout::decode(&row.key, &row.value).map_err(stored::unreadable)?,
+        Some(row) => stored::decode(row)?,
         None => Counts::new(),
     };
     let late_count = usage::total(&counts).saturating_sub(usage::total(&reported));
--- a/src/platform/boot.rs
+++ b/src/platform/boot.rs
@@ -186,22 +186,14 @@
         if self.node.is_empty() {
             faults.push("node: must not be empty".to_owned());
         }
+        let duty_rate_per_s = self.cloud.as_ref().and_then(|cloud| cloud.duty_per_s);
         for (field, value) in [
-            ("bounds.grace_s", self.bounds.grace_s),
-            ("bounds.status_ttl_s", self.bounds.status_ttl_s),
-            ("limits.cpu_share", self.limits.cpu_share),
-        ] {
-            if !(value.is_finite() && value > 0.0) {
-                faults.push(format!("{field}: must be above 0"));
-            }
-        }
-        for (field, value) in [
+            ("bounds.grace_s", Some(self.bounds.grace_s)),
+            ("bounds.status_ttl_s", Some(self.bounds.status_ttl_s)),
+            ("limits.cpu_share", Some(self.limits.cpu_share)),
             ("bounds.report_window_s", self.bounds.report_window_s),
             ("bounds.usage_late_s", self.bounds.usage_late_s),
-            (
-                "cloud.duty_per_s",
-                self.cloud.as_ref().and_then(|cloud| cloud.duty_per_s),
-            ),
+            ("cloud.duty_per_s", duty_rate_per_s),
         ] {
             if value.is_some_and(|value| !(value.is_finite() && value > 0.0)) {
                 faults.push(format!("{field}: must be above 0"));
--- a/tests/capacity_orders.rs
+++ b/tests/capacity_orders.rs
@@ -7,8 +7,8 @@
 use mimosavane::{
     clock::Timestamp,
     ingress::capacity::{
-        Answer, Backlog, Bounds, Demand, LossReason, Order, Place, Planner, Presence, ServiceState,
-        settle_time,
+        Answer, Backlog, Demand, LossReason, Order, Place, Planner, Presence, Scaling,
+        ServiceState, settle_time,
     },
 };
 
@@ -27,7 +27,7 @@
 
 /// A platform that does what it is ordered, except where the test says otherwise.
 struct Platform {
-    bounds: Bounds,
+    bounds: Scaling,
     planner: Planner,
     machines: Vec<Machine>,
     now: Timestamp,
@@ -74,7 +74,7 @@
             })
         });
         Self {
-            bounds: Bounds {
+            bounds: Scaling {
                 min_count: 1,
                 max_count: 8,
                 boot_time: BOOT_TIME,
--- a/tests/job_listing.rs
+++ b/tests/job_listing.rs
@@ -9,14 +9,14 @@
 
 use mimosavane::{
     batch::{
-        job::{ItemResult, ItemState, Job},
+        job::{ItemResult, ItemState},
         layout,
     },
     ingress::stored,
-    store::rows::{RowName, RowRange, RowStore, RowTransaction, StoredRow},
+    store::rows::{RowName, RowRange, RowStore, RowTransaction},
 };
 use rows_support::{
-    Fault, Rows, job,
+    Fault, Rows, item_rows, job,
     member::{Member, SLOT_COUNT, accept, listed},
     scored_job,
 };
@@ -227,25 +227,10 @@
 #[test]
 fn rows_of_other_versions() {
     let scored = scored_job("job", 8, 100);
-    let stored_rows = |job: &Job| -> Vec<StoredRow> {
-        layout::acceptance(job)
-            .unwrap()
-            .into_iter()
-            .flat_map(|transaction| transaction.puts)
-            .filter(|(name, _)| name.table == layout::ITEMS)
-            .map(|(name, value)| StoredRow {
-                partition: name.partition,
-                key: name.key,
-                value,
-                stamp: 1,
-                is_removed: false,
-            })
-            .collect()
-    };
-    let new_rows = stored_rows(&scored);
+    let new_rows = item_rows(&scored);
     assert_eq!(layout::decode_items(&new_rows).unwrap(), scored.items);
     let plain = job("job", 8, 100);
-    let old_rows = stored_rows(&plain);
+    let old_rows = item_rows(&plain);
     assert_eq!(layout::decode_items(&old_rows).unwrap(), plain.items);
     for (old, new) in old_rows.iter().zip(&new_rows) {
         assert!(new.value.len() > old.value.len());
--- a/tests/large_jobs.rs
+++ b/tests/large_jobs.rs
@@ -12,9 +12,9 @@
         metered::{MeteredStore, NO_ROOM},
         stored,
     },
-    store::rows::{RowStore as _, StoredRow},
+    store::rows::RowStore as _,
 };
-use rows_support::{Rows, job, page::run};
+use rows_support::{Rows, item_rows, job, page::run};
 
 /// Saves a job of one item with a body of `body_bytes`, and returns the store.
 async fn saved(body_bytes: usize) -> Rows {
@@ -29,19 +29,7 @@
 #[test]
 fn parts_in_order() {
     let saved = job("7c41", 1, 101 * layout::MAX_VALUE_BYTES);
-    let mut rows: Vec<StoredRow> = layout::acceptance(&saved)
-        .unwrap()
-        .into_iter()
-        .flat_map(|transaction| transaction.puts)
-        .filter(|(name, _)| name.table == layout::ITEMS)
-        .map(|(name, value)| StoredRow {
-            partition: name.partition,
-            key: name.key,
-            value,
-            stamp: 1,
-            is_removed: false,
-        })
-        .collect();
+    let mut rows = item_rows(&saved);
     rows.sort_by(|a, b| a.key.cmp(&b.key));
     assert_eq!(layout::decode_items(&rows).unwrap(), saved.items);
 }
--- a/tests/platform_names.rs
+++ b/tests/platform_names.rs
@@ -7,7 +7,7 @@
     path::{Path, PathBuf},
 };
 
-const PROTOCOL_NAMES: [&str; 19] = [
+const PROTOCOL_NAMES: [&str; 22] = [
     "attempt-id",
     "\"deadline-ms",
     "not-executed",
@@ -17,6 +17,9 @@
     "length-hint",
     "token-usage",
     "prompt-prefix",
+    "x-api-key",
+    "duty-holder",
+    "fence-token",
     "rows-tx",
     "rows-get",
     "rows-feed",
--- a/tests/rows_support/mod.rs
+++ b/tests/rows_support/mod.rs
@@ -1,5 +1,6 @@
 //! An in-memory version of the platform's store that can inject faults.
 
+#![allow(clippy::unwrap_used, reason = "a failing step must fail the test")]
 #![allow(dead_code, reason = "each test uses a part")]
 
 pub mod host;
@@ -19,6 +20,7 @@
 use mimosavane::{
     batch::{
         job::{Item, Job, JobHead, RewardRequest},
+        layout,
         scheduler::EngineSpec,
     },
     store::rows::{
@@ -410,6 +412,23 @@
     }
 }
 
+/// Returns the rows in which an accepted job stores its items.
+pub fn item_rows(job: &Job) -> Vec<StoredRow> {
+    layout::acceptance(job)
+        .unwrap()
+        .into_iter()
+        .flat_map(|transaction| transaction.puts)
+        .filter(|(name, _)| name.table == layout::ITEMS)
+        .map(|(name, value)| StoredRow {
+            partition: name.partition,
+            key: name.key,
+            value,
+            stamp: 1,
+            is_removed: false,
+        })
+        .collect()
+}
+
 /// Builds a job of `item_count` items in groups of four.
 pub fn job(id: &str, item_count: usize, body_bytes: usize) -> Job {
     let items = (0..item_count)
