Review case 6: two machines order the same server within the lease

Cause: a host that has read the lease since its start, but neither feed, does not know the store's clock and takes 0 s for it. The quiet period after it takes the lease over then ends in the past.

--- a/review/standin-2/src/cases/mod.rs
+++ b/review/standin-2/src/cases/mod.rs
@@ -3,6 +3,7 @@
 mod failing_item;
 mod handed_over;
 mod joined_versions;
+mod two_holders;
 
 use std::{
     path::PathBuf,
@@ -44,6 +45,7 @@
         "failing-item" => failing_item::play,
         "handed-over" => handed_over::play,
         "joined-versions" => joined_versions::play,
+        "two-holders" => two_holders::play,
         _ => return None,
     })
 }
--- a/review/standin-2/src/fleet.rs
+++ b/review/standin-2/src/fleet.rs
@@ -20,9 +20,7 @@
 
 /// A signal, by the name that `kill` takes.
 #[derive(Clone, Copy, Debug)]
-pub enum Signal {
-    Stop,
-    Continue,
+enum Signal {
     Terminate,
 }
 
@@ -145,11 +143,9 @@
         false
     }
 
-    pub fn signal(&self, signal: Signal) {
+    fn signal(&self, signal: Signal) {
         let Some(child) = &self.child else { return };
         let name = match signal {
-            Signal::Stop => "-STOP",
-            Signal::Continue => "-CONT",
             Signal::Terminate => "-TERM",
         };
         let sent = Command::new("kill")
@@ -183,6 +179,20 @@
         is_running && events.clone().find(is_recent).is_none()
     }
 
+    /// Waits until the process has ended, and starts it again.
+    pub fn restart_when_ended(&mut self, limit: Duration) -> bool {
+        let end = Instant::now() + limit;
+        while !self.has_ended() {
+            if Instant::now() >= end {
+                return false;
+            }
+            thread::sleep(Duration::from_millis(10));
+        }
+        self.end();
+        self.start();
+        true
+    }
+
     /// Returns whether the process has ended by now.
     pub fn has_ended(&mut self) -> bool {
         match &mut self.child {
--- a/review/standin-2/src/store.rs
+++ b/review/standin-2/src/store.rs
@@ -32,8 +32,8 @@
 struct State {
     rows: BTreeMap<Name, Row>,
     ver: u64,
-    /// How many requests to a feed wait, by the reader's name and the table.
-    waiting: BTreeMap<(String, String), usize>,
+    /// The readers that are turned away, with the times of their last calls, by the table.
+    turned_away: BTreeMap<String, BTreeMap<String, Instant>>,
 }
 
 /// Changes the address of a server as one reader sees it.
@@ -76,11 +76,31 @@
         self.apply(vec![(name, Some(STANDARD.encode(value.to_string())))]);
     }
 
-    /// Returns how many feed requests of `reader` for `table` wait.
-    pub fn waiting_count(&self, reader: &str, table: &str) -> usize {
+    /// Turns `reader` away, or serves it again.
+    pub fn turn_away(&self, reader: &str, is_turned_away: bool) {
+        let mut state = self.state.lock().expect("not poisoned");
+        match is_turned_away {
+            true => drop(state.turned_away.insert(reader.to_owned(), BTreeMap::new())),
+            false => drop(state.turned_away.remove(reader)),
+        }
+    }
+
+    /// Returns how long ago `reader` was turned away from each table last.
+    pub fn refusal_ages(&self, reader: &str) -> BTreeMap<String, Duration> {
         let state = self.state.lock().expect("not poisoned");
-        let key = (reader.to_owned(), table.to_owned());
-        state.waiting.get(&key).copied().unwrap_or(0)
+        let calls = state.turned_away.get(reader).cloned().unwrap_or_default();
+        calls
+            .into_iter()
+            .map(|(table, at)| (table, at.elapsed()))
+            .collect()
+    }
+
+    /// Returns the refusal of a call of `reader`, if it is turned away.
+    fn refusal(&self, reader: &str, request: &Request) -> Option<Reply> {
+        let mut state = self.state.lock().expect("not poisoned");
+        let calls = state.turned_away.get_mut(reader)?;
+        calls.insert(request.param("table").to_owned(), Instant::now());
+        Some(Reply::json(503, &json!({})))
     }
 
     fn apply(&self, changes: Vec<(Name, Option<String>)>) {
@@ -113,11 +133,14 @@
     }
 
     fn answer(&self, reader: &str, request: &Request, rewrite: Option<&Rewrite>) -> Reply {
+        if let Some(refusal) = self.refusal(reader, request) {
+            return refusal;
+        }
         match (request.method.as_str(), request.path.as_str()) {
             ("POST", "/-/rows-tx") => self.commit(request),
             ("GET", "/-/rows-get") => self.get(request, rewrite),
             ("GET", "/-/rows-parts") => self.parts(request),
-            ("GET", "/-/rows-feed") => self.feed(reader, request, rewrite),
+            ("GET", "/-/rows-feed") => self.feed(request, rewrite),
             _ => Reply::json(404, &json!({})),
         }
     }
@@ -212,14 +235,12 @@
         self.reply(&state, 200, body)
     }
 
-    fn feed(&self, reader: &str, request: &Request, rewrite: Option<&Rewrite>) -> Reply {
+    fn feed(&self, request: &Request, rewrite: Option<&Rewrite>) -> Reply {
         let table = request.param("table");
         let after: u64 = request.param("after").parse().unwrap_or(0);
         let wait = Duration::from_millis(request.param("wait_ms").parse().unwrap_or(0));
         let end = Instant::now() + wait;
-        let key = (reader.to_owned(), table.to_owned());
         let mut state = self.state.lock().expect("not poisoned");
-        *state.waiting.entry(key.clone()).or_default() += 1;
         loop {
             let mut rows: Vec<(u64, Value)> = state
                 .rows
@@ -229,7 +250,6 @@
                 .collect();
             let left = end.saturating_duration_since(Instant::now());
             if !rows.is_empty() || left.is_zero() {
-                *state.waiting.entry(key).or_default() -= 1;
                 rows.sort_by_key(|(ver, _)| *ver);
                 let rows: Vec<Value> = rows.into_iter().map(|(_, row)| row).collect();
                 return self.reply(&state, 200, json!({"rows": rows}));
