Review case 8: streams that begin at a new start count as those of the old software

Cause: a stream that begins is sent without the check of the start, and its software version is taken from the list, which hosts read up to 0.4 s late.

--- a/review/standin-2/src/cases/joined_versions.rs
+++ b/review/standin-2/src/cases/joined_versions.rs
@@ -47,7 +47,7 @@
 const ALLOWED_COUNT: usize = 2;
 
 /// What a client received: the software version of each event, by stream and number.
-type Received = Mutex<BTreeMap<String, BTreeMap<u64, String>>>;
+pub(super) type Received = Mutex<BTreeMap<String, BTreeMap<u64, String>>>;
 
 pub fn play(case: &Case) -> Verdict {
     let models = models(1);
@@ -92,7 +92,7 @@
             engines[0].restart("s2");
         });
         for number in 0..STREAM_COUNT {
-            scope.spawn(move || follow(case, number, targets, received));
+            scope.spawn(move || follow(case, number, targets, received, RESUME_DELAY));
             thread::sleep(STREAM_INTERVAL);
         }
     });
@@ -107,7 +107,13 @@
 
 /// Follows one stream as a client does: it takes the stream up at another machine where it broke
 /// off, until its deadline.
-fn follow(case: &Case, number: u32, targets: &[SocketAddr], received: &Received) {
+pub(super) fn follow(
+    case: &Case,
+    number: u32,
+    targets: &[SocketAddr],
+    received: &Received,
+    resume_delay: Duration,
+) {
     let begun_at = case.record.now();
     let stream = format!("{number:04x}e1");
     // The attempt that brought the first event.
@@ -161,14 +167,14 @@
             return;
         }
         thread::sleep(if now_known > known {
-            RESUME_DELAY
+            resume_delay
         } else {
             RETRY_DELAY
         });
     }
 }
 
-fn judge(case: &Case, received: &Received) -> Verdict {
+pub(super) fn judge(case: &Case, received: &Received) -> Verdict {
     let received = received.lock().expect("not poisoned");
     let mut joined_count = 0;
     for (stream, events) in received.iter() {
--- a/review/standin-2/src/cases/mod.rs
+++ b/review/standin-2/src/cases/mod.rs
@@ -1,5 +1,6 @@
 //! The cases.
 
+mod begun_versions;
 mod failing_item;
 mod handed_over;
 mod joined_versions;
@@ -45,6 +46,7 @@
         "failing-item" => failing_item::play,
         "handed-over" => handed_over::play,
         "joined-versions" => joined_versions::play,
+        "begun-versions" => begun_versions::play,
         "two-holders" => two_holders::play,
         _ => return None,
     })
