--- a/review/standin-2/src/cases/begun_versions.rs
+++ b/review/standin-2/src/cases/begun_versions.rs
@@ -51,7 +51,7 @@
         })
         .collect();
     let mut machines: Vec<Machine> = (0..6)
-        .map(|number| case.machine(&format!("edge-z-a-{number}"), "z-a", None))
+        .map(|number| case.machine(&format!("edge-z-a-{number}"), "z-a"))
         .collect();
     for machine in &mut machines {
         machine.start();
--- a/review/standin-2/src/cases/failing_item.rs
+++ b/review/standin-2/src/cases/failing_item.rs
@@ -42,7 +42,7 @@
     let mut machines: Vec<Machine> = (0..MACHINE_COUNT)
         .map(|number| {
             let zone = ["z-a", "z-b", "z-c"][number % 3];
-            case.machine(&format!("edge-{zone}-{number}"), zone, None)
+            case.machine(&format!("edge-{zone}-{number}"), zone)
         })
         .collect();
     for machine in &mut machines {
--- a/review/standin-2/src/cases/mod.rs
+++ b/review/standin-2/src/cases/mod.rs
@@ -2,8 +2,8 @@
 
 mod begun_versions;
 mod failing_item;
-mod handed_over;
 mod joined_versions;
+mod large_jobs;
 mod two_holders;
 
 use std::{
@@ -19,7 +19,7 @@
     fleet::Machine,
     record::Record,
     server::{Seen, Server, ServerSettings, Work},
-    store::{Rewrite, Store},
+    store::Store,
 };
 
 /// The value of the `Host` header of all requests.
@@ -44,7 +44,7 @@
 pub fn find(name: &str) -> Option<Play> {
     Some(match name {
         "failing-item" => failing_item::play,
-        "handed-over" => handed_over::play,
+        "large-jobs" => large_jobs::play,
         "joined-versions" => joined_versions::play,
         "begun-versions" => begun_versions::play,
         "two-holders" => two_holders::play,
@@ -72,9 +72,9 @@
         }
     }
 
-    /// Prepares a machine, which sees the addresses of servers as `rewrite` returns them.
-    pub fn machine(&self, name: &str, zone: &str, rewrite: Option<Rewrite>) -> Machine {
-        let address = self.store.serve(name, rewrite);
+    /// Prepares a machine.
+    pub fn machine(&self, name: &str, zone: &str) -> Machine {
+        let address = self.store.serve(name);
         Machine::new(name, zone, address, &self.folder, &self.record)
     }
 
--- a/review/standin-2/src/cases/two_holders.rs
+++ b/review/standin-2/src/cases/two_holders.rs
@@ -44,8 +44,8 @@
         .iter()
         .map(|id| case.engine(id, "z-a", &models, work.clone()))
         .collect();
-    let mut holder = case.machine("edge-z-a-1", "z-a", None);
-    let mut other = case.machine("edge-z-b-1", "z-b", None);
+    let mut holder = case.machine("edge-z-a-1", "z-a");
+    let mut other = case.machine("edge-z-b-1", "z-b");
     for machine in [&mut holder, &mut other] {
         machine.start();
         if !machine.wait_ready(Duration::from_secs(15)) {
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -10,7 +10,6 @@
 mod cases;
 mod fleet;
 mod http;
-mod proxy;
 mod record;
 mod server;
 mod store;
--- a/review/standin-2/src/server.rs
+++ b/review/standin-2/src/server.rs
@@ -2,7 +2,7 @@
 //! plain ones.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::{SocketAddr, TcpListener, TcpStream},
     sync::{
         Arc, Mutex,
@@ -36,8 +36,6 @@
     Events { count: u64, interval: Duration },
     /// It fails with a 500 after the time.
     Fails { after: Duration },
-    /// It answers after the time.
-    Answers { after: Duration },
 }
 
 /// An order that arrived at a server.
@@ -55,6 +53,8 @@
     pub orders: Vec<ArrivedOrder>,
     /// The servers that began to run a request, by its id.
     pub runs: BTreeMap<String, Vec<(Duration, String)>>,
+    /// The requests whose streams are complete.
+    pub finished: BTreeSet<String>,
     /// The times of answers with 500, by the id of the request.
     pub failures: BTreeMap<String, Vec<Duration>>,
 }
@@ -136,6 +136,11 @@
         server
     }
 
+    /// Returns how many requests run.
+    pub fn running_count(&self) -> usize {
+        self.running_count.load(Ordering::SeqCst)
+    }
+
     /// Registers a new start and then takes connections.
     fn begin(self: &Arc<Self>, listener: TcpListener, software_version: &str) {
         let unix_time = SystemTime::now().duration_since(UNIX_EPOCH);
@@ -377,16 +382,6 @@
                 let reply = Reply::json(500, &json!({}));
                 Handled::Reply(reply.with("Attempt-Id", id).with("Server-Stamp", stamp))
             }
-            Work::Answers { after } => {
-                if !work(after.mul_f64(self.settings.slowness), stream) {
-                    self.record
-                        .line(&format!("{server} drops {id}: connection closed"));
-                    return Handled::Close;
-                }
-                self.record.line(&format!("{server} answers {id}"));
-                let reply = Reply::json(200, &json!({"id": id}));
-                Handled::Reply(reply.with("Attempt-Id", id).with("Server-Stamp", stamp))
-            }
         }
     }
 
@@ -430,6 +425,9 @@
             http::write_chunk(stream, event.as_bytes())?;
         }
         http::write_chunk(stream, b"")?;
+        let mut seen = self.seen.lock().expect("not poisoned");
+        seen.finished.insert(id.to_owned());
+        drop(seen);
         self.record
             .line(&format!("{} completes {id}", self.settings.id));
         Ok(())
--- a/review/standin-2/src/store.rs
+++ b/review/standin-2/src/store.rs
@@ -16,6 +16,9 @@
 /// The time in which the store answers.
 const ANSWER_TIME: Duration = Duration::from_millis(4);
 
+/// The largest total of the values in one answer.
+const MAX_ANSWER_BYTES: usize = 1_000_000;
+
 /// The reading of the store's clock at its start.
 const CLOCK_START_MS: f64 = 5_000_000.0;
 
@@ -36,9 +39,6 @@
     turned_away: BTreeMap<String, BTreeMap<String, Instant>>,
 }
 
-/// Changes the address of a server as one reader sees it.
-pub type Rewrite = Arc<dyn Fn(&str) -> String + Send + Sync>;
-
 pub struct Store {
     state: Mutex<State>,
     changed: Condvar,
@@ -55,7 +55,7 @@
     }
 
     /// Serves `reader` on an address of its own, which is returned.
-    pub fn serve(self: &Arc<Self>, reader: &str, rewrite: Option<Rewrite>) -> SocketAddr {
+    pub fn serve(self: &Arc<Self>, reader: &str) -> SocketAddr {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("an address");
         let (store, reader) = (self.clone(), reader.to_owned());
@@ -64,7 +64,7 @@
             listener,
             Arc::new(move |request, _| {
                 thread::sleep(ANSWER_TIME);
-                Handled::Reply(store.answer(&reader, request, rewrite.as_ref()))
+                Handled::Reply(store.answer(&reader, request))
             }),
         );
         address
@@ -132,15 +132,15 @@
         Reply::json(status, &body)
     }
 
-    fn answer(&self, reader: &str, request: &Request, rewrite: Option<&Rewrite>) -> Reply {
+    fn answer(&self, reader: &str, request: &Request) -> Reply {
         if let Some(refusal) = self.refusal(reader, request) {
             return refusal;
         }
         match (request.method.as_str(), request.path.as_str()) {
             ("POST", "/-/rows-tx") => self.commit(request),
-            ("GET", "/-/rows-get") => self.get(request, rewrite),
+            ("GET", "/-/rows-get") => self.get(request),
             ("GET", "/-/rows-parts") => self.parts(request),
-            ("GET", "/-/rows-feed") => self.feed(request, rewrite),
+            ("GET", "/-/rows-feed") => self.feed(request),
             _ => Reply::json(404, &json!({})),
         }
     }
@@ -179,7 +179,7 @@
                 .iter()
                 .filter_map(|entry| {
                     let name = name(entry);
-                    Some(document(&name, current(&name)?, None))
+                    Some(document(&name, current(&name)?))
                 })
                 .collect();
             return self.reply(&state, 412, json!({"rows": rows}));
@@ -194,7 +194,7 @@
         self.reply(&state, 200, json!({}))
     }
 
-    fn get(&self, request: &Request, rewrite: Option<&Rewrite>) -> Reply {
+    fn get(&self, request: &Request) -> Reply {
         let (table, part) = (request.param("table"), request.param("part"));
         let (from, to) = (request.param("from"), request.param("to"));
         let limit = request
@@ -214,10 +214,16 @@
                     && (to.is_empty() || key.as_str() < to)
             })
             .take(limit + 1)
-            .map(|(name, row)| document(name, row, rewrite))
+            .map(|(name, row)| document(name, row))
             .collect();
-        let has_more = rows.len() > limit;
-        rows.truncate(limit);
+        let mut size = 0;
+        let fitting = rows.iter().take(limit).take_while(|row| {
+            size += row["value"].as_str().map_or(0, str::len);
+            size <= MAX_ANSWER_BYTES
+        });
+        let count = fitting.count().max(1).min(rows.len());
+        let has_more = rows.len() > count;
+        rows.truncate(count);
         self.reply(&state, 200, json!({"rows": rows, "has_more": has_more}))
     }
 
@@ -235,7 +241,7 @@
         self.reply(&state, 200, body)
     }
 
-    fn feed(&self, request: &Request, rewrite: Option<&Rewrite>) -> Reply {
+    fn feed(&self, request: &Request) -> Reply {
         let table = request.param("table");
         let after: u64 = request.param("after").parse().unwrap_or(0);
         let wait = Duration::from_millis(request.param("wait_ms").parse().unwrap_or(0));
@@ -246,7 +252,7 @@
                 .rows
                 .iter()
                 .filter(|((t, ..), row)| t == table && row.ver > after)
-                .map(|(name, row)| (row.ver, document(name, row, rewrite)))
+                .map(|(name, row)| (row.ver, document(name, row)))
                 .collect();
             let left = end.saturating_duration_since(Instant::now());
             if !rows.is_empty() || left.is_zero() {
@@ -263,17 +269,7 @@
     }
 }
 
-fn document((table, part, key): &Name, row: &Row, rewrite: Option<&Rewrite>) -> Value {
-    let mut value = row.value.clone();
-    if table == "servers"
-        && let Some(rewrite) = rewrite
-        && let Ok(bytes) = STANDARD.decode(&value)
-        && let Ok(mut entry) = serde_json::from_slice::<Value>(&bytes)
-    {
-        let address = entry["address"].as_str().unwrap_or("").to_owned();
-        entry["address"] = json!(rewrite(&address));
-        value = STANDARD.encode(entry.to_string());
-    }
-    json!({"table": table, "part": part, "key": key, "ver": row.ver, "value": value,
+fn document((table, part, key): &Name, row: &Row) -> Value {
+    json!({"table": table, "part": part, "key": key, "ver": row.ver, "value": row.value,
         "deleted": row.is_removed})
 }
